--- /dev/null
+++ b/crates/dogwoodlb/src/bin/dogwoodctl.rs
@@ -0,0 +1,2 @@
+//! The operators command line.
+fn main() {}
--- /dev/null
+++ b/crates/dogwoodlb/src/main.rs
@@ -0,0 +1,2 @@
+//! The dogwoodlb daemon.
+fn main() {}
--- /dev/null
+++ b/crates/lease/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder for the `lease` library.
--- /dev/null
+++ b/crates/limit/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder for the `limit` library.
--- /dev/null
+++ b/crates/member/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder for the `member` library.
--- /dev/null
+++ b/crates/platform/src/service.rs
@@ -0,0 +1,48 @@
+//! Plain services.
+
+use crate::Result;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// A call of a plain service.
+#[derive(Clone, Copy, Debug)]
+pub struct Call<'a> {
+    /// The address of the replica.
+    pub upstream: SocketAddr,
+    /// The HTTP method.
+    pub method: &'a str,
+    /// The path and query.
+    pub path: &'a str,
+    /// The id of the request.
+    pub request: &'a str,
+    /// The media type of the body.
+    pub content_type: Option<&'a str>,
+    /// The body.
+    pub body: &'a [u8],
+    /// How long the whole call may take.
+    pub timeout: Duration,
+}
+
+/// The answer of a plain service.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Reply {
+    /// The HTTP status.
+    pub status: u16,
+    /// The media type of the body.
+    pub content_type: Option<String>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+/// A plain service.
+pub trait Service: Send + Sync {
+    /// Calls the service once; the call is never repeated by the adapter.
+    ///
+    /// Any complete HTTP answer is a reply, whatever its status.
+    ///
+    /// # Errors
+    ///
+    /// [`NotSent`](crate::Category::NotSent) if no byte reached the service, else
+    /// [`Ambiguous`](crate::Category::Ambiguous).
+    fn call(&self, call: &Call<'_>) -> Result<Reply>;
+}
--- /dev/null
+++ b/crates/swap/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder for the `swap` library.
--- /dev/null
+++ b/crates/types/src/error.rs
@@ -0,0 +1,63 @@
+use std::fmt;
+
+/// The kind of an [`Error`].
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[non_exhaustive]
+pub enum Category {
+    /// An identifier is empty, too long or holds a character that is not allowed.
+    Identifier,
+    /// The spans of a sample don't cover its tokens exactly.
+    Spans,
+}
+
+/// An invalid value of one of the shared types.
+pub struct Error(Box<Inner>);
+
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum Inner {
+    #[error("identifier `{text}` is not valid at byte {offset}: use 1 to 64 of a-z, 0-9, `.`, `_` and `-`")]
+    Identifier { text: String, offset: usize },
+    #[error("span {index} starts at token {from}, expected {expected}")]
+    SpanGap {
+        index: usize,
+        from: u32,
+        expected: u32,
+    },
+    #[error("span {index} is empty")]
+    SpanEmpty { index: usize },
+    #[error("spans end at token {end}, but the sample has {tokens} tokens")]
+    SpanEnd { end: u32, tokens: u32 },
+}
+
+impl Error {
+    /// Returns the kind of the error.
+    pub fn classify(&self) -> Category {
+        match *self.0 {
+            Inner::Identifier { .. } => Category::Identifier,
+            Inner::SpanGap { .. } | Inner::SpanEmpty { .. } | Inner::SpanEnd { .. } => {
+                Category::Spans
+            }
+        }
+    }
+}
+
+impl From<Inner> for Error {
+    #[cold]
+    fn from(inner: Inner) -> Self {
+        Self(Box::new(inner))
+    }
+}
+
+impl fmt::Debug for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Debug::fmt(&self.0, f)
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(&self.0, f)
+    }
+}
+
+impl std::error::Error for Error {}
--- /dev/null
+++ b/crates/types/src/id.rs
@@ -0,0 +1,220 @@
+//! Identifiers.
+//!
+//! Names are short checked strings that are cheap to clone; numbers are newtypes, so that a
+//! fencing number can't be passed where a weight version is expected.
+
+use crate::error::Inner;
+use crate::{Error, Result};
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use std::str::FromStr;
+use std::sync::Arc;
+
+const MAX_NAME_BYTES: usize = 64;
+
+fn check_name(text: &str) -> Result<()> {
+    let bad = text
+        .bytes()
+        .position(|b| !matches!(b, b'a'..=b'z' | b'0'..=b'9' | b'.' | b'_' | b'-'));
+    let offset = match bad {
+        Some(offset) => offset,
+        None if text.is_empty() => 0,
+        None if text.len() > MAX_NAME_BYTES => MAX_NAME_BYTES,
+        None => return Ok(()),
+    };
+    Err(Error::from(Inner::Identifier {
+        text: text.chars().take(80).collect(),
+        offset,
+    }))
+}
+
+macro_rules! name {
+    ($(#[$doc:meta] $name:ident;)*) => {$(
+        #[$doc]
+        ///
+        /// 1 to 64 characters of `a-z`, `0-9`, `.`, `_` and `-`.
+        #[derive(Clone, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+        #[serde(into = "String", try_from = "String")]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// Returns the name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = Error;
+
+            fn from_str(text: &str) -> Result<Self> {
+                check_name(text)?;
+                Ok(Self(text.into()))
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = Error;
+
+            fn try_from(text: String) -> Result<Self> {
+                text.parse()
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(name: $name) -> Self {
+                name.as_str().to_owned()
+            }
+        }
+
+        impl fmt::Debug for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                fmt::Debug::fmt(self.as_str(), f)
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.pad(self.as_str())
+            }
+        }
+    )*};
+}
+
+name! {
+    /// The name of a caller: a customer application or a trainer.
+    Caller;
+    /// The name of a data centre.
+    Centre;
+    /// The name of a lease.
+    Lease;
+    /// The name of a model, or of an adapter of one.
+    Model;
+    /// The name of an operator.
+    Operator;
+    /// The name of a region.
+    Region;
+    /// The name of a plain service.
+    Service;
+    /// The name of a trainer.
+    Trainer;
+    /// The name of one replica of a model engine or a plain service.
+    Upstream;
+    /// The name of an entry VM.
+    Vm;
+}
+
+macro_rules! number {
+    ($(#[$doc:meta] $name:ident;)*) => {$(
+        #[$doc]
+        #[derive(
+            Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd,
+            Serialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub u64);
+
+        impl $name {
+            /// Returns the number that follows.
+            pub const fn next(self) -> Self {
+                Self(self.0 + 1)
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                fmt::Display::fmt(&self.0, f)
+            }
+        }
+    )*};
+}
+
+number! {
+    /// The number of one delivery of a step to a trainer.
+    Delivery;
+    /// A fencing number; a later holder of a lease has a higher one.
+    Fence;
+    /// The number of one run of a process; a restarted process has a higher one.
+    Incarnation;
+    /// The version of the manifest.
+    Revision;
+    /// The number of a trainer process's session; a later session fences earlier ones.
+    Session;
+    /// The number of a training step.
+    Step;
+    /// A version of a model's weights.
+    Version;
+}
+
+/// Identifies one operation, so that its repetition can be recognised.
+///
+/// The number is drawn at random by whoever starts the operation.
+#[derive(Clone, Copy, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(into = "String", try_from = "String")]
+pub struct Operation(pub u128);
+
+impl fmt::Debug for Operation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
+
+impl fmt::Display for Operation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+impl From<Operation> for String {
+    fn from(operation: Operation) -> Self {
+        operation.to_string()
+    }
+}
+
+impl TryFrom<String> for Operation {
+    type Error = Error;
+
+    fn try_from(text: String) -> Result<Self> {
+        u128::from_str_radix(&text, 16)
+            .map(Self)
+            .map_err(|_| Error::from(Inner::Identifier { text, offset: 0 }))
+    }
+}
+
+/// Identifies one sample: the trainer, the step, the group and the place in the group.
+///
+/// The identity doesn't depend on who generates the sample or how often, which lets the
+/// ledger absorb duplicates.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Sample {
+    /// The trainer that asked for the sample.
+    pub trainer: Trainer,
+    /// The step that the sample belongs to.
+    pub step: Step,
+    /// The position of the group in the step.
+    pub group: u32,
+    /// The position of the sample in the group.
+    pub index: u32,
+}
+
+impl Sample {
+    /// Creates the identity of a sample.
+    pub const fn new(trainer: Trainer, step: Step, group: u32, index: u32) -> Self {
+        Self {
+            trainer,
+            step,
+            group,
+            index,
+        }
+    }
+}
+
+impl fmt::Display for Sample {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{}/{}/{}/{}",
+            self.trainer, self.step, self.group, self.index
+        )
+    }
+}
--- /dev/null
+++ b/crates/types/src/refusal.rs
@@ -0,0 +1,106 @@
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use std::time::Duration;
+
+/// Whether a refused or failed request can have been executed.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Ran {
+    /// Nothing was executed; the request may be sent again.
+    NotRun,
+    /// The request, or a part of it, may have been executed.
+    MayHaveRun,
+}
+
+/// The reason of a [`Refusal`], as callers see it; docs/api.md lists each one.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+#[non_exhaustive]
+#[serde(rename_all = "snake_case")]
+pub enum Code {
+    /// The request is malformed.
+    BadRequest,
+    /// The request is larger than the limit.
+    TooLarge,
+    /// The caller is not in the manifest or may not use what it asks for.
+    Forbidden,
+    /// The endpoint doesn't exist.
+    NotFound,
+    /// The manifest has no such model.
+    UnknownModel,
+    /// The manifest has no such service.
+    UnknownService,
+    /// The manifest has no such trainer.
+    UnknownTrainer,
+    /// The request contradicts an earlier one.
+    Conflict,
+    /// Another VM owns the trainer or the lease.
+    WrongNode,
+    /// The session was replaced by a later one.
+    StaleSession,
+    /// The request can't start before its deadline, or the queue is full.
+    Overloaded,
+    /// No upstream can take the request.
+    NoUpstream,
+    /// The upstream failed after the request was sent.
+    UpstreamFailed,
+    /// The deadline passed after the request was sent.
+    DeadlineExceeded,
+    /// The table service or the object store can't be used now.
+    StoreUnavailable,
+    /// The node can't know which manifest is in force.
+    ManifestUnknown,
+    /// The node is shutting down.
+    Leaving,
+    /// An assertion inside the program failed and stopped the action.
+    Invariant,
+}
+
+/// A typed refusal: what was refused, why, and whether anything can have been executed.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Refusal {
+    /// The reason.
+    pub code: Code,
+    /// What was refused and what to do about it.
+    pub message: String,
+    /// Whether anything can have been executed.
+    pub ran: Ran,
+    /// How long to wait before trying again, if trying again helps.
+    pub retry_after: Option<Duration>,
+}
+
+impl Refusal {
+    /// Refuses a request of which nothing was executed.
+    pub fn not_run(code: Code, message: impl Into<String>) -> Self {
+        Self {
+            code,
+            message: message.into(),
+            ran: Ran::NotRun,
+            retry_after: None,
+        }
+    }
+
+    /// Reports the failure of a request that may have been executed.
+    pub fn may_have_run(code: Code, message: impl Into<String>) -> Self {
+        Self {
+            code,
+            message: message.into(),
+            ran: Ran::MayHaveRun,
+            retry_after: None,
+        }
+    }
+
+    /// Sets how long the caller should wait before trying again.
+    #[must_use]
+    pub fn retry_after(mut self, wait: Duration) -> Self {
+        self.retry_after = Some(wait);
+        self
+    }
+}
+
+impl fmt::Display for Refusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.message)
+    }
+}
+
+impl std::error::Error for Refusal {}
