Add the design page and the HTTP server

Cause: the parts need one agreed page and a server shell that streams.

Ruled out: rouille 3.6 buffers streams and tiny_http under it holds a connection with half a head for ever, so `hyper` serves, inside one crate.

Change: docs/design.md; crate `http` with limits on connections, requests, heads, bodies and write stalls, streaming responses, and a reader for server-sent events.

Conclusion: the parts can be built side by side against the page.

--- /dev/null
+++ b/crates/http/src/body.rs
@@ -0,0 +1,166 @@
+use crate::error::Inner;
+use crate::{Error, Response, Result};
+use bytes::Bytes;
+use hyper::body::{Body, Frame, SizeHint};
+use std::convert::Infallible;
+use std::fmt;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use tokio::sync::{mpsc, oneshot};
+
+/// How many chunks of a streamed body may wait for the socket.
+const STREAM_CHUNKS: usize = 16;
+
+pub(crate) type Head = hyper::Response<Outgoing>;
+
+/// Sends the response of one request.
+///
+/// A responder that is dropped unused makes the server answer status 500.
+#[derive(Debug)]
+pub struct Responder(pub(crate) oneshot::Sender<Head>);
+
+impl Responder {
+    /// Sends a whole response.
+    pub fn send(self, response: Response) {
+        let body = Outgoing::Full(Some(response.body.into()));
+        self.start(response.status, &response.headers, body);
+    }
+
+    /// Starts a response whose body follows in chunks, each sent on as soon as it is written.
+    pub fn stream(self, status: u16, headers: &[(&str, &str)]) -> Stream {
+        let (chunks, receiver) = mpsc::channel(STREAM_CHUNKS);
+        let headers: Vec<_> = headers
+            .iter()
+            .map(|(name, value)| (name.to_string(), value.to_string()))
+            .collect();
+        self.start(status, &headers, Outgoing::Chunks(receiver));
+        Stream {
+            chunks,
+            finished: false,
+        }
+    }
+
+    fn start(self, status: u16, headers: &[(String, String)], body: Outgoing) {
+        let mut head = hyper::Response::builder().status(status);
+        for (name, value) in headers {
+            head = head.header(name, value);
+        }
+        if let Ok(head) = head.body(body) {
+            // The receiver is gone only if the client is.
+            let _ = self.0.send(head);
+        }
+    }
+}
+
+/// The body of a streamed response.
+///
+/// A stream that is dropped before [`finish`](Stream::finish) breaks the connection, so that
+/// the client can't take a part for the whole.
+#[derive(Debug)]
+pub struct Stream {
+    chunks: mpsc::Sender<Chunk>,
+    finished: bool,
+}
+
+#[derive(Debug)]
+pub(crate) enum Chunk {
+    Data(Bytes),
+    Abort,
+    End,
+}
+
+impl Stream {
+    /// Writes a chunk; waits while the client is behind.
+    ///
+    /// # Errors
+    ///
+    /// [`Category::Closed`](crate::Category::Closed) if the client is gone or has not read
+    /// within the write time-out.
+    pub fn write(&self, data: &[u8]) -> Result<()> {
+        self.chunks
+            .blocking_send(Chunk::Data(Bytes::copy_from_slice(data)))
+            .map_err(|_| Error::from(Inner::Closed))
+    }
+
+    /// Returns whether the client is gone.
+    pub fn is_closed(&self) -> bool {
+        self.chunks.is_closed()
+    }
+
+    /// Ends the body as complete.
+    ///
+    /// # Errors
+    ///
+    /// [`Category::Closed`](crate::Category::Closed) if the client is gone.
+    pub fn finish(mut self) -> Result<()> {
+        self.finished = true;
+        self.chunks
+            .blocking_send(Chunk::End)
+            .map_err(|_| Error::from(Inner::Closed))
+    }
+}
+
+impl Drop for Stream {
+    fn drop(&mut self) {
+        if !self.finished {
+            // A full channel is closed without an end mark, which aborts as well.
+            let _ = self.chunks.try_send(Chunk::Abort);
+        }
+    }
+}
+
+/// The body of a response on its way out.
+#[derive(Debug)]
+pub(crate) enum Outgoing {
+    Full(Option<Bytes>),
+    Chunks(mpsc::Receiver<Chunk>),
+}
+
+/// Breaks a connection whose response can't be completed.
+#[derive(Debug)]
+pub(crate) struct Aborted;
+
+impl fmt::Display for Aborted {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the response was aborted")
+    }
+}
+
+impl std::error::Error for Aborted {}
+
+impl From<Infallible> for Aborted {
+    fn from(never: Infallible) -> Self {
+        match never {}
+    }
+}
+
+impl Body for Outgoing {
+    type Data = Bytes;
+    type Error = Aborted;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<std::result::Result<Frame<Bytes>, Aborted>>> {
+        match &mut *self {
+            Self::Full(body) => Poll::Ready(body.take().map(|data| Ok(Frame::data(data)))),
+            Self::Chunks(chunks) => chunks.poll_recv(context).map(|chunk| match chunk {
+                Some(Chunk::Data(data)) => Some(Ok(Frame::data(data))),
+                Some(Chunk::End) => None,
+                Some(Chunk::Abort) | None => Some(Err(Aborted)),
+            }),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Self::Full(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Full(Some(body)) => SizeHint::with_exact(body.len() as u64),
+            Self::Full(None) => SizeHint::with_exact(0),
+            Self::Chunks(_) => SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/http/src/error.rs
@@ -0,0 +1,69 @@
+use std::fmt;
+use std::io;
+
+/// The kind of an [`Error`].
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[non_exhaustive]
+pub enum Category {
+    /// The client closed the connection or stopped reading.
+    Closed,
+    /// A socket or thread operation failed.
+    Io,
+    /// The peer sent something malformed or too large.
+    Malformed,
+}
+
+/// A failure of the server or of a stream.
+pub struct Error(Box<Inner>);
+
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum Inner {
+    #[error("the client closed the connection")]
+    Closed,
+    #[error("{0}")]
+    Io(#[from] io::Error),
+    #[error("event {event} has a line of more than {limit} bytes")]
+    LongLine { event: usize, limit: usize },
+    #[error("event {event} is not UTF-8")]
+    Encoding { event: usize },
+}
+
+impl Error {
+    /// Returns the kind of the error.
+    pub fn classify(&self) -> Category {
+        match *self.0 {
+            Inner::Closed => Category::Closed,
+            Inner::Io(_) => Category::Io,
+            Inner::LongLine { .. } | Inner::Encoding { .. } => Category::Malformed,
+        }
+    }
+
+    /// Returns the kind of the underlying I/O error, if there is one.
+    pub fn io_kind(&self) -> Option<io::ErrorKind> {
+        match &*self.0 {
+            Inner::Io(error) => Some(error.kind()),
+            _ => None,
+        }
+    }
+}
+
+impl<E: Into<Inner>> From<E> for Error {
+    #[cold]
+    fn from(inner: E) -> Self {
+        Self(Box::new(inner.into()))
+    }
+}
+
+impl fmt::Debug for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Debug::fmt(&self.0, f)
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(&self.0, f)
+    }
+}
+
+impl std::error::Error for Error {}
--- /dev/null
+++ b/crates/http/src/server.rs
@@ -0,0 +1,349 @@
+use crate::body::{Head, Outgoing};
+use crate::error::Inner;
+use crate::io::Connection;
+use crate::{Request, Responder, Response, Result};
+use dogwoodlb_types::{Code, Refusal};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::convert::Infallible;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::runtime::Runtime;
+use tokio::sync::{oneshot, watch, OwnedSemaphorePermit, Semaphore};
+use tokio::time::timeout;
+
+const THREAD_STACK_BYTES: usize = 512 * 1024;
+const IO_THREADS: usize = 2;
+const ACCEPT_RETRY: Duration = Duration::from_millis(50);
+
+/// Answers requests; called on a thread of its own for each request in progress.
+pub trait Handler: Send + Sync + 'static {
+    /// Answers one request.
+    fn handle(&self, request: &Request, responder: Responder);
+}
+
+/// The limits of a server.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Connections open at a time; further ones wait in the kernel's queue.
+    pub connections: usize,
+    /// Requests in progress at a time; further ones are refused with `overloaded`.
+    pub requests: usize,
+    /// The size of a request's head.
+    pub head_bytes: usize,
+    /// The size of a request's body.
+    pub body_bytes: usize,
+    /// How long a client may take to send a request's head, and to begin the next one.
+    pub head_timeout: Duration,
+    /// How long a client may take to send a request's body.
+    pub body_timeout: Duration,
+    /// How long a client may leave a response unread.
+    pub write_timeout: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            connections: 1024,
+            requests: 512,
+            head_bytes: 16 * 1024,
+            body_bytes: 4 * 1024 * 1024,
+            head_timeout: Duration::from_secs(10),
+            body_timeout: Duration::from_secs(10),
+            write_timeout: Duration::from_secs(10),
+        }
+    }
+}
+
+/// A running server.
+pub struct Server {
+    address: SocketAddr,
+    shared: Arc<Shared>,
+    stop: watch::Sender<bool>,
+    runtime: Mutex<Option<Runtime>>,
+}
+
+struct Shared {
+    limits: Limits,
+    handler: Arc<dyn Handler>,
+    connections: Arc<Semaphore>,
+    requests: Arc<Semaphore>,
+    in_flight: AtomicUsize,
+}
+
+/// Counts one request from its arrival until its response is sent in full.
+struct InFlight(Arc<Shared>);
+
+impl InFlight {
+    fn new(shared: &Arc<Shared>) -> Self {
+        shared.in_flight.fetch_add(1, Ordering::SeqCst);
+        Self(shared.clone())
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+impl Server {
+    /// Serves connections of `listener` until [`shutdown`](Server::shutdown).
+    ///
+    /// # Errors
+    ///
+    /// [`Category::Io`](crate::Category::Io) if the listener or the threads can't be set up.
+    pub fn start(listener: TcpListener, limits: Limits, handler: Arc<dyn Handler>) -> Result<Self> {
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(IO_THREADS)
+            .max_blocking_threads(limits.requests + 1)
+            .thread_name("http")
+            .thread_stack_size(THREAD_STACK_BYTES)
+            .enable_all()
+            .build()
+            .map_err(Inner::Io)?;
+        listener.set_nonblocking(true).map_err(Inner::Io)?;
+        let address = listener.local_addr().map_err(Inner::Io)?;
+        let shared = Arc::new(Shared {
+            limits,
+            handler,
+            connections: Arc::new(Semaphore::new(limits.connections)),
+            requests: Arc::new(Semaphore::new(limits.requests)),
+            in_flight: AtomicUsize::new(0),
+        });
+        let (stop, stopped) = watch::channel(false);
+        let listener = {
+            let _context = runtime.enter();
+            tokio::net::TcpListener::from_std(listener).map_err(Inner::Io)?
+        };
+        runtime.spawn(accept(listener, shared.clone(), stopped));
+        Ok(Self {
+            address,
+            shared,
+            stop,
+            runtime: Mutex::new(Some(runtime)),
+        })
+    }
+
+    /// Returns the address that the server listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the number of requests in progress, including responses not yet sent in full.
+    pub fn in_flight(&self) -> usize {
+        self.shared.in_flight.load(Ordering::SeqCst)
+    }
+
+    /// Stops accepting, closes idle connections, and waits for requests in progress.
+    ///
+    /// Returns whether all of them were answered in full within `patience`; the connections
+    /// of the others are broken.
+    pub fn shutdown(&self, patience: Duration) -> bool {
+        let runtime = self
+            .runtime
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .take();
+        let Some(runtime) = runtime else {
+            return true;
+        };
+        let _ = self.stop.send(true);
+        let all = u32::try_from(self.shared.limits.connections).unwrap_or(u32::MAX);
+        let connections = self.shared.connections.clone();
+        let drained =
+            runtime.block_on(async { timeout(patience, connections.acquire_many(all)).await });
+        let complete = drained.is_ok();
+        runtime.shutdown_background();
+        complete
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.shutdown(Duration::ZERO);
+    }
+}
+
+async fn accept(
+    listener: tokio::net::TcpListener,
+    shared: Arc<Shared>,
+    mut stopped: watch::Receiver<bool>,
+) {
+    loop {
+        let Ok(permit) = shared.connections.clone().acquire_owned().await else {
+            return;
+        };
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = wait(&mut stopped) => return,
+        };
+        match accepted {
+            Ok((stream, peer)) => {
+                tokio::spawn(serve(stream, peer, shared.clone(), stopped.clone(), permit));
+            }
+            Err(error) => {
+                tracing::warn!(%error, "accept_failed");
+                tokio::time::sleep(ACCEPT_RETRY).await;
+            }
+        }
+    }
+}
+
+async fn wait(stopped: &mut watch::Receiver<bool>) {
+    // An error means that the server is gone, which stops the connection as well.
+    let _ = stopped.wait_for(|stop| *stop).await;
+}
+
+async fn serve(
+    stream: tokio::net::TcpStream,
+    peer: SocketAddr,
+    shared: Arc<Shared>,
+    mut stopped: watch::Receiver<bool>,
+    _permit: OwnedSemaphorePermit,
+) {
+    let _ = stream.set_nodelay(true);
+    let io = TokioIo::new(Connection::new(stream, shared.limits.write_timeout));
+    let limits = shared.limits;
+    let service = service_fn(move |request| respond(request, peer, shared.clone()));
+    let connection = hyper::server::conn::http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.head_timeout)
+        .max_buf_size(limits.head_bytes.max(8192))
+        .half_close(false)
+        .serve_connection(io, service);
+    tokio::pin!(connection);
+    let finished = tokio::select! {
+        result = connection.as_mut() => Some(result),
+        () = wait(&mut stopped) => None,
+    };
+    let result = match finished {
+        Some(result) => result,
+        None => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = result {
+        tracing::debug!(%peer, %error, "connection_ended");
+    }
+}
+
+async fn respond(
+    request: hyper::Request<Incoming>,
+    peer: SocketAddr,
+    shared: Arc<Shared>,
+) -> std::result::Result<hyper::Response<Guarded>, Infallible> {
+    let in_flight = InFlight::new(&shared);
+    let head = match read(request, peer, &shared.limits).await {
+        Ok(request) => dispatch(request, &shared).await,
+        Err(refusal) => refuse(&refusal),
+    };
+    Ok(head.map(|body| Guarded {
+        body,
+        _in_flight: in_flight,
+    }))
+}
+
+async fn dispatch(request: Request, shared: &Arc<Shared>) -> Head {
+    let Ok(permit) = shared.requests.clone().try_acquire_owned() else {
+        let refusal = Refusal::not_run(Code::Overloaded, "too many requests in progress");
+        return refuse(&refusal.retry_after(Duration::from_secs(1)));
+    };
+    let (sender, receiver) = oneshot::channel();
+    let handler = shared.handler.clone();
+    tokio::task::spawn_blocking(move || {
+        let _permit = permit;
+        handler.handle(&request, Responder(sender));
+    });
+    receiver.await.unwrap_or_else(|_| {
+        refuse(&Refusal::may_have_run(
+            Code::Invariant,
+            "the handler ended without an answer",
+        ))
+    })
+}
+
+async fn read(
+    request: hyper::Request<Incoming>,
+    peer: SocketAddr,
+    limits: &Limits,
+) -> std::result::Result<Request, Refusal> {
+    let (head, body) = request.into_parts();
+    let collected = timeout(
+        limits.body_timeout,
+        Limited::new(body, limits.body_bytes).collect(),
+    );
+    let body = match collected.await {
+        Ok(Ok(body)) => body.to_bytes().to_vec(),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            let message = format!("the body is larger than {} bytes", limits.body_bytes);
+            return Err(Refusal::not_run(Code::TooLarge, message));
+        }
+        Ok(Err(error)) => {
+            let message = format!("the body can't be read: {error}");
+            return Err(Refusal::not_run(Code::BadRequest, message));
+        }
+        Err(_) => {
+            let message = format!("the body took longer than {:?}", limits.body_timeout);
+            return Err(Refusal::not_run(Code::BadRequest, message));
+        }
+    };
+    let headers = head.headers.iter().map(|(name, value)| {
+        (
+            name.as_str().to_owned(),
+            String::from_utf8_lossy(value.as_bytes()).into_owned(),
+        )
+    });
+    Ok(Request {
+        method: head.method.as_str().to_owned(),
+        path: head.uri.path().to_owned(),
+        query: head.uri.query().unwrap_or_default().to_owned(),
+        headers: headers.collect(),
+        body,
+        peer,
+    })
+}
+
+#[cold]
+fn refuse(refusal: &Refusal) -> Head {
+    tracing::info!(code = ?refusal.code, message = %refusal.message, "request_refused");
+    let response = Response::refusal(refusal);
+    let mut head = hyper::Response::new(Outgoing::Full(Some(response.body.into())));
+    *head.status_mut() =
+        hyper::StatusCode::from_u16(response.status).unwrap_or(hyper::StatusCode::BAD_GATEWAY);
+    let json = hyper::header::HeaderValue::from_static("application/json");
+    head.headers_mut().insert(hyper::header::CONTENT_TYPE, json);
+    head
+}
+
+/// A response body that counts as in flight until it is dropped.
+struct Guarded {
+    body: Outgoing,
+    _in_flight: InFlight,
+}
+
+impl hyper::body::Body for Guarded {
+    type Data = bytes::Bytes;
+    type Error = crate::body::Aborted;
+
+    fn poll_frame(
+        mut self: std::pin::Pin<&mut Self>,
+        context: &mut std::task::Context<'_>,
+    ) -> std::task::Poll<Option<std::result::Result<hyper::body::Frame<Self::Data>, Self::Error>>>
+    {
+        std::pin::Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> hyper::body::SizeHint {
+        self.body.size_hint()
+    }
+}
--- /dev/null
+++ b/crates/http/src/sse.rs
@@ -0,0 +1,91 @@
+//! Server-sent events.
+
+use crate::error::Inner;
+use crate::{Error, Result};
+use std::io::{BufRead, BufReader, Read};
+
+/// The data of the event that ends a complete stream.
+pub const DONE: &str = "[DONE]";
+
+/// Returns the bytes of an event with the given one-line data.
+pub fn event(data: &str) -> Vec<u8> {
+    format!("data: {data}\n\n").into_bytes()
+}
+
+/// Reads the data of server-sent events as they come.
+///
+/// # Examples
+///
+/// ```
+/// use dogwoodlb_http::sse::Events;
+///
+/// let mut events = Events::new(&b"data: one\n\n: comment\ndata: two\n\n"[..], 1024);
+/// assert_eq!(events.next_event()?.as_deref(), Some("one"));
+/// assert_eq!(events.next_event()?.as_deref(), Some("two"));
+/// assert_eq!(events.next_event()?, None);
+/// # Ok::<(), dogwoodlb_http::Error>(())
+/// ```
+#[derive(Debug)]
+pub struct Events<R> {
+    reader: BufReader<R>,
+    max_bytes: usize,
+    read: usize,
+}
+
+impl<R: Read> Events<R> {
+    /// Reads events from `reader`, none larger than `max_bytes`.
+    pub fn new(reader: R, max_bytes: usize) -> Self {
+        Self {
+            reader: BufReader::new(reader),
+            max_bytes,
+            read: 0,
+        }
+    }
+
+    /// Returns the next event's data, or `None` at the end of the stream.
+    ///
+    /// # Errors
+    ///
+    /// [`Category::Io`](crate::Category::Io) if reading fails, and
+    /// [`Category::Malformed`](crate::Category::Malformed) if an event is too large or not
+    /// UTF-8.
+    pub fn next_event(&mut self) -> Result<Option<String>> {
+        let mut data = String::new();
+        loop {
+            let Some(line) = self.line(self.max_bytes.saturating_sub(data.len()))? else {
+                // The standard drops an event that has no blank line after it.
+                return Ok(None);
+            };
+            if line.is_empty() && !data.is_empty() {
+                self.read += 1;
+                data.pop();
+                return Ok(Some(data));
+            }
+            if let Some(text) = line.strip_prefix("data:") {
+                data.push_str(text.strip_prefix(' ').unwrap_or(text));
+                data.push('\n');
+            }
+        }
+    }
+
+    fn line(&mut self, limit: usize) -> Result<Option<String>> {
+        let mut line = Vec::new();
+        let mut limited = self.reader.by_ref().take(limit as u64 + 1);
+        limited.read_until(b'\n', &mut line).map_err(Inner::Io)?;
+        if line.len() > limit {
+            return Err(Error::from(Inner::LongLine {
+                event: self.read,
+                limit: self.max_bytes,
+            }));
+        }
+        if line.pop() != Some(b'\n') {
+            return Ok(None);
+        }
+        if line.last() == Some(&b'\r') {
+            line.pop();
+        }
+        let line = String::from_utf8(line);
+        line.map(Some)
+            .map_err(|_| Error::from(Inner::Encoding { event: self.read }))
+    }
+}
--- a/crates/types/src/refusal.rs
+++ b/crates/types/src/refusal.rs
@@ -1,5 +1,6 @@
 use serde::{Deserialize, Serialize};
 use std::fmt;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Whether a refused or failed request can have been executed.
@@ -66,6 +67,8 @@
     pub ran: Ran,
     /// How long to wait before trying again, if trying again helps.
     pub retry_after: Option<Duration>,
+    /// The address of the node to ask instead, if it is known.
+    pub owner: Option<SocketAddr>,
 }
 
 impl Refusal {
@@ -76,6 +79,7 @@
             message: message.into(),
             ran: Ran::NotRun,
             retry_after: None,
+            owner: None,
         }
     }
 
@@ -86,9 +90,17 @@
             message: message.into(),
             ran: Ran::MayHaveRun,
             retry_after: None,
+            owner: None,
         }
     }
 
+    /// Names the node to ask instead.
+    #[must_use]
+    pub fn owner(mut self, owner: Option<SocketAddr>) -> Self {
+        self.owner = owner;
+        self
+    }
+
     /// Sets how long the caller should wait before trying again.
     #[must_use]
     pub fn retry_after(mut self, wait: Duration) -> Self {
