--- /dev/null
+++ b/crates/node/src/pool.rs
@@ -0,0 +1,44 @@
+use std::io;
+use std::sync::mpsc::{sync_channel, Receiver, SyncSender};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+
+const THREAD_STACK_BYTES: usize = 512 * 1024;
+
+type Job = Box<dyn FnOnce() + Send>;
+
+/// A fixed number of threads that run jobs; jobs that find no thread free are refused.
+#[derive(Debug)]
+pub(crate) struct Pool {
+    jobs: SyncSender<Job>,
+}
+
+impl Pool {
+    pub(crate) fn new(name: &str, threads: usize) -> io::Result<Self> {
+        let (jobs, queue) = sync_channel::<Job>(threads);
+        let queue = Arc::new(Mutex::new(queue));
+        for _ in 0..threads {
+            let queue = queue.clone();
+            thread::Builder::new()
+                .name(name.to_owned())
+                .stack_size(THREAD_STACK_BYTES)
+                .spawn(move || work(&queue))?;
+        }
+        Ok(Self { jobs })
+    }
+
+    /// Runs a job, or returns `false` if the queue is full.
+    pub(crate) fn run(&self, job: impl FnOnce() + Send + 'static) -> bool {
+        self.jobs.try_send(Box::new(job)).is_ok()
+    }
+}
+
+fn work(queue: &Mutex<Receiver<Job>>) {
+    loop {
+        let job = queue.lock().unwrap_or_else(PoisonError::into_inner).recv();
+        match job {
+            Ok(job) => job(),
+            Err(_) => return,
+        }
+    }
+}
