Add the lease core

Cause: owners of trainers and models need a lease that a paused holder can't keep and whose takeover needs no second coordination service.

Change: crate `lease`: one candidate or holder over the rows `fence` and `beat`, rank by rendezvous hashing, read-back after an ambiguous reply, release, jitter after an outage. One request is in flight at a time and each reply names its ticket.

Conclusion: the public API is complete; its safety isn't shown by a test yet.

--- /dev/null
+++ b/crates/lease/src/lease.rs
@@ -0,0 +1,365 @@
+use crate::error::Inner;
+use crate::outage::{Outage, JITTER};
+use crate::row::{Fence, Rows};
+use crate::timing::{READ_INTERVAL, RENEWAL, RETRY, STAGGER, VALIDITY, WAIT};
+use crate::view::{Action, Guard, Holder, Ticket};
+use crate::write::{Kind, Verdict, Write};
+use crate::{Name, Result};
+use dogwoodlb_platform as platform;
+use dogwoodlb_platform::table::{Outcome, Row};
+use dogwoodlb_types::{id, Instant};
+use rand::Rng;
+use std::time::Duration;
+
+#[derive(Clone, Copy, Debug)]
+struct Held {
+    guard: Guard,
+    beat_version: u64,
+    renewed: Instant,
+}
+
+/// The versions of both rows and when they were first seen together.
+#[derive(Clone, Copy, Debug)]
+struct Seen {
+    versions: (u64, u64),
+    since: Instant,
+    fence: id::Fence,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Flight {
+    Read { began: Instant },
+    Commit,
+}
+
+/// One candidate for, or holder of, one lease.
+#[derive(Debug)]
+pub struct Lease {
+    name: Name,
+    vm: id::Vm,
+    incarnation: id::Incarnation,
+    rank: usize,
+    held: Option<Held>,
+    holder: Option<Holder>,
+    seen: Option<Seen>,
+    expired: bool,
+    write: Option<Write>,
+    read_due: bool,
+    next_read: Instant,
+    not_before: Instant,
+    flight: Option<(Ticket, Flight)>,
+    tickets: u64,
+    outage: Outage,
+    releasing: bool,
+    done: bool,
+}
+
+impl Lease {
+    /// Creates a candidate; a restarted process must pass a higher incarnation.
+    pub fn new(name: Name, vm: id::Vm, incarnation: id::Incarnation, rank: usize) -> Self {
+        Self {
+            name,
+            vm,
+            incarnation,
+            rank,
+            held: None,
+            holder: None,
+            seen: None,
+            expired: false,
+            write: None,
+            read_due: true,
+            next_read: Instant::default(),
+            not_before: Instant::default(),
+            flight: None,
+            tickets: 0,
+            outage: Outage::new(),
+            releasing: false,
+            done: false,
+        }
+    }
+
+    /// Returns the name.
+    pub fn name(&self) -> &Name {
+        &self.name
+    }
+
+    /// Returns the right to act, if this process has it now.
+    ///
+    /// Ask again right before each use: the process may have been paused since the last call.
+    pub fn held(&self, now: Instant) -> Option<Guard> {
+        let guard = self.held?.guard;
+        (!self.releasing && now < guard.until).then_some(guard)
+    }
+
+    /// Returns who held the lease when it was last read or written.
+    pub fn holder(&self) -> Option<&Holder> {
+        self.holder.as_ref()
+    }
+
+    /// Changes the position among the candidates.
+    pub fn set_rank(&mut self, rank: usize) {
+        self.rank = rank;
+    }
+
+    /// Gives the lease up for good; the next candidate needn't wait for its end.
+    ///
+    /// The right to act ends at once. Poll on until [`Lease::is_released`].
+    pub fn release(&mut self) {
+        self.releasing = true;
+        self.done = self.held.is_none() && self.write.is_none();
+    }
+
+    /// Returns whether the lease was given up and nothing is left to send.
+    pub fn is_released(&self) -> bool {
+        self.done
+    }
+
+    /// Returns the next request, if one is due and none is in flight.
+    pub fn poll(&mut self, now: Instant, rng: &mut dyn Rng) -> Option<Action> {
+        if self.flight.is_some() || self.done || now < self.not_before {
+            return None;
+        }
+        if self.read_due || (self.held.is_none() && self.write.is_none() && now >= self.next_read) {
+            self.read_due = true;
+            let ticket = self.start(Flight::Read { began: now });
+            let prefix = self.name.prefix();
+            return Some(Action::Read { ticket, prefix });
+        }
+        if !self.write_due(now) || !self.outage.allows_write(now, self.patience(now), rng) {
+            return None;
+        }
+        let mut write = match self.write.take() {
+            Some(write) => write,
+            None => self.next_write(operation(rng))?,
+        };
+        let txn = write.send(now);
+        self.write = Some(write);
+        let ticket = self.start(Flight::Commit);
+        Some(Action::Commit { ticket, txn })
+    }
+
+    /// Records the reply to a read; replies to other tickets are ignored.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the rows are malformed or contradict earlier ones. The lease isn't taken or
+    /// held on their strength, and they are read again.
+    pub fn on_read(
+        &mut self,
+        now: Instant,
+        ticket: Ticket,
+        reply: platform::Result<Vec<Row>>,
+    ) -> Result<()> {
+        let Some(Flight::Read { began }) = self.finish(ticket) else {
+            return Ok(());
+        };
+        let Ok(rows) = reply else {
+            self.on_failure(now);
+            return Ok(());
+        };
+        self.outage.on_success(now);
+        // Overwritten below unless the rows can't be used.
+        self.not_before = now + RETRY;
+        let rows = Rows::parse(&self.name, &rows)?;
+        self.check_fence(rows.as_ref())?;
+        self.not_before = now;
+        self.read_due = false;
+        self.settle(rows.as_ref())?;
+        self.observe(now, began, rows.as_ref());
+        self.done = self.releasing && self.held.is_none() && self.write.is_none();
+        Ok(())
+    }
+
+    /// Records the reply to a transaction; replies to other tickets are ignored.
+    pub fn on_commit(&mut self, now: Instant, ticket: Ticket, reply: platform::Result<Outcome>) {
+        let Some(Flight::Commit) = self.finish(ticket) else {
+            return;
+        };
+        match reply {
+            Ok(Outcome::Applied { version }) => {
+                self.outage.on_success(now);
+                if let Some(write) = self.write.take() {
+                    self.apply(write.kind, write.last_sent, (version, version));
+                }
+            }
+            // A delayed copy of the own write may be what this one conflicts with.
+            Ok(Outcome::Conflict { .. }) => {
+                self.outage.on_success(now);
+                self.read_due = true;
+            }
+            Err(error) => {
+                self.on_failure(now);
+                self.read_due = !matches!(
+                    error.classify(),
+                    platform::Category::NotSent | platform::Category::Refused
+                );
+                if self.read_due {
+                    self.not_before = now;
+                }
+            }
+        }
+    }
+
+    fn start(&mut self, flight: Flight) -> Ticket {
+        self.tickets += 1;
+        let ticket = Ticket(self.tickets);
+        self.flight = Some((ticket, flight));
+        ticket
+    }
+
+    fn finish(&mut self, ticket: Ticket) -> Option<Flight> {
+        let (_, flight) = self.flight.take_if(|(own, _)| *own == ticket)?;
+        Some(flight)
+    }
+
+    fn on_failure(&mut self, now: Instant) {
+        self.outage.on_failure(now);
+        self.not_before = now + RETRY;
+    }
+
+    fn write_due(&self, now: Instant) -> bool {
+        if self.write.is_some() {
+            return true;
+        }
+        match &self.held {
+            Some(held) => self.releasing || now >= held.renewed + RENEWAL,
+            None => self.expired,
+        }
+    }
+
+    /// Returns the longest jitter; a holder keeps half of its remaining time for the renewal.
+    fn patience(&self, now: Instant) -> Duration {
+        match &self.held {
+            Some(held) if now < held.guard.until => held.guard.until.saturating_since(now) / 2,
+            _ => JITTER,
+        }
+    }
+
+    fn next_write(&mut self, operation: id::Operation) -> Option<Write> {
+        if let Some(held) = &self.held {
+            let versions = (held.guard.row_version, held.beat_version);
+            return Some(Write::beat(&self.name, operation, self.releasing, versions));
+        }
+        let seen = self.seen?;
+        self.expired = false;
+        let holder = Fence {
+            operation,
+            fence: seen.fence.next(),
+            vm: self.vm.clone(),
+            incarnation: self.incarnation,
+        };
+        Some(Write::take_over(&self.name, holder, seen.versions))
+    }
+
+    /// Refuses a fencing number lower than one seen before.
+    fn check_fence(&self, rows: Option<&Rows>) -> Result<()> {
+        let highest = self.holder.as_ref().map_or(id::Fence(0), |h| h.fence);
+        let found = rows.map_or(id::Fence(0), |rows| rows.fence.row.fence);
+        if found < highest {
+            let key = self.name.fence_key();
+            return Err(Inner::Fence {
+                key,
+                found,
+                highest,
+            }
+            .into());
+        }
+        Ok(())
+    }
+
+    /// Decides the outcome of a write and whether the own lease was taken over.
+    fn settle(&mut self, rows: Option<&Rows>) -> Result<()> {
+        let versions = rows.map_or((0, 0), |rows| (rows.fence.version, rows.beat.version));
+        if let Some(write) = self.write.take() {
+            match write.judge(rows) {
+                Verdict::Applied => {
+                    let since = write.first_sent.unwrap_or_default();
+                    self.apply(write.kind, since, versions);
+                }
+                Verdict::Open => self.write = Some(write),
+                Verdict::Beaten => {}
+            }
+        }
+        let Some(held) = self.held else {
+            return Ok(());
+        };
+        if held.guard.row_version != versions.0 {
+            self.held = None;
+        } else if held.beat_version != versions.1 {
+            self.held = None;
+            let key = self.name.beat_key();
+            return Err(Inner::Foreign { key }.into());
+        }
+        Ok(())
+    }
+
+    fn apply(&mut self, kind: Kind, since: Instant, (fence_version, beat_version): (u64, u64)) {
+        let until = since + VALIDITY;
+        match (kind, &mut self.held) {
+            (Kind::TakeOver(fence), _) => {
+                self.held = Some(Held {
+                    guard: Guard {
+                        fence,
+                        row_version: fence_version,
+                        until,
+                    },
+                    beat_version,
+                    renewed: since,
+                });
+                self.holder = Some(Holder {
+                    vm: self.vm.clone(),
+                    incarnation: self.incarnation,
+                    fence,
+                });
+                self.seen = None;
+            }
+            (Kind::Renew, Some(held)) => {
+                held.guard.until = until;
+                held.beat_version = beat_version;
+                held.renewed = since;
+            }
+            (Kind::Release, _) => {
+                self.held = None;
+                self.done = true;
+            }
+            (Kind::Renew, None) => {}
+        }
+    }
+
+    /// Updates how long the lease has been unchanged, as seen by a candidate.
+    fn observe(&mut self, now: Instant, began: Instant, rows: Option<&Rows>) {
+        self.holder = rows.map(|rows| Holder {
+            vm: rows.fence.row.vm.clone(),
+            incarnation: rows.fence.row.incarnation,
+            fence: rows.fence.row.fence,
+        });
+        if self.held.is_some() {
+            return;
+        }
+        let versions = rows.map_or((0, 0), |rows| (rows.fence.version, rows.beat.version));
+        let free = rows.is_none_or(|rows| rows.beat.row.released);
+        // The rows may have been written right before the reply, so the wait starts there.
+        let since = match self.seen {
+            Some(seen) if seen.versions == versions => seen.since,
+            _ => now,
+        };
+        let wait = if free { Duration::ZERO } else { WAIT };
+        self.seen = Some(Seen {
+            versions,
+            since,
+            fence: rows.map_or(id::Fence(0), |rows| rows.fence.row.fence),
+        });
+        let rank = u32::try_from(self.rank).unwrap_or(u32::MAX);
+        let deadline = since + wait + STAGGER.saturating_mul(rank);
+        self.expired = deadline <= if free { now } else { began };
+        let interval = READ_INTERVAL.saturating_mul(rank.saturating_sub(1).max(1));
+        self.next_read = now + interval;
+        if !self.expired {
+            self.next_read = self.next_read.min(deadline.max(now));
+        }
+    }
+}
+
+fn operation(rng: &mut dyn Rng) -> id::Operation {
+    id::Operation(u128::from(rng.next_u64()) << 64 | u128::from(rng.next_u64()))
+}
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -1,1 +1,58 @@
-//! Placeholder for the `lease` library.
+//! Leases with fencing numbers over two rows of the platform's table service.
+//!
+//! The row `lease/<name>/fence` changes only when the holder changes, so every data write of
+//! the holder can require its version; a write of a stale holder then conflicts. The row
+//! `lease/<name>/beat` changes with each renewal. See docs/design.md, sections 4.1 to 4.4.
+//!
+//! [`Lease`] is sans-IO: [`Lease::poll`] returns at most one request to the table service, and
+//! the shell feeds the reply back with the request's [`Ticket`].
+//!
+//! # Examples
+//!
+//! The first candidate of a lease that nobody ever held:
+//!
+//! ```
+//! use dogwoodlb_lease::{Action, Lease, Name};
+//! use dogwoodlb_platform::table::Outcome;
+//! use dogwoodlb_types::prelude::*;
+//! use rand::{rngs::SmallRng, SeedableRng};
+//!
+//! let mut rng = SmallRng::seed_from_u64(1);
+//! let name = Name::Trainer("weld".parse()?);
+//! let mut lease = Lease::new(name, "entry-1".parse()?, id::Incarnation(1), 0);
+//!
+//! let now = Instant::from_millis(10);
+//! let Some(Action::Read { ticket, prefix }) = lease.poll(now, &mut rng) else { panic!() };
+//! assert_eq!(prefix, "lease/trainer/weld/");
+//! lease.on_read(now, ticket, Ok(Vec::new())).unwrap();
+//!
+//! let Some(Action::Commit { ticket, txn }) = lease.poll(now, &mut rng) else { panic!() };
+//! assert_eq!(txn.checks[0].version, 0);
+//! lease.on_commit(now, ticket, Ok(Outcome::Applied { version: 7 }));
+//!
+//! let guard = lease.held(now).unwrap();
+//! assert_eq!((guard.fence, guard.row_version), (id::Fence(1), 7));
+//! assert_eq!(guard.until, Instant::from_millis(10 + 5_740));
+//! # Ok::<(), dogwoodlb_types::Error>(())
+//! ```
+
+mod error;
+mod lease;
+mod name;
+mod outage;
+mod rank;
+mod row;
+mod timing;
+mod view;
+mod write;
+
+pub use error::{Category, Error};
+pub use lease::Lease;
+pub use name::Name;
+pub use outage::{Outage, JITTER};
+pub use rank::rank;
+pub use timing::{RENEWAL, STAGGER, TERM, VALIDITY, WAIT};
+pub use view::{Action, Guard, Holder, Ticket};
+
+/// The result of an operation of this crate.
+pub type Result<T> = std::result::Result<T, Error>;
--- /dev/null
+++ b/crates/lease/src/outage.rs
@@ -0,0 +1,50 @@
+use dogwoodlb_types::Instant;
+use rand::Rng;
+use std::time::Duration;
+
+/// The longest wait before the first write after an outage of the table service.
+pub const JITTER: Duration = Duration::from_secs(2);
+
+/// How long requests must have failed to count as an outage; a single lost reply doesn't.
+const OUTAGE: Duration = Duration::from_secs(1);
+
+/// Spreads the first writes of all nodes after an outage of the table service.
+///
+/// See docs/design.md, section 4.4.
+#[derive(Clone, Debug, Default)]
+pub struct Outage {
+    failing_since: Option<Instant>,
+    due: bool,
+    not_before: Option<Instant>,
+}
+
+impl Outage {
+    /// Creates the state of a service that answers.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Records a request that failed.
+    pub fn on_failure(&mut self, now: Instant) {
+        self.failing_since.get_or_insert(now);
+    }
+
+    /// Records a request that was answered.
+    pub fn on_success(&mut self, now: Instant) {
+        if let Some(since) = self.failing_since.take() {
+            self.due |= now.saturating_since(since) >= OUTAGE;
+        }
+    }
+
+    /// Returns whether a write may be sent now.
+    ///
+    /// The first call after an outage draws the wait, at most `longest` or [`JITTER`].
+    pub fn allows_write(&mut self, now: Instant, longest: Duration, rng: &mut dyn Rng) -> bool {
+        if std::mem::take(&mut self.due) {
+            let limit = JITTER.min(longest).as_millis() as u64;
+            let wait = rng.next_u64() % (limit + 1);
+            self.not_before = Some(now + Duration::from_millis(wait));
+        }
+        self.not_before.is_none_or(|start| now >= start)
+    }
+}
--- /dev/null
+++ b/crates/lease/src/rank.rs
@@ -0,0 +1,33 @@
+use crate::Name;
+use dogwoodlb_types::id;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Returns the position of a VM among the candidates of a lease, 0 being the first.
+///
+/// Rendezvous hashing orders the candidates differently for each lease, which spreads the
+/// leases over the VMs, and the loss of a VM moves no other VM behind one it preceded.
+///
+/// # Examples
+///
+/// ```
+/// use dogwoodlb_lease::{rank, Name};
+/// use dogwoodlb_types::id;
+///
+/// let members: Vec<id::Vm> = vec!["entry-1".parse()?, "entry-2".parse()?];
+/// let name = Name::Trainer("weld".parse()?);
+/// assert_eq!(rank(&name, &members[0], &members) + rank(&name, &members[1], &members), 1);
+/// # Ok::<(), dogwoodlb_types::Error>(())
+/// ```
+pub fn rank(lease: &Name, vm: &id::Vm, members: &[id::Vm]) -> usize {
+    let name = lease.to_string();
+    let own = (score(&name, vm), vm);
+    members
+        .iter()
+        .filter(|member| (score(&name, member), *member) > own)
+        .count()
+}
+
+fn score(lease: &str, vm: &id::Vm) -> u64 {
+    // `#` occurs in neither part, so different pairs never hash the same bytes.
+    xxh3_64(format!("{lease}#{vm}").as_bytes())
+}
--- /dev/null
+++ b/crates/lease/src/row.rs
@@ -0,0 +1,70 @@
+use crate::error::Inner;
+use crate::{Name, Result};
+use dogwoodlb_platform::table::Row;
+use dogwoodlb_types::id;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(crate) struct Fence {
+    pub(crate) operation: id::Operation,
+    pub(crate) fence: id::Fence,
+    pub(crate) vm: id::Vm,
+    pub(crate) incarnation: id::Incarnation,
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(crate) struct Beat {
+    pub(crate) operation: id::Operation,
+    pub(crate) released: bool,
+}
+
+/// A row's content with the version it was read at.
+#[derive(Clone, Debug)]
+pub(crate) struct Versioned<T> {
+    pub(crate) version: u64,
+    pub(crate) row: T,
+}
+
+/// Both rows of a lease, present together or not at all.
+#[derive(Clone, Debug)]
+pub(crate) struct Rows {
+    pub(crate) fence: Versioned<Fence>,
+    pub(crate) beat: Versioned<Beat>,
+}
+
+impl Rows {
+    pub(crate) fn parse(name: &Name, rows: &[Row]) -> Result<Option<Self>> {
+        let fence_key = name.fence_key();
+        let beat_key = name.beat_key();
+        match (find(rows, &fence_key)?, find(rows, &beat_key)?) {
+            (Some(fence), Some(beat)) => Ok(Some(Self { fence, beat })),
+            (None, None) => Ok(None),
+            // Without the fence row, fencing numbers would start again at 1.
+            (None, Some(_)) => Err(Inner::Missing { key: fence_key }.into()),
+            (Some(_), None) => Err(Inner::Missing { key: beat_key }.into()),
+        }
+    }
+}
+
+fn find<T: DeserializeOwned>(rows: &[Row], key: &str) -> Result<Option<Versioned<T>>> {
+    let Some(row) = rows.iter().find(|row| row.key == key) else {
+        return Ok(None);
+    };
+    match serde_json::from_str(&row.value) {
+        Ok(content) => Ok(Some(Versioned {
+            version: row.version,
+            row: content,
+        })),
+        Err(cause) => Err(Inner::Row {
+            key: key.to_owned(),
+            cause,
+        }
+        .into()),
+    }
+}
+
+pub(crate) fn to_json<T: Serialize>(row: &T) -> String {
+    // Structs of numbers, booleans and names always serialise.
+    serde_json::to_string(row).unwrap_or_default()
+}
