Add the ledger core

Cause: a trainer must get each sample exactly once and never one older than its bound, over crashes, lost replies and changes of the owner.

One transaction is in flight, and each requires the versions of the fence row and the head row.

Conclusion: the public API is complete; exactly-once delivery isn't shown by a randomised test yet.

--- /dev/null
+++ b/crates/ledger/src/accept.rs
@@ -0,0 +1,139 @@
+use crate::buffer::Entry;
+use crate::ledger::{Answer, Ledger};
+use crate::pending::{Effect, Probe};
+use crate::row::{to_json, Batch, Record};
+use crate::step::Slot;
+use crate::view::{Accepted, Commit, Finished, Object, Start};
+use dogwoodlb_types::{check_spans, id, oldest_version, Code, Instant, Refusal};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// The shortest time between two flushes: 14 trainers then cost at most 70 writes/s.
+pub const FLUSH_INTERVAL: Duration = Duration::from_millis(200);
+
+/// The largest number of samples in one flush, which keeps batch rows to some ten kilobytes.
+const MAX_BATCH: usize = 128;
+
+/// The largest number of spans of a sample; one that spans more swaps is generated again.
+const MAX_SPANS: usize = 32;
+
+impl Ledger {
+    /// Takes a finished sample; the first attempt accepted for a sample is the one that counts.
+    ///
+    /// Never needs a transaction: accepted samples wait in memory for the next
+    /// [`Ledger::flush`]. If the owner fails before that, they are generated again.
+    ///
+    /// # Errors
+    ///
+    /// Refused if no open step has the sample, the buffer is full or the trainer was taken over.
+    pub fn accept(&mut self, finished: Finished) -> Answer<Accepted> {
+        self.check_owner()?;
+        let sample = &finished.sample;
+        if sample.trainer != self.settings.trainer {
+            let message = format!("sample {sample} belongs to another trainer");
+            return Err(Refusal::not_run(Code::BadRequest, message));
+        }
+        if self.is_acknowledged(sample.step) {
+            self.counts.duplicates += 1;
+            return Ok(Accepted::Duplicate);
+        }
+        let Some((place, free)) = self.find(sample) else {
+            let message = format!("no open step has sample {sample}");
+            return Err(Refusal::not_run(Code::NotFound, message));
+        };
+        let spans = &finished.spans;
+        if spans.len() > MAX_SPANS || check_spans(spans, finished.tokens).is_err() {
+            self.counts.unlabelled += 1;
+            return Ok(Accepted::Unlabelled);
+        }
+        if !free {
+            self.counts.duplicates += 1;
+            return Ok(Accepted::Duplicate);
+        }
+        if self.limit().is_stale(oldest_version(spans)) {
+            self.counts.stale += 1;
+            return Ok(Accepted::Stale);
+        }
+        self.buffer_sample(finished, place)
+    }
+
+    /// Returns the place of a sample and whether it has no accepted attempt.
+    fn find(&self, sample: &id::Sample) -> Option<(usize, bool)> {
+        let open = self.open.get(&sample.step)?;
+        let place = open.place(sample.group, sample.index)?;
+        Some((place, matches!(open.slot(place)?, Slot::Missing)))
+    }
+
+    fn buffer_sample(&mut self, finished: Finished, place: usize) -> Answer<Accepted> {
+        let step = finished.sample.step;
+        let entry = Entry {
+            step,
+            record: Record {
+                group: finished.sample.group,
+                index: finished.sample.index,
+                attempt: finished.attempt,
+                position: 0,
+                tokens: finished.tokens,
+                spans: finished.spans,
+            },
+            body: finished.body,
+        };
+        if !self.buffer.push(entry, self.settings.buffer_bytes) {
+            let message = "the buffer of accepted samples is full";
+            return Err(Refusal::not_run(Code::Overloaded, message).retry_after(FLUSH_INTERVAL));
+        }
+        if let Some(open) = self.open.get_mut(&step) {
+            open.set(place, Slot::Buffered);
+        }
+        Ok(Accepted::Buffered)
+    }
+
+    /// Returns the transaction that stores the accepted samples, if one is due.
+    ///
+    /// Call it after each event: it returns nothing while a transaction is in flight, within
+    /// [`FLUSH_INTERVAL`] of the last flush, or if nothing was accepted.
+    pub fn flush(&mut self, now: Instant, operation: id::Operation) -> Option<Commit> {
+        let early = self
+            .last_flush
+            .is_some_and(|last| now.saturating_since(last) < FLUSH_INTERVAL);
+        if early || self.lost || self.is_busy() || self.buffer.is_empty() {
+            return None;
+        }
+        self.last_flush = Some(now);
+        let entries = self.buffer.take(MAX_BATCH);
+        let bodies: Vec<&str> = entries.iter().map(|entry| entry.body.as_str()).collect();
+        let object = Object {
+            name: self.keys.batch_object(operation),
+            body: to_json(&bodies).into_bytes(),
+        };
+        let batches = batches(&entries, operation, &object.name);
+        let mut txn = self.txn();
+        let mut probe = None;
+        for (step, batch) in &batches {
+            let key = self.keys.batch(*step, self.open.get(step)?.next_batch);
+            txn = txn.absent(key.clone()).put(key.clone(), to_json(batch));
+            probe.get_or_insert(Probe::Written { key, before: 0 });
+        }
+        let effect = Effect::Flush(batches, entries);
+        match self.start(operation, txn, vec![object], probe?, effect) {
+            Start::Commit(commit) => Some(commit),
+            Start::Done(_) | Start::Busy => None,
+        }
+    }
+}
+
+fn batches(entries: &[Entry], operation: id::Operation, object: &str) -> BTreeMap<id::Step, Batch> {
+    let mut batches = BTreeMap::new();
+    for (position, entry) in (0..).zip(entries) {
+        let batch = batches.entry(entry.step).or_insert_with(|| Batch {
+            operation,
+            object: object.to_owned(),
+            records: Vec::new(),
+        });
+        batch.records.push(Record {
+            position,
+            ..entry.record.clone()
+        });
+    }
+    batches
+}
--- /dev/null
+++ b/crates/ledger/src/ledger.rs
@@ -0,0 +1,244 @@
+use crate::buffer::Buffer;
+use crate::content::MAX_SAMPLES;
+use crate::error::Inner;
+use crate::pending::Pending;
+use crate::row::{parse, Batch, Delivered, Head, Key, Keys, Step};
+use crate::step::{Limit, Open};
+use crate::view::{Counts, Progress, Settings, StepView};
+use crate::Result;
+use dogwoodlb_platform::table::{Check, Row, Txn};
+use dogwoodlb_types::{id, Code, Instant, Refusal};
+use std::collections::{BTreeMap, VecDeque};
+
+pub(crate) type Answer<T> = std::result::Result<T, Refusal>;
+
+/// The ledger of one trainer, for as long as one process holds the trainer's lease.
+///
+/// At most one transaction is in flight: an operation that needs one while another runs
+/// returns [`Start::Busy`](crate::Start::Busy). Each transaction requires the fence row's
+/// version, so it conflicts once another process took the lease over. Answers that need no
+/// transaction come from memory, so ask only while the lease is held.
+#[derive(Debug)]
+pub struct Ledger {
+    pub(crate) settings: Settings,
+    pub(crate) keys: Keys,
+    pub(crate) fence: Check,
+    pub(crate) head: Head,
+    pub(crate) head_version: u64,
+    pub(crate) open: BTreeMap<id::Step, Open>,
+    /// The keys of rows of acknowledged steps.
+    pub(crate) garbage: VecDeque<String>,
+    pub(crate) buffer: Buffer,
+    pub(crate) last_flush: Option<Instant>,
+    pub(crate) pending: Option<Pending>,
+    pub(crate) lost: bool,
+    pub(crate) counts: Counts,
+}
+
+impl Ledger {
+    /// Returns the prefix of the keys of a trainer's rows, for the scan before [`Ledger::load`].
+    pub fn prefix(trainer: &id::Trainer) -> String {
+        Keys::new(trainer).prefix().to_owned()
+    }
+
+    /// Creates the ledger from the trainer's rows.
+    ///
+    /// `fence` names the lease's fence row and its version. The scan that returned `rows` must
+    /// have begun after the lease was taken over: from then on nobody else's transaction
+    /// takes effect.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a row is malformed or the rows contradict each other.
+    pub fn load(settings: Settings, fence: Check, rows: &[Row]) -> Result<Self> {
+        let keys = Keys::new(&settings.trainer);
+        let mut ledger = Self {
+            head: Head {
+                operation: id::Operation(0),
+                session: id::Session(0),
+                version: settings.version,
+                object: None,
+                delivery: id::Delivery(0),
+                delivered: None,
+                acknowledged: None,
+            },
+            settings,
+            keys,
+            fence,
+            head_version: 0,
+            open: BTreeMap::new(),
+            garbage: VecDeque::new(),
+            buffer: Buffer::default(),
+            last_flush: None,
+            pending: None,
+            lost: false,
+            counts: Counts::default(),
+        };
+        let head_key = ledger.keys.head();
+        if let Some(row) = rows.iter().find(|row| row.key == head_key) {
+            ledger.head = parse(&row.key, &row.value)?;
+            ledger.head_version = row.version;
+        }
+        ledger.load_steps(rows)?;
+        ledger.check_delivered()?;
+        Ok(ledger)
+    }
+
+    fn load_steps(&mut self, rows: &[Row]) -> Result<()> {
+        let mut batches: BTreeMap<(id::Step, u32), Batch> = BTreeMap::new();
+        for row in rows {
+            match self.keys.parse(&row.key)? {
+                Key::Head => {}
+                Key::Step(step) | Key::Batch(step, _) if self.is_acknowledged(step) => {
+                    self.garbage.push_back(row.key.clone());
+                }
+                Key::Step(step) => {
+                    let content: Step = parse(&row.key, &row.value)?;
+                    if content.samples() > MAX_SAMPLES {
+                        let key = row.key.clone();
+                        return Err(Inner::Reference { key }.into());
+                    }
+                    self.open.insert(step, Open::new(content, row.version));
+                }
+                Key::Batch(step, batch) => {
+                    batches.insert((step, batch), parse(&row.key, &row.value)?);
+                }
+            }
+        }
+        let limit = self.limit();
+        for ((step, number), batch) in batches {
+            let added = self
+                .open
+                .get_mut(&step)
+                .and_then(|open| open.add_batch(number, batch, limit));
+            if added.is_none() {
+                let key = self.keys.batch(step, number);
+                return Err(Inner::Reference { key }.into());
+            }
+        }
+        Ok(())
+    }
+
+    /// Checks that the delivered step is complete.
+    fn check_delivered(&self) -> Result<()> {
+        let Some(delivered) = self.head.delivered else {
+            return Ok(());
+        };
+        let assigned = self
+            .open
+            .get(&delivered.step)
+            .filter(|open| open.assignment().as_ref() == Some(&open.row.assigned));
+        if assigned.is_none() {
+            let key = self.keys.step(delivered.step);
+            return Err(Inner::Reference { key }.into());
+        }
+        Ok(())
+    }
+
+    /// Returns whether a transaction is in flight.
+    pub fn is_busy(&self) -> bool {
+        self.pending.is_some()
+    }
+
+    /// Returns whether another owner was found to have written the rows.
+    pub fn is_lost(&self) -> bool {
+        self.lost
+    }
+
+    /// Returns the current session; 0 before the first one.
+    pub fn session(&self) -> id::Session {
+        self.head.session
+    }
+
+    /// Returns the version published last and the name of its weights, if any was published.
+    pub fn version(&self) -> (id::Version, Option<&str>) {
+        (self.head.version, self.head.object.as_deref())
+    }
+
+    /// Returns the last step that was acknowledged.
+    pub fn acknowledged(&self) -> Option<id::Step> {
+        self.head.acknowledged.map(|delivered| delivered.step)
+    }
+
+    /// Returns the counts of samples that were not accepted.
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    /// Returns the bytes of accepted samples that aren't in the store yet.
+    pub fn buffered_bytes(&self) -> usize {
+        self.buffer.bytes()
+    }
+
+    /// Returns how far an open step is.
+    pub fn progress(&self, step: id::Step) -> Option<Progress> {
+        self.open.get(&step).map(Open::progress)
+    }
+
+    /// Returns the open steps in order, so that a new owner's planner can go on.
+    pub fn steps(&self) -> Vec<StepView> {
+        let view = |(step, open): (&id::Step, &Open)| StepView {
+            step: *step,
+            sizes: open.row.sizes.clone(),
+            max_tokens: open.row.max_tokens,
+            object: open.row.object.clone(),
+            delivered: self.delivered(*step).is_some(),
+            missing: self.samples(*step, &open.missing()),
+        };
+        self.open.iter().map(view).collect()
+    }
+
+    /// Changes the staleness bound; it applies from the next delivery or publication on.
+    pub fn set_staleness_bound(&mut self, bound: u64) {
+        self.settings.staleness_bound = bound;
+    }
+
+    pub(crate) fn limit(&self) -> Limit {
+        Limit {
+            version: self.head.version,
+            bound: self.settings.staleness_bound,
+        }
+    }
+
+    pub(crate) fn is_acknowledged(&self, step: id::Step) -> bool {
+        self.head.acknowledged.is_some_and(|last| step <= last.step)
+    }
+
+    pub(crate) fn delivered(&self, step: id::Step) -> Option<Delivered> {
+        self.head.delivered.filter(|last| last.step == step)
+    }
+
+    pub(crate) fn samples(&self, step: id::Step, places: &[(u32, u32)]) -> Vec<id::Sample> {
+        let trainer = &self.settings.trainer;
+        let sample = |&(group, index)| id::Sample::new(trainer.clone(), step, group, index);
+        places.iter().map(sample).collect()
+    }
+
+    /// Returns the preconditions that all transactions share.
+    pub(crate) fn txn(&self) -> Txn {
+        Txn::new()
+            .check(self.fence.key.clone(), self.fence.version)
+            .check(self.keys.head(), self.head_version)
+    }
+
+    pub(crate) fn check_owner(&self) -> Answer<()> {
+        if self.lost {
+            let message = "another VM took the trainer over";
+            return Err(Refusal::not_run(Code::WrongNode, message));
+        }
+        Ok(())
+    }
+
+    pub(crate) fn check_session(&self, session: id::Session) -> Answer<()> {
+        self.check_owner()?;
+        if session != self.head.session || session == id::Session(0) {
+            let message = format!("session {session} is not the current one");
+            return Err(Refusal::not_run(Code::StaleSession, message));
+        }
+        Ok(())
+    }
+}
+
+pub(crate) fn conflict(message: impl Into<String>) -> Refusal {
+    Refusal::not_run(Code::Conflict, message)
+}
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -1,1 +1,94 @@
-//! Placeholder for the `ledger` library.
+//! The sample ledger of a trainer: what was asked for, accepted, delivered and acknowledged.
+//!
+//! [`Ledger`] is sans-IO. Each operation returns a typed refusal, an answer, or one [`Commit`]
+//! to carry out; [`Ledger::on_commit`] and [`Ledger::on_read_back`] complete it. At most one
+//! transaction is in flight, and each one requires the version of the lease's fence row, so a
+//! stale owner's transaction conflicts. Bodies are kept in the object store: the objects of a
+//! [`Commit`] are stored before its transaction is sent. See docs/design.md, sections 4.3, 4.7
+//! and 4.8.
+//!
+//! # Examples
+//!
+//! A step with one sample, from the session to the acknowledgement:
+//!
+//! ```
+//! use dogwoodlb_ledger::*;
+//! use dogwoodlb_platform::table::{Check, Outcome};
+//! use dogwoodlb_types::prelude::*;
+//!
+//! let trainer: id::Trainer = "weld".parse()?;
+//! let settings = Settings {
+//!     trainer: trainer.clone(),
+//!     staleness_bound: 2,
+//!     version: id::Version(1),
+//!     buffer_bytes: 1 << 20,
+//! };
+//! let fence = Check { key: "lease/trainer/weld/fence".to_owned(), version: 7 };
+//! // The rows come from a scan of `Ledger::prefix` that began after the lease was taken.
+//! let mut ledger = Ledger::load(settings, fence, &[]).unwrap();
+//!
+//! // The shell sends each transaction; here it always takes effect.
+//! let mut versions = 8..;
+//! let mut commit = |ledger: &mut Ledger, commit: Commit| {
+//!     let version = versions.next().unwrap();
+//!     match ledger.on_commit(commit.operation, Ok(Outcome::Applied { version })) {
+//!         Next::Done(completion) => completion,
+//!         next => panic!("{next:?}"),
+//!     }
+//! };
+//! let started = |start| match start { Start::Commit(commit) => commit, _ => panic!("{start:?}") };
+//!
+//! let start = started(ledger.open_session(id::Operation(1))?);
+//! let Completion::Session(session) = commit(&mut ledger, start) else { panic!() };
+//!
+//! let groups = vec![Group { prompt: "2 + 2 =".to_owned(), size: 1 }];
+//! let content = Content { groups, max_tokens: 16 };
+//! let start = started(ledger.submit(session, id::Step(1), &content, id::Operation(2))?);
+//! assert_eq!(start.objects.len(), 1);
+//! commit(&mut ledger, start);
+//!
+//! let accepted = ledger.accept(Finished {
+//!     sample: id::Sample::new(trainer, id::Step(1), 0, 0),
+//!     attempt: 0,
+//!     tokens: 1,
+//!     spans: vec![Span { version: id::Version(1), from: 0, to: 1 }],
+//!     body: "4".to_owned(),
+//! })?;
+//! assert_eq!(accepted, Accepted::Buffered);
+//! let start = ledger.flush(Instant::from_millis(0), id::Operation(3)).unwrap();
+//! assert_eq!(bodies(&start.objects[0].body).unwrap(), ["4"]);
+//! commit(&mut ledger, start);
+//!
+//! let start = started(ledger.deliver(session, id::Step(1), id::Operation(4))?);
+//! let Completion::Delivered(delivery) = commit(&mut ledger, start) else { panic!() };
+//! assert_eq!(delivery.samples[0].staleness, 0);
+//!
+//! let start = ledger.acknowledge(session, id::Step(1), delivery.delivery, id::Operation(5))?;
+//! commit(&mut ledger, started(start));
+//! assert_eq!(ledger.acknowledged(), Some(id::Step(1)));
+//! # Ok::<(), Box<dyn std::error::Error>>(())
+//! ```
+
+mod accept;
+mod buffer;
+mod content;
+mod error;
+mod ledger;
+mod operation;
+mod pending;
+mod row;
+mod step;
+mod view;
+
+pub use accept::FLUSH_INTERVAL;
+pub use content::{bodies, Content, Group, MAX_SAMPLES};
+pub use error::{Category, Error};
+pub use ledger::Ledger;
+pub use operation::MAX_OPEN_STEPS;
+pub use view::{
+    Accepted, Commit, Completion, Counts, Delivery, Finished, Next, Object, Progress, Sample,
+    Settings, Start, StepView,
+};
+
+/// The result of reading rows or objects.
+pub type Result<T> = std::result::Result<T, Error>;
--- /dev/null
+++ b/crates/ledger/src/operation.rs
@@ -0,0 +1,286 @@
+use crate::content::{digest, Content};
+use crate::ledger::{conflict, Answer, Ledger};
+use crate::pending::{Effect, Probe};
+use crate::row::{to_json, Delivered, Head, Step};
+use crate::step::age;
+use crate::view::{Completion, Object, Start};
+use dogwoodlb_types::{id, Code, Refusal};
+
+/// The largest number of steps that a trainer may have submitted and not acknowledged.
+pub const MAX_OPEN_STEPS: usize = 64;
+
+/// The largest number of rows that one transaction deletes.
+const MAX_SWEEP: usize = 128;
+
+impl Ledger {
+    /// Opens a session, which fences off all earlier ones.
+    ///
+    /// # Errors
+    ///
+    /// Refused if the trainer was taken over.
+    pub fn open_session(&mut self, operation: id::Operation) -> Answer<Start> {
+        self.check_owner()?;
+        if self.is_busy() {
+            return Ok(Start::Busy);
+        }
+        let mut head = self.next_head(operation);
+        head.session = head.session.next();
+        Ok(self.start_head(head, Effect::Session))
+    }
+
+    /// Submits a step; submitting the same content again has no further effect.
+    ///
+    /// # Errors
+    ///
+    /// Refused if the session is not the current one, the content is out of bounds or differs
+    /// from what was submitted before, the step is not after the last delivered or acknowledged
+    /// one, or too many steps are open.
+    pub fn submit(
+        &mut self,
+        session: id::Session,
+        step: id::Step,
+        content: &Content,
+        operation: id::Operation,
+    ) -> Answer<Start> {
+        self.check_session(session)?;
+        content.check()?;
+        if self.is_busy() {
+            return Ok(Start::Busy);
+        }
+        let body = content.to_object();
+        let digest = digest(&body);
+        match self.open.get(&step) {
+            Some(open) if open.row.digest == digest => {
+                return Ok(Start::Done(Completion::Submitted(step)));
+            }
+            Some(_) => return Err(conflict(format!("step {step} has other content"))),
+            None => {}
+        }
+        self.check_order(step)?;
+        let name = self.keys.prompts_object(step, operation);
+        let row = Step {
+            operation,
+            digest,
+            sizes: content.sizes(),
+            max_tokens: content.max_tokens,
+            object: name.clone(),
+            assigned: Vec::new(),
+        };
+        let key = self.keys.step(step);
+        let txn = self
+            .txn()
+            .absent(key.clone())
+            .put(key.clone(), to_json(&row));
+        let probe = Probe::Written { key, before: 0 };
+        let objects = vec![Object { name, body }];
+        Ok(self.start(operation, txn, objects, probe, Effect::Submit(step, row)))
+    }
+
+    fn check_order(&self, step: id::Step) -> Answer<()> {
+        let last = self.head.delivered.or(self.head.acknowledged);
+        if let Some(last) = last.filter(|last| step <= last.step) {
+            let message = format!("step {step} is not after step {}", last.step);
+            return Err(conflict(message));
+        }
+        if self.open.len() >= MAX_OPEN_STEPS {
+            let message = format!("{MAX_OPEN_STEPS} steps are not acknowledged");
+            return Err(Refusal::not_run(Code::Overloaded, message));
+        }
+        Ok(())
+    }
+
+    /// Delivers a step, or the same delivery again.
+    ///
+    /// A complete step is delivered by one transaction, which fixes the attempts and requires
+    /// that the session, the published version and the owner are unchanged. A step that was
+    /// delivered and not acknowledged is returned from memory.
+    ///
+    /// # Errors
+    ///
+    /// Refused if the session is not the current one, the step is unknown or acknowledged, or
+    /// an earlier step comes first.
+    pub fn deliver(
+        &mut self,
+        session: id::Session,
+        step: id::Step,
+        operation: id::Operation,
+    ) -> Answer<Start> {
+        self.check_session(session)?;
+        if self.is_busy() {
+            return Ok(Start::Busy);
+        }
+        if let Some(delivered) = self.delivered(step) {
+            return self.deliver_again(delivered);
+        }
+        self.check_turn(step)?;
+        let stale = self.drop_stale_of(step);
+        self.counts.stale += stale.len() as u64;
+        let Some(open) = self.open.get(&step) else {
+            return Err(unknown(step));
+        };
+        let Some(assigned) = open.assignment() else {
+            let progress = open.progress();
+            return Ok(Start::Done(Completion::Waiting { progress, stale }));
+        };
+        let mut row = open.row.clone();
+        row.operation = operation;
+        row.assigned.clone_from(&assigned);
+        let mut head = self.next_head(operation);
+        head.delivery = head.delivery.next();
+        head.delivered = Some(Delivered {
+            step,
+            delivery: head.delivery,
+            version: head.version,
+        });
+        let key = self.keys.step(step);
+        let txn = self
+            .txn()
+            .check(key.clone(), open.row_version)
+            .put(self.keys.head(), to_json(&head))
+            .put(key, to_json(&row));
+        let probe = self.head_probe();
+        let effect = Effect::Deliver(head, assigned);
+        Ok(self.start(operation, txn, Vec::new(), probe, effect))
+    }
+
+    fn deliver_again(&self, delivered: Delivered) -> Answer<Start> {
+        let open = self.open.get(&delivered.step);
+        match open.and_then(|open| open.delivery(&self.settings.trainer, delivered)) {
+            Some(delivery) => Ok(Start::Done(Completion::Delivered(delivery))),
+            None => {
+                let message = format!("delivered step {} is not complete", delivered.step);
+                Err(Refusal::not_run(Code::Invariant, message))
+            }
+        }
+    }
+
+    fn check_turn(&self, step: id::Step) -> Answer<()> {
+        if self.is_acknowledged(step) {
+            return Err(conflict(format!("step {step} is acknowledged")));
+        }
+        if !self.open.contains_key(&step) {
+            return Err(unknown(step));
+        }
+        let first = self.open.keys().next();
+        if let Some(first) = first.filter(|first| **first < step) {
+            let message = format!("step {first} is delivered and acknowledged before {step}");
+            return Err(conflict(message));
+        }
+        Ok(())
+    }
+
+    /// Acknowledges the delivered step; acknowledging it again has no further effect.
+    ///
+    /// # Errors
+    ///
+    /// Refused if the session is not the current one or the delivery is not of the step.
+    pub fn acknowledge(
+        &mut self,
+        session: id::Session,
+        step: id::Step,
+        delivery: id::Delivery,
+        operation: id::Operation,
+    ) -> Answer<Start> {
+        self.check_session(session)?;
+        if self.is_busy() {
+            return Ok(Start::Busy);
+        }
+        let is_named = |last: &Delivered| last.step == step && last.delivery == delivery;
+        if self.head.acknowledged.as_ref().is_some_and(is_named) {
+            return Ok(Start::Done(Completion::Acknowledged(step)));
+        }
+        let Some(delivered) = self.head.delivered.filter(is_named) else {
+            let message = format!("delivery {delivery} of step {step} is not the current one");
+            return Err(conflict(message));
+        };
+        let mut head = self.next_head(operation);
+        head.delivered = None;
+        head.acknowledged = Some(delivered);
+        Ok(self.start_head(head, Effect::Acknowledge))
+    }
+
+    /// Publishes a version of the weights; publishing the same again has no further effect.
+    ///
+    /// # Errors
+    ///
+    /// Refused if the session is not the current one, the version is not higher than the last
+    /// one, or a delivered step that isn't acknowledged would exceed the staleness bound.
+    pub fn publish(
+        &mut self,
+        session: id::Session,
+        version: id::Version,
+        object: &str,
+        operation: id::Operation,
+    ) -> Answer<Start> {
+        self.check_session(session)?;
+        if self.is_busy() {
+            return Ok(Start::Busy);
+        }
+        if version == self.head.version && self.head.object.as_deref() == Some(object) {
+            let stale = Vec::new();
+            return Ok(Start::Done(Completion::Published { version, stale }));
+        }
+        if version <= self.head.version {
+            let message = format!("version {} is published already", self.head.version);
+            return Err(conflict(message));
+        }
+        self.check_delivered_age(version)?;
+        let mut head = self.next_head(operation);
+        head.version = version;
+        head.object = Some(object.to_owned());
+        Ok(self.start_head(head, Effect::Publish))
+    }
+
+    fn check_delivered_age(&self, version: id::Version) -> Answer<()> {
+        let Some(delivered) = self.head.delivered else {
+            return Ok(());
+        };
+        let oldest = self
+            .open
+            .get(&delivered.step)
+            .and_then(|open| open.oldest());
+        let bound = self.settings.staleness_bound;
+        if oldest.is_some_and(|oldest| age(version, oldest) > bound) {
+            let message = format!(
+                "step {} is not acknowledged and would be more than {bound} versions old",
+                delivered.step
+            );
+            return Err(conflict(message));
+        }
+        Ok(())
+    }
+
+    /// Returns the transaction that deletes rows of acknowledged steps, if there are any.
+    ///
+    /// Call it when nothing else is to be done; it returns nothing while a transaction is in
+    /// flight.
+    pub fn sweep(&mut self, operation: id::Operation) -> Option<Start> {
+        if self.lost || self.is_busy() {
+            return None;
+        }
+        let deletes: Vec<String> = self.garbage.iter().take(MAX_SWEEP).cloned().collect();
+        let key = deletes.first()?.clone();
+        let effect = Effect::Sweep(deletes.len());
+        let mut txn = self.txn();
+        txn.deletes = deletes;
+        Some(self.start(operation, txn, Vec::new(), Probe::Deleted { key }, effect))
+    }
+
+    fn next_head(&self, operation: id::Operation) -> Head {
+        Head {
+            operation,
+            ..self.head.clone()
+        }
+    }
+
+    /// Starts an operation that changes the head row alone.
+    fn start_head(&mut self, head: Head, effect: fn(Head) -> Effect) -> Start {
+        let txn = self.txn().put(self.keys.head(), to_json(&head));
+        let probe = self.head_probe();
+        self.start(head.operation, txn, Vec::new(), probe, effect(head))
+    }
+}
+
+fn unknown(step: id::Step) -> Refusal {
+    Refusal::not_run(Code::NotFound, format!("step {step} was not submitted"))
+}
--- /dev/null
+++ b/crates/ledger/src/row.rs
@@ -0,0 +1,158 @@
+//! The rows of a trainer; docs/design.md, section 3, lists them.
+
+use crate::error::Inner;
+use crate::Result;
+use dogwoodlb_types::{id, Span};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+
+/// `trainer/<t>/head`: what all other rows are judged by.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(crate) struct Head {
+    pub(crate) operation: id::Operation,
+    pub(crate) session: id::Session,
+    pub(crate) version: id::Version,
+    pub(crate) object: Option<String>,
+    /// The number of the last delivery.
+    pub(crate) delivery: id::Delivery,
+    /// The delivery that the trainer didn't acknowledge yet.
+    pub(crate) delivered: Option<Delivered>,
+    /// The last step that the trainer acknowledged; all before it are done too.
+    pub(crate) acknowledged: Option<Delivered>,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub(crate) struct Delivered {
+    pub(crate) step: id::Step,
+    pub(crate) delivery: id::Delivery,
+    /// The published version at the time, from which the staleness of the samples counts.
+    pub(crate) version: id::Version,
+}
+
+/// `trainer/<t>/step/<n>`.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(crate) struct Step {
+    pub(crate) operation: id::Operation,
+    pub(crate) digest: String,
+    pub(crate) sizes: Vec<u32>,
+    pub(crate) max_tokens: u32,
+    pub(crate) object: String,
+    /// The batch that holds the delivered attempt of each sample, empty before the delivery.
+    ///
+    /// Without it a later owner could choose other attempts, for instance after the manifest
+    /// raised the staleness bound.
+    pub(crate) assigned: Vec<u32>,
+}
+
+impl Step {
+    pub(crate) fn samples(&self) -> usize {
+        self.sizes.iter().map(|size| *size as usize).sum()
+    }
+}
+
+/// `trainer/<t>/step/<n>/batch/<k>`.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(crate) struct Batch {
+    pub(crate) operation: id::Operation,
+    pub(crate) object: String,
+    pub(crate) records: Vec<Record>,
+}
+
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub(crate) struct Record {
+    pub(crate) group: u32,
+    pub(crate) index: u32,
+    pub(crate) attempt: u32,
+    /// The place of the body in the batch's object.
+    pub(crate) position: u32,
+    pub(crate) tokens: u32,
+    pub(crate) spans: Vec<Span>,
+}
+
+/// The part that all rows share: the operation that wrote the row last.
+#[derive(Debug, Deserialize)]
+pub(crate) struct Writer {
+    pub(crate) operation: id::Operation,
+}
+
+pub(crate) fn parse<T: DeserializeOwned>(key: &str, value: &str) -> Result<T> {
+    serde_json::from_str(value).map_err(|cause| {
+        Inner::Row {
+            key: key.to_owned(),
+            cause,
+        }
+        .into()
+    })
+}
+
+pub(crate) fn to_json<T: Serialize + ?Sized>(value: &T) -> String {
+    // Structs of numbers, names and texts always serialise.
+    serde_json::to_string(value).unwrap_or_default()
+}
+
+/// Which row a key of a trainer names.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Key {
+    Head,
+    Step(id::Step),
+    Batch(id::Step, u32),
+}
+
+/// The keys of one trainer.
+#[derive(Clone, Debug)]
+pub(crate) struct Keys {
+    prefix: String,
+}
+
+impl Keys {
+    pub(crate) fn new(trainer: &id::Trainer) -> Self {
+        Self {
+            prefix: format!("trainer/{trainer}/"),
+        }
+    }
+
+    pub(crate) fn prefix(&self) -> &str {
+        &self.prefix
+    }
+
+    pub(crate) fn head(&self) -> String {
+        format!("{}head", self.prefix)
+    }
+
+    pub(crate) fn step(&self, step: id::Step) -> String {
+        format!("{}step/{step}", self.prefix)
+    }
+
+    pub(crate) fn batch(&self, step: id::Step, batch: u32) -> String {
+        format!("{}step/{step}/batch/{batch}", self.prefix)
+    }
+
+    pub(crate) fn prompts_object(&self, step: id::Step, operation: id::Operation) -> String {
+        format!("{}step/{step}/prompts/{operation}", self.prefix)
+    }
+
+    pub(crate) fn batch_object(&self, operation: id::Operation) -> String {
+        format!("{}batch/{operation}", self.prefix)
+    }
+
+    pub(crate) fn parse(&self, key: &str) -> Result<Key> {
+        let parts: Vec<&str> = key
+            .strip_prefix(&self.prefix)
+            .unwrap_or_default()
+            .split('/')
+            .collect();
+        let parsed = match parts[..] {
+            ["head"] => Some(Key::Head),
+            ["step", step] => step.parse().ok().map(|step| Key::Step(id::Step(step))),
+            ["step", step, "batch", batch] => match (step.parse(), batch.parse()) {
+                (Ok(step), Ok(batch)) => Some(Key::Batch(id::Step(step), batch)),
+                _ => None,
+            },
+            _ => None,
+        };
+        let unknown = || Inner::Key {
+            key: key.to_owned(),
+        };
+        parsed.ok_or_else(|| unknown().into())
+    }
+}
