--- /dev/null
+++ b/crates/manifest/src/diff.rs
@@ -0,0 +1,128 @@
+use crate::Manifest;
+use serde_json::Value;
+use std::collections::BTreeMap;
+use std::fmt;
+
+/// What happened to one entry of a manifest.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum What {
+    /// The entry is new.
+    Added,
+    /// The entry is gone.
+    Removed,
+    /// A field of the entry has another value; both are JSON text.
+    Changed {
+        /// The name of the field.
+        field: String,
+        /// The value before, empty if there was none.
+        old: String,
+        /// The value after, empty if there is none.
+        new: String,
+    },
+}
+
+/// One difference between two manifests.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Change {
+    /// The section, as `engines`.
+    pub section: &'static str,
+    /// The name of the entry in its section.
+    pub name: String,
+    /// What happened to it.
+    pub what: What,
+}
+
+impl fmt::Display for Change {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (section, name) = (self.section, &self.name);
+        match &self.what {
+            What::Added => write!(f, "+ {section} {name}"),
+            What::Removed => write!(f, "- {section} {name}"),
+            What::Changed { field, old, new } => {
+                write!(f, "~ {section} {name}: {field}: {old} -> {new}")
+            }
+        }
+    }
+}
+
+/// Returns what differs between two manifests, in the order of the sections and names.
+///
+/// The order of entries in a section means nothing and is not compared.
+///
+/// # Examples
+///
+/// ```
+/// # let text = r#"{"entry_vms": [{"vm": "entry-1", "region": "ljubljana", "centre": "lj-a",
+/// #   "address": "127.0.0.1:8001", "peer": "127.0.0.1:9001"}]}"#;
+/// let old = dogwoodlb_manifest::from_str(text)?;
+/// let new = dogwoodlb_manifest::from_str(&text.replace(":8001", ":8002"))?;
+/// let changes = dogwoodlb_manifest::diff(&old, &new);
+/// assert_eq!(
+///     changes[0].to_string(),
+///     r#"~ entry_vms entry-1: address: "127.0.0.1:8001" -> "127.0.0.1:8002""#,
+/// );
+/// # Ok::<(), dogwoodlb_manifest::Error>(())
+/// ```
+pub fn diff(old: &Manifest, new: &Manifest) -> Vec<Change> {
+    let sections = [
+        ("entry_vms", "vm"),
+        ("models", "model"),
+        ("trainers", "trainer"),
+        ("callers", "caller"),
+        ("quiet_hours", "name"),
+        ("engines", "upstream"),
+        ("services", "service"),
+    ];
+    let old = serde_json::to_value(old).unwrap_or_default();
+    let new = serde_json::to_value(new).unwrap_or_default();
+    let mut changes = Vec::new();
+    for (section, key) in sections {
+        let (old, new) = (entries(&old[section], key), entries(&new[section], key));
+        let names: std::collections::BTreeSet<_> = old.keys().chain(new.keys()).collect();
+        for name in names {
+            let whats = match (old.get(name), new.get(name)) {
+                (Some(old), Some(new)) => fields(old, new),
+                (None, _) => vec![What::Added],
+                (_, None) => vec![What::Removed],
+            };
+            changes.extend(whats.into_iter().map(|what| Change {
+                section,
+                name: (*name).to_owned(),
+                what,
+            }));
+        }
+    }
+    changes
+}
+
+fn entries<'a>(section: &'a Value, key: &str) -> BTreeMap<&'a str, &'a Value> {
+    let list = section.as_array().map(Vec::as_slice).unwrap_or_default();
+    let named = list
+        .iter()
+        .filter_map(|entry| Some((entry[key].as_str()?, entry)));
+    named.collect()
+}
+
+fn fields(old: &Value, new: &Value) -> Vec<What> {
+    let keys = |value: &Value| -> Vec<String> {
+        let object = value.as_object();
+        object
+            .map(|object| object.keys().cloned().collect())
+            .unwrap_or_default()
+    };
+    let mut names = keys(old);
+    names.extend(keys(new));
+    names.sort_unstable();
+    names.dedup();
+    let text = |value: Option<&Value>| value.map(ToString::to_string).unwrap_or_default();
+    let changed = names
+        .into_iter()
+        .filter(|name| old.get(name) != new.get(name));
+    changed
+        .map(|field| What::Changed {
+            old: text(old.get(&field)),
+            new: text(new.get(&field)),
+            field,
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/manifest/src/joint.rs
@@ -0,0 +1,135 @@
+use crate::section::{Caller, Engine, Model, Replica, Service, Trainer};
+use crate::Manifest;
+use dogwoodlb_types::id;
+
+/// Returns the manifest that allows only what both manifests allow.
+///
+/// A node acts on it while it knows of a proposed manifest but not whether it was accepted;
+/// see docs/design.md, section 4.5. Entries are kept if both have them under the same name,
+/// at the same address and on the same VM; quiet hours, leaving upstreams and non-idempotent
+/// calls are kept from either. Where two versions of a model's weights differ, the older one
+/// is kept, because a swap must wait for the outcome.
+pub fn joint(a: &Manifest, b: &Manifest) -> Manifest {
+    let models = both(&a.models, &b.models, model);
+    let services = both(&a.services, &b.services, service);
+    let has_model = |name: &id::Model| models.iter().any(|model| model.model == *name);
+    let has_service = |name: &id::Service| services.iter().any(|one| one.service == *name);
+    let mut trainers = both(&a.trainers, &b.trainers, trainer);
+    trainers.retain(|trainer| {
+        has_model(&trainer.model) && trainer.scorer.as_ref().is_none_or(has_service)
+    });
+    let mut callers = both(&a.callers, &b.callers, caller);
+    for caller in &mut callers {
+        caller.models.retain(has_model);
+        caller.services.retain(has_service);
+    }
+    let mut engines = both(&a.engines, &b.engines, engine);
+    for engine in &mut engines {
+        engine.models.retain(has_model);
+    }
+    let mut quiet_hours = a.quiet_hours.clone();
+    let new = |quiet: &&_| !a.quiet_hours.contains(quiet);
+    quiet_hours.extend(b.quiet_hours.iter().filter(new).cloned());
+    let same = |a: &_, b: &_| (a == b).then(|| Clone::clone(a));
+    Manifest {
+        entry_vms: both(&a.entry_vms, &b.entry_vms, same),
+        models,
+        trainers,
+        callers,
+        quiet_hours,
+        engines,
+        services,
+    }
+}
+
+/// An entry of a section, known by its name.
+trait Named {
+    type Name: Ord;
+
+    fn name(&self) -> &Self::Name;
+}
+
+macro_rules! named {
+    ($($entry:ty, $field:ident, $name:ty;)*) => {$(
+        impl Named for $entry {
+            type Name = $name;
+
+            fn name(&self) -> &$name {
+                &self.$field
+            }
+        }
+    )*};
+}
+
+named! {
+    Caller, caller, id::Caller;
+    crate::section::Entry, vm, id::Vm;
+    Engine, upstream, id::Upstream;
+    Model, model, id::Model;
+    Replica, upstream, id::Upstream;
+    Service, service, id::Service;
+    Trainer, trainer, id::Trainer;
+}
+
+fn both<T: Named>(a: &[T], b: &[T], join: impl Fn(&T, &T) -> Option<T>) -> Vec<T> {
+    let others: std::collections::BTreeMap<_, _> = b.iter().map(|b| (b.name(), b)).collect();
+    let joined = a.iter().filter_map(|a| join(a, others.get(a.name())?));
+    joined.collect()
+}
+
+fn common<T: Clone + PartialEq>(a: &[T], b: &[T]) -> Vec<T> {
+    a.iter().filter(|one| b.contains(one)).cloned().collect()
+}
+
+fn model(a: &Model, b: &Model) -> Option<Model> {
+    Some(if a.version <= b.version { a } else { b }.clone())
+}
+
+fn trainer(a: &Trainer, b: &Trainer) -> Option<Trainer> {
+    let same = a.model == b.model && a.group_size == b.group_size && a.scorer == b.scorer;
+    same.then(|| Trainer {
+        staleness_bound: a.staleness_bound.min(b.staleness_bound),
+        step_samples: a.step_samples.min(b.step_samples),
+        idle_weight: a.idle_weight.min(b.idle_weight),
+        ..a.clone()
+    })
+}
+
+fn caller(a: &Caller, b: &Caller) -> Option<Caller> {
+    Some(Caller {
+        caller: a.caller.clone(),
+        class: a.class.max(b.class),
+        models: common(&a.models, &b.models),
+        services: common(&a.services, &b.services),
+    })
+}
+
+fn engine(a: &Engine, b: &Engine) -> Option<Engine> {
+    let same = (a.address, &a.vm) == (b.address, &b.vm);
+    same.then(|| Engine {
+        models: common(&a.models, &b.models),
+        checks_fencing: a.checks_fencing && b.checks_fencing,
+        leaving: a.leaving || b.leaving,
+        ..a.clone()
+    })
+}
+
+fn service(a: &Service, b: &Service) -> Option<Service> {
+    let mut calls = a.non_idempotent.clone();
+    calls.extend_from_slice(&b.non_idempotent);
+    calls.sort_unstable();
+    calls.dedup();
+    Some(Service {
+        service: a.service.clone(),
+        non_idempotent: calls,
+        replicas: both(&a.replicas, &b.replicas, replica),
+    })
+}
+
+fn replica(a: &Replica, b: &Replica) -> Option<Replica> {
+    let same = (a.address, &a.vm) == (b.address, &b.vm);
+    same.then(|| Replica {
+        leaving: a.leaving || b.leaving,
+        ..a.clone()
+    })
+}
--- /dev/null
+++ b/crates/manifest/src/manifest.rs
@@ -0,0 +1,373 @@
+use crate::reader::{self, Fields, Item, Kind, Reader};
+use crate::section::{Call, Caller, Engine, Entry, Model, Quiet, Replica, Service, Trainer, Zone};
+use crate::section::{Day, Time};
+use crate::{Cause, Error, Result};
+use dogwoodlb_types::{id, Class};
+use serde::Serialize;
+
+/// Larger bounds would let a trainer run ahead by more steps than the ledger plans for.
+const MAX_STALENESS: u64 = 64;
+const MAX_STEP_SAMPLES: u64 = 65_536;
+/// JSON numbers above 2^53 - 1 lose digits in many of the tools that generate manifests.
+const MAX_VERSION: u64 = (1 << 53) - 1;
+const MAX_TEXT_BYTES: usize = 512;
+
+/// A manifest without faults: all that operators control.
+///
+/// It is made by [`from_str`](crate::from_str) or [`joint`](crate::joint), so that every
+/// value is within its range and every name refers to something that exists.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Manifest {
+    /// The entry VMs.
+    pub entry_vms: Vec<Entry>,
+    /// The models.
+    pub models: Vec<Model>,
+    /// The trainers.
+    pub trainers: Vec<Trainer>,
+    /// The callers.
+    pub callers: Vec<Caller>,
+    /// The quiet hours.
+    pub quiet_hours: Vec<Quiet>,
+    /// The model engines.
+    pub engines: Vec<Engine>,
+    /// The plain services.
+    pub services: Vec<Service>,
+}
+
+impl Manifest {
+    /// Returns how many entry VMs are a majority (quorum) of those listed.
+    pub fn quorum(&self) -> usize {
+        self.entry_vms.len() / 2 + 1
+    }
+
+    /// Returns whether an entry VM is listed.
+    pub fn lists(&self, vm: &id::Vm) -> bool {
+        self.entry_vms.iter().any(|entry| entry.vm == *vm)
+    }
+}
+
+impl std::str::FromStr for Manifest {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        reader::read(text, manifest)
+    }
+}
+
+fn manifest(reader: &mut Reader, root: Item<'_>) -> Option<Manifest> {
+    let known = [
+        "entry_vms",
+        "models",
+        "trainers",
+        "callers",
+        "quiet_hours",
+        "engines",
+        "services",
+    ];
+    let fields = reader.object(&root, &known)?;
+    if let Some(item) = reader.required(&fields, "entry_vms") {
+        non_empty(reader, &item);
+    }
+    Some(Manifest {
+        entry_vms: all(reader, &fields, "entry_vms", entry),
+        models: all(reader, &fields, "models", model),
+        trainers: all(reader, &fields, "trainers", trainer),
+        callers: all(reader, &fields, "callers", caller),
+        quiet_hours: all(reader, &fields, "quiet_hours", quiet),
+        engines: all(reader, &fields, "engines", engine),
+        services: all(reader, &fields, "services", service),
+    })
+}
+
+fn non_empty(reader: &mut Reader, item: &Item<'_>) {
+    if item.is_empty_list() {
+        reader.fault(item, Cause::Empty);
+    }
+}
+
+fn all<'a, T>(
+    reader: &mut Reader,
+    fields: &Fields<'a>,
+    name: &str,
+    read: impl Fn(&mut Reader, &Item<'a>) -> Option<T>,
+) -> Vec<T> {
+    let Some(list) = fields.optional(name) else {
+        return Vec::new();
+    };
+    let items = reader.list(&list);
+    items.iter().filter_map(|item| read(reader, item)).collect()
+}
+
+fn entry(reader: &mut Reader, item: &Item<'_>) -> Option<Entry> {
+    let known = ["vm", "region", "centre", "address", "peer"];
+    let fields = reader.object(item, &known)?;
+    let vm = reader.required(&fields, "vm");
+    let region = reader.required(&fields, "region");
+    let centre = reader.required(&fields, "centre");
+    let address = reader.required(&fields, "address");
+    let peer = reader.required(&fields, "peer");
+    let vm = vm.and_then(|item| reader.define(&item, Kind::Vm));
+    let region = region.and_then(|item| reader.name(&item));
+    let centre = centre.and_then(|item| reader.name(&item));
+    let address = address.and_then(|item| reader.own_address(&item));
+    let peer = peer.and_then(|item| reader.own_address(&item));
+    Some(Entry {
+        vm: vm?,
+        region: region?,
+        centre: centre?,
+        address: address?,
+        peer: peer?,
+    })
+}
+
+fn model(reader: &mut Reader, item: &Item<'_>) -> Option<Model> {
+    let fields = reader.object(item, &["model", "version", "object"])?;
+    let model = reader.required(&fields, "model");
+    let version = reader.required(&fields, "version");
+    let object = reader.required(&fields, "object");
+    let model = model.and_then(|item| reader.define(&item, Kind::Model));
+    let version = version.and_then(|item| reader.integer(&item, 0, MAX_VERSION));
+    let object = object.and_then(|item| {
+        reader.form(&item, "an object name of 1 to 512 bytes", |text| {
+            let printable = text.bytes().all(|b| b.is_ascii_graphic());
+            (printable && (1..=MAX_TEXT_BYTES).contains(&text.len())).then(|| text.to_owned())
+        })
+    });
+    Some(Model {
+        model: model?,
+        version: id::Version(version?),
+        object: object?,
+    })
+}
+
+fn trainer(reader: &mut Reader, item: &Item<'_>) -> Option<Trainer> {
+    let known = [
+        "trainer",
+        "model",
+        "staleness_bound",
+        "group_size",
+        "step_samples",
+        "idle_weight",
+        "scorer",
+    ];
+    let fields = reader.object(item, &known)?;
+    let trainer = reader.required(&fields, "trainer");
+    let trainer = trainer.and_then(|item| reader.define(&item, Kind::Trainer));
+    let model = reader.required(&fields, "model");
+    let model = model.and_then(|item| reader.refer(&item, Kind::Model));
+    let staleness = bounded(reader, &fields, "staleness_bound", (0, MAX_STALENESS));
+    let group = bounded(reader, &fields, "group_size", (1, MAX_STEP_SAMPLES));
+    let samples = bounded(reader, &fields, "step_samples", (1, MAX_STEP_SAMPLES));
+    if let (Some(group), Some(samples)) = (group, samples) {
+        if let (false, Some(item)) = (samples % group == 0, fields.optional("step_samples")) {
+            let (group, samples) = (u64::from(group), u64::from(samples));
+            reader.fault(&item, Cause::Multiple { samples, group });
+        }
+    }
+    let idle = reader.required(&fields, "idle_weight");
+    let idle = idle.and_then(|item| reader.fraction(&item));
+    let scorer = fields.optional("scorer");
+    let scorer = scorer.and_then(|item| reader.refer(&item, Kind::Service));
+    Some(Trainer {
+        trainer: trainer?,
+        model: model?,
+        staleness_bound: staleness?,
+        group_size: group?,
+        step_samples: samples?,
+        idle_weight: idle?,
+        scorer,
+    })
+}
+
+fn bounded(
+    reader: &mut Reader,
+    fields: &Fields<'_>,
+    name: &str,
+    (low, high): (u64, u64),
+) -> Option<u32> {
+    let item = reader.required(fields, name)?;
+    let value = reader.integer(&item, low, high)?;
+    u32::try_from(value).ok()
+}
+
+fn caller(reader: &mut Reader, item: &Item<'_>) -> Option<Caller> {
+    let fields = reader.object(item, &["caller", "class", "models", "services"])?;
+    let caller = reader.required(&fields, "caller");
+    let caller = caller.and_then(|item| reader.define(&item, Kind::Caller));
+    let class = reader.required(&fields, "class");
+    let class = class.and_then(|item| {
+        reader.form(&item, "`customer`, `trainer` or `background`", |text| {
+            Class::ALL.into_iter().find(|class| class.as_str() == text)
+        })
+    });
+    let models = names(reader, &fields, "models", Kind::Model);
+    let services = names(reader, &fields, "services", Kind::Service);
+    Some(Caller {
+        caller: caller?,
+        class: class?,
+        models,
+        services,
+    })
+}
+
+fn names<T>(reader: &mut Reader, fields: &Fields<'_>, name: &str, kind: Kind) -> Vec<T>
+where
+    T: Clone + std::str::FromStr + Ord + ToString,
+{
+    let list = fields.optional(name);
+    list.map(|list| reader.refer_all(&list, kind))
+        .unwrap_or_default()
+}
+
+fn quiet(reader: &mut Reader, item: &Item<'_>) -> Option<Quiet> {
+    let known = ["name", "time_zone", "days", "start", "end", "models"];
+    let fields = reader.object(item, &known)?;
+    let name = reader.required(&fields, "name");
+    // The name of a quiet hour has the same form as the other names, but no type of its own.
+    let name = name.and_then(|item| reader.define::<id::Lease>(&item, Kind::Quiet));
+    let zone = reader.required(&fields, "time_zone");
+    let zone = zone.and_then(|item| time_zone(reader, &item));
+    let days = reader.required(&fields, "days");
+    let days = days.map(|item| weekdays(reader, &item));
+    let start = reader.required(&fields, "start");
+    let start = start.and_then(|item| time(reader, &item));
+    let end = reader.required(&fields, "end");
+    let end = end.and_then(|item| time(reader, &item));
+    if let (true, Some(item)) = (start.is_some() && start == end, fields.optional("end")) {
+        let found = end.map(|end| end.to_string()).unwrap_or_default();
+        let expected = "different from the start; use 00:00 and 24:00 for a whole day";
+        reader.fault(&item, Cause::Form { found, expected });
+    }
+    let models = names(reader, &fields, "models", Kind::Model);
+    Some(Quiet {
+        name: name?.to_string(),
+        time_zone: zone?,
+        days: days?,
+        start: start?,
+        end: end?,
+        models,
+    })
+}
+
+fn time(reader: &mut Reader, item: &Item<'_>) -> Option<Time> {
+    reader.form(item, "a time `HH:MM` from 00:00 to 24:00", Time::parse)
+}
+
+fn time_zone(reader: &mut Reader, item: &Item<'_>) -> Option<Zone> {
+    let text = reader.text(item)?;
+    let zone = Zone::get(text);
+    if zone.is_none() {
+        let name = text.chars().take(64).collect();
+        reader.fault(item, Cause::TimeZone(name));
+    }
+    zone
+}
+
+fn weekdays(reader: &mut Reader, list: &Item<'_>) -> Vec<Day> {
+    non_empty(reader, list);
+    let mut days: Vec<Day> = Vec::new();
+    for item in reader.list(list) {
+        let day = reader.form(&item, "a day from `mon` to `sun`", |text| {
+            Day::ALL.into_iter().find(|day| day.as_str() == text)
+        });
+        match day {
+            Some(day) if days.contains(&day) => {
+                reader.repeated(&item, list, "day", day.as_str().to_owned());
+            }
+            Some(day) => days.push(day),
+            None => {}
+        }
+    }
+    days
+}
+
+fn replica(reader: &mut Reader, fields: &Fields<'_>) -> Option<Replica> {
+    let upstream = reader.required(fields, "upstream");
+    let upstream = upstream.and_then(|item| reader.define(&item, Kind::Upstream));
+    let vm = reader.required(fields, "vm");
+    let vm = vm.and_then(|item| reader.name(&item));
+    let region = reader.required(fields, "region");
+    let region = region.and_then(|item| reader.name(&item));
+    let centre = reader.required(fields, "centre");
+    let centre = centre.and_then(|item| reader.name(&item));
+    let address = reader.required(fields, "address");
+    let address = address.and_then(|item| reader.own_address(&item));
+    let leaving = fields.optional("leaving");
+    let leaving = leaving.and_then(|item| reader.boolean(&item));
+    Some(Replica {
+        upstream: upstream?,
+        vm: vm?,
+        region: region?,
+        centre: centre?,
+        address: address?,
+        leaving: leaving.unwrap_or(false),
+    })
+}
+
+fn engine(reader: &mut Reader, item: &Item<'_>) -> Option<Engine> {
+    let known = [
+        "upstream",
+        "vm",
+        "region",
+        "centre",
+        "address",
+        "models",
+        "checks_fencing",
+        "leaving",
+    ];
+    let fields = reader.object(item, &known)?;
+    let replica = replica(reader, &fields);
+    let models = reader.required(&fields, "models");
+    let models = models.map(|item| reader.refer_all(&item, Kind::Model));
+    let checks = reader.required(&fields, "checks_fencing");
+    let checks = checks.and_then(|item| reader.boolean(&item));
+    let replica = replica?;
+    Some(Engine {
+        upstream: replica.upstream,
+        vm: replica.vm,
+        region: replica.region,
+        centre: replica.centre,
+        address: replica.address,
+        models: models?,
+        checks_fencing: checks?,
+        leaving: replica.leaving,
+    })
+}
+
+fn service(reader: &mut Reader, item: &Item<'_>) -> Option<Service> {
+    let fields = reader.object(item, &["service", "non_idempotent", "replicas"])?;
+    let service = reader.required(&fields, "service");
+    let service = service.and_then(|item| reader.define(&item, Kind::Service));
+    reader.required(&fields, "replicas");
+    let known = ["upstream", "vm", "region", "centre", "address", "leaving"];
+    let replicas = all(reader, &fields, "replicas", |reader, item| {
+        let fields = reader.object(item, &known)?;
+        replica(reader, &fields)
+    });
+    Some(Service {
+        service: service?,
+        non_idempotent: all(reader, &fields, "non_idempotent", call),
+        replicas,
+    })
+}
+
+fn call(reader: &mut Reader, item: &Item<'_>) -> Option<Call> {
+    let fields = reader.object(item, &["method", "path"])?;
+    let method = reader.required(&fields, "method");
+    let method = method.and_then(|item| {
+        reader.form(&item, "a method in capital letters", |text| {
+            let capitals = text.bytes().all(|b| b.is_ascii_uppercase());
+            (capitals && (1..=16).contains(&text.len())).then(|| text.to_owned())
+        })
+    });
+    let path = reader.required(&fields, "path");
+    let path = path.and_then(|item| {
+        reader.form(&item, "a path that starts with `/`", |text| {
+            (text.starts_with('/') && text.len() <= MAX_TEXT_BYTES).then(|| text.to_owned())
+        })
+    });
+    Some(Call {
+        method: method?,
+        path: path?,
+    })
+}
--- /dev/null
+++ b/crates/manifest/src/reader.rs
@@ -0,0 +1,364 @@
+//! Reads JSON with comments and collects every fault with its place.
+
+use crate::error::{Category, Cause, Error, Fault};
+use crate::syntax;
+use jsonc_parser::ast::{Object, Value};
+use jsonc_parser::common::Ranged;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::str::FromStr;
+
+/// Quoted values are shortened to this many characters in messages.
+const QUOTED_CHARS: usize = 80;
+
+/// What a name stands for; names of one kind are unique.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) enum Kind {
+    Address,
+    Caller,
+    Model,
+    Quiet,
+    Service,
+    Trainer,
+    Upstream,
+    Vm,
+}
+
+impl Kind {
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Address => "address",
+            Self::Caller => "caller",
+            Self::Model => "model",
+            Self::Quiet => "quiet hour",
+            Self::Service => "service",
+            Self::Trainer => "trainer",
+            Self::Upstream => "upstream",
+            Self::Vm => "entry VM",
+        }
+    }
+}
+
+/// A value with its path.
+#[derive(Clone, Debug)]
+pub(crate) struct Item<'a> {
+    pub(crate) path: String,
+    pub(crate) offset: usize,
+    value: &'a Value<'a>,
+}
+
+/// The fields of an object, each known and given once.
+pub(crate) struct Fields<'a> {
+    path: String,
+    offset: usize,
+    values: BTreeMap<&'a str, &'a Value<'a>>,
+}
+
+/// Collects faults, definitions and references while a text is read.
+#[derive(Default)]
+pub(crate) struct Reader {
+    faults: Vec<(usize, String, Cause)>,
+    defined: BTreeMap<(Kind, String), String>,
+    referred: Vec<(Kind, String, String, usize)>,
+}
+
+/// Reads a text with `read`, and returns its value if there is no fault.
+pub(crate) fn read<T>(
+    text: &str,
+    read: impl FnOnce(&mut Reader, Item<'_>) -> Option<T>,
+) -> Result<T, Error> {
+    let value = syntax::parse(text)?;
+    let mut reader = Reader::default();
+    let root = Item {
+        path: String::new(),
+        offset: value.range().start,
+        value: &value,
+    };
+    let result = read(&mut reader, root);
+    reader.resolve();
+    match result {
+        Some(value) if reader.faults.is_empty() => Ok(value),
+        _ => Err(Error::new(
+            Category::Invalid,
+            syntax::locate(text, reader.faults),
+        )),
+    }
+}
+
+impl Reader {
+    pub(crate) fn fault(&mut self, item: &Item<'_>, cause: Cause) {
+        self.faults.push((item.offset, item.path.clone(), cause));
+    }
+
+    fn wrong_type(&mut self, item: &Item<'_>, expected: &'static str) {
+        let found = match item.value {
+            Value::StringLit(_) => "text",
+            Value::NumberLit(_) => "a number",
+            Value::BooleanLit(_) => "true or false",
+            Value::Object(_) => "an object",
+            Value::Array(_) => "a list",
+            Value::NullKeyword(_) => "null",
+        };
+        self.fault(item, Cause::Type { expected, found });
+    }
+
+    pub(crate) fn object<'a>(&mut self, item: &Item<'a>, known: &[&str]) -> Option<Fields<'a>> {
+        let Value::Object(object) = item.value else {
+            self.wrong_type(item, "an object");
+            return None;
+        };
+        Some(self.fields(item, object, known))
+    }
+
+    fn fields<'a>(
+        &mut self,
+        item: &Item<'a>,
+        object: &'a Object<'a>,
+        known: &[&str],
+    ) -> Fields<'a> {
+        let mut fields = Fields {
+            path: item.path.clone(),
+            offset: item.offset,
+            values: BTreeMap::new(),
+        };
+        for property in &object.properties {
+            let name = property.name.as_str();
+            let path = join(&item.path, &shorten(name));
+            let offset = property.range.start;
+            if !known.contains(&name) {
+                let cause = Cause::UnknownField(known.join(", "));
+                self.faults.push((offset, path, cause));
+            } else if fields.values.insert(name, &property.value).is_some() {
+                self.faults.push((offset, path, Cause::RepeatedField));
+            }
+        }
+        fields
+    }
+
+    pub(crate) fn required<'a>(&mut self, fields: &Fields<'a>, name: &str) -> Option<Item<'a>> {
+        let item = fields.optional(name);
+        if item.is_none() {
+            let path = join(&fields.path, name);
+            self.faults.push((fields.offset, path, Cause::Missing));
+        }
+        item
+    }
+
+    pub(crate) fn list<'a>(&mut self, item: &Item<'a>) -> Vec<Item<'a>> {
+        let Value::Array(array) = item.value else {
+            self.wrong_type(item, "a list");
+            return Vec::new();
+        };
+        let element = |(index, value): (usize, &'a Value<'a>)| Item {
+            path: format!("{}[{index}]", item.path),
+            offset: value.range().start,
+            value,
+        };
+        array.elements.iter().enumerate().map(element).collect()
+    }
+
+    pub(crate) fn text<'a>(&mut self, item: &Item<'a>) -> Option<&'a str> {
+        let Value::StringLit(text) = item.value else {
+            self.wrong_type(item, "text");
+            return None;
+        };
+        Some(&text.value)
+    }
+
+    pub(crate) fn boolean(&mut self, item: &Item<'_>) -> Option<bool> {
+        let Value::BooleanLit(value) = item.value else {
+            self.wrong_type(item, "true or false");
+            return None;
+        };
+        Some(value.value)
+    }
+
+    pub(crate) fn integer(&mut self, item: &Item<'_>, low: u64, high: u64) -> Option<u64> {
+        let Value::NumberLit(number) = item.value else {
+            self.wrong_type(item, "a whole number");
+            return None;
+        };
+        let digits = number.value.strip_prefix('-').unwrap_or(number.value);
+        if !digits.bytes().all(|b| b.is_ascii_digit()) {
+            self.wrong_type(item, "a whole number");
+            return None;
+        }
+        match number.value.parse::<u64>() {
+            Ok(value) if (low..=high).contains(&value) => Some(value),
+            _ => {
+                let found = shorten(number.value);
+                self.fault(item, Cause::Range { found, low, high });
+                None
+            }
+        }
+    }
+
+    /// Reads a number from 0 to 1.
+    pub(crate) fn fraction(&mut self, item: &Item<'_>) -> Option<f64> {
+        let Value::NumberLit(number) = item.value else {
+            self.wrong_type(item, "a number");
+            return None;
+        };
+        match number.value.parse::<f64>() {
+            Ok(value) if (0.0..=1.0).contains(&value) => Some(value.abs()),
+            _ => {
+                let found = shorten(number.value);
+                let (low, high) = (0, 1);
+                self.fault(item, Cause::Range { found, low, high });
+                None
+            }
+        }
+    }
+
+    /// Reads a text with a form of its own.
+    pub(crate) fn form<T>(
+        &mut self,
+        item: &Item<'_>,
+        expected: &'static str,
+        parse: impl FnOnce(&str) -> Option<T>,
+    ) -> Option<T> {
+        let text = self.text(item)?;
+        let value = parse(text);
+        if value.is_none() {
+            let found = shorten(text);
+            self.fault(item, Cause::Form { found, expected });
+        }
+        value
+    }
+
+    pub(crate) fn name<T: FromStr>(&mut self, item: &Item<'_>) -> Option<T> {
+        let expected = "a name: use 1 to 64 of a-z, 0-9, `.`, `_` and `-`";
+        self.form(item, expected, |text| text.parse().ok())
+    }
+
+    pub(crate) fn address(&mut self, item: &Item<'_>) -> Option<SocketAddr> {
+        self.form(
+            item,
+            "an address `ip:port` with a port from 1 to 65535",
+            |text| {
+                let address: SocketAddr = text.parse().ok()?;
+                (address.port() != 0 && !address.ip().is_unspecified()).then_some(address)
+            },
+        )
+    }
+
+    /// Reads a name and records that it is defined here.
+    pub(crate) fn define<T>(&mut self, item: &Item<'_>, kind: Kind) -> Option<T>
+    where
+        T: FromStr + ToString,
+    {
+        let name: T = self.name(item)?;
+        self.claim(item, kind, name.to_string());
+        Some(name)
+    }
+
+    /// Reads an address that nothing else may use.
+    pub(crate) fn own_address(&mut self, item: &Item<'_>) -> Option<SocketAddr> {
+        let address = self.address(item)?;
+        self.claim(item, Kind::Address, address.to_string());
+        Some(address)
+    }
+
+    fn claim(&mut self, item: &Item<'_>, kind: Kind, name: String) {
+        let key = (kind, name);
+        if let Some(first) = self.defined.get(&key).cloned() {
+            let (kind, name) = (kind.as_str(), key.1);
+            self.fault(item, Cause::Duplicate { kind, name, first });
+        } else {
+            self.defined.insert(key, item.path.clone());
+        }
+    }
+
+    /// Reads a name that is defined elsewhere in the text.
+    pub(crate) fn refer<T>(&mut self, item: &Item<'_>, kind: Kind) -> Option<T>
+    where
+        T: FromStr + ToString,
+    {
+        let name: T = self.name(item)?;
+        self.referred
+            .push((kind, name.to_string(), item.path.clone(), item.offset));
+        Some(name)
+    }
+
+    /// Reads a list of names that are defined elsewhere in the text, each given once.
+    pub(crate) fn refer_all<T>(&mut self, list: &Item<'_>, kind: Kind) -> Vec<T>
+    where
+        T: Clone + FromStr + Ord + ToString,
+    {
+        let mut seen = BTreeSet::new();
+        let mut names = Vec::new();
+        for item in self.list(list) {
+            let Some(name) = self.refer::<T>(&item, kind) else {
+                continue;
+            };
+            if seen.insert(name.clone()) {
+                names.push(name);
+            } else {
+                self.repeated(&item, list, kind.as_str(), name.to_string());
+            }
+        }
+        names
+    }
+
+    /// Reports an element that its list already has.
+    pub(crate) fn repeated(
+        &mut self,
+        item: &Item<'_>,
+        list: &Item<'_>,
+        kind: &'static str,
+        name: String,
+    ) {
+        let first = list.path.clone();
+        self.fault(item, Cause::Duplicate { kind, name, first });
+    }
+
+    fn resolve(&mut self) {
+        for (kind, name, path, offset) in std::mem::take(&mut self.referred) {
+            if !self.defined.contains_key(&(kind, name.clone())) {
+                let kind = kind.as_str();
+                self.faults
+                    .push((offset, path, Cause::Reference { kind, name }));
+            }
+        }
+    }
+}
+
+impl Item<'_> {
+    pub(crate) fn is_empty_list(&self) -> bool {
+        matches!(self.value, Value::Array(array) if array.elements.is_empty())
+    }
+}
+
+impl<'a> Fields<'a> {
+    pub(crate) fn optional(&self, name: &str) -> Option<Item<'a>> {
+        let value = *self.values.get(name)?;
+        Some(Item {
+            path: join(&self.path, name),
+            offset: value.range().start,
+            value,
+        })
+    }
+}
+
+impl Fault {
+    pub(crate) fn at(path: String, place: (usize, usize), cause: Cause) -> Self {
+        Self {
+            path,
+            line: place.0,
+            column: place.1,
+            cause,
+        }
+    }
+}
+
+fn join(path: &str, name: &str) -> String {
+    if path.is_empty() {
+        name.to_owned()
+    } else {
+        format!("{path}.{name}")
+    }
+}
+
+fn shorten(text: &str) -> String {
+    text.chars().take(QUOTED_CHARS).collect()
+}
