Add the replica selection core

Cause: the daemon needs one router for each model and plain service.

Ruled out: a subset that holds only local replicas. A data centre with 20 or more replicas would fill it, and a full or lost data centre would leave no place to spill to; 4 and 2 places are kept for region and remote.

Change: crate `route`: subset of 20 by rendezvous hashing, load estimates, power of two choices, prefix affinity with bounded loads, locality levels, ejection with slow start, leaving replicas, tickets that end once.

--- /dev/null
+++ b/crates/route/src/error.rs
@@ -0,0 +1,70 @@
+use crate::Ticket;
+use dogwoodlb_types::id;
+use std::fmt;
+
+/// The kind of an [`Error`].
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[non_exhaustive]
+pub enum Category {
+    /// The ticket was ended before.
+    Ended,
+    /// This router never issued the ticket.
+    UnknownTicket,
+    /// The router has no such replica.
+    UnknownUpstream,
+    /// The list of replicas has a name twice or is too long.
+    Replicas,
+}
+
+/// An event that the router didn't apply; its state is unchanged.
+pub struct Error(Box<Inner>);
+
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum Inner {
+    #[error("{0} was ended before")]
+    Ended(Ticket),
+    #[error("{0} was not issued by this router")]
+    UnknownTicket(Ticket),
+    #[error("replica `{0}` is not known")]
+    UnknownUpstream(id::Upstream),
+    #[error("replica {index}: `{upstream}` is listed twice")]
+    Duplicate {
+        index: usize,
+        upstream: id::Upstream,
+    },
+    #[error("{count} replicas are more than the limit of {limit}")]
+    TooMany { count: usize, limit: usize },
+}
+
+impl Error {
+    /// Returns the kind of the error.
+    pub fn classify(&self) -> Category {
+        match *self.0 {
+            Inner::Ended(_) => Category::Ended,
+            Inner::UnknownTicket(_) => Category::UnknownTicket,
+            Inner::UnknownUpstream(_) => Category::UnknownUpstream,
+            Inner::Duplicate { .. } | Inner::TooMany { .. } => Category::Replicas,
+        }
+    }
+}
+
+impl From<Inner> for Error {
+    #[cold]
+    fn from(inner: Inner) -> Self {
+        Self(Box::new(inner))
+    }
+}
+
+impl fmt::Debug for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Debug::fmt(&self.0, f)
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(&self.0, f)
+    }
+}
+
+impl std::error::Error for Error {}
--- /dev/null
+++ b/crates/route/src/health.rs
@@ -0,0 +1,90 @@
+use crate::Outcome;
+use dogwoodlb_types::Instant;
+use std::time::Duration;
+
+/// Consecutive failures that eject a replica; one failure may be the request's own fault.
+const FAILURES: u32 = 3;
+const FIRST_PAUSE: Duration = Duration::from_secs(1);
+const LONGEST_PAUSE: Duration = Duration::from_secs(60);
+const SLOW_START: Duration = Duration::from_secs(10);
+/// The share of the normal load that a returning replica starts with, in thousandths.
+const FIRST_WEIGHT: u64 = 100;
+pub(crate) const FULL_WEIGHT: u64 = 1_000;
+
+/// Whether a replica is in service, and how much of its normal load it gets.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Health {
+    failures: u32,
+    ejections: u32,
+    pause: Option<Pause>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Pause {
+    since: Instant,
+    until: Instant,
+}
+
+impl Health {
+    /// Returns when the replica returns, if it is ejected now.
+    pub(crate) fn ejected_until(&self, now: Instant) -> Option<Instant> {
+        self.pause
+            .map(|pause| pause.until)
+            .filter(|&until| now < until)
+    }
+
+    /// Returns the share of the normal load in thousandths; it grows after a return.
+    pub(crate) fn weight(&self, now: Instant) -> u64 {
+        let Some(pause) = self.pause else {
+            return FULL_WEIGHT;
+        };
+        let back = millis(now.saturating_since(pause.until));
+        (FIRST_WEIGHT + (FULL_WEIGHT - FIRST_WEIGHT) * back / millis(SLOW_START)).min(FULL_WEIGHT)
+    }
+
+    /// Counts the outcome of a request that was picked at `picked`.
+    pub(crate) fn on_end(&mut self, outcome: Outcome, picked: Instant, now: Instant) {
+        // Requests sent before an ejection fail together with those that caused it; counting
+        // them again would lengthen the pause for a single fault.
+        if self.pause.is_some_and(|pause| picked <= pause.since) {
+            return;
+        }
+        match outcome {
+            Outcome::Cancelled => {}
+            Outcome::Success => self.on_success(now),
+            Outcome::Failure => self.on_failure(now),
+        }
+    }
+
+    fn on_success(&mut self, now: Instant) {
+        self.failures = 0;
+        if let Some(pause) = &mut self.pause {
+            pause.until = pause.until.min(now);
+        }
+        if self.weight(now) == FULL_WEIGHT {
+            self.ejections = 0;
+            self.pause = None;
+        }
+    }
+
+    fn on_failure(&mut self, now: Instant) {
+        if self.ejected_until(now).is_some() {
+            return;
+        }
+        self.failures += 1;
+        // A replica that fails during its slow start has not recovered.
+        if self.failures >= FAILURES || self.weight(now) < FULL_WEIGHT {
+            let pause = FIRST_PAUSE * (1 << self.ejections.min(6));
+            self.ejections = self.ejections.saturating_add(1);
+            self.failures = 0;
+            self.pause = Some(Pause {
+                since: now,
+                until: now + pause.min(LONGEST_PAUSE),
+            });
+        }
+    }
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -1,1 +1,64 @@
-//! Placeholder for the `route` library.
+//! Replica selection for one model or one plain service.
+//!
+//! A node holds one [`Router`] for each model and each plain service. The router keeps a
+//! deterministic subset of the replicas, estimates their load from its own requests in flight
+//! and from late load reports, and prefers near replicas and those that are likely to have the
+//! prompt's prefix in their cache. See docs/design.md, section 4.11.
+//!
+//! # Examples
+//!
+//! ```
+//! use dogwoodlb_route::{Load, Outcome, Replica, Request, Router, Settings};
+//! use dogwoodlb_types::prelude::*;
+//! use rand::{rngs::StdRng, SeedableRng};
+//!
+//! let mut router = Router::new(Settings {
+//!     vm: "entry-1".parse()?,
+//!     region: "ljubljana".parse()?,
+//!     centre: "lj-a".parse()?,
+//! });
+//! router.update(&[Replica {
+//!     upstream: "engine-1".parse()?,
+//!     region: "ljubljana".parse()?,
+//!     centre: "lj-a".parse()?,
+//!     slots: 32,
+//!     leaving: false,
+//! }])?;
+//!
+//! let mut rng = StdRng::seed_from_u64(1);
+//! let now = Instant::from_millis(0);
+//! let request = Request::new(Class::Customer).prefix(b"You are a helpful");
+//! let pick = router.pick(&request, now, &mut rng)?;
+//! assert_eq!(pick.upstream.as_str(), "engine-1");
+//!
+//! // The request was sent; the reply carries a load report.
+//! router.on_start(pick.ticket)?;
+//! let load = Load { sequence: 1, running: 1, waiting: 0 };
+//! router.on_load(&pick.upstream, load, now)?;
+//! router.on_end(pick.ticket, Outcome::Success, now)?;
+//! assert!(router.on_end(pick.ticket, Outcome::Success, now).is_err());
+//! # Ok::<(), Box<dyn std::error::Error>>(())
+//! ```
+
+mod cache;
+mod choose;
+mod error;
+mod health;
+mod member;
+mod replica;
+mod request;
+mod router;
+mod subset;
+mod ticket;
+
+pub use cache::{Change, Event};
+pub use error::{Category, Error};
+pub use member::Load;
+pub use replica::{Level, Replica, Settings};
+pub use request::{Freshness, Pick, Request};
+pub use router::Router;
+pub use subset::SUBSET;
+pub use ticket::{Outcome, Ticket};
+
+/// The result of an operation of this crate.
+pub type Result<T> = std::result::Result<T, Error>;
