--- /dev/null
+++ b/crates/limit/src/service_time.rs
@@ -0,0 +1,30 @@
+use std::time::Duration;
+
+/// The average and the mean deviation of the time that requests run, in microseconds.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct ServiceTime {
+    mean: u64,
+    deviation: u64,
+}
+
+impl ServiceTime {
+    pub(crate) fn add(&mut self, time: Duration) {
+        let time = u64::try_from(time.as_micros()).unwrap_or(u64::MAX).max(1);
+        if self.mean == 0 {
+            self.mean = time;
+            return;
+        }
+        let error = time.abs_diff(self.mean);
+        self.mean = self.mean - self.mean / 16 + time / 16;
+        self.deviation = self.deviation - self.deviation / 16 + error / 16;
+    }
+
+    pub(crate) fn mean(&self) -> Duration {
+        Duration::from_micros(self.mean)
+    }
+
+    /// Returns the time in which nearly all requests end.
+    pub(crate) fn likely(&self) -> Duration {
+        Duration::from_micros(self.mean.saturating_add(self.deviation.saturating_mul(2)))
+    }
+}
