Add the frame codec and the timeline

Cause: nodes need a bounded protocol and one order for their events.

Change: `wire` encodes pings, proposals and answers with postcard behind private wire types; `timeline` has the hybrid logical clock, events, a bounded ring, a causal merge and filters.

--- /dev/null
+++ b/crates/timeline/src/error.rs
@@ -0,0 +1,53 @@
+use std::fmt;
+
+/// The kind of an [`Error`].
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[non_exhaustive]
+pub enum Category {
+    /// A remote stamp runs too far ahead of the local civil clock.
+    Ahead,
+    /// An event that was read is malformed.
+    Malformed,
+}
+
+/// A stamp or an event that is refused.
+pub struct Error(Box<Inner>);
+
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum Inner {
+    #[error("remote stamp is {ahead_ms} ms ahead, more than the limit of {limit_ms} ms")]
+    Ahead { ahead_ms: i64, limit_ms: i64 },
+    #[error("field `{field}` of the event is malformed")]
+    Malformed { field: &'static str },
+}
+
+impl Error {
+    /// Returns the kind of the error.
+    pub fn classify(&self) -> Category {
+        match *self.0 {
+            Inner::Ahead { .. } => Category::Ahead,
+            Inner::Malformed { .. } => Category::Malformed,
+        }
+    }
+}
+
+impl From<Inner> for Error {
+    #[cold]
+    fn from(inner: Inner) -> Self {
+        Self(Box::new(inner))
+    }
+}
+
+impl fmt::Debug for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Debug::fmt(&self.0, f)
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(&self.0, f)
+    }
+}
+
+impl std::error::Error for Error {}
--- /dev/null
+++ b/crates/timeline/src/event.rs
@@ -0,0 +1,130 @@
+use crate::error::Inner;
+use crate::record::Record;
+use crate::{Error, Result, Stamp};
+use dogwoodlb_types::id;
+use serde::{Deserialize, Serialize};
+use std::borrow::Cow;
+use std::collections::BTreeMap;
+use std::fmt;
+
+const MAX_KIND_BYTES: usize = 64;
+const MAX_DETAILS: usize = 16;
+/// Bounds the memory of one event; longer values are cut.
+const MAX_VALUE_BYTES: usize = 256;
+
+/// The kind of an event, a short name in snake case.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Kind(Cow<'static, str>);
+
+impl Kind {
+    /// Creates a kind from a name in the program.
+    pub const fn new(name: &'static str) -> Self {
+        Self(Cow::Borrowed(name))
+    }
+
+    /// Returns the name.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl TryFrom<String> for Kind {
+    type Error = Error;
+
+    fn try_from(name: String) -> Result<Self> {
+        if name.is_empty() || name.len() > MAX_KIND_BYTES {
+            return Err(Inner::Malformed { field: "kind" }.into());
+        }
+        Ok(Self(Cow::Owned(name)))
+    }
+}
+
+impl fmt::Display for Kind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(self.as_str())
+    }
+}
+
+/// Something that happened on a node, and what it concerns.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(into = "Record", try_from = "Record")]
+pub struct Event {
+    /// When it happened.
+    pub stamp: Stamp,
+    /// The VM on which it happened.
+    pub vm: id::Vm,
+    /// What happened.
+    pub kind: Kind,
+    /// The id of the request that it concerns.
+    pub request: Option<String>,
+    /// The sample that it concerns.
+    pub sample: Option<id::Sample>,
+    /// The trainer that it concerns.
+    pub trainer: Option<id::Trainer>,
+    /// The lease that it concerns.
+    pub lease: Option<id::Lease>,
+    /// Everything else, at most 16 entries; [`with`](Event::with) adds one.
+    pub detail: BTreeMap<String, String>,
+}
+
+impl Event {
+    /// Creates an event that concerns nothing yet.
+    pub const fn new(stamp: Stamp, vm: id::Vm, kind: Kind) -> Self {
+        Self {
+            stamp,
+            vm,
+            kind,
+            request: None,
+            sample: None,
+            trainer: None,
+            lease: None,
+            detail: BTreeMap::new(),
+        }
+    }
+
+    /// Names the request that the event concerns.
+    #[must_use]
+    pub fn request(mut self, request: impl Into<String>) -> Self {
+        self.request = Some(cut(request.into()));
+        self
+    }
+
+    /// Names the sample that the event concerns, and its trainer.
+    #[must_use]
+    pub fn sample(mut self, sample: id::Sample) -> Self {
+        self.trainer = Some(sample.trainer.clone());
+        self.sample = Some(sample);
+        self
+    }
+
+    /// Names the trainer that the event concerns.
+    #[must_use]
+    pub fn trainer(mut self, trainer: id::Trainer) -> Self {
+        self.trainer = Some(trainer);
+        self
+    }
+
+    /// Names the lease that the event concerns.
+    #[must_use]
+    pub fn lease(mut self, lease: id::Lease) -> Self {
+        self.lease = Some(lease);
+        self
+    }
+
+    /// Adds a detail; entries beyond 16 are dropped and values beyond 256 bytes are cut.
+    #[must_use]
+    pub fn with(mut self, key: &str, value: impl fmt::Display) -> Self {
+        if self.detail.len() < MAX_DETAILS || self.detail.contains_key(key) {
+            self.detail
+                .insert(cut(key.to_owned()), cut(value.to_string()));
+        }
+        self
+    }
+}
+
+fn cut(mut text: String) -> String {
+    if text.len() > MAX_VALUE_BYTES {
+        text.truncate(text.floor_char_boundary(MAX_VALUE_BYTES));
+    }
+    text
+}
--- /dev/null
+++ b/crates/timeline/src/filter.rs
@@ -0,0 +1,38 @@
+use crate::{Event, Kind, Stamp};
+use dogwoodlb_types::id;
+
+/// Selects events; a field that is `None` selects all.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Filter {
+    /// Only events of this VM.
+    pub vm: Option<id::Vm>,
+    /// Only events of this kind.
+    pub kind: Option<Kind>,
+    /// Only events that concern this request.
+    pub request: Option<String>,
+    /// Only events that concern this sample.
+    pub sample: Option<id::Sample>,
+    /// Only events that concern this trainer.
+    pub trainer: Option<id::Trainer>,
+    /// Only events that concern this lease.
+    pub lease: Option<id::Lease>,
+    /// Only events after this stamp, for reading on from the last event seen.
+    pub after: Option<Stamp>,
+}
+
+impl Filter {
+    /// Returns whether the filter selects the event.
+    pub fn matches(&self, event: &Event) -> bool {
+        self.vm.as_ref().is_none_or(|vm| *vm == event.vm)
+            && self.kind.as_ref().is_none_or(|kind| *kind == event.kind)
+            && selects(&self.request, &event.request)
+            && selects(&self.sample, &event.sample)
+            && selects(&self.trainer, &event.trainer)
+            && selects(&self.lease, &event.lease)
+            && self.after.is_none_or(|after| event.stamp > after)
+    }
+}
+
+fn selects<T: PartialEq>(wanted: &Option<T>, found: &Option<T>) -> bool {
+    wanted.is_none() || wanted == found
+}
--- /dev/null
+++ b/crates/wire/src/error.rs
@@ -0,0 +1,89 @@
+use std::fmt;
+use std::io;
+
+/// The kind of an [`Error`].
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[non_exhaustive]
+pub enum Category {
+    /// The stream failed or ended early.
+    Io,
+    /// The frame is malformed.
+    Malformed,
+    /// A datagram frame on a stream, or the reverse.
+    Misplaced,
+    /// The frame is larger than the limit of its transport.
+    TooLarge,
+    /// The frame has another version of the protocol.
+    Version,
+}
+
+/// A frame that can't be written or read.
+pub struct Error(Box<Inner>);
+
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum Inner {
+    #[error("stream failed: {0}")]
+    Io(#[from] io::Error),
+    #[error("malformed frame: {0}")]
+    Codec(#[from] postcard::Error),
+    #[error("malformed name in a frame: {0}")]
+    Name(#[from] dogwoodlb_types::Error),
+    #[error("frame is empty")]
+    Empty,
+    #[error("{bytes} bytes follow the frame")]
+    Trailing { bytes: usize },
+    #[error("frame has {count} membership updates, more than {limit}")]
+    Updates { count: usize, limit: usize },
+    #[error("frame kind does not belong on this transport")]
+    Misplaced,
+    #[error("frame has {bytes} bytes, more than {limit}")]
+    TooLarge { bytes: usize, limit: usize },
+    #[error("frame has protocol version {found}, expected {expected}")]
+    Version { found: u8, expected: u8 },
+}
+
+impl Error {
+    /// Returns the kind of the error.
+    pub fn classify(&self) -> Category {
+        match *self.0 {
+            Inner::Io(_) => Category::Io,
+            Inner::Codec(_)
+            | Inner::Name(_)
+            | Inner::Empty
+            | Inner::Trailing { .. }
+            | Inner::Updates { .. } => Category::Malformed,
+            Inner::Misplaced => Category::Misplaced,
+            Inner::TooLarge { .. } => Category::TooLarge,
+            Inner::Version { .. } => Category::Version,
+        }
+    }
+
+    /// Returns the kind of the underlying I/O error, if there is one.
+    pub fn io_kind(&self) -> Option<io::ErrorKind> {
+        match &*self.0 {
+            Inner::Io(error) => Some(error.kind()),
+            _ => None,
+        }
+    }
+}
+
+impl<E: Into<Inner>> From<E> for Error {
+    #[cold]
+    fn from(inner: E) -> Self {
+        Self(Box::new(inner.into()))
+    }
+}
+
+impl fmt::Debug for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Debug::fmt(&self.0, f)
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(&self.0, f)
+    }
+}
+
+impl std::error::Error for Error {}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,1 +1,53 @@
-//! Placeholder for the `wire` library.
+//! The frames between nodes: versioned, bounded, encoded with postcard.
+//!
+//! A frame starts with the version of the protocol. [`Ping`](Frame::Ping), [`Ack`](Frame::Ack)
+//! and [`PingReq`](Frame::PingReq) are datagrams of at most [`MAX_DATAGRAM_BYTES`] bytes, for
+//! [`to_vec`] and [`from_slice`]. [`Propose`](Frame::Propose) and [`Answer`](Frame::Answer)
+//! travel over a stream with a length prefix, at most [`MAX_STREAM_BYTES`] bytes each, for
+//! [`to_writer`] and [`from_reader`]. A reader allocates no more than it has received.
+//!
+//! # Examples
+//!
+//! ```
+//! use dogwoodlb_types::id;
+//! use dogwoodlb_wire::{from_reader, from_slice, to_vec, to_writer};
+//! use dogwoodlb_wire::{Category, Frame, Header, Proposal, Status};
+//!
+//! let ping = Frame::Ping(Header {
+//!     vm: "entry-1".parse()?,
+//!     incarnation: id::Incarnation(1),
+//!     sequence: 7,
+//!     status: Status { revision: id::Revision(12), fresh: true, ..Status::default() },
+//!     updates: Vec::new(),
+//! });
+//! let bytes = to_vec(&ping)?;
+//! assert_eq!(from_slice(&bytes)?, ping);
+//!
+//! let propose = Frame::Propose(Proposal {
+//!     revision: id::Revision(13),
+//!     row_version: 40,
+//!     operation: id::Operation(5),
+//!     text: "{}".to_owned(),
+//! });
+//! let mut stream = Vec::new();
+//! to_writer(&mut stream, &propose)?;
+//! assert_eq!(from_reader(&mut stream.as_slice())?, propose);
+//!
+//! let error = from_slice(&[9, 0]).unwrap_err();
+//! assert_eq!(error.classify(), Category::Version);
+//! # Ok::<(), Box<dyn std::error::Error>>(())
+//! ```
+
+mod codec;
+mod error;
+mod frame;
+mod packet;
+
+pub use codec::{
+    from_reader, from_slice, to_vec, to_writer, MAX_DATAGRAM_BYTES, MAX_STREAM_BYTES, VERSION,
+};
+pub use error::{Category, Error};
+pub use frame::{Answer, Frame, Header, Proposal, Reason, State, Status, Update, MAX_UPDATES};
+
+/// The result of an operation of this crate.
+pub type Result<T> = std::result::Result<T, Error>;
