Add the membership and drain cores

Cause: nodes need to know which entry VMs are alive without a further service, and to shut down without a load balancer.

--- /dev/null
+++ b/crates/member/src/drain.rs
@@ -0,0 +1,148 @@
+use dogwoodlb_types::Instant;
+use std::time::Duration;
+
+/// Covers a caller that read its answer just before this node stopped being listed.
+const CACHE_MARGIN: Duration = Duration::from_secs(1);
+
+/// Longer than the longest deadline of a request, 110 s, so that no request is interrupted.
+const MAX_WAIT: Duration = Duration::from_secs(120);
+
+/// A lease that can't be released, as during a store outage, expires on its own.
+const RELEASE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// How far a shutdown has come.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Phase {
+    /// No shutdown has begun.
+    Serving,
+    /// The node is no longer listed, and serves callers that have its address cached.
+    Unlisted,
+    /// New requests are refused, and requests in flight are finished.
+    Refusing,
+    /// No request is in flight, and leases are being released.
+    Draining,
+    /// The process may exit.
+    Stopped,
+}
+
+/// What the shell has to do for a shutdown.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Step {
+    /// Announce to the peers that this node is leaving, and stop listing it to callers.
+    Announce,
+    /// Refuse new requests with the code `leaving`.
+    Refuse,
+    /// Release all leases.
+    ReleaseLeases,
+    /// Leave the membership and exit.
+    Exit {
+        /// The requests still in flight, 0 unless a request exceeded its longest deadline.
+        interrupted: usize,
+    },
+}
+
+/// The shutdown of a node; see docs/design.md, section 4.10.
+///
+/// # Examples
+///
+/// ```
+/// use dogwoodlb_member::{Drain, Phase, Step};
+/// use dogwoodlb_types::Instant;
+/// use std::time::Duration;
+///
+/// let mut drain = Drain::new(Duration::from_secs(5));
+/// let at = Instant::from_millis;
+/// assert_eq!(drain.begin(at(0)), [Step::Announce]);
+/// assert_eq!(drain.tick(at(5_999), 3), []);
+/// assert_eq!(drain.tick(at(6_000), 3), [Step::Refuse]);
+/// assert_eq!(drain.tick(at(9_000), 0), [Step::ReleaseLeases]);
+/// assert_eq!(drain.on_released(), [Step::Exit { interrupted: 0 }]);
+/// assert_eq!(drain.phase(), Phase::Stopped);
+/// ```
+#[derive(Clone, Debug)]
+pub struct Drain {
+    cache: Duration,
+    phase: Phase,
+    since: Instant,
+    interrupted: usize,
+}
+
+impl Drain {
+    /// Creates the shutdown of a node whose address callers cache for `cache`.
+    pub const fn new(cache: Duration) -> Self {
+        Self {
+            cache,
+            phase: Phase::Serving,
+            since: Instant::from_millis(0),
+            interrupted: 0,
+        }
+    }
+
+    /// Begins the shutdown; a repeated call has no effect.
+    pub fn begin(&mut self, now: Instant) -> Vec<Step> {
+        if self.phase != Phase::Serving {
+            return Vec::new();
+        }
+        self.enter(Phase::Unlisted, now);
+        vec![Step::Announce]
+    }
+
+    /// Advances the time; `in_flight` counts the requests that are being served.
+    ///
+    /// The count is trusted only after the refusal took effect, because a request may have
+    /// been admitted since an earlier count.
+    pub fn tick(&mut self, now: Instant, in_flight: usize) -> Vec<Step> {
+        match self.phase {
+            Phase::Unlisted if now.saturating_since(self.since) >= self.cache + CACHE_MARGIN => {
+                self.enter(Phase::Refusing, now);
+                vec![Step::Refuse]
+            }
+            Phase::Refusing if in_flight == 0 || self.is_overdue(now) => {
+                self.interrupted = in_flight;
+                self.enter(Phase::Draining, now);
+                vec![Step::ReleaseLeases]
+            }
+            Phase::Draining if now.saturating_since(self.since) >= RELEASE_TIMEOUT => self.stop(),
+            _ => Vec::new(),
+        }
+    }
+
+    /// Reports that all leases were released.
+    pub fn on_released(&mut self) -> Vec<Step> {
+        match self.phase {
+            Phase::Draining => self.stop(),
+            _ => Vec::new(),
+        }
+    }
+
+    /// Returns how far the shutdown has come.
+    pub fn phase(&self) -> Phase {
+        self.phase
+    }
+
+    /// Returns whether callers may be given the address of this node.
+    pub fn is_listed(&self) -> bool {
+        self.phase == Phase::Serving
+    }
+
+    /// Returns whether a new request is refused with the code `leaving`.
+    pub fn is_refusing(&self) -> bool {
+        self.phase >= Phase::Refusing
+    }
+
+    fn is_overdue(&self, now: Instant) -> bool {
+        now.saturating_since(self.since) >= MAX_WAIT
+    }
+
+    fn enter(&mut self, phase: Phase, now: Instant) {
+        self.phase = phase;
+        self.since = now;
+    }
+
+    fn stop(&mut self) -> Vec<Step> {
+        self.phase = Phase::Stopped;
+        vec![Step::Exit {
+            interrupted: self.interrupted,
+        }]
+    }
+}
--- /dev/null
+++ b/crates/member/src/error.rs
@@ -0,0 +1,67 @@
+use dogwoodlb_types::id;
+use std::fmt;
+
+/// The kind of an [`Error`].
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[non_exhaustive]
+pub enum Category {
+    /// The frame does not concern the membership.
+    Misplaced,
+    /// The manifest lists more peers than the core holds.
+    TooMany,
+    /// The sender is not an entry VM of the manifest, or uses this node's own name.
+    Unknown,
+    /// An incarnation is outside the accepted range.
+    Incarnation,
+}
+
+/// A frame or a configuration that the membership core refuses.
+pub struct Error(Box<Inner>);
+
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum Inner {
+    #[error("frame does not concern the membership")]
+    Misplaced,
+    #[error("manifest lists {count} peers, more than {limit}")]
+    TooMany { count: usize, limit: usize },
+    #[error("frame from `{vm}`, which is not a peer")]
+    Unknown { vm: id::Vm },
+    #[error("frame from `{vm}` with incarnation {incarnation}, which is out of range")]
+    Incarnation {
+        vm: id::Vm,
+        incarnation: id::Incarnation,
+    },
+}
+
+impl Error {
+    /// Returns the kind of the error.
+    pub fn classify(&self) -> Category {
+        match *self.0 {
+            Inner::Misplaced => Category::Misplaced,
+            Inner::TooMany { .. } => Category::TooMany,
+            Inner::Unknown { .. } => Category::Unknown,
+            Inner::Incarnation { .. } => Category::Incarnation,
+        }
+    }
+}
+
+impl From<Inner> for Error {
+    #[cold]
+    fn from(inner: Inner) -> Self {
+        Self(Box::new(inner))
+    }
+}
+
+impl fmt::Debug for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Debug::fmt(&self.0, f)
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(&self.0, f)
+    }
+}
+
+impl std::error::Error for Error {}
--- /dev/null
+++ b/crates/member/src/frames.rs
@@ -0,0 +1,185 @@
+use crate::error::Inner;
+use crate::members::{Action, Members};
+use crate::record::MAX_INCARNATION;
+use crate::Result;
+use dogwoodlb_types::{id, Instant};
+use dogwoodlb_wire::{Frame, Header, State, Status, Update, MAX_UPDATES};
+use rand::seq::IteratorRandom;
+use rand::Rng;
+
+/// The known states added to a frame that has room. They repair what gossip missed, because
+/// news is sent only a bounded number of times.
+const REPAIRS: usize = 4;
+
+impl Members {
+    /// Takes in a received datagram frame and returns the answers to send.
+    ///
+    /// Answers go to the sender's address in the manifest, not to where the datagram came
+    /// from, so a datagram with a forged source is not answered there.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the sender is not a peer, its incarnation is out of range or the frame doesn't
+    /// concern the membership. The state is then unchanged and the shell counts the frame.
+    pub fn on_frame(
+        &mut self,
+        frame: &Frame,
+        now: Instant,
+        status: &Status,
+        rng: &mut dyn Rng,
+    ) -> Result<Vec<Action>> {
+        let header = frame.header().ok_or(Inner::Misplaced)?;
+        self.check(header)?;
+        self.wake(now);
+        let mut actions = Vec::new();
+        if self.state == State::Dead {
+            return Ok(actions);
+        }
+        self.merge_header(header, now, &mut actions);
+        match frame {
+            Frame::Ping(_) => {
+                self.send_ack(&header.vm, header.sequence, status, rng, &mut actions);
+            }
+            Frame::Ack(_) => self.on_ack(header, status, rng, &mut actions),
+            Frame::PingReq { target, .. } => {
+                if self.peers.contains_key(target) {
+                    let relay = self.add_relay(target, &header.vm, header.sequence, now);
+                    if let Some(sequence) = relay {
+                        self.send_ping(target, sequence, status, rng, &mut actions);
+                    }
+                }
+            }
+            Frame::Propose(_) | Frame::Answer(_) => return Err(Inner::Misplaced.into()),
+        }
+        Ok(actions)
+    }
+
+    fn check(&self, header: &Header) -> Result<()> {
+        let vm = header.vm.clone();
+        if !self.peers.contains_key(&vm) {
+            return Err(Inner::Unknown { vm }.into());
+        }
+        let incarnation = header.incarnation;
+        if incarnation.0 == 0 || incarnation > MAX_INCARNATION {
+            return Err(Inner::Incarnation { vm, incarnation }.into());
+        }
+        Ok(())
+    }
+
+    fn merge_header(&mut self, header: &Header, now: Instant, actions: &mut Vec<Action>) {
+        let sender = Update {
+            vm: header.vm.clone(),
+            state: State::Alive,
+            incarnation: header.incarnation,
+        };
+        self.merge(&sender, now, actions);
+        for update in &header.updates {
+            self.merge(update, now, actions);
+        }
+    }
+
+    fn on_ack(
+        &mut self,
+        header: &Header,
+        status: &Status,
+        rng: &mut dyn Rng,
+        actions: &mut Vec<Action>,
+    ) {
+        let answered = |probe: &crate::probe::Probe| {
+            probe.sequence == header.sequence
+                && (probe.target == header.vm || probe.helpers.contains(&header.vm))
+        };
+        if self.probe.as_ref().is_some_and(answered) {
+            self.probe = None;
+            self.health = self.health.saturating_sub(1);
+        }
+        let relay = self
+            .relays
+            .iter()
+            .position(|relay| relay.sequence == header.sequence && relay.target == header.vm);
+        if let Some(index) = relay {
+            let relay = self.relays.swap_remove(index);
+            let sequence = relay.requester_sequence;
+            self.send_ack(&relay.requester, sequence, status, rng, actions);
+        }
+    }
+
+    pub(crate) fn send_ping(
+        &mut self,
+        vm: &id::Vm,
+        sequence: u32,
+        status: &Status,
+        rng: &mut dyn Rng,
+        actions: &mut Vec<Action>,
+    ) {
+        if let Some(to) = self.address(vm) {
+            let frame = Frame::Ping(self.header(vm, sequence, status, rng));
+            actions.push(Action::Send { to, frame });
+        }
+    }
+
+    fn send_ack(
+        &mut self,
+        vm: &id::Vm,
+        sequence: u32,
+        status: &Status,
+        rng: &mut dyn Rng,
+        actions: &mut Vec<Action>,
+    ) {
+        if let Some(to) = self.address(vm) {
+            let frame = Frame::Ack(self.header(vm, sequence, status, rng));
+            actions.push(Action::Send { to, frame });
+        }
+    }
+
+    pub(crate) fn header(
+        &mut self,
+        to: &id::Vm,
+        sequence: u32,
+        status: &Status,
+        rng: &mut dyn Rng,
+    ) -> Header {
+        Header {
+            vm: self.vm.clone(),
+            incarnation: self.incarnation,
+            sequence,
+            status: *status,
+            updates: self.updates(to, rng),
+        }
+    }
+
+    /// Chooses what to tell a peer: first what is said about the peer itself, so that it can
+    /// refute it, then news, then known states at random.
+    fn updates(&mut self, to: &id::Vm, rng: &mut dyn Rng) -> Vec<Update> {
+        let mut updates = Vec::new();
+        if let Some(record) = self.peers.get(to) {
+            if record.state != State::Alive && !record.is_unheard() {
+                updates.push(self.statement(to));
+            }
+        }
+        if self.state != State::Alive {
+            updates.push(self.own_update());
+        }
+        let room = MAX_UPDATES - updates.len();
+        updates.extend(self.gossip.take(room, self.peers.len() + 1));
+        let room = REPAIRS.min(MAX_UPDATES - updates.len());
+        let known = self.peers.iter().filter(|(vm, record)| {
+            !record.is_unheard() && !updates.iter().any(|update| update.vm == **vm)
+        });
+        let repairs: Vec<id::Vm> = known.map(|(vm, _)| vm.clone()).sample(rng, room);
+        updates.extend(repairs.iter().map(|vm| self.statement(vm)));
+        updates
+    }
+
+    fn statement(&self, vm: &id::Vm) -> Update {
+        let (state, incarnation) = match self.peers.get(vm) {
+            Some(record) => (record.state, record.incarnation),
+            None => (State::Dead, id::Incarnation(0)),
+        };
+        Update {
+            vm: vm.clone(),
+            state,
+            incarnation,
+        }
+    }
+}
--- a/crates/timeline/src/event.rs
+++ b/crates/timeline/src/event.rs
@@ -123,8 +123,10 @@
 }
 
 fn cut(mut text: String) -> String {
+    let fits = |&(start, c): &(usize, char)| start + c.len_utf8() <= MAX_VALUE_BYTES;
     if text.len() > MAX_VALUE_BYTES {
-        text.truncate(text.floor_char_boundary(MAX_VALUE_BYTES));
+        let kept = text.char_indices().take_while(fits).last();
+        text.truncate(kept.map_or(0, |(start, c)| start + c.len_utf8()));
     }
     text
 }
