Add the weight swap core

Cause: a new version has to reach all replicas of a model without taking the capacity that customers use, and without orders of a stale holder doing lasting harm.

--- a/crates/swap/src/lib.rs
+++ b/crates/swap/src/lib.rs
@@ -1,1 +1,58 @@
-//! Placeholder for the `swap` library.
+//! The weight swap core: orders to the replicas of one model.
+//!
+//! The holder of `lease/model/<m>` runs one [`Swap`]. It reads from every replica which
+//! version it serves and orders those that serve an older one to load the target. Progress is
+//! not stored: a new holder learns it from the replicas. See docs/design.md, sections 4.2 and
+//! 4.9.
+//!
+//! # Examples
+//!
+//! ```
+//! use dogwoodlb_platform::engine::Weights;
+//! use dogwoodlb_swap::{Action, Guard, Outcome, Replica, Settings, Swap, Target};
+//! use dogwoodlb_types::{id, Instant, Timestamp};
+//! use rand::SeedableRng;
+//!
+//! let mut rng = rand::rngs::SmallRng::seed_from_u64(1);
+//! let at = Instant::from_millis;
+//! let noon = Timestamp::from_millis(1_000_000);
+//! let mut swap = Swap::new("scorer".parse()?, Settings::default());
+//! swap.set_replicas(&[Replica { upstream: "engine-1".parse()?, checks_fencing: true }])?;
+//! swap.set_target(Target { version: id::Version(2), object: "weights/scorer/2".to_owned() })?;
+//! swap.set_guard(Some(Guard { fence: id::Fence(7), until: at(5_740) }), at(0));
+//!
+//! // The replica is read before it is ordered anything.
+//! let allows = |_start, _longest| true;
+//! let actions = swap.poll(at(0), noon, &allows, &mut rng);
+//! let [Action::Read { upstream }] = &actions[..] else { panic!("expected a read") };
+//! let old = Weights { model: "scorer".parse()?, version: Some(id::Version(1)), loading: None };
+//! swap.on_weights(upstream, at(0), Some(&old), at(2));
+//!
+//! let actions = swap.poll(at(1_000), noon, &allows, &mut rng);
+//! let Some(Action::Order { upstream, order, start_by }) = actions.last() else {
+//!     panic!("expected an order")
+//! };
+//! assert!(at(1_001) < *start_by);
+//! swap.on_order_result(upstream, order.order, Outcome::Accepted, at(1_003));
+//!
+//! let new = Weights { version: Some(id::Version(2)), ..old };
+//! swap.on_weights(upstream, at(2_000), Some(&new), at(2_002));
+//! assert_eq!(swap.progress().settled, 1);
+//! # Ok::<(), Box<dyn std::error::Error>>(())
+//! ```
+
+mod error;
+mod order;
+mod rate;
+mod replica;
+mod report;
+mod settings;
+mod swap;
+
+pub use error::{Category, Error};
+pub use report::Outcome;
+pub use settings::{Guard, Replica, Settings, Target};
+pub use swap::{Action, Progress, Swap};
+
+/// The result of an operation of this crate.
+pub type Result<T> = std::result::Result<T, Error>;
