Deliver early refusals and let a handler close the connection

**Cause**: A body larger than the limit was read up to the limit and the connection then closed with unread data, which resets it and can destroy the refusal. The accept loop chose at random between stopping and one more connection. A stand-in that loses a reply had no way to send nothing.

**Change**: A body that announces too large a size is refused at once; after a refusal the connection discards what still arrives for at most 2 s. The accept loop looks at the stop signal first. `Responder::abort` closes the connection without a response.

**Conclusion**: Found by reading; not yet shown by a failing test.

--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -13,11 +13,14 @@
 
 pub(crate) type Head = hyper::Response<Outgoing>;
 
+/// An answer, or the closing of the connection without one.
+pub(crate) type Answer = std::result::Result<Head, Aborted>;
+
 /// Sends the response of one request.
 ///
 /// A responder that is dropped unused makes the server answer status 500.
 #[derive(Debug)]
-pub struct Responder(pub(crate) oneshot::Sender<Head>);
+pub struct Responder(pub(crate) oneshot::Sender<Answer>);
 
 impl Responder {
     /// Sends a whole response.
@@ -40,6 +43,12 @@
         }
     }
 
+    /// Closes the connection without a response, so that the client can't know the outcome.
+    pub fn abort(self) {
+        // The receiver is gone only if the client is.
+        let _ = self.0.send(Err(Aborted));
+    }
+
     fn start(self, status: u16, headers: &[(String, String)], body: Outgoing) {
         let mut head = hyper::Response::builder().status(status);
         for (name, value) in headers {
@@ -47,7 +56,7 @@
         }
         if let Ok(head) = head.body(body) {
             // The receiver is gone only if the client is.
-            let _ = self.0.send(head);
+            let _ = self.0.send(Ok(head));
         }
     }
 }
--- a/crates/http/src/io.rs
+++ b/crates/http/src/io.rs
@@ -1,25 +1,56 @@
 use std::future::Future;
 use std::io;
 use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::{sleep, Sleep};
 
+/// How long a client may go on sending a body that was refused.
+const LINGER: Duration = Duration::from_secs(2);
+
 /// A connection whose writes fail when the client doesn't read for too long.
 pub(crate) struct Connection {
     stream: TcpStream,
     timeout: Duration,
     stalled: Option<Pin<Box<Sleep>>>,
+    /// Whether a request was refused before all of its body was read.
+    unread: Arc<AtomicBool>,
+    lingering: Option<Pin<Box<Sleep>>>,
 }
 
 impl Connection {
-    pub(crate) fn new(stream: TcpStream, timeout: Duration) -> Self {
+    pub(crate) fn new(stream: TcpStream, timeout: Duration, unread: Arc<AtomicBool>) -> Self {
         Self {
             stream,
             timeout,
             stalled: None,
+            unread,
+            lingering: None,
+        }
+    }
+
+    /// Discards what the client still sends, until it closes the connection.
+    ///
+    /// A socket closed with unread data resets the connection, and the reset can overtake the
+    /// refusal on its way to the client.
+    fn linger(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let mut buffer = [0; 16 * 1024];
+        loop {
+            let timer = self
+                .lingering
+                .get_or_insert_with(|| Box::pin(sleep(LINGER)));
+            if timer.as_mut().poll(context).is_ready() {
+                return Poll::Ready(Ok(()));
+            }
+            let mut buffer = ReadBuf::new(&mut buffer);
+            match ready!(Pin::new(&mut self.stream).poll_read(context, &mut buffer)) {
+                Ok(()) if !buffer.filled().is_empty() => {}
+                _ => return Poll::Ready(Ok(())),
+            }
         }
     }
 
@@ -65,7 +96,13 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let result = Pin::new(&mut self.stream).poll_shutdown(context);
-        self.bound(context, result)
+        if self.lingering.is_none() {
+            let result = Pin::new(&mut self.stream).poll_shutdown(context);
+            ready!(self.bound(context, result))?;
+        }
+        if self.unread.load(Ordering::SeqCst) {
+            return self.linger(context);
+        }
+        Poll::Ready(Ok(()))
     }
 }
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -1,4 +1,4 @@
-use crate::body::{Head, Outgoing};
+use crate::body::{Aborted, Answer, Head, Outgoing};
 use crate::error::Inner;
 use crate::io::Connection;
 use crate::{Request, Responder, Response, Result};
@@ -7,9 +7,8 @@
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use std::convert::Infallible;
 use std::net::{SocketAddr, TcpListener};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::runtime::Runtime;
@@ -178,9 +177,11 @@
         let Ok(permit) = shared.connections.clone().acquire_owned().await else {
             return;
         };
+        // Biased, so that no connection is accepted once the server stops.
         let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+            biased;
             () = wait(&mut stopped) => return,
+            accepted = listener.accept() => accepted,
         };
         match accepted {
             Ok((stream, peer)) => {
@@ -207,9 +208,11 @@
     _permit: OwnedSemaphorePermit,
 ) {
     let _ = stream.set_nodelay(true);
-    let io = TokioIo::new(Connection::new(stream, shared.limits.write_timeout));
+    let unread = Arc::new(AtomicBool::new(false));
+    let io = Connection::new(stream, shared.limits.write_timeout, unread.clone());
+    let io = TokioIo::new(io);
     let limits = shared.limits;
-    let service = service_fn(move |request| respond(request, peer, shared.clone()));
+    let service = service_fn(move |request| respond(request, peer, shared.clone(), unread.clone()));
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.head_timeout)
@@ -237,11 +240,15 @@
     request: hyper::Request<Incoming>,
     peer: SocketAddr,
     shared: Arc<Shared>,
-) -> std::result::Result<hyper::Response<Guarded>, Infallible> {
+    unread: Arc<AtomicBool>,
+) -> std::result::Result<hyper::Response<Guarded>, Aborted> {
     let in_flight = InFlight::new(&shared);
     let head = match read(request, peer, &shared.limits).await {
-        Ok(request) => dispatch(request, &shared).await,
-        Err(refusal) => refuse(&refusal),
+        Ok(request) => dispatch(request, &shared).await?,
+        Err(refusal) => {
+            unread.store(true, Ordering::SeqCst);
+            refuse(&refusal)
+        }
     };
     Ok(head.map(|body| Guarded {
         body,
@@ -249,10 +256,10 @@
     }))
 }
 
-async fn dispatch(request: Request, shared: &Arc<Shared>) -> Head {
+async fn dispatch(request: Request, shared: &Arc<Shared>) -> Answer {
     let Ok(permit) = shared.requests.clone().try_acquire_owned() else {
         let refusal = Refusal::not_run(Code::Overloaded, "too many requests in progress");
-        return refuse(&refusal.retry_after(Duration::from_secs(1)));
+        return Ok(refuse(&refusal.retry_after(Duration::from_secs(1))));
     };
     let (sender, receiver) = oneshot::channel();
     let handler = shared.handler.clone();
@@ -261,10 +268,10 @@
         handler.handle(&request, Responder(sender));
     });
     receiver.await.unwrap_or_else(|_| {
-        refuse(&Refusal::may_have_run(
+        Ok(refuse(&Refusal::may_have_run(
             Code::Invariant,
             "the handler ended without an answer",
-        ))
+        )))
     })
 }
 
@@ -274,6 +281,10 @@
     limits: &Limits,
 ) -> std::result::Result<Request, Refusal> {
     let (head, body) = request.into_parts();
+    // A body that announces its size is refused before any of it is read.
+    if hyper::body::Body::size_hint(&body).lower() > limits.body_bytes as u64 {
+        return Err(too_large(limits));
+    }
     let collected = timeout(
         limits.body_timeout,
         Limited::new(body, limits.body_bytes).collect(),
@@ -281,8 +292,7 @@
     let body = match collected.await {
         Ok(Ok(body)) => body.to_bytes().to_vec(),
         Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            let message = format!("the body is larger than {} bytes", limits.body_bytes);
-            return Err(Refusal::not_run(Code::TooLarge, message));
+            return Err(too_large(limits));
         }
         Ok(Err(error)) => {
             let message = format!("the body can't be read: {error}");
@@ -309,6 +319,12 @@
     })
 }
 
+#[cold]
+fn too_large(limits: &Limits) -> Refusal {
+    let message = format!("the body is larger than {} bytes", limits.body_bytes);
+    Refusal::not_run(Code::TooLarge, message)
+}
+
 #[cold]
 fn refuse(refusal: &Refusal) -> Head {
     tracing::info!(code = ?refusal.code, message = %refusal.message, "request_refused");
