Add the adapters and the first four stand-ins

**Cause**: The daemon needs clients of the platform and systems to run against.

**Change**: `adapter` has one client for each platform trait. `standin` has table, objects, engine and service, with faults ordered over methods or `POST /faults`. `percent-encoding` encodes keys and object names.

--- /dev/null
+++ b/crates/adapter/src/client.rs
@@ -0,0 +1,271 @@
+use dogwoodlb_platform::{Category, Cause, Error, Result};
+use percent_encoding::{utf8_percent_encode, AsciiSet, NON_ALPHANUMERIC};
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+use std::fmt;
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::time::Duration;
+use ureq::config::AutoHeaderValue;
+use ureq::http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use ureq::http::{self, Method, Uri};
+use ureq::unversioned::resolver::{ResolvedSocketAddrs, Resolver};
+use ureq::unversioned::transport::{
+    ConnectionDetails, Connector, NextTimeout, TcpConnector, Transport,
+};
+
+/// Longer than the first retransmission of a SYN after 1 s, shorter than the term of a lease.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_500);
+const MAX_HEAD_BYTES: usize = 32 * 1024;
+const MAX_BODY_BYTES: u64 = 64 * 1024 * 1024;
+
+/// The characters that a path segment or a query value holds as they are.
+const KEPT: &AsciiSet = &NON_ALPHANUMERIC
+    .remove(b'-')
+    .remove(b'.')
+    .remove(b'_')
+    .remove(b'~')
+    .remove(b'/');
+
+pub(crate) fn encode(text: &str) -> String {
+    utf8_percent_encode(text, KEPT).to_string()
+}
+
+/// One request.
+pub(crate) struct Exchange<'a> {
+    /// What is called, as `table`; used in error messages.
+    pub(crate) part: &'static str,
+    pub(crate) address: SocketAddr,
+    pub(crate) method: &'a str,
+    /// The path and query, encoded.
+    pub(crate) path: &'a str,
+    pub(crate) headers: &'a [(&'a str, &'a str)],
+    pub(crate) body: Option<&'a [u8]>,
+    /// How long to wait for the next bytes.
+    pub(crate) idle_timeout: Option<Duration>,
+    /// How long the whole exchange may take, including the body of the answer.
+    pub(crate) timeout: Duration,
+}
+
+impl Exchange<'_> {
+    #[cold]
+    pub(crate) fn error(&self, category: Category, cause: Cause) -> Error {
+        let target = format!("{} http://{}{}", self.part, self.address, self.path);
+        Error::new(category, target, cause)
+    }
+
+    fn request(&self) -> http::Result<http::Request<()>> {
+        let uri = format!("http://{}{}", self.address, self.path);
+        let method = Method::from_bytes(self.method.as_bytes())?;
+        let mut request = http::Request::builder().method(method).uri(uri);
+        for (name, value) in self.headers {
+            request = request.header(*name, *value);
+        }
+        request.body(())
+    }
+
+    /// Classifies the failure of an exchange that was started.
+    #[cold]
+    pub(crate) fn failed(&self, error: ureq::Error) -> Error {
+        let cause = match error {
+            ureq::Error::Other(error) => match error.downcast::<NotConnected>() {
+                Ok(error) => {
+                    return self.error(Category::NotSent, Cause::Connect(error.0));
+                }
+                Err(_) => Cause::Broken(ErrorKind::Other),
+            },
+            ureq::Error::BadUri(_) | ureq::Error::HostNotFound => {
+                return self.error(Category::NotSent, Cause::Malformed("not an address"));
+            }
+            ureq::Error::Timeout(ureq::Timeout::PerRead) => {
+                Cause::Timeout(self.idle_timeout.unwrap_or(self.timeout))
+            }
+            ureq::Error::Timeout(_) => Cause::Timeout(self.timeout),
+            ureq::Error::Io(error) => Cause::Broken(error.kind()),
+            ureq::Error::BodyStalled => Cause::Truncated,
+            ureq::Error::BodyExceedsLimit(limit) => {
+                Cause::TooLarge(usize::try_from(limit).unwrap_or(usize::MAX))
+            }
+            ureq::Error::LargeResponseHeader(_, limit) => Cause::TooLarge(limit),
+            _ => Cause::Malformed("not an HTTP answer"),
+        };
+        self.error(Category::Ambiguous, cause)
+    }
+
+    /// Classifies a status that is not the expected one.
+    ///
+    /// A status of 400 to 499 or 503 means by definition that the request was not carried out;
+    /// a gateway's or a crashed handler's status means nothing of the kind.
+    #[cold]
+    pub(crate) fn unexpected(&self, status: u16) -> Error {
+        let category = match status {
+            400..=499 | 503 => Category::Refused,
+            500.. => Category::Ambiguous,
+            _ => Category::Invalid,
+        };
+        self.error(category, Cause::Status(status))
+    }
+}
+
+/// An HTTP client that makes one attempt for each exchange.
+#[derive(Debug)]
+pub(crate) struct Client {
+    agent: ureq::Agent,
+}
+
+impl Client {
+    /// Creates a client that keeps at most `idle` connections to each address.
+    ///
+    /// `ureq` never repeats a request, but a request on a connection that the other side closes
+    /// at the same moment fails without telling whether it ran. 0 opens a connection for each
+    /// exchange.
+    pub(crate) fn new(idle: usize) -> Self {
+        let config = ureq::Agent::config_builder()
+            .accept(AutoHeaderValue::None)
+            .accept_encoding(AutoHeaderValue::None)
+            .http_status_as_error(false)
+            .max_idle_connections(if idle == 0 { 0 } else { 256 })
+            .max_idle_connections_per_host(idle)
+            .max_redirects(0)
+            .max_redirects_will_error(false)
+            .max_response_header_size(MAX_HEAD_BYTES)
+            .proxy(None)
+            .user_agent(concat!("dogwoodlb/", env!("CARGO_PKG_VERSION")))
+            .build();
+        Self {
+            agent: ureq::Agent::with_parts(config, Dial(TcpConnector::default()), Numeric),
+        }
+    }
+
+    /// Sends a request and returns the answer once its head is complete, whatever its status.
+    pub(crate) fn open(&self, exchange: &Exchange<'_>) -> Result<http::Response<ureq::Body>> {
+        if exchange.timeout.is_zero() {
+            let cause = Cause::Timeout(exchange.timeout);
+            return Err(exchange.error(Category::NotSent, cause));
+        }
+        let request = exchange
+            .request()
+            .map_err(|_| exchange.error(Category::NotSent, Cause::Malformed("bad request")))?;
+        let answer = match exchange.body {
+            Some(body) => self.run(exchange, request.map(|()| body)),
+            None => self.run(exchange, request),
+        };
+        answer.map_err(|error| exchange.failed(error))
+    }
+
+    fn run<B: ureq::AsSendBody>(
+        &self,
+        exchange: &Exchange<'_>,
+        request: http::Request<B>,
+    ) -> std::result::Result<http::Response<ureq::Body>, ureq::Error> {
+        let request = self
+            .agent
+            .configure_request(request)
+            .timeout_connect(Some(CONNECT_TIMEOUT.min(exchange.timeout)))
+            .timeout_global(Some(exchange.timeout))
+            .timeout_per_read(exchange.idle_timeout)
+            .build();
+        self.agent.run(request)
+    }
+
+    /// Sends a request and reads the whole answer, whatever its status.
+    pub(crate) fn call(&self, exchange: &Exchange<'_>) -> Result<(u16, Vec<u8>, Option<String>)> {
+        let mut answer = self.open(exchange)?;
+        let status = answer.status().as_u16();
+        if !is_delimited(exchange, &answer) {
+            let cause = Cause::Malformed("the body has no length");
+            return Err(exchange.error(Category::Ambiguous, cause));
+        }
+        let media_type = answer.headers().get(http::header::CONTENT_TYPE);
+        let media_type = media_type
+            .and_then(|value| value.to_str().ok())
+            .map(str::to_owned);
+        let body = answer.body_mut().with_config().limit(MAX_BODY_BYTES);
+        let body = body.read_to_vec().map_err(|error| exchange.failed(error))?;
+        Ok((status, body, media_type))
+    }
+
+    /// Sends JSON, if any, and reads the answer of status 200 as JSON.
+    pub(crate) fn json<T: DeserializeOwned>(
+        &self,
+        exchange: &Exchange<'_>,
+        malformed: Category,
+    ) -> Result<T> {
+        let (status, body, _) = self.call(exchange)?;
+        if status != 200 {
+            return Err(exchange.unexpected(status));
+        }
+        serde_json::from_slice(&body)
+            .map_err(|_| exchange.error(malformed, Cause::Malformed("unexpected JSON")))
+    }
+}
+
+/// Encodes a request of this workspace as JSON.
+pub(crate) fn to_json<T: Serialize>(part: &'static str, value: &T) -> Result<Vec<u8>> {
+    serde_json::to_vec(value)
+        .map_err(|_| Error::new(Category::NotSent, part, Cause::Malformed("bad request")))
+}
+
+/// Returns whether a broken connection can be told from the end of the body.
+///
+/// A body that ends when the connection closes can be cut short unnoticed, and `ureq` takes even
+/// a reset connection as its end.
+fn is_delimited(exchange: &Exchange<'_>, answer: &http::Response<ureq::Body>) -> bool {
+    let headers = answer.headers();
+    exchange.method == "HEAD"
+        || matches!(answer.status().as_u16(), 204 | 304)
+        || headers.contains_key(CONTENT_LENGTH)
+        || headers.contains_key(TRANSFER_ENCODING)
+}
+
+/// Marks the failures at which no connection was opened, so that no byte can have been sent.
+#[derive(Debug)]
+struct NotConnected(ErrorKind);
+
+impl fmt::Display for NotConnected {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "cannot connect: {}", self.0)
+    }
+}
+
+impl std::error::Error for NotConnected {}
+
+#[derive(Debug)]
+struct Dial(TcpConnector);
+
+impl<In: Transport> Connector<In> for Dial {
+    type Out = <TcpConnector as Connector<In>>::Out;
+
+    fn connect(
+        &self,
+        details: &ConnectionDetails<'_>,
+        chained: Option<In>,
+    ) -> std::result::Result<Option<Self::Out>, ureq::Error> {
+        self.0.connect(details, chained).map_err(|error| {
+            let kind = match error {
+                ureq::Error::Io(error) => error.kind(),
+                ureq::Error::Timeout(_) => ErrorKind::TimedOut,
+                _ => ErrorKind::Other,
+            };
+            ureq::Error::Other(Box::new(NotConnected(kind)))
+        })
+    }
+}
+
+/// Takes addresses literally: the default resolver starts a thread for each lookup.
+#[derive(Debug)]
+struct Numeric;
+
+impl Resolver for Numeric {
+    fn resolve(
+        &self,
+        uri: &Uri,
+        _config: &ureq::config::Config,
+        _timeout: NextTimeout,
+    ) -> std::result::Result<ResolvedSocketAddrs, ureq::Error> {
+        let address = uri.authority().and_then(|a| a.as_str().parse().ok());
+        let mut addresses = self.empty();
+        addresses.push(address.ok_or(ureq::Error::HostNotFound)?);
+        Ok(addresses)
+    }
+}
--- /dev/null
+++ b/crates/adapter/src/engine.rs
@@ -0,0 +1,232 @@
+use crate::client::{to_json, Client, Exchange};
+use dogwoodlb_http::sse::{Events, DONE};
+use dogwoodlb_platform::engine::{Call, Load, Order, Report, Weights};
+use dogwoodlb_platform::{Category, Cause, Error, Result};
+use serde::Deserialize;
+use serde_json::json;
+use std::io::{self, ErrorKind, Read};
+use std::net::SocketAddr;
+use std::ops::ControlFlow;
+use std::time::Duration;
+
+const IDLE_CONNECTIONS: usize = 16;
+const MAX_EVENT_BYTES: usize = 1024 * 1024;
+const MAX_STREAM_BYTES: u64 = 256 * 1024 * 1024;
+
+/// A client of model engines.
+///
+/// Events are handed on as they arrive, and the connection is closed as soon as the reader
+/// stops, which cancels the request in the engine.
+#[derive(Debug)]
+pub struct Engine {
+    client: Client,
+}
+
+#[derive(Deserialize)]
+struct Served {
+    weights: Vec<Weights>,
+}
+
+#[derive(Deserialize)]
+struct Last {
+    dogwood: Option<Report>,
+}
+
+#[derive(Deserialize)]
+struct Refused {
+    error: Fault,
+}
+
+#[derive(Deserialize)]
+struct Fault {
+    code: String,
+}
+
+impl Engine {
+    /// Creates a client of model engines.
+    pub fn new() -> Self {
+        Self {
+            client: Client::new(IDLE_CONNECTIONS),
+        }
+    }
+}
+
+impl Default for Engine {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+fn get(upstream: SocketAddr, path: &str, timeout: Duration) -> Exchange<'_> {
+    Exchange {
+        part: "engine",
+        address: upstream,
+        method: "GET",
+        path,
+        headers: &[],
+        body: None,
+        idle_timeout: None,
+        timeout,
+    }
+}
+
+fn post<'a>(
+    upstream: SocketAddr,
+    path: &'a str,
+    body: &'a [u8],
+    timeout: Duration,
+) -> Exchange<'a> {
+    Exchange {
+        method: "POST",
+        headers: &[("content-type", "application/json")],
+        body: Some(body),
+        ..get(upstream, path, timeout)
+    }
+}
+
+impl dogwoodlb_platform::Engine for Engine {
+    fn generate(
+        &self,
+        call: &Call<'_>,
+        on_event: &mut dyn FnMut(&str) -> ControlFlow<()>,
+    ) -> Result<Report> {
+        let exchange = Exchange {
+            headers: &[
+                ("content-type", "application/json"),
+                ("x-request-id", call.request),
+            ],
+            idle_timeout: Some(call.idle_timeout),
+            ..post(call.upstream, call.path, call.body.as_bytes(), call.timeout)
+        };
+        let answer = self.client.open(&exchange)?;
+        match answer.status().as_u16() {
+            200 => {}
+            status => return Err(exchange.unexpected(status)),
+        }
+        let body = answer.into_body().into_with_config();
+        let body = Plain(body.limit(MAX_STREAM_BYTES).reader());
+        let mut events = Events::new(body, MAX_EVENT_BYTES);
+        let last = relay(&exchange, &mut events, on_event)?;
+        let report = report(&exchange, call.request, &last)?;
+        finish(&exchange, &mut events)?;
+        Ok(report)
+    }
+
+    fn cancel(&self, upstream: SocketAddr, request: &str, timeout: Duration) -> Result<()> {
+        let body = to_json("engine", &json!({ "request_id": request }))?;
+        let exchange = post(upstream, "/v1/cancel", &body, timeout);
+        match self.client.call(&exchange)? {
+            (200, ..) => Ok(()),
+            (status, ..) => Err(exchange.unexpected(status)),
+        }
+    }
+
+    fn load(&self, upstream: SocketAddr, timeout: Duration) -> Result<Load> {
+        let exchange = get(upstream, "/v1/load", timeout);
+        self.client.json(&exchange, Category::Invalid)
+    }
+
+    fn weights(&self, upstream: SocketAddr, timeout: Duration) -> Result<Vec<Weights>> {
+        let exchange = get(upstream, "/v1/weights", timeout);
+        let served: Served = self.client.json(&exchange, Category::Invalid)?;
+        Ok(served.weights)
+    }
+
+    fn order(&self, upstream: SocketAddr, order: &Order, timeout: Duration) -> Result<()> {
+        let body = to_json("engine", order)?;
+        let exchange = post(upstream, "/v1/orders", &body, timeout);
+        match self.client.call(&exchange)? {
+            (200, ..) => Ok(()),
+            (409, body, _) => Err(exchange.error(Category::Refused, order_refused(&body))),
+            (status, ..) => Err(exchange.unexpected(status)),
+        }
+    }
+}
+
+fn order_refused(body: &[u8]) -> Cause {
+    let refused: Option<Refused> = serde_json::from_slice(body).ok();
+    match refused.as_ref().map(|refused| refused.error.code.as_str()) {
+        Some("stale_fence") => Cause::OrderRefused("old fencing number"),
+        Some("expired") => Cause::OrderRefused("expired"),
+        _ => Cause::Status(409),
+    }
+}
+
+/// Hands on all events and returns the last one before the end mark.
+fn relay<R: Read>(
+    exchange: &Exchange<'_>,
+    events: &mut Events<R>,
+    on_event: &mut dyn FnMut(&str) -> ControlFlow<()>,
+) -> Result<String> {
+    let mut last = String::new();
+    loop {
+        let event = events.next_event().map_err(|e| broken(exchange, &e))?;
+        let event = event.ok_or_else(|| exchange.error(Category::Ambiguous, Cause::Truncated))?;
+        if event == DONE {
+            // Nothing is left to cancel, whatever the reader answers.
+            let _ = on_event(&event);
+            return Ok(last);
+        }
+        if on_event(&event).is_break() {
+            return Err(exchange.error(Category::Cancelled, Cause::Cancelled));
+        }
+        last = event;
+    }
+}
+
+fn report(exchange: &Exchange<'_>, request: &str, last: &str) -> Result<Report> {
+    let missing = || Cause::Malformed("the report is missing");
+    let report = serde_json::from_str::<Last>(last)
+        .ok()
+        .and_then(|last| last.dogwood)
+        .ok_or_else(|| exchange.error(Category::Ambiguous, missing()))?;
+    if report.request_id != request {
+        return Err(exchange.error(Category::Ambiguous, Cause::WrongRequest));
+    }
+    Ok(report)
+}
+
+/// Reads the end of the body, which allows the connection to be used again.
+fn finish<R: Read>(exchange: &Exchange<'_>, events: &mut Events<R>) -> Result<()> {
+    match events.next_event() {
+        Ok(Some(_)) => {
+            let cause = Cause::Malformed("an event follows the end mark");
+            Err(exchange.error(Category::Ambiguous, cause))
+        }
+        // The answer is complete even if the connection breaks now.
+        Ok(None) | Err(_) => Ok(()),
+    }
+}
+
+#[cold]
+fn broken(exchange: &Exchange<'_>, error: &dogwoodlb_http::Error) -> Error {
+    let cause = match error.io_kind() {
+        Some(ErrorKind::TimedOut) => Cause::Timeout(exchange.timeout),
+        Some(ErrorKind::WouldBlock) => {
+            Cause::Timeout(exchange.idle_timeout.unwrap_or(exchange.timeout))
+        }
+        Some(ErrorKind::UnexpectedEof) => Cause::Truncated,
+        Some(ErrorKind::FileTooLarge) => {
+            Cause::TooLarge(usize::try_from(MAX_STREAM_BYTES).unwrap_or(usize::MAX))
+        }
+        Some(kind) => Cause::Broken(kind),
+        None => Cause::Malformed("not server-sent events"),
+    };
+    exchange.error(Category::Ambiguous, cause)
+}
+
+/// A body whose failures have the plain kinds of `std::io`.
+struct Plain<R>(R);
+
+impl<R: Read> Read for Plain<R> {
+    fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
+        self.0
+            .read(buffer)
+            .map_err(|error| match ureq::Error::from(error) {
+                ureq::Error::Timeout(ureq::Timeout::PerRead) => ErrorKind::WouldBlock.into(),
+                ureq::Error::Timeout(_) => ErrorKind::TimedOut.into(),
+                ureq::Error::BodyExceedsLimit(_) => ErrorKind::FileTooLarge.into(),
+                error => error.into_io(),
+            })
+    }
+}
--- a/crates/adapter/src/lib.rs
+++ b/crates/adapter/src/lib.rs
@@ -1,1 +1,43 @@
-//! Placeholder for the `adapter` library.
+//! HTTP clients for the platform traits of [`dogwoodlb_platform`].
+//!
+//! Each client makes exactly one attempt for each call: there are no retries and no redirects,
+//! because only the caller knows whether a repetition is safe. Every call has a timeout, and
+//! answers have a maximum size. A failure is classified by what it tells about the effect of
+//! the call: [`NotSent`](dogwoodlb_platform::Category::NotSent) only if no connection was
+//! opened, [`Refused`](dogwoodlb_platform::Category::Refused) only if the other side answered
+//! so. See docs/design.md, sections 4.3 and 4.6.
+//!
+//! # Examples
+//!
+//! A conditional write against the table service:
+//!
+//! ```
+//! use dogwoodlb_adapter::Table;
+//! use dogwoodlb_platform::table::{Outcome, Txn};
+//! use dogwoodlb_platform::Table as _;
+//! use dogwoodlb_standin::{local, table};
+//! use std::time::Duration;
+//!
+//! let server = table::Table::start(local()?)?;
+//! let table = Table::new(server.address());
+//! let timeout = Duration::from_secs(5);
+//!
+//! let txn = Txn::new().absent("lease/a/fence").put("lease/a/fence", "1");
+//! assert_eq!(table.commit(&txn, timeout)?, Outcome::Applied { version: 1 });
+//! let row = table.read("lease/a/fence", timeout)?;
+//! assert_eq!(row.map(|row| row.value).as_deref(), Some("1"));
+//! # Ok::<(), Box<dyn std::error::Error>>(())
+//! ```
+
+mod client;
+mod engine;
+mod objects;
+mod service;
+mod table;
+mod vms;
+
+pub use engine::Engine;
+pub use objects::Objects;
+pub use service::Service;
+pub use table::Table;
+pub use vms::Vms;
--- /dev/null
+++ b/crates/adapter/src/objects.rs
@@ -0,0 +1,63 @@
+use crate::client::{encode, Client, Exchange};
+use dogwoodlb_platform::Result;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+const IDLE_CONNECTIONS: usize = 8;
+
+/// A client of the object store.
+#[derive(Debug)]
+pub struct Objects {
+    address: SocketAddr,
+    client: Client,
+}
+
+impl Objects {
+    /// Creates a client of the object store at `address`.
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            client: Client::new(IDLE_CONNECTIONS),
+        }
+    }
+
+    fn exchange<'a>(
+        &self,
+        method: &'a str,
+        path: &'a str,
+        body: Option<&'a [u8]>,
+        timeout: Duration,
+    ) -> Exchange<'a> {
+        Exchange {
+            part: "objects",
+            address: self.address,
+            method,
+            path,
+            headers: &[("content-type", "application/octet-stream")],
+            body,
+            idle_timeout: None,
+            timeout,
+        }
+    }
+}
+
+impl dogwoodlb_platform::Objects for Objects {
+    fn put(&self, name: &str, body: &[u8], timeout: Duration) -> Result<()> {
+        let path = format!("/objects/{}", encode(name));
+        let exchange = self.exchange("PUT", &path, Some(body), timeout);
+        match self.client.call(&exchange)? {
+            (200 | 201 | 204, ..) => Ok(()),
+            (status, ..) => Err(exchange.unexpected(status)),
+        }
+    }
+
+    fn get(&self, name: &str, timeout: Duration) -> Result<Option<Vec<u8>>> {
+        let path = format!("/objects/{}", encode(name));
+        let exchange = self.exchange("GET", &path, None, timeout);
+        match self.client.call(&exchange)? {
+            (200, body, _) => Ok(Some(body)),
+            (404, ..) => Ok(None),
+            (status, ..) => Err(exchange.unexpected(status)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/adapter/src/service.rs
@@ -0,0 +1,50 @@
+use crate::client::{Client, Exchange};
+use dogwoodlb_platform::service::{Call, Reply};
+use dogwoodlb_platform::Result;
+
+/// A client of plain services.
+///
+/// Every call opens a connection of its own. On a reused one a call can fail because the service
+/// closed the idle connection at the same moment, and then nobody knows whether it ran.
+#[derive(Debug)]
+pub struct Service {
+    client: Client,
+}
+
+impl Service {
+    /// Creates a client of plain services.
+    pub fn new() -> Self {
+        Self {
+            client: Client::new(0),
+        }
+    }
+}
+
+impl Default for Service {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl dogwoodlb_platform::Service for Service {
+    fn call(&self, call: &Call<'_>) -> Result<Reply> {
+        let mut headers = vec![("x-request-id", call.request), ("connection", "close")];
+        headers.extend(call.content_type.map(|value| ("content-type", value)));
+        let has_body = !call.body.is_empty() || matches!(call.method, "POST" | "PUT" | "PATCH");
+        let (status, body, content_type) = self.client.call(&Exchange {
+            part: "service",
+            address: call.upstream,
+            method: call.method,
+            path: call.path,
+            headers: &headers,
+            body: has_body.then_some(call.body),
+            idle_timeout: None,
+            timeout: call.timeout,
+        })?;
+        Ok(Reply {
+            status,
+            content_type,
+            body,
+        })
+    }
+}
--- /dev/null
+++ b/crates/adapter/src/table.rs
@@ -0,0 +1,73 @@
+use crate::client::{encode, to_json, Client, Exchange};
+use dogwoodlb_platform::table::{Outcome, Row, Txn};
+use dogwoodlb_platform::{Category, Result};
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+const IDLE_CONNECTIONS: usize = 8;
+
+/// A client of the table service.
+///
+/// A write whose reply is missing or malformed is
+/// [`Ambiguous`](dogwoodlb_platform::Category::Ambiguous).
+#[derive(Debug)]
+pub struct Table {
+    address: SocketAddr,
+    client: Client,
+}
+
+#[derive(Deserialize)]
+struct Rows {
+    rows: Vec<Row>,
+}
+
+impl Table {
+    /// Creates a client of the table service at `address`.
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            client: Client::new(IDLE_CONNECTIONS),
+        }
+    }
+
+    fn rows(&self, path: &str, timeout: Duration) -> Result<Vec<Row>> {
+        let exchange = Exchange {
+            part: "table",
+            address: self.address,
+            method: "GET",
+            path,
+            headers: &[],
+            body: None,
+            idle_timeout: None,
+            timeout,
+        };
+        let rows: Rows = self.client.json(&exchange, Category::Invalid)?;
+        Ok(rows.rows)
+    }
+}
+
+impl dogwoodlb_platform::Table for Table {
+    fn read(&self, key: &str, timeout: Duration) -> Result<Option<Row>> {
+        let rows = self.rows(&format!("/rows?key={}", encode(key)), timeout)?;
+        Ok(rows.into_iter().find(|row| row.key == key))
+    }
+
+    fn scan(&self, prefix: &str, timeout: Duration) -> Result<Vec<Row>> {
+        self.rows(&format!("/rows?prefix={}", encode(prefix)), timeout)
+    }
+
+    fn commit(&self, txn: &Txn, timeout: Duration) -> Result<Outcome> {
+        let exchange = Exchange {
+            part: "table",
+            address: self.address,
+            method: "POST",
+            path: "/txn",
+            headers: &[("content-type", "application/json")],
+            body: Some(&to_json("table", txn)?),
+            idle_timeout: None,
+            timeout,
+        };
+        self.client.json(&exchange, Category::Ambiguous)
+    }
+}
--- /dev/null
+++ b/crates/adapter/src/vms.rs
@@ -0,0 +1,45 @@
+use crate::client::{Client, Exchange};
+use dogwoodlb_platform::vms::Vm;
+use dogwoodlb_platform::{Category, Result};
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// A client of the platform's list of VMs.
+#[derive(Debug)]
+pub struct Vms {
+    address: SocketAddr,
+    client: Client,
+}
+
+#[derive(Deserialize)]
+struct List {
+    vms: Vec<Vm>,
+}
+
+impl Vms {
+    /// Creates a client of the list of VMs at `address`.
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            client: Client::new(1),
+        }
+    }
+}
+
+impl dogwoodlb_platform::Vms for Vms {
+    fn list(&self, timeout: Duration) -> Result<Vec<Vm>> {
+        let exchange = Exchange {
+            part: "vms",
+            address: self.address,
+            method: "GET",
+            path: "/vms",
+            headers: &[],
+            body: None,
+            idle_timeout: None,
+            timeout,
+        };
+        let list: List = self.client.json(&exchange, Category::Invalid)?;
+        Ok(list.vms)
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine.rs
@@ -0,0 +1,259 @@
+//! A model engine.
+
+mod answer;
+mod job;
+mod slots;
+mod text;
+mod weights;
+
+use crate::fault::{Faults, Plan};
+use crate::host::{failure, not_found, parse, Host, Site};
+use crate::Result;
+use dogwoodlb_http::{Request, Responder, Response};
+use dogwoodlb_platform::engine::{Load, Weights};
+use dogwoodlb_types::id;
+use serde::Deserialize;
+use serde_json::json;
+use slots::Slots;
+use std::collections::HashMap;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+/// Bounds the counts of generations.
+const MAX_COUNTED: usize = 1 << 20;
+
+/// How a stand-in engine behaves.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// The models served from the start.
+    pub models: Vec<(id::Model, id::Version)>,
+    /// The seed of all text and lengths.
+    pub seed: u64,
+    /// The speed of each request; infinite for no delay.
+    pub tokens_per_second: f64,
+    /// The shortest completion.
+    pub min_tokens: u32,
+    /// The exponent of the Pareto distribution of the lengths; smaller values have longer tails.
+    pub tail: f64,
+    /// The requests that generate at a time.
+    pub slots: usize,
+    /// The requests that wait; further ones are refused with status 503.
+    pub queue: usize,
+    /// Whether orders with an old fencing number are refused.
+    pub checks_fencing: bool,
+    /// How long a weight swap takes; requests go on with the old version meanwhile.
+    pub swap: Duration,
+    /// How far load reports lag behind.
+    pub lag: Duration,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            models: Vec::new(),
+            seed: 0,
+            tokens_per_second: f64::INFINITY,
+            min_tokens: 4,
+            tail: 1.5,
+            slots: 16,
+            queue: 256,
+            checks_fencing: true,
+            swap: Duration::ZERO,
+            lag: Duration::ZERO,
+        }
+    }
+}
+
+/// A model engine that generates reproducible text.
+///
+/// `POST /v1/completions` and `/v1/chat/completions` (streamed or whole), `/v1/cancel` and
+/// `/v1/orders`; `GET /v1/load` and `/v1/weights`. The text depends on the seed, the prompt and
+/// the request's `seed` only, so a repeated request has the same text. The report names the
+/// version that was in force at each token. Lower values of a request's `priority` go first.
+pub struct Engine {
+    host: Host,
+    core: Arc<Core>,
+}
+
+struct Core {
+    config: Config,
+    slots: Slots,
+    weights: Mutex<weights::State>,
+    generations: Mutex<HashMap<String, u64>>,
+    pace: Pace,
+}
+
+/// Lets tests stop all requests at an exact token.
+#[derive(Default)]
+struct Pace {
+    /// The tokens that may still be generated, or no limit.
+    allowed: Mutex<Option<u64>>,
+    changed: Condvar,
+}
+
+#[derive(Deserialize)]
+struct Cancel {
+    request_id: String,
+}
+
+impl Engine {
+    /// Starts an engine.
+    ///
+    /// # Errors
+    ///
+    /// [`Category::Io`](crate::Category::Io) if the server can't be started.
+    pub fn start(listener: TcpListener, config: Config) -> Result<Self> {
+        let core = Arc::new(Core {
+            slots: Slots::new(config.slots, config.queue),
+            weights: Mutex::new(weights::State::new(&config)),
+            generations: Mutex::default(),
+            pace: Pace::default(),
+            config,
+        });
+        let host = Host::start(listener, core.clone())?;
+        Ok(Self { host, core })
+    }
+
+    /// Returns the address that the engine listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.host.address()
+    }
+
+    /// Returns the ordered faults.
+    pub fn faults(&self) -> &Faults {
+        self.host.faults()
+    }
+
+    /// Changes the version of a model at once, without an order.
+    pub fn set_version(&self, model: &id::Model, version: Option<id::Version>) {
+        self.core.weights().set(model, version);
+    }
+
+    /// Returns the weights served.
+    pub fn weights(&self) -> Vec<Weights> {
+        self.core.weights().list()
+    }
+
+    /// Returns the number of orders carried out.
+    pub fn orders(&self) -> u64 {
+        self.core.weights().carried_out()
+    }
+
+    /// Returns the load at this moment.
+    pub fn load(&self) -> Load {
+        self.core.slots.load(Duration::ZERO)
+    }
+
+    /// Returns how often the generation for a request id was started.
+    pub fn generations(&self, request: &str) -> u64 {
+        let counts = self.core.generations();
+        counts.get(request).copied().unwrap_or_default()
+    }
+
+    /// Returns how many generations were started.
+    pub fn total_generations(&self) -> u64 {
+        self.core.generations().values().sum()
+    }
+
+    /// Lets all requests together generate `tokens` further tokens and then stops them.
+    ///
+    /// `None` removes the limit, which is how an engine starts.
+    pub fn allow(&self, tokens: Option<u64>) {
+        self.core.pace.allow(tokens);
+    }
+}
+
+impl Pace {
+    fn allow(&self, tokens: Option<u64>) {
+        *self.allowed.lock().unwrap_or_else(PoisonError::into_inner) = tokens;
+        self.changed.notify_all();
+    }
+
+    /// Waits until a token may be generated; returns false if `stopped` came first.
+    fn take(&self, stopped: &dyn Fn() -> bool) -> bool {
+        let mut allowed = self.allowed.lock().unwrap_or_else(PoisonError::into_inner);
+        loop {
+            if stopped() {
+                return false;
+            }
+            match &mut *allowed {
+                None => return true,
+                Some(0) => {
+                    let waited = self.changed.wait_timeout(allowed, slots::POLL);
+                    allowed = waited.unwrap_or_else(PoisonError::into_inner).0;
+                }
+                Some(tokens) => {
+                    *tokens -= 1;
+                    return true;
+                }
+            }
+        }
+    }
+}
+
+impl Core {
+    fn weights(&self) -> MutexGuard<'_, weights::State> {
+        let mut weights = self.weights.lock().unwrap_or_else(PoisonError::into_inner);
+        weights.settle();
+        weights
+    }
+
+    fn generations(&self) -> MutexGuard<'_, HashMap<String, u64>> {
+        let counts = self.generations.lock();
+        counts.unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn count(&self, request: &str) {
+        let mut counts = self.generations();
+        if counts.len() < MAX_COUNTED {
+            *counts.entry(request.to_owned()).or_default() += 1;
+        }
+    }
+
+    fn cancel(&self, request: &Request) -> Response {
+        match parse::<Cancel>(request) {
+            Ok(cancel) if self.slots.cancel(&cancel.request_id) => Response::json(200, &json!({})),
+            Ok(_) => failure(404, "not_found", "no such request"),
+            Err(response) => response,
+        }
+    }
+}
+
+impl Site for Core {
+    fn answer(&self, request: &Request, plan: &Plan) -> Response {
+        match (request.method.as_str(), request.path.as_str()) {
+            ("POST", "/v1/cancel") => self.cancel(request),
+            ("POST", "/v1/orders") => match parse(request) {
+                Ok(order) => self.weights().order(&order, plan.fail_swap),
+                Err(response) => response,
+            },
+            ("GET", "/v1/load") => {
+                let lag = plan.lag.unwrap_or(self.config.lag);
+                Response::json(200, &self.slots.load(lag))
+            }
+            ("GET", "/v1/weights") => {
+                Response::json(200, &json!({ "weights": self.weights().list() }))
+            }
+            _ => not_found(),
+        }
+    }
+
+    fn respond(&self, request: &Request, plan: &Plan, responder: Responder) {
+        let chat = match (request.method.as_str(), request.path.as_str()) {
+            ("POST", "/v1/completions") => false,
+            ("POST", "/v1/chat/completions") => true,
+            _ => {
+                let response = self.answer(request, plan);
+                return match plan.lose_reply {
+                    true => responder.abort(),
+                    false => responder.send(response),
+                };
+            }
+        };
+        match job::Job::new(request, chat, &self.weights()) {
+            Ok(job) => answer::serve(self, &job, plan, responder),
+            Err(response) => responder.send(response),
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/fault.rs
@@ -0,0 +1,165 @@
+use dogwoodlb_http::Request;
+use serde::{Deserialize, Serialize};
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+/// Bounds the list against a test that orders in a loop.
+const MAX_FAULTS: usize = 256;
+
+/// What a fault does to a request.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case", tag = "kind")]
+pub enum Effect {
+    /// Waits before the request takes effect.
+    Delay {
+        /// How long to wait.
+        delay_ms: u64,
+    },
+    /// Closes the connection before the request takes effect.
+    LoseRequest,
+    /// Closes the connection after the request took effect.
+    LoseReply,
+    /// Answers status 503 in place of the effect.
+    Refuse,
+    /// Closes the connection after some events of a stream.
+    Break {
+        /// How many events are sent before.
+        events: usize,
+    },
+    /// Reports the load as it was some time ago.
+    Lag {
+        /// How long ago.
+        lag_ms: u64,
+    },
+    /// Carries out a weight swap that fails partway and leaves the model without weights.
+    FailSwap,
+}
+
+/// An ordered fault.
+///
+/// # Examples
+///
+/// The body of `POST /faults` is one fault:
+///
+/// ```
+/// use dogwoodlb_standin::{Effect, Fault};
+///
+/// let fault = Fault::once("/rows", Effect::Delay { delay_ms: 50 }).method("GET");
+/// let text = r#"{"method":"GET","path":"/rows","times":1,"effect":{"kind":"delay","delay_ms":50}}"#;
+/// assert_eq!(serde_json::from_str::<Fault>(text)?, fault);
+/// # Ok::<(), serde_json::Error>(())
+/// ```
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Fault {
+    /// The method that the fault applies to, or all.
+    #[serde(default)]
+    pub method: Option<String>,
+    /// The beginning of the paths that the fault applies to.
+    #[serde(default)]
+    pub path: String,
+    /// How many requests the fault applies to, or all until the faults are cleared.
+    #[serde(default)]
+    pub times: Option<u32>,
+    /// What the fault does.
+    pub effect: Effect,
+}
+
+impl Fault {
+    /// Creates a fault of the next request whose path starts with `path`.
+    pub fn once(path: &str, effect: Effect) -> Self {
+        Self {
+            times: Some(1),
+            ..Self::always(path, effect)
+        }
+    }
+
+    /// Creates a fault of all requests whose paths start with `path`.
+    pub fn always(path: &str, effect: Effect) -> Self {
+        Self {
+            method: None,
+            path: path.to_owned(),
+            times: None,
+            effect,
+        }
+    }
+
+    /// Restricts the fault to one HTTP method.
+    #[must_use]
+    pub fn method(mut self, method: &str) -> Self {
+        self.method = Some(method.to_owned());
+        self
+    }
+
+    fn applies(&self, request: &Request) -> bool {
+        let method = self.method.as_ref();
+        method.is_none_or(|method| *method == request.method)
+            && request.path.starts_with(&self.path)
+    }
+}
+
+/// The faults ordered from one stand-in.
+#[derive(Debug, Default)]
+pub struct Faults(Mutex<Vec<Fault>>);
+
+impl Faults {
+    /// Orders a fault; returns whether there was room for it.
+    pub fn order(&self, fault: Fault) -> bool {
+        let mut faults = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let room = faults.len() < MAX_FAULTS;
+        if room {
+            faults.push(fault);
+        }
+        room
+    }
+
+    /// Removes all faults.
+    pub fn clear(&self) {
+        let mut faults = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        faults.clear();
+    }
+
+    /// Returns the number of faults that still apply to something.
+    pub fn pending(&self) -> usize {
+        let faults = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        faults.len()
+    }
+
+    /// Takes what happens to a request.
+    pub(crate) fn take(&self, request: &Request) -> Plan {
+        let mut faults = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut plan = Plan::default();
+        for fault in faults.iter_mut().filter(|fault| fault.applies(request)) {
+            plan.add(fault.effect);
+            fault.times = fault.times.map(|times| times.saturating_sub(1));
+        }
+        faults.retain(|fault| fault.times != Some(0));
+        plan
+    }
+}
+
+/// What happens to one request.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Plan {
+    pub(crate) delay: Duration,
+    pub(crate) lose_request: bool,
+    pub(crate) lose_reply: bool,
+    pub(crate) refuse: bool,
+    pub(crate) break_after: Option<usize>,
+    pub(crate) lag: Option<Duration>,
+    pub(crate) fail_swap: bool,
+}
+
+impl Plan {
+    fn add(&mut self, effect: Effect) {
+        match effect {
+            Effect::Delay { delay_ms } => self.delay += Duration::from_millis(delay_ms),
+            Effect::LoseRequest => self.lose_request = true,
+            Effect::LoseReply => self.lose_reply = true,
+            Effect::Refuse => self.refuse = true,
+            Effect::Break { events } => self.break_after = Some(events),
+            Effect::Lag { lag_ms } => self.lag = Some(Duration::from_millis(lag_ms)),
+            Effect::FailSwap => self.fail_swap = true,
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/host.rs
@@ -0,0 +1,131 @@
+use crate::error::Inner;
+use crate::fault::{Fault, Faults, Plan};
+use crate::Result;
+use dogwoodlb_http::{Handler, Limits, Request, Responder, Response, Server};
+use percent_encoding::percent_decode_str;
+use serde::de::DeserializeOwned;
+use serde_json::json;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The largest object or prompt that a stand-in takes.
+const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
+
+/// Binds a free port of the loopback interface.
+///
+/// # Errors
+///
+/// [`Category::Io`](crate::Category::Io) if no port is free.
+pub fn local() -> Result<TcpListener> {
+    TcpListener::bind("127.0.0.1:0").map_err(|error| Inner::Bind(error).into())
+}
+
+/// What one kind of stand-in does with requests that reach it.
+pub(crate) trait Site: Send + Sync + 'static {
+    /// Carries out a request.
+    fn answer(&self, request: &Request, plan: &Plan) -> Response;
+
+    /// Carries out a request and sends the answer, if the plan lets it through.
+    fn respond(&self, request: &Request, plan: &Plan, responder: Responder) {
+        let response = self.answer(request, plan);
+        if plan.lose_reply {
+            responder.abort();
+        } else {
+            responder.send(response);
+        }
+    }
+}
+
+/// The server of one stand-in.
+pub(crate) struct Host {
+    server: Server,
+    faults: Arc<Faults>,
+}
+
+impl Host {
+    pub(crate) fn start<S: Site>(listener: TcpListener, site: Arc<S>) -> Result<Self> {
+        let faults = Arc::new(Faults::default());
+        let door = Door {
+            site,
+            faults: faults.clone(),
+        };
+        let limits = Limits {
+            body_bytes: MAX_BODY_BYTES,
+            head_timeout: Duration::from_secs(60),
+            ..Limits::default()
+        };
+        let server = Server::start(listener, limits, Arc::new(door)).map_err(Inner::Start)?;
+        Ok(Self { server, faults })
+    }
+
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    pub(crate) fn faults(&self) -> &Faults {
+        &self.faults
+    }
+}
+
+/// Applies the ordered faults before the site sees a request.
+struct Door<S> {
+    site: Arc<S>,
+    faults: Arc<Faults>,
+}
+
+impl<S: Site> Door<S> {
+    fn order(&self, request: &Request) -> Response {
+        match request.method.as_str() {
+            "POST" => match parse::<Fault>(request) {
+                Ok(fault) => match self.faults.order(fault) {
+                    true => Response::json(200, &json!({})),
+                    false => failure(429, "overloaded", "too many faults"),
+                },
+                Err(response) => response,
+            },
+            "DELETE" => {
+                self.faults.clear();
+                Response::json(200, &json!({}))
+            }
+            _ => not_found(),
+        }
+    }
+}
+
+impl<S: Site> Handler for Door<S> {
+    fn handle(&self, request: &Request, responder: Responder) {
+        if request.path == "/faults" {
+            return responder.send(self.order(request));
+        }
+        let plan = self.faults.take(request);
+        std::thread::sleep(plan.delay);
+        if plan.lose_request {
+            responder.abort();
+        } else if plan.refuse {
+            responder.send(failure(503, "unavailable", "ordered fault"));
+        } else {
+            self.site.respond(request, &plan, responder);
+        }
+    }
+}
+
+/// Reads the body as JSON, or returns the refusal of a body that is none.
+pub(crate) fn parse<T: DeserializeOwned>(request: &Request) -> std::result::Result<T, Response> {
+    serde_json::from_slice(&request.body)
+        .map_err(|error| failure(400, "bad_request", &error.to_string()))
+}
+
+pub(crate) fn failure(status: u16, code: &str, message: &str) -> Response {
+    let error = json!({ "error": { "code": code, "message": message } });
+    Response::json(status, &error)
+}
+
+pub(crate) fn not_found() -> Response {
+    failure(404, "not_found", "no such endpoint")
+}
+
+/// Decodes a part of a path or query.
+pub(crate) fn decode(text: &str) -> String {
+    percent_decode_str(text).decode_utf8_lossy().into_owned()
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,42 @@
-//! Placeholder for the `standin` library.
+//! Stand-ins of the systems outside dogwoodlb, for tests and demonstrations.
+//!
+//! Each stand-in is a small HTTP server in the process that starts it. A test orders faults
+//! over [`Faults`], or over HTTP with `POST /faults` when the stand-in is a process of its
+//! own, and reads over methods what the stand-in really did. docs/design.md, section 5,
+//! describes the protocols.
+//!
+//! # Examples
+//!
+//! A table service that applies the next transaction but loses the reply:
+//!
+//! ```
+//! use dogwoodlb_adapter::Table;
+//! use dogwoodlb_platform::table::Txn;
+//! use dogwoodlb_platform::{Category, Table as _};
+//! use dogwoodlb_standin::{local, table, Effect, Fault};
+//! use std::time::Duration;
+//!
+//! let server = table::Table::start(local()?)?;
+//! server.faults().order(Fault::once("/txn", Effect::LoseReply));
+//!
+//! let table = Table::new(server.address());
+//! let lost = table.commit(&Txn::new().put("a", "1"), Duration::from_secs(5));
+//! assert_eq!(lost.map_err(|error| error.classify()), Err(Category::Ambiguous));
+//! assert_eq!(server.row("a").map(|row| row.version), Some(1));
+//! # Ok::<(), Box<dyn std::error::Error>>(())
+//! ```
+
+pub mod engine;
+mod error;
+mod fault;
+mod host;
+pub mod objects;
+pub mod service;
+pub mod table;
+
+pub use error::{Category, Error};
+pub use fault::{Effect, Fault, Faults};
+pub use host::local;
+
+/// The result of an operation of this crate.
+pub type Result<T> = std::result::Result<T, Error>;
--- /dev/null
+++ b/crates/standin/src/objects.rs
@@ -0,0 +1,112 @@
+//! The object store.
+
+use crate::fault::{Faults, Plan};
+use crate::host::{decode, failure, not_found, Host, Site};
+use crate::Result;
+use dogwoodlb_http::{Request, Response};
+use serde_json::json;
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+/// Far less than the memory of a machine that runs the tests.
+const MAX_TOTAL_BYTES: usize = 1024 * 1024 * 1024;
+
+/// An object store that keeps its objects in memory.
+///
+/// `PUT` and `GET` of `/objects/<name>`. Names are written once, so the store refuses other
+/// bytes under an existing name with status 409.
+pub struct Objects {
+    host: Host,
+    store: Arc<Store>,
+}
+
+#[derive(Default)]
+struct Store(Mutex<Names>);
+
+#[derive(Default)]
+struct Names {
+    objects: BTreeMap<String, Vec<u8>>,
+    bytes: usize,
+    overwrites: u64,
+}
+
+impl Objects {
+    /// Starts an empty object store.
+    ///
+    /// # Errors
+    ///
+    /// [`Category::Io`](crate::Category::Io) if the server can't be started.
+    pub fn start(listener: TcpListener) -> Result<Self> {
+        let store = Arc::new(Store::default());
+        let host = Host::start(listener, store.clone())?;
+        Ok(Self { host, store })
+    }
+
+    /// Returns the address that the store listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.host.address()
+    }
+
+    /// Returns the ordered faults.
+    pub fn faults(&self) -> &Faults {
+        self.host.faults()
+    }
+
+    /// Returns an object.
+    pub fn object(&self, name: &str) -> Option<Vec<u8>> {
+        self.store.lock().objects.get(name).cloned()
+    }
+
+    /// Returns the names of all objects that start with `prefix`.
+    pub fn names(&self, prefix: &str) -> Vec<String> {
+        let names = self.store.lock();
+        let names = names.objects.keys().filter(|name| name.starts_with(prefix));
+        names.cloned().collect()
+    }
+
+    /// Returns the number of refused attempts to change an object.
+    pub fn overwrites(&self) -> u64 {
+        self.store.lock().overwrites
+    }
+}
+
+impl Store {
+    fn lock(&self) -> MutexGuard<'_, Names> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Names {
+    fn put(&mut self, name: String, body: &[u8]) -> Response {
+        if let Some(existing) = self.objects.get(&name) {
+            if existing == body {
+                return Response::json(200, &json!({}));
+            }
+            self.overwrites += 1;
+            return failure(409, "conflict", "the object exists with other bytes");
+        }
+        if self.bytes + body.len() > MAX_TOTAL_BYTES {
+            return failure(507, "full", "the store is full");
+        }
+        self.bytes += body.len();
+        self.objects.insert(name, body.to_vec());
+        Response::json(200, &json!({}))
+    }
+}
+
+impl Site for Store {
+    fn answer(&self, request: &Request, _plan: &Plan) -> Response {
+        let Some(name) = request.path.strip_prefix("/objects/").map(decode) else {
+            return not_found();
+        };
+        match request.method.as_str() {
+            "PUT" => self.lock().put(name, &request.body),
+            "GET" => match self.lock().objects.get(&name) {
+                Some(body) => Response::new(200, "application/octet-stream", body.clone()),
+                None => failure(404, "not_found", "no such object"),
+            },
+            _ => not_found(),
+        }
+    }
+}
