Add the adoption and commit cores of the manifest

**Cause**: an accepted manifest must be in force everywhere within 4 s and never revert, also while the table can't be reached.

**Change**: adopt::Adoption (poll schedule, promises, evidence, closing of abandoned proposals) and commit::Commit (check, base, promises, conditional write, read-back).

--- /dev/null
+++ b/crates/manifest/src/commit.rs
@@ -0,0 +1,397 @@
+//! The steps of a node that commits a manifest for an operator.
+//!
+//! See docs/design.md, section 4.5: promises from a majority of the listed VMs come before the
+//! conditional write, and a lost reply is settled by reading back (section 4.3).
+
+use crate::proposal::{Answer, Proposal};
+use crate::record::{self, Pointer, Record, CURRENT};
+use crate::Manifest;
+use dogwoodlb_platform::table::{Outcome, Row, Txn};
+use dogwoodlb_platform::Category;
+use dogwoodlb_types::{id, Code, Instant, Refusal};
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+/// A commit is decided, or its outcome declared unknown, within this time.
+pub const DEADLINE: Duration = Duration::from_secs(10);
+
+/// How long promises are waited for; half of the time after which nodes close a proposal.
+const PROMISES: Duration = Duration::from_secs(2);
+
+/// The pause before a failed read-back is repeated.
+const READ_BACK: Duration = Duration::from_millis(200);
+
+/// How often a commit starts again because another node closed its proposal.
+const ATTEMPTS: u32 = 3;
+
+/// JSON numbers above 2^53 - 1 are not exact.
+const MAX_REVISION: u64 = (1 << 53) - 2;
+
+/// What happened, as the shell reports it.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// A read was answered or failed.
+    Row {
+        /// The key that was read.
+        key: String,
+        /// The row if it exists, or how the read failed.
+        result: Result<Option<Row>, Category>,
+    },
+    /// A VM answered the proposal.
+    Answer {
+        /// The VM.
+        vm: id::Vm,
+        /// The row version of the proposal that it answered.
+        row_version: u64,
+        /// The answer.
+        answer: Answer,
+    },
+    /// The write was answered or failed.
+    Written(Result<Outcome, Category>),
+    /// Time has passed.
+    Tick,
+}
+
+/// What the shell must do.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Action {
+    /// Read a row and report [`Event::Row`].
+    Read(String),
+    /// Send a proposal to these VMs, this node included, and report each [`Event::Answer`].
+    Propose {
+        /// The VMs.
+        vms: Vec<id::Vm>,
+        /// The proposal.
+        proposal: Proposal,
+    },
+    /// Commit a transaction and report [`Event::Written`].
+    Write(Txn),
+    /// Tell the operator the result; nothing more follows.
+    Done(Result<id::Revision, Refusal>),
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum State {
+    ReadPointer,
+    ReadBase,
+    Promises {
+        since: Instant,
+    },
+    Write,
+    ReadBack {
+        conflict: bool,
+        again: Option<Instant>,
+    },
+    Done,
+}
+
+/// One commit.
+#[derive(Debug)]
+pub struct Commit {
+    proposal: Proposal,
+    state: State,
+    deadline: Instant,
+    attempt: u32,
+    /// Whether a copy of the write may still take effect.
+    in_doubt: bool,
+    vms: Vec<id::Vm>,
+    promised: BTreeSet<id::Vm>,
+    refused: BTreeSet<id::Vm>,
+}
+
+impl Commit {
+    /// Checks the text and starts a commit.
+    ///
+    /// `operation` is drawn at random by the shell.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a text with faults with [`Code::BadRequest`] and names all of them.
+    pub fn new(
+        operation: id::Operation,
+        operator: id::Operator,
+        base: id::Revision,
+        text: String,
+        now: Instant,
+    ) -> Result<(Self, Vec<Action>), Refusal> {
+        if let Err(error) = crate::from_str(&text) {
+            let message = format!("the manifest has faults, nothing was changed:\n{error}");
+            return Err(Refusal::not_run(Code::BadRequest, message));
+        }
+        if base.0 > MAX_REVISION {
+            let message = format!("base revision {base} is larger than any that can exist");
+            return Err(Refusal::not_run(Code::BadRequest, message));
+        }
+        let proposal = Proposal {
+            operation,
+            operator,
+            base,
+            row_version: 0,
+            text,
+        };
+        let commit = Self {
+            proposal,
+            state: State::ReadPointer,
+            deadline: now + DEADLINE,
+            attempt: 1,
+            in_doubt: false,
+            vms: Vec::new(),
+            promised: BTreeSet::new(),
+            refused: BTreeSet::new(),
+        };
+        Ok((commit, vec![Action::Read(CURRENT.to_owned())]))
+    }
+
+    /// Takes in an event and returns what to do.
+    pub fn on_event(&mut self, event: Event, now: Instant) -> Vec<Action> {
+        match event {
+            Event::Row { key, result } => self.on_row(&key, result, now),
+            Event::Answer {
+                vm,
+                row_version,
+                answer,
+            } => self.on_answer(vm, row_version, answer),
+            Event::Written(result) => self.on_written(result, now),
+            Event::Tick => self.on_tick(now),
+        }
+    }
+
+    fn on_row(
+        &mut self,
+        key: &str,
+        result: Result<Option<Row>, Category>,
+        now: Instant,
+    ) -> Vec<Action> {
+        match self.state {
+            State::ReadPointer if key == CURRENT => match result {
+                Ok(row) => self.on_pointer(row.as_ref()),
+                Err(_) => self.refuse_store(),
+            },
+            State::ReadBase if key == record::key(self.proposal.base) => match result {
+                Ok(row) => self.on_base(row.as_ref(), now),
+                Err(_) => self.refuse_store(),
+            },
+            State::ReadBack { conflict, .. } if key == self.next_key() => match result {
+                Ok(row) => self.on_read_back(row.as_ref(), conflict),
+                Err(_) => self.pause(conflict, now),
+            },
+            _ => Vec::new(),
+        }
+    }
+
+    fn on_pointer(&mut self, row: Option<&Row>) -> Vec<Action> {
+        let base = self.proposal.base;
+        let pointer = row.map(Pointer::from_row);
+        match pointer {
+            Some(None) => self.refuse(
+                Code::Invariant,
+                format!("row {CURRENT} is malformed, nothing was changed"),
+            ),
+            Some(Some(pointer)) if pointer.revision != base => {
+                self.refuse_conflict(pointer.revision, &pointer.operator)
+            }
+            None if base != id::Revision(0) => self.refuse(
+                Code::Conflict,
+                format!(
+                    "base revision {base} does not exist: there is no manifest yet, use base 0"
+                ),
+            ),
+            _ => {
+                self.proposal.row_version = row.map_or(0, |row| row.version);
+                if row.is_none() {
+                    // Nobody can act before the first manifest, so no promises are needed.
+                    return self.write();
+                }
+                self.state = State::ReadBase;
+                vec![Action::Read(record::key(base))]
+            }
+        }
+    }
+
+    fn on_base(&mut self, row: Option<&Row>, now: Instant) -> Vec<Action> {
+        let record = row.and_then(Record::from_row);
+        let manifest = record.and_then(|one| one.text.parse::<Manifest>().ok());
+        let Some(manifest) = manifest else {
+            let key = record::key(self.proposal.base);
+            let message = format!("row {key} is missing or malformed, nothing was changed");
+            return self.refuse(Code::Invariant, message);
+        };
+        let entries = manifest.entry_vms.into_iter();
+        self.vms = entries.map(|entry| entry.vm).collect();
+        self.promised.clear();
+        self.refused.clear();
+        self.state = State::Promises { since: now };
+        vec![Action::Propose {
+            vms: self.vms.clone(),
+            proposal: self.proposal.clone(),
+        }]
+    }
+
+    fn on_answer(&mut self, vm: id::Vm, row_version: u64, answer: Answer) -> Vec<Action> {
+        let waiting = matches!(self.state, State::Promises { .. });
+        if !waiting || row_version != self.proposal.row_version || !self.vms.contains(&vm) {
+            return Vec::new();
+        }
+        match answer {
+            Answer::Promised => {
+                self.promised.insert(vm);
+            }
+            Answer::Stale { .. } => return self.start_again(),
+            Answer::Busy | Answer::Invalid | Answer::Unready => {
+                self.refused.insert(vm);
+            }
+        }
+        if self.promised.len() >= self.quorum() {
+            self.write()
+        } else if self.refused.len() > self.vms.len() - self.quorum() {
+            self.refuse_quorum()
+        } else {
+            Vec::new()
+        }
+    }
+
+    fn quorum(&self) -> usize {
+        self.vms.len() / 2 + 1
+    }
+
+    fn next_key(&self) -> String {
+        record::key(self.proposal.base.next())
+    }
+
+    fn write(&mut self) -> Vec<Action> {
+        self.state = State::Write;
+        let record = Record {
+            revision: self.proposal.base.next(),
+            operation: self.proposal.operation,
+            operator: self.proposal.operator.clone(),
+            text: self.proposal.text.clone(),
+        };
+        vec![Action::Write(record.commit(self.proposal.row_version))]
+    }
+
+    fn on_written(&mut self, result: Result<Outcome, Category>, now: Instant) -> Vec<Action> {
+        if self.state != State::Write {
+            return Vec::new();
+        }
+        match result {
+            Ok(Outcome::Applied { .. }) => self.done(Ok(self.proposal.base.next())),
+            Ok(Outcome::Conflict { .. }) => self.read_back(true),
+            Err(Category::NotSent | Category::Refused) if !self.in_doubt => self.refuse_store(),
+            Err(_) if self.in_doubt => self.pause(false, now),
+            Err(_) => {
+                self.in_doubt = true;
+                self.read_back(false)
+            }
+        }
+    }
+
+    /// Waits before the next read-back, so that a failing table is not flooded.
+    fn pause(&mut self, conflict: bool, now: Instant) -> Vec<Action> {
+        let again = Some(now + READ_BACK);
+        self.state = State::ReadBack { conflict, again };
+        Vec::new()
+    }
+
+    fn read_back(&mut self, conflict: bool) -> Vec<Action> {
+        let again = None;
+        self.state = State::ReadBack { conflict, again };
+        vec![Action::Read(self.next_key())]
+    }
+
+    fn on_read_back(&mut self, row: Option<&Row>, conflict: bool) -> Vec<Action> {
+        match row.map(Record::from_row) {
+            Some(Some(record)) if record.operation == self.proposal.operation => {
+                self.done(Ok(record.revision))
+            }
+            Some(Some(record)) => self.refuse_conflict(record.revision, &record.operator),
+            Some(None) => {
+                let message = format!("row {} is malformed", self.next_key());
+                self.refuse(Code::Invariant, message)
+            }
+            // The row was closed by another node: no copy of the write can take effect.
+            None if conflict => {
+                self.in_doubt = false;
+                self.start_again()
+            }
+            // Not applied yet. A delayed first copy makes this one conflict.
+            None => self.write(),
+        }
+    }
+
+    fn start_again(&mut self) -> Vec<Action> {
+        if self.attempt >= ATTEMPTS {
+            let message = format!(
+                "the proposal was closed {ATTEMPTS} times before it was written, nothing was \
+                 changed: commit again"
+            );
+            return self.refuse(Code::Conflict, message);
+        }
+        self.attempt += 1;
+        self.state = State::ReadPointer;
+        vec![Action::Read(CURRENT.to_owned())]
+    }
+
+    fn on_tick(&mut self, now: Instant) -> Vec<Action> {
+        match self.state {
+            State::Done => Vec::new(),
+            _ if now >= self.deadline => self.give_up(),
+            State::Promises { since } if now >= since + PROMISES => self.refuse_quorum(),
+            State::ReadBack {
+                conflict,
+                again: Some(again),
+            } if now >= again => self.read_back(conflict),
+            _ => Vec::new(),
+        }
+    }
+
+    fn give_up(&mut self) -> Vec<Action> {
+        if self.in_doubt || self.state == State::Write {
+            let message = format!(
+                "the table did not tell within {} s whether revision {} was written: compare it \
+                 with `show`",
+                DEADLINE.as_secs(),
+                self.proposal.base.next(),
+            );
+            let refusal = Refusal::may_have_run(Code::StoreUnavailable, message);
+            return self.done(Err(refusal));
+        }
+        self.refuse_store()
+    }
+
+    fn refuse_store(&mut self) -> Vec<Action> {
+        let message = "the table can't be reached, nothing was changed: commit again later";
+        let refusal = Refusal::not_run(Code::StoreUnavailable, message);
+        self.done(Err(refusal.retry_after(Duration::from_secs(1))))
+    }
+
+    fn refuse_quorum(&mut self) -> Vec<Action> {
+        let message = format!(
+            "{} of the {} entry VMs of revision {} agreed, {} are needed, nothing was changed: \
+             commit again when more of them run",
+            self.promised.len(),
+            self.vms.len(),
+            self.proposal.base,
+            self.quorum(),
+        );
+        let refusal = Refusal::not_run(Code::ManifestUnknown, message);
+        self.done(Err(refusal.retry_after(Duration::from_secs(1))))
+    }
+
+    fn refuse_conflict(&mut self, revision: id::Revision, operator: &id::Operator) -> Vec<Action> {
+        let message = format!(
+            "base revision {} is not in force: operator {operator} committed revision {revision}; \
+             nothing was changed: compare with `diff`, then commit on the revision in force",
+            self.proposal.base,
+        );
+        self.refuse(Code::Conflict, message)
+    }
+
+    fn refuse(&mut self, code: Code, message: String) -> Vec<Action> {
+        self.done(Err(Refusal::not_run(code, message)))
+    }
+
+    fn done(&mut self, result: Result<id::Revision, Refusal>) -> Vec<Action> {
+        self.state = State::Done;
+        vec![Action::Done(result)]
+    }
+}
--- a/crates/manifest/src/lib.rs
+++ b/crates/manifest/src/lib.rs
@@ -22,13 +22,34 @@
 //! assert_eq!(manifest.quorum(), 1);
 //! # Ok::<(), dogwoodlb_manifest::Error>(())
 //! ```
+//!
+//! A node learns from the table which revision is in force, and acts on it while that read or
+//! the reports of other nodes are fresh:
+//!
+//! ```
+//! use dogwoodlb_manifest::adopt::{Action, Adoption, Authority, Event};
+//! use dogwoodlb_types::Instant;
+//!
+//! let now = Instant::from_millis(0);
+//! let mut rng = rand::rng();
+//! let mut adoption = Adoption::new("entry-1".parse()?, now);
+//! assert_eq!(adoption.on_event(Event::Tick, now, &mut rng), [Action::Read]);
+//! adoption.on_event(Event::ReadFailed, now, &mut rng);
+//! assert_eq!(adoption.authority(now), Authority::Unknown);
+//! # Ok::<(), dogwoodlb_types::Error>(())
+//! ```
 
+pub mod adopt;
+pub mod commit;
 mod diff;
 mod error;
+mod evidence;
 mod joint;
 mod manifest;
+mod proposal;
 pub mod quiet;
 mod reader;
+pub mod record;
 pub mod section;
 pub mod settings;
 mod syntax;
