Add the at-most-once core

Cause: non-idempotent calls with a key must run at most once, whatever fails between the intent, the dispatch and the outcome.

Ruled out: deleting the intent of a call that didn't reach its upstream. A delayed first copy of the intent would find no row and be applied, which blocks the key; an `open` row makes it conflict.

Change: crate `once`: `Call`, `Key`, `Digest`, row format and expiry.

--- /dev/null
+++ b/crates/once/src/call.rs
@@ -0,0 +1,278 @@
+use crate::error::Inner;
+use crate::row::{Row, State};
+use crate::{Action, Answer, Digest, Error, Key, Result};
+use dogwoodlb_platform::service::Reply;
+use dogwoodlb_platform::table::{self, Outcome, Txn};
+use dogwoodlb_platform::{self as platform, Category};
+use dogwoodlb_types::prelude::*;
+use std::time::Duration;
+
+/// How long one access to the table may take.
+const TABLE_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long the outcome is tried to be written after the answer. Outages of the table last
+/// longer, but a call must not be kept for ever.
+pub(crate) const PATIENCE: Duration = Duration::from_secs(30);
+const FIRST_BACKOFF: Duration = Duration::from_millis(50);
+const LONGEST_BACKOFF: Duration = Duration::from_secs(1);
+
+/// One call with a key.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// The key of the call.
+    pub key: Key,
+    /// The id of this attempt, drawn at random.
+    pub operation: id::Operation,
+    /// The digest of the request.
+    pub digest: Digest,
+    /// When the caller sent the request; the key's life counts from it.
+    pub created: Timestamp,
+    /// When the caller stops waiting.
+    pub deadline: Instant,
+}
+
+/// The at-most-once core of one call.
+///
+/// Start it with [`poll`](Self::poll), carry out the actions, feed back their results, and poll
+/// again at [`wake`](Self::wake). At most one access to the table or dispatch is pending at any
+/// time.
+#[derive(Debug)]
+pub struct Call {
+    pub(crate) request: Request,
+    pub(crate) phase: Phase,
+    pending: Pending,
+    /// A copy of an own intent may have taken effect, or may still do so.
+    pub(crate) exposed: bool,
+    /// Another operation holds the key, or may hold it.
+    pub(crate) foreign: bool,
+    retries: u32,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum Phase {
+    /// The intent is not yet known to be written.
+    Claim,
+    /// The intent is known to be this call's, in a row of this version.
+    Dispatch {
+        version: u64,
+    },
+    /// The caller was answered; the row still has to get its final state.
+    Settle {
+        state: State,
+        until: Instant,
+    },
+    Finished,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Pending {
+    Start,
+    Timer(Instant),
+    Read,
+    Commit,
+    Dispatch,
+    Nothing,
+}
+
+/// Tells whether a failed dispatch can have been executed.
+pub fn ran(category: Category) -> Ran {
+    match category {
+        Category::NotSent | Category::Refused => Ran::NotRun,
+        _ => Ran::MayHaveRun,
+    }
+}
+
+impl Call {
+    /// Creates a call that has done nothing yet.
+    pub fn new(request: Request) -> Self {
+        Self {
+            request,
+            phase: Phase::Claim,
+            pending: Pending::Start,
+            exposed: false,
+            foreign: false,
+            retries: 0,
+        }
+    }
+
+    /// Starts the call, or continues it when a wait is over.
+    pub fn poll(&mut self, now: Instant) -> Vec<Action> {
+        match self.pending {
+            Pending::Start if now < self.request.deadline => self.claim(0, now),
+            Pending::Start => self.give_up(now),
+            Pending::Timer(at) if now >= at => match self.phase {
+                Phase::Claim if now >= self.request.deadline => self.give_up(now),
+                Phase::Settle { until, .. } if now >= until => self.finish(),
+                _ => self.read(now),
+            },
+            _ => Vec::new(),
+        }
+    }
+
+    /// Returns when to call [`poll`](Self::poll) if the call waits.
+    pub fn wake(&self) -> Option<Instant> {
+        match self.pending {
+            Pending::Start => Some(Instant::default()),
+            Pending::Timer(at) => Some(at),
+            _ => None,
+        }
+    }
+
+    /// Tells whether the call needs nothing more; the caller was answered before.
+    pub fn is_finished(&self) -> bool {
+        self.phase == Phase::Finished
+    }
+
+    /// Takes the result of a read.
+    ///
+    /// # Errors
+    ///
+    /// [`Category::Unexpected`](crate::Category::Unexpected) if no read is pending; nothing
+    /// changes.
+    pub fn on_read(
+        &mut self,
+        result: &platform::Result<Option<table::Row>>,
+        now: Instant,
+    ) -> Result<Vec<Action>> {
+        self.expect(Pending::Read, "read")?;
+        let Ok(row) = result else {
+            return Ok(self.read_later(now));
+        };
+        Ok(match self.phase {
+            Phase::Claim => self.on_claim_read(row.as_ref(), now),
+            _ => self.on_settle_read(row.as_ref(), now),
+        })
+    }
+
+    /// Takes the result of a commit.
+    ///
+    /// # Errors
+    ///
+    /// [`Category::Unexpected`](crate::Category::Unexpected) if no commit is pending; nothing
+    /// changes.
+    pub fn on_commit(
+        &mut self,
+        result: &platform::Result<Outcome>,
+        now: Instant,
+    ) -> Result<Vec<Action>> {
+        self.expect(Pending::Commit, "commit")?;
+        let result = result.as_ref().map_err(platform::Error::classify);
+        Ok(match self.phase {
+            Phase::Claim => self.on_claim_commit(result, now),
+            _ if matches!(result, Ok(Outcome::Applied { .. })) => self.finish(),
+            _ => self.read_later(now),
+        })
+    }
+
+    /// Takes the result of the dispatch.
+    ///
+    /// # Errors
+    ///
+    /// [`Category::Unexpected`](crate::Category::Unexpected) if no dispatch is pending; nothing
+    /// changes.
+    pub fn on_dispatch(
+        &mut self,
+        result: &platform::Result<Reply>,
+        now: Instant,
+    ) -> Result<Vec<Action>> {
+        self.expect(Pending::Dispatch, "dispatch")?;
+        let Phase::Dispatch { version } = self.phase else {
+            return Err(Error::from(Inner::Unexpected("dispatch")));
+        };
+        let (state, answer) = self.outcome(result, now);
+        Ok(self.settle(state, version, answer, now))
+    }
+
+    fn outcome(&self, result: &platform::Result<Reply>, now: Instant) -> (State, Answer) {
+        let error = match result {
+            Ok(reply) => return (State::done(reply), Answer::Reply(reply.clone())),
+            Err(error) => error,
+        };
+        let message = error.to_string();
+        match ran(error.classify()) {
+            Ran::NotRun => {
+                let refusal = Refusal::not_run(Code::NoUpstream, message);
+                (State::Open, Answer::Refuse(refusal))
+            }
+            Ran::MayHaveRun => {
+                let late = now >= self.request.deadline;
+                let code = if late {
+                    Code::DeadlineExceeded
+                } else {
+                    Code::UpstreamFailed
+                };
+                let refusal = Refusal::may_have_run(code, message);
+                (State::Unknown, Answer::Refuse(refusal))
+            }
+        }
+    }
+
+    pub(crate) fn dispatch(&mut self, version: u64, now: Instant) -> Vec<Action> {
+        self.phase = Phase::Dispatch { version };
+        self.pending = Pending::Dispatch;
+        let timeout = self.request.deadline.saturating_since(now);
+        vec![Action::Dispatch { timeout }]
+    }
+
+    pub(crate) fn read(&mut self, now: Instant) -> Vec<Action> {
+        self.pending = Pending::Read;
+        vec![Action::Read {
+            key: self.request.key.as_str().to_owned(),
+            timeout: self.table_timeout(now),
+        }]
+    }
+
+    /// Reads after a growing pause, and never past the deadline without a check of it.
+    pub(crate) fn read_later(&mut self, now: Instant) -> Vec<Action> {
+        let pause = FIRST_BACKOFF * (1 << self.retries.min(5));
+        self.retries = self.retries.saturating_add(1);
+        self.wait(pause.min(LONGEST_BACKOFF), now)
+    }
+
+    pub(crate) fn wait(&mut self, pause: Duration, now: Instant) -> Vec<Action> {
+        let end = match self.phase {
+            Phase::Settle { until, .. } => until,
+            _ => self.request.deadline,
+        };
+        self.pending = Pending::Timer((now + pause).min(end));
+        Vec::new()
+    }
+
+    /// Writes the row if it still has this version, 0 meaning that it doesn't exist.
+    pub(crate) fn commit(&mut self, state: State, version: u64, now: Instant) -> Action {
+        self.pending = Pending::Commit;
+        let key = self.request.key.as_str();
+        let row = Row {
+            operation: self.request.operation,
+            digest: self.request.digest,
+            created_ms: self.request.created,
+            state,
+        };
+        Action::Commit {
+            txn: Txn::new().check(key, version).put(key, row.to_value()),
+            operation: self.request.operation,
+            timeout: self.table_timeout(now),
+        }
+    }
+
+    pub(crate) fn finish(&mut self) -> Vec<Action> {
+        self.phase = Phase::Finished;
+        self.pending = Pending::Nothing;
+        Vec::new()
+    }
+
+    fn table_timeout(&self, now: Instant) -> Duration {
+        let left = self.request.deadline.saturating_since(now);
+        match self.phase {
+            Phase::Claim => TABLE_TIMEOUT.min(left),
+            _ => TABLE_TIMEOUT,
+        }
+    }
+
+    fn expect(&self, pending: Pending, name: &'static str) -> Result<()> {
+        if self.pending == pending {
+            Ok(())
+        } else {
+            Err(Error::from(Inner::Unexpected(name)))
+        }
+    }
+}
--- /dev/null
+++ b/crates/once/src/claim.rs
@@ -0,0 +1,154 @@
+use crate::call::Call;
+use crate::row::{Row, State, Stored};
+use crate::{Action, Answer};
+use dogwoodlb_platform::service::Reply;
+use dogwoodlb_platform::table::{self, Outcome};
+use dogwoodlb_platform::Category;
+use dogwoodlb_types::prelude::*;
+use std::time::Duration;
+
+/// How often the row of another operation is read while waiting for its outcome.
+const WAIT: Duration = Duration::from_millis(200);
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// The way from the first write to the dispatch, or to an answer without one.
+impl Call {
+    /// Writes the intent if the row still has this version.
+    pub(crate) fn claim(&mut self, version: u64, now: Instant) -> Vec<Action> {
+        vec![self.commit(State::Started, version, now)]
+    }
+
+    pub(crate) fn on_claim_commit(
+        &mut self,
+        result: Result<&Outcome, Category>,
+        now: Instant,
+    ) -> Vec<Action> {
+        match result {
+            Ok(&Outcome::Applied { version }) if version > 0 => self.on_claimed(version, now),
+            Ok(Outcome::Conflict { .. }) => {
+                // Until a read shows whose row it is, it counts as another's.
+                self.foreign = true;
+                self.read(now)
+            }
+            Err(Category::NotSent | Category::Refused) if !self.exposed && !self.foreign => {
+                let refusal = Refusal::not_run(
+                    Code::StoreUnavailable,
+                    "the intent could not be written to the table",
+                );
+                self.answer(Answer::Refuse(refusal.retry_after(RETRY_AFTER)))
+            }
+            Err(Category::NotSent | Category::Refused) => self.read_later(now),
+            // The write may have taken effect or may do so later: read back before any retry.
+            _ => {
+                self.exposed = true;
+                self.read_later(now)
+            }
+        }
+    }
+
+    pub(crate) fn on_claim_read(&mut self, row: Option<&table::Row>, now: Instant) -> Vec<Action> {
+        let Some(found) = row else {
+            // Only the cleanup removes rows. After a conflict the key was in use a moment ago,
+            // so whether the earlier call ran can't be told any more.
+            return if self.foreign {
+                self.wait(WAIT, now)
+            } else if now >= self.request.deadline {
+                self.give_up(now)
+            } else {
+                self.claim(0, now)
+            };
+        };
+        let Ok(row) = Row::from_str(&found.value) else {
+            return self.refuse_row();
+        };
+        if row.digest != self.request.digest {
+            let refusal = Refusal::not_run(
+                Code::Conflict,
+                "the idempotency key was used before for a different request",
+            );
+            return self.answer(Answer::Refuse(refusal));
+        }
+        match row.state {
+            State::Started if row.operation == self.request.operation => {
+                self.on_claimed(found.version, now)
+            }
+            State::Started => {
+                self.foreign = true;
+                self.wait(WAIT, now)
+            }
+            State::Open if now >= self.request.deadline => {
+                self.foreign = false;
+                self.give_up(now)
+            }
+            State::Open => {
+                self.foreign = false;
+                self.claim(found.version, now)
+            }
+            State::Done { answer } => self.replay(answer),
+            State::Unknown => {
+                let refusal = Refusal::may_have_run(
+                    Code::UpstreamFailed,
+                    "an earlier call with this key failed after it was sent",
+                );
+                self.answer(Answer::Refuse(refusal))
+            }
+        }
+    }
+
+    /// Dispatches, now that the intent is known to be this call's.
+    fn on_claimed(&mut self, version: u64, now: Instant) -> Vec<Action> {
+        if now < self.request.deadline {
+            return self.dispatch(version, now);
+        }
+        let refusal = Refusal::not_run(
+            Code::StoreUnavailable,
+            "the intent was written only after the deadline",
+        );
+        self.settle(State::Open, version, Answer::Refuse(refusal), now)
+    }
+
+    /// Answers at the deadline without a dispatch.
+    pub(crate) fn give_up(&mut self, now: Instant) -> Vec<Action> {
+        let refusal = if self.foreign {
+            Refusal::may_have_run(
+                Code::DeadlineExceeded,
+                "an earlier call with this key has no outcome yet",
+            )
+        } else {
+            Refusal::not_run(
+                Code::StoreUnavailable,
+                "the intent could not be written before the deadline",
+            )
+            .retry_after(RETRY_AFTER)
+        };
+        if self.exposed {
+            return self.withdraw(Answer::Refuse(refusal), now);
+        }
+        self.answer(Answer::Refuse(refusal))
+    }
+
+    fn replay(&mut self, answer: Option<Stored>) -> Vec<Action> {
+        let Some(stored) = answer else {
+            let refusal = Refusal::may_have_run(
+                Code::TooLarge,
+                "the call has run, but its answer was too large to be stored",
+            );
+            return self.answer(Answer::Refuse(refusal));
+        };
+        match Reply::try_from(stored) {
+            Ok(reply) => self.answer(Answer::Replay(reply)),
+            Err(_) => self.refuse_row(),
+        }
+    }
+
+    #[cold]
+    fn refuse_row(&mut self) -> Vec<Action> {
+        let refusal = Refusal::may_have_run(Code::Invariant, "the row of the key is malformed");
+        self.answer(Answer::Refuse(refusal))
+    }
+
+    fn answer(&mut self, answer: Answer) -> Vec<Action> {
+        self.finish();
+        vec![Action::Answer(answer)]
+    }
+}
--- /dev/null
+++ b/crates/once/src/key.rs
@@ -0,0 +1,63 @@
+use crate::error::Inner;
+use crate::{Error, Result};
+use dogwoodlb_types::id;
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use xxhash_rust::xxh3::Xxh3;
+
+const MAX_KEY_BYTES: usize = 128;
+
+/// The key of the row of one call: the caller and its idempotency key.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Key(String);
+
+impl Key {
+    /// Checks an `Idempotency-Key` and joins it with the caller's name.
+    ///
+    /// # Errors
+    ///
+    /// [`Category::Key`](crate::Category::Key) if the key is not 1 to 128 visible ASCII
+    /// characters without `/`.
+    pub fn new(caller: &id::Caller, key: &str) -> Result<Self> {
+        let bad = key.bytes().position(|b| !b.is_ascii_graphic() || b == b'/');
+        let offset = match bad {
+            Some(offset) => offset,
+            None if key.is_empty() => 0,
+            None if key.len() > MAX_KEY_BYTES => MAX_KEY_BYTES,
+            None => return Ok(Self(format!("call/{caller}/{key}"))),
+        };
+        Err(Error::from(Inner::Key {
+            offset,
+            limit: MAX_KEY_BYTES,
+        }))
+    }
+
+    /// Returns the key of the row.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+/// A digest of a request, which tells a retry from another use of the key.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+#[serde(transparent)]
+pub struct Digest(id::Operation);
+
+impl Digest {
+    /// Computes the digest of a request; `path` contains the query.
+    pub fn new(method: &str, path: &str, body: &[u8]) -> Self {
+        let mut hash = Xxh3::new();
+        for part in [method.as_bytes(), path.as_bytes(), body] {
+            // The length keeps `a` + `bc` apart from `ab` + `c`.
+            hash.update(&(part.len() as u64).to_le_bytes());
+            hash.update(part);
+        }
+        Self(id::Operation(hash.digest128()))
+    }
+}
+
+impl fmt::Display for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(&self.0, f)
+    }
+}
--- /dev/null
+++ b/crates/once/src/row.rs
@@ -0,0 +1,133 @@
+use crate::error::Inner;
+use crate::{Digest, Error, Result};
+use dogwoodlb_platform::service::Reply;
+use dogwoodlb_types::{id, Timestamp};
+use serde::{Deserialize, Serialize};
+use std::fmt::Write;
+use std::time::Duration;
+
+/// How long a key is valid; a later use counts as a new request.
+pub const KEY_LIFE: Duration = Duration::from_secs(24 * 60 * 60);
+
+/// The largest body that is stored for a replay. The table serves small rows; the first caller
+/// gets a larger answer, but a retry learns only that the call may have run.
+pub const MAX_ANSWER_BYTES: usize = 64 * 1_024;
+
+/// The row of one key.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub(crate) struct Row {
+    /// The operation that wrote the row last.
+    pub(crate) operation: id::Operation,
+    pub(crate) digest: Digest,
+    pub(crate) created_ms: Timestamp,
+    #[serde(flatten)]
+    pub(crate) state: State,
+}
+
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case", tag = "state")]
+pub(crate) enum State {
+    /// The operation may dispatch, or has dispatched.
+    Started,
+    /// The operation didn't reach the upstream; another may claim the key.
+    Open,
+    /// The upstream answered.
+    Done { answer: Option<Stored> },
+    /// The upstream may have executed the call.
+    Unknown,
+}
+
+/// A stored reply; the body is text or, if it isn't UTF-8, hexadecimal.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub(crate) struct Stored {
+    status: u16,
+    content_type: Option<String>,
+    #[serde(flatten)]
+    body: Body,
+}
+
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+enum Body {
+    Hex(String),
+    Text(String),
+}
+
+impl State {
+    pub(crate) fn done(reply: &Reply) -> Self {
+        let small = reply.body.len() <= MAX_ANSWER_BYTES;
+        Self::Done {
+            answer: small.then(|| Stored::from(reply)),
+        }
+    }
+}
+
+impl Row {
+    pub(crate) fn from_str(value: &str) -> Result<Self> {
+        Ok(serde_json::from_str(value)?)
+    }
+
+    /// Returns the JSON text of the row. Serialising strings and numbers can't fail, and an
+    /// empty row would be read as malformed, which no call dispatches on.
+    pub(crate) fn to_value(&self) -> String {
+        serde_json::to_string(self).unwrap_or_default()
+    }
+}
+
+impl From<&Reply> for Stored {
+    fn from(reply: &Reply) -> Self {
+        let body = match std::str::from_utf8(&reply.body) {
+            Ok(text) => Body::Text(text.to_owned()),
+            Err(_) => Body::Hex(to_hex(&reply.body)),
+        };
+        Self {
+            status: reply.status,
+            content_type: reply.content_type.clone(),
+            body,
+        }
+    }
+}
+
+impl TryFrom<Stored> for Reply {
+    type Error = Error;
+
+    fn try_from(stored: Stored) -> Result<Self> {
+        Ok(Self {
+            status: stored.status,
+            content_type: stored.content_type,
+            body: match stored.body {
+                Body::Text(text) => text.into_bytes(),
+                Body::Hex(hex) => from_hex(&hex)?,
+            },
+        })
+    }
+}
+
+fn to_hex(bytes: &[u8]) -> String {
+    bytes.iter().fold(String::new(), |mut hex, byte| {
+        // Writing to a string can't fail.
+        let _ = write!(hex, "{byte:02x}");
+        hex
+    })
+}
+
+fn from_hex(hex: &str) -> Result<Vec<u8>> {
+    let pairs = hex.as_bytes().chunks(2).enumerate();
+    let bytes = pairs.map(|(index, pair)| {
+        let digit = |at: usize| char::from(*pair.get(at)?).to_digit(16);
+        let byte = digit(0).zip(digit(1));
+        let byte = byte.and_then(|(high, low)| u8::try_from(high * 16 + low).ok());
+        byte.ok_or_else(|| Error::from(Inner::Body { offset: index * 2 }))
+    });
+    bytes.collect()
+}
+
+/// Tells whether a stored row's key is no longer valid, so that the cleanup may delete the row.
+///
+/// # Errors
+///
+/// [`Category::Row`](crate::Category::Row) if the row can't be understood.
+pub fn is_expired(value: &str, now: Timestamp) -> Result<bool> {
+    let row = Row::from_str(value)?;
+    Ok(now > row.created_ms + KEY_LIFE)
+}
--- /dev/null
+++ b/crates/once/src/settle.rs
@@ -0,0 +1,64 @@
+use crate::call::{Call, Phase, PATIENCE};
+use crate::row::{Row, State};
+use crate::{Action, Answer};
+use dogwoodlb_platform::table;
+use dogwoodlb_types::Instant;
+
+/// The way from the answer to the final state of the row.
+impl Call {
+    /// Answers the caller and writes the final state over the own intent.
+    pub(crate) fn settle(
+        &mut self,
+        state: State,
+        version: u64,
+        answer: Answer,
+        now: Instant,
+    ) -> Vec<Action> {
+        self.begin_settle(state.clone(), now);
+        let commit = self.commit(state, version, now);
+        vec![Action::Answer(answer), commit]
+    }
+
+    /// Answers the caller and makes sure that no late copy of the own intent takes effect,
+    /// which would block the key although nothing was dispatched.
+    pub(crate) fn withdraw(&mut self, answer: Answer, now: Instant) -> Vec<Action> {
+        self.begin_settle(State::Open, now);
+        let mut actions = vec![Action::Answer(answer)];
+        actions.append(&mut self.read(now));
+        actions
+    }
+
+    fn begin_settle(&mut self, state: State, now: Instant) {
+        self.phase = Phase::Settle {
+            state,
+            until: now + PATIENCE,
+        };
+    }
+
+    pub(crate) fn on_settle_read(&mut self, row: Option<&table::Row>, now: Instant) -> Vec<Action> {
+        let Phase::Settle { state, .. } = &self.phase else {
+            return self.finish();
+        };
+        let state = state.clone();
+        let is_open = state == State::Open;
+        let version = match row.map(|row| (row.version, Row::from_str(&row.value))) {
+            // A late intent requires an absent row, so an open one makes it conflict.
+            None if is_open => Some(0),
+            Some((version, Ok(found))) => {
+                let own = found.operation == self.request.operation;
+                let replace = match found.state {
+                    State::Started => own,
+                    // A late intent requires the version read before; a new one excludes it.
+                    State::Open => is_open && !own && found.digest == self.request.digest,
+                    State::Done { .. } | State::Unknown => false,
+                };
+                replace.then_some(version)
+            }
+            _ => None,
+        };
+        match version {
+            Some(version) => vec![self.commit(state, version, now)],
+            None => self.finish(),
+        }
+    }
+}
