Add the rollout planner core

Cause: something must decide which sample to generate next, how far ahead of the trainer, and what to do about failed, slow and stale attempts.

Change: crate `rollout`: plan per step, bound on attempts in flight, run-ahead depth, retries with backoff, one spare attempt per straggler in the last tenth of a step, cancellation of losing attempts, regeneration of stale samples, highest priority for the step the trainer waits for.

Ruled out: cancelling on a new version every attempt that was dispatched under an old one. An attempt may wait in the engine until after the swap, and under a long queue it would be cancelled again and again; only attempts with a first token are judged.

--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -1,1 +1,33 @@
-//! Placeholder for the `rollout` library.
+//! The step planner of a trainer: which sample to generate now, and with which priority.
+//!
+//! [`Planner`] is sans-IO: [`Planner::poll`] returns the attempts to start and to cancel, and
+//! the shell reports how attempts end. The ledger decides which attempt counts; the planner
+//! only decides what is worth generating. See docs/design.md, section 4.14.
+//!
+//! # Examples
+//!
+//! A step of two samples with room for one attempt at a time:
+//!
+//! ```
+//! use dogwoodlb_rollout::{Action, Planner, Settings};
+//! use dogwoodlb_types::prelude::*;
+//!
+//! let trainer: id::Trainer = "weld".parse()?;
+//! let settings = Settings { trainer, staleness_bound: 2, idle_weight: 0.5 };
+//! let mut planner = Planner::new(settings, id::Version(1));
+//! planner.submit(id::Step(1), &[2])?;
+//!
+//! let now = Instant::from_millis(0);
+//! let actions = planner.poll(now, 1);
+//! let [Action::Generate { sample, attempt, priority: _ }] = &actions[..] else { panic!() };
+//! assert_eq!(sample.to_string(), "weld/1/0/0");
+//!
+//! planner.on_finished(now, sample, *attempt);
+//! assert_eq!(planner.poll(now, 1).len(), 1);
+//! # Ok::<(), Box<dyn std::error::Error>>(())
+//! ```
+
+mod plan;
+mod planner;
+
+pub use planner::{depth, Action, Planner, Settings, MAX_OPEN_STEPS, MAX_SAMPLES};
