--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -33,6 +33,8 @@
 pub mod objects;
 pub mod service;
 pub mod table;
+pub mod trainer;
+pub mod vms;
 
 pub use error::{Category, Error};
 pub use fault::{Effect, Fault, Faults};
--- /dev/null
+++ b/crates/standin/src/trainer.rs
@@ -0,0 +1,219 @@
+//! A trainer: a client that runs steps and checks what it is delivered.
+
+mod check;
+mod client;
+
+use check::{Check, Delivered};
+use client::{Client, Failure, Reply};
+use dogwoodlb_types::id;
+use serde::Serialize;
+use serde_json::{json, Value};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// How long one fetch asks the node to wait.
+const FETCH_WAIT: Duration = Duration::from_secs(2);
+
+/// What a trainer does.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// The trainer's name.
+    pub trainer: id::Trainer,
+    /// The addresses to try, first to last.
+    pub addresses: Vec<SocketAddr>,
+    /// The first step; a successor starts at the step that is not acknowledged.
+    pub first_step: u64,
+    /// How many steps to run.
+    pub steps: u64,
+    /// The groups of each step.
+    pub groups: u32,
+    /// The samples of each group.
+    pub group_size: u32,
+    /// The longest sample.
+    pub max_tokens: u32,
+    /// The bound that no delivered sample may exceed.
+    pub staleness_bound: u64,
+    /// How many steps lie between two versions; 0 for no versions.
+    pub publish_every: u64,
+    /// The version that is served at the start.
+    pub first_version: u64,
+    /// How long the training of a step takes.
+    pub train: Duration,
+    /// When the trainer gives up.
+    pub patience: Duration,
+}
+
+impl Config {
+    /// Creates a configuration of a few small steps.
+    pub fn new(trainer: id::Trainer, addresses: Vec<SocketAddr>) -> Self {
+        Self {
+            trainer,
+            addresses,
+            first_step: 1,
+            steps: 4,
+            groups: 4,
+            group_size: 4,
+            max_tokens: 64,
+            staleness_bound: 2,
+            publish_every: 2,
+            first_version: 1,
+            train: Duration::ZERO,
+            patience: Duration::from_secs(120),
+        }
+    }
+}
+
+/// What a trainer was delivered.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Report {
+    /// The steps acknowledged.
+    pub steps: u64,
+    /// The samples delivered.
+    pub delivered: u64,
+    /// The samples that were delivered more than once, or that nobody asked for.
+    pub duplicated: u64,
+    /// The samples that a delivery left out.
+    pub lost: u64,
+    /// The samples whose spans don't cover their tokens or name a version not published.
+    pub mislabelled: u64,
+    /// The samples older than the staleness bound.
+    pub too_stale: u64,
+    /// The versions that the samples name.
+    pub versions: BTreeSet<u64>,
+    /// The mean staleness of the samples, in versions.
+    pub staleness_mean: f64,
+    /// The largest staleness of a sample, in versions.
+    pub staleness_max: u64,
+    /// The share of the time spent waiting for samples, 0 to 1.
+    pub idle_share: f64,
+    /// The answers that named another node.
+    pub redirected: u64,
+    /// The calls repeated because a node was unavailable or a connection broke.
+    pub retried: u64,
+    /// Whether a later session took over.
+    pub fenced: bool,
+    /// Why the trainer stopped before its last step.
+    pub failure: Option<String>,
+}
+
+impl Report {
+    /// Returns whether all steps were run and nothing was wrong with the samples.
+    pub fn is_clean(&self) -> bool {
+        let wrong = self.duplicated + self.lost + self.mislabelled + self.too_stale;
+        wrong == 0 && !self.fenced && self.failure.is_none()
+    }
+}
+
+/// Runs a trainer to its last step, or until it fails or its patience ends.
+pub fn run(config: &Config) -> Report {
+    let mut run = Run {
+        config,
+        client: Client::new(config),
+        check: Check::new(config),
+        session: 0,
+        submitted: config.first_step,
+        idle: Duration::ZERO,
+    };
+    let began = Instant::now();
+    let ended = run.steps();
+    run.report(began.elapsed(), ended.err())
+}
+
+struct Run<'a> {
+    config: &'a Config,
+    client: Client,
+    check: Check,
+    session: u64,
+    /// The first step that is not submitted.
+    submitted: u64,
+    idle: Duration,
+}
+
+impl Run<'_> {
+    fn steps(&mut self) -> Result<(), Failure> {
+        let reply = self.client.call("POST", "sessions", &json!({}))?;
+        self.session = reply.number("session")?;
+        let end = self.config.first_step + self.config.steps;
+        for step in self.config.first_step..end {
+            while self.submitted < end.min(step + 2) {
+                self.submit(self.submitted)?;
+                self.submitted += 1;
+            }
+            let delivered = self.fetch(step)?;
+            self.check.add(step, &delivered);
+            self.acknowledge(step, delivered.delivery)?;
+            std::thread::sleep(self.config.train);
+            let run = step + 1 - self.config.first_step;
+            if self.config.publish_every > 0 && run.is_multiple_of(self.config.publish_every) {
+                self.publish()?;
+            }
+        }
+        Ok(())
+    }
+
+    fn submit(&mut self, step: u64) -> Result<(), Failure> {
+        let prompt = |group| format!("{} step {step} group {group}", self.config.trainer);
+        let groups = (0..self.config.groups)
+            .map(|group| json!({ "prompt": prompt(group), "size": self.config.group_size }));
+        let body = json!({
+            "session": self.session,
+            "groups": groups.collect::<Vec<Value>>(),
+            "max_tokens": self.config.max_tokens,
+        });
+        let path = format!("steps/{step}");
+        self.client.call("PUT", &path, &body)?.expect(&[200, 202])
+    }
+
+    fn fetch(&mut self, step: u64) -> Result<Delivered, Failure> {
+        let wait_ms = FETCH_WAIT.as_millis();
+        let path = format!("steps/{step}?session={}&wait_ms={wait_ms}", self.session);
+        let began = Instant::now();
+        let delivered = loop {
+            let reply = self.client.call("GET", &path, &Value::Null)?;
+            if reply.status != 202 {
+                break reply.json()?;
+            }
+        };
+        self.idle += began.elapsed();
+        Ok(delivered)
+    }
+
+    fn acknowledge(&mut self, step: u64, delivery: u64) -> Result<(), Failure> {
+        let body = json!({ "session": self.session, "delivery": delivery });
+        let path = format!("steps/{step}/ack");
+        done(&self.client.call("POST", &path, &body)?)?;
+        self.check.steps += 1;
+        Ok(())
+    }
+
+    fn publish(&mut self) -> Result<(), Failure> {
+        let version = self.check.latest + 1;
+        let object = format!("weights/{}/{version}", self.config.trainer);
+        let body = json!({ "session": self.session, "version": version, "object": object });
+        done(&self.client.call("POST", "versions", &body)?)?;
+        self.check.latest = version;
+        Ok(())
+    }
+
+    fn report(self, elapsed: Duration, failure: Option<Failure>) -> Report {
+        let mut report = self.check.report();
+        report.idle_share = self.idle.as_secs_f64() / elapsed.as_secs_f64().max(f64::EPSILON);
+        report.redirected = self.client.redirected;
+        report.retried = self.client.retried;
+        match failure {
+            Some(Failure::Fenced) => report.fenced = true,
+            Some(Failure::Stopped(reason)) => report.failure = Some(reason),
+            None => {}
+        }
+        report
+    }
+}
+
+/// Accepts a conflict where an earlier copy of the request may have taken effect.
+fn done(reply: &Reply) -> Result<(), Failure> {
+    match reply.status {
+        409 if reply.repeated => Ok(()),
+        _ => reply.expect(&[200, 201, 202, 204]),
+    }
+}
--- /dev/null
+++ b/crates/standin/src/trainer/check.rs
@@ -0,0 +1,102 @@
+use super::{Config, Report};
+use dogwoodlb_types::{check_spans, oldest_version, Span};
+use serde::Deserialize;
+use serde_json::Value;
+use std::collections::HashSet;
+
+/// A step as it is delivered.
+#[derive(Deserialize)]
+pub(super) struct Delivered {
+    pub(super) delivery: u64,
+    step: u64,
+    samples: Vec<Sample>,
+}
+
+#[derive(Deserialize)]
+struct Sample {
+    id: Value,
+    group: u32,
+    index: u32,
+    tokens: u32,
+    spans: Vec<Span>,
+    staleness: u64,
+}
+
+/// Checks all deliveries of one trainer.
+pub(super) struct Check {
+    groups: u32,
+    group_size: u32,
+    bound: u64,
+    first_version: u64,
+    /// The latest version published.
+    pub(super) latest: u64,
+    /// The steps acknowledged.
+    pub(super) steps: u64,
+    ids: HashSet<String>,
+    deliveries: HashSet<u64>,
+    staleness_sum: u64,
+    report: Report,
+}
+
+impl Check {
+    pub(super) fn new(config: &Config) -> Self {
+        Self {
+            groups: config.groups,
+            group_size: config.group_size,
+            bound: config.staleness_bound,
+            first_version: config.first_version,
+            latest: config.first_version,
+            steps: 0,
+            ids: HashSet::new(),
+            deliveries: HashSet::new(),
+            staleness_sum: 0,
+            report: Report::default(),
+        }
+    }
+
+    pub(super) fn add(&mut self, step: u64, delivered: &Delivered) {
+        let mut places = HashSet::new();
+        let is_new = self.deliveries.insert(delivered.delivery) && delivered.step == step;
+        for sample in &delivered.samples {
+            let place = (sample.group, sample.index);
+            let wanted = sample.group < self.groups && sample.index < self.group_size;
+            let fresh = self.ids.insert(sample.id.to_string()) && places.insert(place);
+            if !(wanted && fresh && is_new) {
+                self.report.duplicated += 1;
+            }
+            self.label(sample);
+        }
+        self.report.delivered += delivered.samples.len() as u64;
+        let asked = (0..self.groups).flat_map(|g| (0..self.group_size).map(move |i| (g, i)));
+        let missing = asked.filter(|place| !places.contains(place)).count();
+        self.report.lost += missing as u64;
+    }
+
+    fn label(&mut self, sample: &Sample) {
+        let published = self.first_version..=self.latest;
+        let known = sample
+            .spans
+            .iter()
+            .all(|s| published.contains(&s.version.0));
+        if !known || check_spans(&sample.spans, sample.tokens).is_err() {
+            self.report.mislabelled += 1;
+        }
+        let versions = sample.spans.iter().map(|span| span.version.0);
+        self.report.versions.extend(versions);
+        let oldest = oldest_version(&sample.spans).map_or(0, |version| version.0);
+        // The node's own count may be older than the last version, but never higher.
+        let staleness = self.latest.saturating_sub(oldest).max(sample.staleness);
+        self.report.too_stale += u64::from(staleness > self.bound);
+        self.report.staleness_max = self.report.staleness_max.max(staleness);
+        self.staleness_sum += staleness;
+    }
+
+    pub(super) fn report(self) -> Report {
+        let delivered = self.report.delivered.max(1) as f64;
+        Report {
+            steps: self.steps,
+            staleness_mean: self.staleness_sum as f64 / delivered,
+            ..self.report
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/vms.rs
@@ -0,0 +1,101 @@
+//! The platform's list of VMs.
+
+use crate::fault::{Faults, Plan};
+use crate::host::{failure, not_found, parse, Host, Site};
+use crate::Result;
+use dogwoodlb_http::{Request, Response};
+use dogwoodlb_platform::vms::{State, Vm};
+use dogwoodlb_types::id;
+use serde::Deserialize;
+use serde_json::json;
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+/// A list of VMs that shows what it is told.
+///
+/// `GET /vms` answers the list; `PUT /vms/<name>` with `{"state"}` sets the state of a VM and
+/// `DELETE /vms/<name>` removes it. The list lags as far as its user lets it.
+pub struct Vms {
+    host: Host,
+    list: Arc<List>,
+}
+
+#[derive(Default)]
+struct List(Mutex<BTreeMap<id::Vm, State>>);
+
+#[derive(Deserialize)]
+struct Change {
+    state: State,
+}
+
+impl Vms {
+    /// Starts a list that shows `vms`.
+    ///
+    /// # Errors
+    ///
+    /// [`Category::Io`](crate::Category::Io) if the server can't be started.
+    pub fn start(listener: TcpListener, vms: &[Vm]) -> Result<Self> {
+        let vms = vms.iter().map(|vm| (vm.name.clone(), vm.state));
+        let list = Arc::new(List(Mutex::new(vms.collect())));
+        let host = Host::start(listener, list.clone())?;
+        Ok(Self { host, list })
+    }
+
+    /// Returns the address that the list is served on.
+    pub fn address(&self) -> SocketAddr {
+        self.host.address()
+    }
+
+    /// Returns the ordered faults.
+    pub fn faults(&self) -> &Faults {
+        self.host.faults()
+    }
+
+    /// Shows a VM in a state, or no longer.
+    pub fn set(&self, name: &id::Vm, state: Option<State>) {
+        let mut vms = self.list.lock();
+        match state {
+            Some(state) => vms.insert(name.clone(), state),
+            None => vms.remove(name),
+        };
+    }
+}
+
+impl List {
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<id::Vm, State>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn change(&self, request: &Request, name: &str) -> Response {
+        let Ok(name) = name.parse::<id::Vm>() else {
+            return failure(400, "bad_request", "not the name of a VM");
+        };
+        match request.method.as_str() {
+            "PUT" => match parse::<Change>(request) {
+                Ok(change) => self.lock().insert(name, change.state),
+                Err(response) => return response,
+            },
+            "DELETE" => self.lock().remove(&name),
+            _ => return not_found(),
+        };
+        Response::json(200, &json!({}))
+    }
+}
+
+impl Site for List {
+    fn answer(&self, request: &Request, _plan: &Plan) -> Response {
+        match (request.method.as_str(), request.segments().as_slice()) {
+            ("GET", ["vms"]) => {
+                let vms = self.lock();
+                let vms = vms.iter().map(|(name, state)| Vm {
+                    name: name.clone(),
+                    state: *state,
+                });
+                Response::json(200, &json!({ "vms": vms.collect::<Vec<_>>() }))
+            }
+            (_, ["vms", name]) => self.change(request, name),
+            _ => not_found(),
+        }
+    }
+}
