--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -76,6 +76,7 @@
 mod ledger;
 mod operation;
 mod pending;
+mod published;
 mod row;
 mod step;
 mod view;
@@ -85,6 +86,7 @@
 pub use error::{Category, Error};
 pub use ledger::Ledger;
 pub use operation::MAX_OPEN_STEPS;
+pub use published::Published;
 pub use view::{
     Accepted, Commit, Completion, Counts, Delivery, Finished, Next, Object, Progress, Sample,
     Settings, Start, StepView,
--- /dev/null
+++ b/crates/ledger/src/published.rs
@@ -0,0 +1,33 @@
+use crate::row::{parse, Head, Keys};
+use crate::Result;
+use dogwoodlb_platform::table::Row;
+use dogwoodlb_types::id;
+
+/// The weights that a trainer published last.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Published {
+    /// The version.
+    pub version: id::Version,
+    /// The name of the weights in the weight store.
+    pub object: String,
+}
+
+impl Published {
+    /// Returns the key of the row that [`Published::from_row`] reads.
+    pub fn key(trainer: &id::Trainer) -> String {
+        Keys::new(trainer).head()
+    }
+
+    /// Reads what a trainer published last; `None` if it has published nothing.
+    ///
+    /// Any process may read this row, because only the trainer's owner writes it.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the row is malformed.
+    pub fn from_row(row: &Row) -> Result<Option<Self>> {
+        let head: Head = parse(&row.key, &row.value)?;
+        let version = head.version;
+        Ok(head.object.map(|object| Self { version, object }))
+    }
+}
--- a/crates/manifest/src/adopt.rs
+++ b/crates/manifest/src/adopt.rs
@@ -156,6 +156,11 @@
         self.evidence.held.as_ref().map(|held| &held.manifest)
     }
 
+    /// Returns when the latest successful read of the row [`CURRENT`] was sent.
+    pub fn last_read(&self) -> Option<Instant> {
+        self.read_began
+    }
+
     /// Returns what the node answers to pings.
     pub fn report(&self) -> Report {
         self.evidence.report()
--- a/crates/member/src/frames.rs
+++ b/crates/member/src/frames.rs
@@ -49,7 +49,7 @@
                     }
                 }
             }
-            Frame::Propose(_) | Frame::Answer(_) => return Err(Inner::Misplaced.into()),
+            _ => return Err(Inner::Misplaced.into()),
         }
         Ok(actions)
     }
--- /dev/null
+++ b/crates/node/src/api.rs
@@ -0,0 +1,332 @@
+//! The HTTP endpoints; docs/api.md describes them.
+
+use crate::completion::{Kind, Output, Prompt};
+use crate::generate;
+use crate::lock;
+use crate::shared::{Shared, ADDRESS_CACHE};
+use crate::{operators, plain, trainers};
+use dogwoodlb_http::{sse, Handler, Request, Responder, Response, Stream};
+use dogwoodlb_manifest::section::Caller;
+use dogwoodlb_manifest::Manifest;
+use dogwoodlb_types::{id, Class, Code, Instant, Refusal};
+use serde::Serialize;
+use serde_json::{json, Value};
+use std::net::SocketAddr;
+use std::ops::ControlFlow;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::Duration;
+
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(60);
+
+/// Shorter than a shutdown waits, so that none interrupts a request.
+const MAX_DEADLINE: Duration = Duration::from_secs(110);
+
+const MAX_ID_BYTES: usize = 64;
+
+/// Answers the requests of callers, trainers and operators.
+pub(crate) struct Api(pub(crate) Arc<Shared>);
+
+/// What the headers of a request say.
+pub(crate) struct Head {
+    pub(crate) request: String,
+    pub(crate) began: Instant,
+    pub(crate) deadline: Instant,
+}
+
+#[derive(Serialize)]
+struct Addresses {
+    addresses: Vec<SocketAddr>,
+    cache_ms: u64,
+}
+
+impl Handler for Api {
+    fn handle(&self, request: &Request, responder: Responder) {
+        let shared = &self.0;
+        shared.requests.fetch_add(1, Ordering::SeqCst);
+        if let Err((refusal, responder)) = self.route(request, responder) {
+            responder.send(Response::refusal(&refusal));
+        }
+        shared.requests.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+type Routed = Result<(), (Refusal, Responder)>;
+
+impl Api {
+    fn route(&self, request: &Request, responder: Responder) -> Routed {
+        let shared = &self.0;
+        let segments = request.segments();
+        let response = match (request.method.as_str(), &segments[..]) {
+            ("GET", ["healthz"]) => Ok(Response::text(200, "ok\n")),
+            ("GET", ["readyz"]) => self.ready(),
+            ("GET", ["v1", "addresses"]) => self.addresses(request),
+            ("GET", ["v1", "status"]) => Ok(operators::status(shared)),
+            ("GET", ["v1", "timeline"]) => Ok(operators::timeline(shared)),
+            ("GET", ["v1", "manifest"]) => operators::manifest(shared),
+            ("POST", ["v1", "drain"]) => Ok(operators::drain(shared)),
+            _ => return self.route_work(request, &segments, responder),
+        };
+        reply(response, responder)
+    }
+
+    /// Routes what a node that shuts down refuses.
+    fn route_work(&self, request: &Request, segments: &[&str], responder: Responder) -> Routed {
+        let shared = &self.0;
+        if lock(&shared.drain).is_refusing() {
+            let message = "this node is shutting down: ask for addresses again";
+            return Err((Refusal::not_run(Code::Leaving, message), responder));
+        }
+        match (request.method.as_str(), segments) {
+            ("POST", ["v1", "manifest"]) => reply(operators::commit(shared, request), responder),
+            ("POST", ["v1", "completions"]) => self.complete(Kind::Text, request, responder),
+            ("POST", ["v1", "chat", "completions"]) => {
+                self.complete(Kind::Chat, request, responder)
+            }
+            (_, ["v1", "trainers", trainer, rest @ ..]) => {
+                reply(trainers::handle(shared, request, trainer, rest), responder)
+            }
+            (_, ["svc", service, ..]) => reply(self.call(request, service), responder),
+            _ => {
+                let message = format!("there is no {} {}", request.method, request.path);
+                Err((Refusal::not_run(Code::NotFound, message), responder))
+            }
+        }
+    }
+
+    fn ready(&self) -> Result<Response, Refusal> {
+        if !lock(&self.0.drain).is_listed() {
+            return Err(Refusal::not_run(Code::Leaving, "this node is shutting down"));
+        }
+        self.0.manifest().map(|_| Response::text(200, "ready\n"))
+    }
+
+    fn addresses(&self, request: &Request) -> Result<Response, Refusal> {
+        let manifest = self.0.manifest()?;
+        let live = lock(&self.0.members).live();
+        let listed = lock(&self.0.drain).is_listed();
+        let own = &self.0.settings.vm;
+        let mut entries: Vec<_> = manifest
+            .entry_vms
+            .iter()
+            .filter(|entry| live.contains(&entry.vm) && (listed || entry.vm != *own))
+            .collect();
+        let region = request.param("region").unwrap_or(self.0.settings.region.as_str());
+        entries.sort_by_key(|entry| entry.region.as_str() != region);
+        let addresses = entries.iter().map(|entry| entry.address).collect();
+        let cache_ms = u64::try_from(ADDRESS_CACHE.as_millis()).unwrap_or_default();
+        Ok(Response::json(200, &Addresses { addresses, cache_ms }))
+    }
+
+    fn complete(&self, kind: Kind, request: &Request, responder: Responder) -> Routed {
+        let head = match self.head(request) {
+            Ok(head) => head,
+            Err(refusal) => return Err((refusal, responder)),
+        };
+        let checked = self.check_model(kind, request);
+        let (prompt, class) = match checked {
+            Ok(checked) => checked,
+            Err(refusal) => {
+                self.0.count_request(Class::Customer, head.began, Some(&refusal));
+                return Err((refusal, responder));
+            }
+        };
+        let job = generate::Job {
+            request: &head.request,
+            class,
+            priority: class.rank(),
+            deadline: head.deadline,
+            prompt: &prompt,
+            resume: true,
+        };
+        if prompt.stream {
+            return self.stream(&job, &head, responder);
+        }
+        let result = self.0.generate(&job, &mut |_| ControlFlow::Continue(()));
+        self.0.count_request(class, head.began, result.as_ref().err());
+        let response = result.map(|answer| whole(&head.request, &prompt, answer));
+        reply(response, responder)
+    }
+
+    fn check_model(&self, kind: Kind, request: &Request) -> Result<(Prompt, Class), Refusal> {
+        let manifest = self.0.manifest()?;
+        let caller = caller(&manifest, request)?;
+        let prompt = Prompt::from_slice(kind, &request.body)?;
+        if !manifest.models.iter().any(|one| one.model == prompt.model) {
+            let message = format!("there is no model `{}`", prompt.model);
+            return Err(Refusal::not_run(Code::UnknownModel, message));
+        }
+        if !caller.models.contains(&prompt.model) {
+            return Err(forbidden(&caller.caller, "model", prompt.model.as_str()));
+        }
+        Ok((prompt, caller.class))
+    }
+
+    /// Streams an answer; the head is sent with the first event, so that a call that fails
+    /// before is refused with a status.
+    fn stream(&self, job: &generate::Job<'_>, head: &Head, responder: Responder) -> Routed {
+        let mut responder = Some(responder);
+        let mut stream: Option<Stream> = None;
+        let result = self.0.generate(job, &mut |event| {
+            if let Some(responder) = responder.take() {
+                let elapsed = self.0.now().saturating_since(head.began);
+                self.0.metrics.time("first_event.ms", job.class.as_str(), elapsed);
+                let headers = [
+                    ("content-type", "text/event-stream"),
+                    ("cache-control", "no-store"),
+                    ("x-request-id", head.request.as_str()),
+                ];
+                stream = Some(responder.stream(200, &headers));
+            }
+            match stream.as_ref().map(|stream| stream.write(&sse::event(event))) {
+                Some(Ok(())) => ControlFlow::Continue(()),
+                _ => ControlFlow::Break(()),
+            }
+        });
+        self.0.count_request(job.class, head.began, result.as_ref().err());
+        match (result, stream, responder) {
+            (Ok(_), Some(stream), _) => {
+                // An error means that the client is gone.
+                let _ = stream.finish();
+                Ok(())
+            }
+            (Err(refusal), None, Some(responder)) => Err((refusal, responder)),
+            // The stream is cut, which the client sees as an incomplete body.
+            _ => Ok(()),
+        }
+    }
+
+    fn call(&self, request: &Request, service: &str) -> Result<Response, Refusal> {
+        let head = self.head(request)?;
+        let manifest = self.0.manifest()?;
+        let caller = caller(&manifest, request)?;
+        let service = parse_name::<id::Service>("service", service)?;
+        if !manifest.services.iter().any(|one| one.service == service) {
+            let message = format!("there is no service `{service}`");
+            return Err(Refusal::not_run(Code::UnknownService, message));
+        }
+        if !caller.services.contains(&service) {
+            return Err(forbidden(&caller.caller, "service", service.as_str()));
+        }
+        let prefix = format!("/svc/{service}");
+        let path = request.path.strip_prefix(&prefix).unwrap_or_default();
+        let path = if path.is_empty() { "/" } else { path };
+        let full = match request.query.as_str() {
+            "" => path.to_owned(),
+            query => format!("{path}?{query}"),
+        };
+        let marked = request.header("x-non-idempotent") == Some("true")
+            || plain::is_non_idempotent(&manifest, &service, &request.method, path);
+        let key = request.header("idempotency-key");
+        let job = plain::Job {
+            request: &head.request,
+            class: caller.class,
+            deadline: head.deadline,
+            service: &service,
+            method: &request.method,
+            path: &full,
+            content_type: request.header("content-type"),
+            body: &request.body,
+            idempotent: !marked && key.is_none(),
+        };
+        let result = match key {
+            Some(key) => self.0.call_once(&job, &caller.caller, key),
+            None => self.0.call(&job),
+        };
+        self.0.count_request(caller.class, head.began, result.as_ref().err());
+        result.map(|reply| {
+            let content_type = reply.content_type.as_deref().unwrap_or("application/octet-stream");
+            Response::new(reply.status, content_type, reply.body)
+                .header("x-request-id", &head.request)
+        })
+    }
+
+    fn head(&self, request: &Request) -> Result<Head, Refusal> {
+        let began = self.0.now();
+        let deadline = match request.header("x-deadline-ms").map(str::parse::<u64>) {
+            None => DEFAULT_DEADLINE,
+            Some(Ok(millis)) if millis > 0 => Duration::from_millis(millis).min(MAX_DEADLINE),
+            Some(_) => {
+                let message = "`x-deadline-ms` is not a number of milliseconds above 0";
+                return Err(Refusal::not_run(Code::BadRequest, message));
+            }
+        };
+        let name = match request.header("x-request-id") {
+            None => self.0.operation().to_string(),
+            Some(name) => checked_id("x-request-id", name)?.to_owned(),
+        };
+        Ok(Head { request: name, began, deadline: began + deadline })
+    }
+}
+
+/// Sends a response, or hands a refusal back with the responder.
+fn reply(result: Result<Response, Refusal>, responder: Responder) -> Routed {
+    match result {
+        Ok(response) => {
+            responder.send(response);
+            Ok(())
+        }
+        Err(refusal) => Err((refusal, responder)),
+    }
+}
+
+/// Checks an id that a caller chose.
+pub(crate) fn checked_id<'a>(header: &str, text: &'a str) -> Result<&'a str, Refusal> {
+    let valid = text.bytes().all(|b| matches!(b, b'a'..=b'z' | b'0'..=b'9' | b'.' | b'_' | b'-'));
+    if valid && (1..=MAX_ID_BYTES).contains(&text.len()) {
+        return Ok(text);
+    }
+    let message = format!("`{header}` is not 1 to 64 characters of a-z, 0-9, `.`, `_` and `-`");
+    Err(Refusal::not_run(Code::BadRequest, message))
+}
+
+pub(crate) fn parse_name<T: std::str::FromStr<Err = dogwoodlb_types::Error>>(
+    what: &str,
+    text: &str,
+) -> Result<T, Refusal> {
+    text.parse().map_err(|error| Refusal::not_run(Code::BadRequest, format!("{what}: {error}")))
+}
+
+fn caller<'a>(manifest: &'a Manifest, request: &Request) -> Result<&'a Caller, Refusal> {
+    let name = request.header("x-caller").ok_or_else(|| {
+        Refusal::not_run(Code::Forbidden, "`x-caller` is missing: name a caller of the manifest")
+    })?;
+    manifest.callers.iter().find(|one| one.caller.as_str() == name).ok_or_else(|| {
+        let name: String = name.chars().take(MAX_ID_BYTES).collect();
+        Refusal::not_run(Code::Forbidden, format!("the manifest has no caller `{name}`"))
+    })
+}
+
+#[cold]
+fn forbidden(caller: &id::Caller, what: &str, name: &str) -> Refusal {
+    let message = format!("the manifest doesn't let caller `{caller}` use {what} `{name}`");
+    Refusal::not_run(Code::Forbidden, message)
+}
+
+/// Returns a whole answer in the usual shape.
+fn whole(request: &str, prompt: &Prompt, answer: generate::Answer) -> Response {
+    let Output { text, tokens, finish_reason } = answer.output;
+    let (object, choice) = match prompt.kind {
+        Kind::Text => ("text_completion", json!({ "index": 0, "text": text })),
+        Kind::Chat => {
+            let message = json!({ "role": "assistant", "content": text });
+            ("chat.completion", json!({ "index": 0, "message": message }))
+        }
+    };
+    let mut choice = choice;
+    choice["finish_reason"] = finish_reason.map_or(Value::Null, Value::String);
+    let body = json!({
+        "id": request,
+        "object": object,
+        "model": prompt.model,
+        "choices": [choice],
+        "usage": { "completion_tokens": tokens },
+        "dogwood": {
+            "request_id": request,
+            "spans": answer.report.spans,
+            "tokens": answer.report.tokens,
+            "continued": answer.continued,
+        },
+    });
+    Response::json(200, &body).header("x-request-id", request)
+}
--- /dev/null
+++ b/crates/node/src/error.rs
@@ -0,0 +1,59 @@
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+
+/// The kind of an [`Error`].
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[non_exhaustive]
+pub enum Category {
+    /// A socket can't be opened.
+    Socket,
+    /// A thread can't be started.
+    Thread,
+}
+
+/// A node that can't be started.
+pub struct Error(Box<Inner>);
+
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum Inner {
+    #[error("cannot listen on {address}: {cause}")]
+    Listen { address: SocketAddr, cause: io::Error },
+    #[error("cannot serve HTTP: {0}")]
+    Http(dogwoodlb_http::Error),
+    #[error("cannot send metrics: {0}")]
+    Metrics(io::Error),
+    #[error("cannot start a thread: {0}")]
+    Thread(io::Error),
+}
+
+impl Error {
+    /// Returns the kind of the error.
+    pub fn classify(&self) -> Category {
+        match *self.0 {
+            Inner::Listen { .. } | Inner::Http(_) | Inner::Metrics(_) => Category::Socket,
+            Inner::Thread(_) => Category::Thread,
+        }
+    }
+}
+
+impl From<Inner> for Error {
+    #[cold]
+    fn from(inner: Inner) -> Self {
+        Self(Box::new(inner))
+    }
+}
+
+impl fmt::Debug for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Debug::fmt(&self.0, f)
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(&self.0, f)
+    }
+}
+
+impl std::error::Error for Error {}
--- /dev/null
+++ b/crates/node/src/keeper.rs
@@ -0,0 +1,154 @@
+use crate::lock;
+use crate::shared::Shared;
+use dogwoodlb_lease::{rank, Action, Guard, Lease, Name};
+use dogwoodlb_types::{id, Instant};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+/// How often a lease looks for something to do.
+const TICK: Duration = Duration::from_millis(50);
+
+/// A call of the table service that takes longer has failed for the lease.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1000);
+
+/// Keeps one lease: renews it while it is held, and takes it when it is free.
+pub(crate) struct Keeper {
+    name: Name,
+    text: id::Lease,
+    lease: Mutex<Lease>,
+    wanted: Box<dyn Fn() -> bool + Send + Sync>,
+}
+
+impl Keeper {
+    /// Creates the keeper of a lease; `wanted` tells whether the manifest still needs it.
+    pub(crate) fn new(
+        shared: &Shared,
+        name: Name,
+        text: id::Lease,
+        wanted: impl Fn() -> bool + Send + Sync + 'static,
+    ) -> Self {
+        let vm = shared.settings.vm.clone();
+        let lease = Lease::new(name.clone(), vm, shared.incarnation, usize::MAX);
+        Self { name, text, lease: Mutex::new(lease), wanted: Box::new(wanted) }
+    }
+
+    /// Returns the name of the lease as events show it.
+    pub(crate) fn text(&self) -> &id::Lease {
+        &self.text
+    }
+
+    /// Returns the right to act, if this node has it now.
+    pub(crate) fn held(&self, now: Instant) -> Option<Guard> {
+        lock(&self.lease).held(now)
+    }
+
+    /// Returns the VM that held the lease when it was last read.
+    pub(crate) fn holder(&self) -> Option<id::Vm> {
+        lock(&self.lease).holder().map(|holder| holder.vm.clone())
+    }
+
+    /// Returns the key of the fence row, which the transactions of the holder require.
+    pub(crate) fn fence_key(&self) -> String {
+        self.name.fence_key()
+    }
+
+    /// Keeps the lease until it is released at the node's end or no longer wanted.
+    pub(crate) fn run(&self, shared: &Arc<Shared>) {
+        let mut was_held = None;
+        while !shared.is_stopped() {
+            self.set_rank(shared);
+            let leaving = shared.releasing.load(std::sync::atomic::Ordering::SeqCst);
+            if leaving || !(self.wanted)() {
+                lock(&self.lease).release();
+            }
+            self.step(shared);
+            self.report(shared, &mut was_held);
+            if lock(&self.lease).is_released() {
+                return;
+            }
+            thread::sleep(TICK);
+        }
+    }
+
+    pub(crate) fn is_released(&self) -> bool {
+        lock(&self.lease).is_released()
+    }
+
+    fn set_rank(&self, shared: &Shared) {
+        let live = lock(&shared.members).live();
+        let rank = rank(&self.name, &shared.settings.vm, &live);
+        lock(&self.lease).set_rank(rank);
+    }
+
+    /// Carries out one request to the table service, if one is due.
+    ///
+    /// A node that can't know the manifest takes no lease, since it may not act on it.
+    fn step(&self, shared: &Shared) {
+        let held = self.held(shared.now()).is_some();
+        if !held && !lock(&self.lease).is_released() && shared.manifest().is_err() {
+            return;
+        }
+        let action = {
+            let mut rng = lock(&shared.rng);
+            lock(&self.lease).poll(shared.now(), &mut *rng)
+        };
+        match action {
+            None => {}
+            Some(Action::Read { ticket, prefix }) => {
+                let rows = shared.platform.table.scan(&prefix, CALL_TIMEOUT);
+                shared.count_store(&rows);
+                let result = lock(&self.lease).on_read(shared.now(), ticket, rows);
+                if let Err(error) = result {
+                    shared.violated("lease", &error);
+                }
+            }
+            Some(Action::Commit { ticket, txn }) => {
+                let outcome = shared.platform.table.commit(&txn, CALL_TIMEOUT);
+                shared.count_store(&outcome);
+                lock(&self.lease).on_commit(shared.now(), ticket, outcome);
+            }
+        }
+    }
+
+    /// Records that the lease was taken or lost.
+    fn report(&self, shared: &Shared, was_held: &mut Option<id::Fence>) {
+        let fence = self.held(shared.now()).map(|guard| guard.fence);
+        if fence == *was_held {
+            return;
+        }
+        let (kind, metric) = match fence {
+            Some(_) => ("lease_taken", "lease.taken"),
+            None => ("lease_lost", "lease.lost"),
+        };
+        shared.metrics.count(metric);
+        let number = fence.or(*was_held).unwrap_or_default();
+        shared.recorder.record(shared.timestamp(), kind, |event| {
+            event.lease(self.text.clone()).with("fence", number)
+        });
+        *was_held = fence;
+    }
+}
+
+impl Shared {
+    /// Starts the thread that keeps a lease.
+    pub(crate) fn keep(self: &Arc<Self>, keeper: &Arc<Keeper>) {
+        lock(&self.keepers).push(keeper.clone());
+        let (shared, keeper) = (self.clone(), keeper.clone());
+        let spawned = thread::Builder::new().name("lease".to_owned()).spawn(move || {
+            keeper.run(&shared);
+            lock(&shared.keepers).retain(|one| !Arc::ptr_eq(one, &keeper));
+        });
+        if let Err(error) = spawned {
+            tracing::error!(%error, "thread_failed");
+        }
+    }
+
+    /// Counts a failed call of the table service or the object store.
+    pub(crate) fn count_store<T>(&self, result: &dogwoodlb_platform::Result<T>) {
+        if let Err(error) = result {
+            self.metrics.count_tag("store.failed", "kind", "call");
+            tracing::debug!(%error, "store_failed");
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/operators.rs
@@ -0,0 +1,108 @@
+//! The endpoints of operators.
+
+use crate::lock;
+use crate::shared::Shared;
+use crate::trainers::parse;
+use crate::{commit, peers};
+use dogwoodlb_http::{Request, Response};
+use dogwoodlb_manifest::record::{self, Record};
+use dogwoodlb_types::{id, Code, Refusal};
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::Duration;
+
+const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Order {
+    base: id::Revision,
+    operator: id::Operator,
+    text: String,
+}
+
+#[derive(Serialize)]
+struct Status {
+    vm: id::Vm,
+    incarnation: id::Incarnation,
+    revision: id::Revision,
+    authority: &'static str,
+    leaving: bool,
+    in_flight: usize,
+    leases: Vec<Lease>,
+    members: Vec<Member>,
+}
+
+#[derive(Serialize)]
+struct Lease {
+    lease: id::Lease,
+    fence: id::Fence,
+}
+
+#[derive(Serialize)]
+struct Member {
+    vm: id::Vm,
+    state: String,
+}
+
+pub(crate) fn status(shared: &Shared) -> Response {
+    let now = shared.now();
+    let keepers = lock(&shared.keepers).clone();
+    let leases = keepers.iter().filter_map(|keeper| {
+        let fence = keeper.held(now)?.fence;
+        Some(Lease { lease: keeper.text().clone(), fence })
+    });
+    let entries = lock(&shared.adoption).manifest().map(|manifest| manifest.entry_vms.clone());
+    let members = lock(&shared.members);
+    let members = entries.unwrap_or_default().into_iter().map(|entry| {
+        let state = members.state(&entry.vm);
+        let state = state.map_or("unknown".to_owned(), |one| format!("{one:?}").to_lowercase());
+        Member { vm: entry.vm, state }
+    });
+    let members = members.collect();
+    Response::json(
+        200,
+        &Status {
+            vm: shared.settings.vm.clone(),
+            incarnation: shared.incarnation,
+            revision: lock(&shared.adoption).revision(),
+            authority: shared.authority(),
+            leaving: !lock(&shared.drain).is_listed(),
+            in_flight: shared.requests.load(Ordering::SeqCst).saturating_sub(1),
+            leases: leases.collect(),
+            members,
+        },
+    )
+}
+
+pub(crate) fn timeline(shared: &Shared) -> Response {
+    Response::json(200, &json!({ "events": shared.recorder.events() }))
+}
+
+/// Answers the text of the revision that this node holds.
+pub(crate) fn manifest(shared: &Shared) -> Result<Response, Refusal> {
+    let revision = lock(&shared.adoption).revision();
+    if revision == id::Revision(0) {
+        return Ok(Response::json(200, &json!({ "revision": 0, "text": "" })));
+    }
+    let row = shared.platform.table.read(&record::key(revision), CALL_TIMEOUT);
+    shared.count_store(&row);
+    let row = row.map_err(|error| Refusal::not_run(Code::StoreUnavailable, error.to_string()))?;
+    let Some(record) = row.as_ref().and_then(Record::from_row) else {
+        return Err(shared.violated("manifest_row", format!("no text of revision {revision}")));
+    };
+    Ok(Response::json(200, &json!({ "revision": revision, "text": record.text })))
+}
+
+pub(crate) fn commit(shared: &Arc<Shared>, request: &Request) -> Result<Response, Refusal> {
+    let Order { base, operator, text } = parse(request)?;
+    let revision = commit::run(shared, commit::Order { base, operator, text })?;
+    Ok(Response::json(200, &json!({ "revision": revision })))
+}
+
+pub(crate) fn drain(shared: &Shared) -> Response {
+    peers::begin_drain(shared);
+    Response::json(200, &json!({}))
+}
--- /dev/null
+++ b/crates/node/src/plain.rs
@@ -0,0 +1,121 @@
+//! Calls of plain services.
+
+use crate::shared::Shared;
+use crate::upstreams::Need;
+use dogwoodlb_limit::Signal;
+use dogwoodlb_manifest::Manifest;
+use dogwoodlb_platform::service::{Call, Reply};
+use dogwoodlb_platform::{Category, Cause, Error};
+use dogwoodlb_route::Outcome;
+use dogwoodlb_types::{id, Class, Code, Instant, Refusal};
+use std::time::Duration;
+
+/// Attempts of one idempotent call, the first included.
+const ATTEMPTS: u32 = 3;
+
+/// A call of a plain service.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Job<'a> {
+    pub(crate) request: &'a str,
+    pub(crate) class: Class,
+    pub(crate) deadline: Instant,
+    pub(crate) service: &'a id::Service,
+    pub(crate) method: &'a str,
+    pub(crate) path: &'a str,
+    pub(crate) content_type: Option<&'a str>,
+    pub(crate) body: &'a [u8],
+    /// Whether the call may be repeated.
+    pub(crate) idempotent: bool,
+}
+
+/// Returns whether the manifest marks a call as one that may not be repeated.
+pub(crate) fn is_non_idempotent(
+    manifest: &Manifest,
+    service: &id::Service,
+    method: &str,
+    path: &str,
+) -> bool {
+    let service = manifest.services.iter().find(|one| one.service == *service);
+    service.is_some_and(|service| {
+        let calls = service.non_idempotent.iter();
+        calls.filter(|call| call.method == method).any(|call| path.starts_with(&call.path))
+    })
+}
+
+impl Shared {
+    /// Carries out a call; one that isn't idempotent is sent at most once.
+    ///
+    /// An attempt that certainly reached no upstream may be followed by another in any case.
+    pub(crate) fn call(&self, job: &Job<'_>) -> Result<Reply, Refusal> {
+        crate::lock(&self.budget).on_request();
+        let group = self.upstreams.service(job.service)?;
+        let mut failed: Vec<id::Upstream> = Vec::new();
+        let mut sent = false;
+        for number in 1.. {
+            let need = Need {
+                class: job.class,
+                prefix: None,
+                exclude: &failed,
+                deadline: job.deadline,
+            };
+            let mut slot = group.enter(&need).map_err(|refusal| after(refusal, sent))?;
+            let result = self.platform.service.call(&Call {
+                upstream: slot.address,
+                method: job.method,
+                path: job.path,
+                request: job.request,
+                content_type: job.content_type,
+                body: job.body,
+                timeout: job.deadline.saturating_since(self.now()),
+            });
+            let error = match result {
+                Ok(reply) => {
+                    slot.set_outcome(Outcome::Success);
+                    return Ok(reply);
+                }
+                Err(error) => error,
+            };
+            slot.set_outcome(Outcome::Failure);
+            slot.set_signal(Signal::Overload);
+            self.record_plain_failure(job, slot.upstream(), &error);
+            failed.extend(slot.upstream().cloned());
+            drop(slot);
+            sent |= error.classify() != Category::NotSent;
+            let repeatable = job.idempotent || !sent;
+            let late = number >= ATTEMPTS || self.now() >= job.deadline;
+            if !repeatable || late || !self.try_retry() {
+                return Err(refusal(&error, sent));
+            }
+        }
+        Err(self.violated("attempts", "the attempts of a call are exhausted"))
+    }
+
+    fn record_plain_failure(&self, job: &Job<'_>, upstream: Option<&id::Upstream>, error: &Error) {
+        self.recorder.record(self.timestamp(), "service_call_failed", |event| {
+            let event = event.request(job.request).with("error", error);
+            match upstream {
+                Some(upstream) => event.with("upstream", upstream),
+                None => event,
+            }
+        });
+    }
+}
+
+/// A call that is refused after an earlier attempt was sent may have run.
+fn after(mut refusal: Refusal, sent: bool) -> Refusal {
+    if sent {
+        refusal.ran = dogwoodlb_types::Ran::MayHaveRun;
+    }
+    refusal
+}
+
+fn refusal(error: &Error, sent: bool) -> Refusal {
+    if !sent {
+        let refusal = Refusal::not_run(Code::NoUpstream, error.to_string());
+        return refusal.retry_after(Duration::from_secs(1));
+    }
+    match error.cause() {
+        Cause::Timeout(_) => Refusal::may_have_run(Code::DeadlineExceeded, error.to_string()),
+        _ => Refusal::may_have_run(Code::UpstreamFailed, error.to_string()),
+    }
+}
--- /dev/null
+++ b/crates/node/src/sampling.rs
@@ -0,0 +1,183 @@
+//! The generation and scoring of one sample.
+
+use crate::completion::Prompt;
+use crate::generate;
+use crate::plain;
+use crate::shared::Shared;
+use dogwoodlb_ledger::{Content, Finished};
+use dogwoodlb_manifest::section::Trainer;
+use dogwoodlb_manifest::Manifest;
+use dogwoodlb_types::{id, Class, Code, Refusal};
+use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
+use std::ops::ControlFlow;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::SyncSender;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The longest generation; a step has to be whole within 7 min.
+const GENERATE_TIMEOUT: Duration = Duration::from_secs(110);
+
+const SCORE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Where a scoring service takes samples.
+const SCORE_PATH: &str = "/score";
+
+/// One attempt of one sample.
+pub(crate) struct Job {
+    pub(crate) manifest: Arc<Manifest>,
+    pub(crate) trainer: Trainer,
+    pub(crate) content: Option<Arc<Content>>,
+    pub(crate) cancelled: Arc<AtomicBool>,
+    pub(crate) fence: id::Fence,
+    pub(crate) sample: id::Sample,
+    pub(crate) attempt: u32,
+    pub(crate) priority: u32,
+}
+
+/// How an attempt ended.
+pub(crate) struct Ended {
+    pub(crate) fence: id::Fence,
+    pub(crate) sample: id::Sample,
+    pub(crate) attempt: u32,
+    pub(crate) result: Result<Finished, Refusal>,
+}
+
+/// The body of a sample, as the ledger stores it.
+#[derive(Debug, Deserialize, Serialize)]
+pub(crate) struct Body {
+    pub(crate) text: String,
+    pub(crate) score: Option<f64>,
+}
+
+#[derive(Serialize)]
+struct Scored<'a> {
+    sample: String,
+    text: &'a str,
+}
+
+#[derive(Deserialize)]
+struct Score {
+    score: f64,
+}
+
+/// The attempts under way, so that they can be cancelled.
+#[derive(Default)]
+pub(crate) struct Flags(HashMap<(id::Sample, u32), Arc<AtomicBool>>);
+
+impl Flags {
+    pub(crate) fn add(&mut self, sample: &id::Sample, attempt: u32) -> Arc<AtomicBool> {
+        let flag = Arc::new(AtomicBool::new(false));
+        self.0.insert((sample.clone(), attempt), flag.clone());
+        flag
+    }
+
+    pub(crate) fn remove(&mut self, sample: &id::Sample, attempt: u32) {
+        self.0.remove(&(sample.clone(), attempt));
+    }
+
+    pub(crate) fn cancel(&mut self, sample: &id::Sample, attempt: u32) {
+        if let Some(flag) = self.0.remove(&(sample.clone(), attempt)) {
+            flag.store(true, Ordering::Relaxed);
+        }
+    }
+
+    pub(crate) fn cancel_all(&self) {
+        for flag in self.0.values() {
+            flag.store(true, Ordering::Relaxed);
+        }
+    }
+}
+
+/// Starts an attempt; returns whether a thread could be had for it.
+pub(crate) fn start(shared: &Arc<Shared>, job: Job, ended: SyncSender<Ended>) -> bool {
+    let shared_ = shared.clone();
+    shared.samplers.run(move || {
+        let result = run(&shared_, &job);
+        let Job { fence, sample, attempt, .. } = job;
+        // The owner may have ended, and a full channel means that it is about to.
+        let _ = ended.send(Ended { fence, sample, attempt, result });
+    })
+}
+
+fn run(shared: &Shared, job: &Job) -> Result<Finished, Refusal> {
+    let request = format!(
+        "{}-{}-{}-{}-{}-{}",
+        job.sample.trainer, job.sample.step, job.sample.group, job.sample.index, job.fence,
+        job.attempt
+    );
+    let answer = generate_sample(shared, job, &request)?;
+    let text = answer.output.text;
+    let score = score(shared, job, &request, &text)?;
+    let body = serde_json::to_string(&Body { text, score })
+        .map_err(|error| shared.violated("sample_body", error))?;
+    Ok(Finished {
+        sample: job.sample.clone(),
+        attempt: job.attempt,
+        tokens: answer.report.tokens,
+        spans: answer.report.spans,
+        body,
+    })
+}
+
+fn generate_sample(
+    shared: &Shared,
+    job: &Job,
+    request: &str,
+) -> Result<generate::Answer, Refusal> {
+    let content = job.content.as_ref();
+    let group = content.and_then(|content| content.groups.get(job.sample.group as usize));
+    let (Some(content), Some(group)) = (content, group) else {
+        return Err(shared.violated("prompt", format!("no prompt for {}", job.sample)));
+    };
+    // Samples of a group differ by their seeds alone.
+    let seed = u64::from(job.sample.index);
+    let prompt = Prompt::sample(&job.trainer.model, &group.prompt, content.max_tokens, seed);
+    let answer = shared.generate(
+        &generate::Job {
+            request,
+            class: Class::Trainer,
+            priority: Class::Trainer.rank() + job.priority as usize,
+            deadline: shared.now() + GENERATE_TIMEOUT,
+            prompt: &prompt,
+            resume: false,
+        },
+        &mut |_| match job.cancelled.load(Ordering::Relaxed) {
+            true => ControlFlow::Break(()),
+            false => ControlFlow::Continue(()),
+        },
+    )?;
+    if answer.continued {
+        return Err(shared.violated("label", "a sample was continued on another engine"));
+    }
+    Ok(answer)
+}
+
+fn score(shared: &Shared, job: &Job, request: &str, text: &str) -> Result<Option<f64>, Refusal> {
+    let Some(service) = &job.trainer.scorer else {
+        return Ok(None);
+    };
+    let sample = job.sample.to_string();
+    let body = serde_json::to_vec(&Scored { sample, text })
+        .map_err(|error| shared.violated("score_body", error))?;
+    let reply = shared.call(&plain::Job {
+        request,
+        class: Class::Trainer,
+        deadline: shared.now() + SCORE_TIMEOUT,
+        service,
+        method: "POST",
+        path: SCORE_PATH,
+        content_type: Some("application/json"),
+        body: &body,
+        idempotent: !plain::is_non_idempotent(&job.manifest, service, "POST", SCORE_PATH),
+    })?;
+    let score = serde_json::from_slice::<Score>(&reply.body).ok().map(|score| score.score);
+    match score.filter(|_| reply.status == 200) {
+        Some(score) => Ok(Some(score)),
+        None => {
+            let message = format!("service {service} answered status {} without a score", reply.status);
+            Err(Refusal::may_have_run(Code::UpstreamFailed, message))
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/shared.rs
@@ -0,0 +1,190 @@
+use crate::keeper::Keeper;
+use crate::metrics::Metrics;
+use crate::owner::Call;
+use crate::pool::Pool;
+use crate::recorder::Recorder;
+use crate::upstreams::Upstreams;
+use crate::{lock, Platform};
+use dogwoodlb_limit::Budget;
+use dogwoodlb_manifest::adopt::{Adoption, Authority, Report};
+use dogwoodlb_manifest::settings::Settings;
+use dogwoodlb_manifest::Manifest;
+use dogwoodlb_member::{Drain, Members};
+use dogwoodlb_types::{id, Class, Code, Instant, Refusal, Timestamp};
+use rand::rngs::SmallRng;
+use rand::Rng;
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::mpsc::SyncSender;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// How long callers may cache the addresses of nodes.
+pub(crate) const ADDRESS_CACHE: Duration = Duration::from_secs(5);
+
+/// The state that all threads of a node share.
+pub(crate) struct Shared {
+    pub(crate) settings: Settings,
+    pub(crate) platform: Platform,
+    pub(crate) incarnation: id::Incarnation,
+    pub(crate) metrics: Metrics,
+    pub(crate) recorder: Recorder,
+    pub(crate) adoption: Mutex<Adoption>,
+    pub(crate) members: Mutex<Members>,
+    pub(crate) drain: Mutex<Drain>,
+    pub(crate) upstreams: Upstreams,
+    pub(crate) budget: Mutex<Budget>,
+    pub(crate) rng: Mutex<SmallRng>,
+    pub(crate) samplers: Pool,
+    pub(crate) workers: Pool,
+    pub(crate) trainers: Mutex<HashMap<id::Trainer, Desk>>,
+    pub(crate) keepers: Mutex<Vec<Arc<Keeper>>>,
+    pub(crate) releasing: AtomicBool,
+    pub(crate) stopped: AtomicBool,
+    pub(crate) requests: AtomicUsize,
+    snapshot: Mutex<Option<Snapshot>>,
+}
+
+/// Where the calls of one trainer go.
+#[derive(Clone)]
+pub(crate) struct Desk {
+    pub(crate) calls: SyncSender<Call>,
+    pub(crate) keeper: Arc<Keeper>,
+}
+
+/// A copy of the manifest in force that requests share.
+struct Snapshot {
+    joint: bool,
+    report: Report,
+    manifest: Arc<Manifest>,
+}
+
+/// The parts that [`Shared::new`] takes over.
+pub(crate) struct Parts {
+    pub(crate) settings: Settings,
+    pub(crate) platform: Platform,
+    pub(crate) metrics: Metrics,
+    pub(crate) rng: SmallRng,
+    pub(crate) samplers: Pool,
+    pub(crate) workers: Pool,
+}
+
+impl Shared {
+    pub(crate) fn new(mut parts: Parts) -> Self {
+        let Settings { vm, region, centre, .. } = parts.settings.clone();
+        let clock = parts.platform.clock.clone();
+        let now = clock.now();
+        let millis = u64::try_from(clock.timestamp().as_millis()).unwrap_or_default();
+        let incarnation = id::Incarnation(millis);
+        let place = dogwoodlb_route::Settings { vm: vm.clone(), region, centre };
+        Self {
+            incarnation,
+            metrics: parts.metrics,
+            recorder: Recorder::new(vm.clone()),
+            adoption: Mutex::new(Adoption::new(vm.clone(), now)),
+            members: Mutex::new(Members::new(vm, incarnation, &mut parts.rng)),
+            drain: Mutex::new(Drain::new(ADDRESS_CACHE)),
+            upstreams: Upstreams::new(place, clock, parts.rng.next_u64()),
+            budget: Mutex::new(Budget::new(now)),
+            rng: Mutex::new(parts.rng),
+            samplers: parts.samplers,
+            workers: parts.workers,
+            trainers: Mutex::default(),
+            keepers: Mutex::default(),
+            releasing: AtomicBool::new(false),
+            stopped: AtomicBool::new(false),
+            requests: AtomicUsize::new(0),
+            snapshot: Mutex::default(),
+            settings: parts.settings,
+            platform: parts.platform,
+        }
+    }
+
+    pub(crate) fn now(&self) -> Instant {
+        self.platform.clock.now()
+    }
+
+    pub(crate) fn timestamp(&self) -> Timestamp {
+        self.platform.clock.timestamp()
+    }
+
+    pub(crate) fn is_stopped(&self) -> bool {
+        self.stopped.load(Ordering::SeqCst)
+    }
+
+    /// Draws the id of a new operation.
+    pub(crate) fn operation(&self) -> id::Operation {
+        let mut rng = lock(&self.rng);
+        id::Operation(u128::from(rng.next_u64()) << 64 | u128::from(rng.next_u64()))
+    }
+
+    /// Returns the manifest that the node may act on now.
+    pub(crate) fn manifest(&self) -> Result<Arc<Manifest>, Refusal> {
+        let adoption = lock(&self.adoption);
+        let (joint, manifest) = match adoption.authority(self.now()) {
+            Authority::Sole(manifest) => (false, manifest),
+            Authority::Joint(manifest) => (true, manifest),
+            Authority::Unknown => {
+                let message = "this node can't know which manifest is in force: use another node";
+                let refusal = Refusal::not_run(Code::ManifestUnknown, message);
+                return Err(refusal.retry_after(Duration::from_secs(1)));
+            }
+        };
+        let report = adoption.report();
+        let mut snapshot = lock(&self.snapshot);
+        match &*snapshot {
+            Some(known) if known.joint == joint && known.report == report => {
+                Ok(known.manifest.clone())
+            }
+            _ => {
+                let manifest = Arc::new(manifest.clone());
+                *snapshot = Some(Snapshot { joint, report, manifest: manifest.clone() });
+                Ok(manifest)
+            }
+        }
+    }
+
+    /// Returns the name of what the node knows about the manifest, as `status` shows it.
+    pub(crate) fn authority(&self) -> &'static str {
+        match lock(&self.adoption).authority(self.now()) {
+            Authority::Sole(_) => "sole",
+            Authority::Joint(_) => "joint",
+            Authority::Unknown => "unknown",
+        }
+    }
+
+    /// Takes one retry from the budget.
+    pub(crate) fn try_retry(&self) -> bool {
+        let granted = lock(&self.budget).try_retry(self.now());
+        if granted {
+            self.metrics.count("retry");
+        }
+        granted
+    }
+
+    /// Counts the end of a request.
+    pub(crate) fn count_request(&self, class: Class, began: Instant, refusal: Option<&Refusal>) {
+        let code = refusal.map_or_else(|| "ok".to_owned(), |refusal| code_name(refusal.code));
+        self.metrics.count_tag("request", "code", &code);
+        self.metrics.time("request.ms", class.as_str(), self.now().saturating_since(began));
+    }
+
+    /// Reports a failed assertion; the caller refuses the action.
+    #[cold]
+    pub(crate) fn violated(&self, kind: &'static str, message: impl std::fmt::Display) -> Refusal {
+        self.metrics.count_tag("invariant", "kind", kind);
+        tracing::error!(kind, %message, "invariant");
+        self.recorder.record(self.timestamp(), "invariant", |event| {
+            event.with("kind", kind).with("message", &message)
+        });
+        Refusal::not_run(Code::Invariant, message.to_string())
+    }
+}
+
+/// Returns the name of a code as callers see it.
+pub(crate) fn code_name(code: Code) -> String {
+    match serde_json::to_value(code) {
+        Ok(serde_json::Value::String(name)) => name,
+        _ => String::new(),
+    }
+}
--- /dev/null
+++ b/crates/node/src/store.rs
@@ -0,0 +1,171 @@
+//! The transactions of a ledger, carried out against the table service and the object store.
+
+use crate::keeper::Keeper;
+use crate::shared::Shared;
+use dogwoodlb_ledger::{Commit, Completion, Content, Ledger, Next, Object, Settings};
+use dogwoodlb_lease::Guard;
+use dogwoodlb_manifest::section::Trainer;
+use dogwoodlb_platform::table::Check;
+use dogwoodlb_types::{id, Code, Instant, Refusal};
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
+const OBJECT_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// The pause between two attempts while the store fails.
+const PAUSE: Duration = Duration::from_millis(250);
+
+/// A transaction without an outcome for this long is reported to its caller.
+const STALL: Duration = Duration::from_secs(3);
+
+const BUFFER_BYTES: usize = 64 << 20;
+
+/// The one transaction of a ledger that is under way.
+#[derive(Default)]
+pub(crate) struct Driver {
+    work: Option<Work>,
+    began: Instant,
+    not_before: Instant,
+}
+
+enum Work {
+    Send(Commit),
+    ReadBack { operation: id::Operation, key: String },
+}
+
+/// What came of a step of the driver.
+pub(crate) enum Progress {
+    Idle,
+    Done(Completion),
+    /// The transaction has no outcome yet; the driver goes on.
+    Stalled,
+    Lost(Refusal),
+}
+
+impl Driver {
+    pub(crate) fn start(&mut self, commit: Commit) {
+        self.work = Some(Work::Send(commit));
+        self.began = Instant::default();
+        self.not_before = Instant::default();
+    }
+
+    /// Returns whether the store fails, so that no further samples should be generated.
+    pub(crate) fn is_stalled(&self) -> bool {
+        self.work.is_some() && self.not_before > Instant::default()
+    }
+
+    /// Carries the transaction on until it has an outcome or the store fails.
+    pub(crate) fn step(&mut self, shared: &Shared, ledger: &mut Ledger) -> Progress {
+        let now = shared.now();
+        if self.began == Instant::default() {
+            self.began = now;
+        }
+        while let Some(work) = self.work.take() {
+            if shared.now() < self.not_before {
+                self.work = Some(work);
+                return self.wait(shared);
+            }
+            let (next, failed) = match work {
+                Work::Send(mut commit) => {
+                    if !put_objects(shared, &mut commit.objects) {
+                        self.work = Some(Work::Send(commit));
+                        self.not_before = shared.now() + PAUSE;
+                        return self.wait(shared);
+                    }
+                    let outcome = shared.platform.table.commit(&commit.txn, CALL_TIMEOUT);
+                    shared.count_store(&outcome);
+                    let failed = outcome.is_err();
+                    (ledger.on_commit(commit.operation, outcome), failed)
+                }
+                Work::ReadBack { operation, key } => {
+                    let row = shared.platform.table.read(&key, CALL_TIMEOUT);
+                    shared.count_store(&row);
+                    let failed = row.is_err();
+                    (ledger.on_read_back(operation, row), failed)
+                }
+            };
+            if failed {
+                self.not_before = shared.now() + PAUSE;
+            }
+            match next {
+                Next::Done(completion) => return Progress::Done(completion),
+                Next::ReadBack { operation, key } => {
+                    self.work = Some(Work::ReadBack { operation, key });
+                }
+                Next::Resend(commit) => self.work = Some(Work::Send(commit)),
+                Next::Lost(refusal) => return Progress::Lost(refusal),
+                Next::Ignored => return Progress::Idle,
+            }
+        }
+        Progress::Idle
+    }
+
+    fn wait(&self, shared: &Shared) -> Progress {
+        match shared.now().saturating_since(self.began) >= STALL {
+            true => Progress::Stalled,
+            false => Progress::Idle,
+        }
+    }
+}
+
+/// Stores objects, and forgets those that are stored.
+fn put_objects(shared: &Shared, objects: &mut Vec<Object>) -> bool {
+    while let Some(object) = objects.last() {
+        let put = shared.platform.objects.put(&object.name, &object.body, OBJECT_TIMEOUT);
+        shared.count_store(&put);
+        if put.is_err() {
+            return false;
+        }
+        objects.pop();
+    }
+    true
+}
+
+/// Loads the ledger of a trainer after its lease was taken.
+pub(crate) fn load(
+    shared: &Shared,
+    keeper: &Keeper,
+    guard: Guard,
+    trainer: &Trainer,
+    first: id::Version,
+) -> Result<(Ledger, HashMap<id::Step, Arc<Content>>), Refusal> {
+    let prefix = Ledger::prefix(&trainer.trainer);
+    let rows = shared.platform.table.scan(&prefix, CALL_TIMEOUT);
+    shared.count_store(&rows);
+    let rows = rows.map_err(|error| unavailable(&error))?;
+    let settings = Settings {
+        trainer: trainer.trainer.clone(),
+        staleness_bound: u64::from(trainer.staleness_bound),
+        version: first,
+        buffer_bytes: BUFFER_BYTES,
+    };
+    let fence = Check { key: keeper.fence_key(), version: guard.row_version };
+    let ledger = Ledger::load(settings, fence, &rows)
+        .map_err(|error| shared.violated("ledger", error))?;
+    let mut contents = HashMap::new();
+    for step in ledger.steps().iter().filter(|step| !step.delivered) {
+        let body = read(shared, &step.object)?;
+        let content = Content::from_slice(&body)
+            .map_err(|error| shared.violated("prompts", error))?;
+        contents.insert(step.step, Arc::new(content));
+    }
+    Ok((ledger, contents))
+}
+
+/// Reads an object that a row names.
+pub(crate) fn read(shared: &Shared, name: &str) -> Result<Vec<u8>, Refusal> {
+    let object = shared.platform.objects.get(name, OBJECT_TIMEOUT);
+    shared.count_store(&object);
+    match object {
+        Ok(Some(body)) => Ok(body),
+        Ok(None) => Err(shared.violated("object", format!("object {name} is missing"))),
+        Err(error) => Err(unavailable(&error)),
+    }
+}
+
+fn unavailable(error: &dogwoodlb_platform::Error) -> Refusal {
+    let refusal = Refusal::not_run(Code::StoreUnavailable, error.to_string());
+    refusal.retry_after(Duration::from_secs(1))
+}
--- /dev/null
+++ b/crates/node/src/swapper.rs
@@ -0,0 +1,282 @@
+//! The thread that brings new weights to the replicas of a model.
+
+use crate::keeper::Keeper;
+use crate::lock;
+use crate::shared::Shared;
+use dogwoodlb_ledger::Published;
+use dogwoodlb_lease::Name;
+use dogwoodlb_manifest::{quiet, Manifest};
+use dogwoodlb_platform::engine::{Order, Weights};
+use dogwoodlb_platform::Cause;
+use dogwoodlb_swap::{Action, Guard, Outcome, Replica, Settings, Swap, Target};
+use dogwoodlb_types::{id, Instant};
+use rand::rngs::SmallRng;
+use rand::SeedableRng;
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+const TICK: Duration = Duration::from_millis(50);
+const CALL_TIMEOUT: Duration = Duration::from_millis(900);
+
+/// How often the published version is read; a part of the 18 s that a swap may take.
+const TARGET_INTERVAL: Duration = Duration::from_millis(500);
+
+/// What came of a call of an engine.
+enum Report {
+    Ordered(id::Upstream, id::Operation, Outcome),
+    Weights(id::Upstream, Instant, Option<Vec<Weights>>),
+}
+
+/// Starts swappers for the models of a manifest that have none yet.
+pub(crate) fn start(shared: &Arc<Shared>, manifest: &Manifest) {
+    let mut running = lock(&shared.swappers);
+    running.retain(|name| manifest.models.iter().any(|one| one.model == *name));
+    for model in &manifest.models {
+        if !running.insert(model.model.clone()) {
+            continue;
+        }
+        let name = model.model.clone();
+        let text = format!("model.{name}").chars().take(64).collect::<String>();
+        let Ok(text) = text.parse() else { continue };
+        let wanted = {
+            let (shared, name) = (Arc::downgrade(shared), name.clone());
+            move || shared.upgrade().is_some_and(|one| lock(&one.swappers).contains(&name))
+        };
+        let keeper = Arc::new(Keeper::new(shared, Name::Model(name.clone()), text, wanted));
+        shared.keep(&keeper);
+        let shared = shared.clone();
+        let spawned = thread::Builder::new().name("swap".to_owned()).spawn(move || {
+            Swapper::new(shared, name, keeper).run();
+        });
+        if let Err(error) = spawned {
+            tracing::error!(%error, "thread_failed");
+        }
+    }
+}
+
+struct Swapper {
+    shared: Arc<Shared>,
+    model: id::Model,
+    keeper: Arc<Keeper>,
+    swap: Swap,
+    settings: Settings,
+    rng: SmallRng,
+    addresses: HashMap<id::Upstream, SocketAddr>,
+    reports: (Sender<Report>, Receiver<Report>),
+    target_at: Instant,
+    excluded: HashSet<id::Upstream>,
+}
+
+impl Swapper {
+    fn new(shared: Arc<Shared>, model: id::Model, keeper: Arc<Keeper>) -> Self {
+        let seed = rand::Rng::next_u64(&mut *lock(&shared.rng));
+        let settings = Settings::default();
+        Self {
+            swap: Swap::new(model.clone(), settings.clone()),
+            settings,
+            rng: SmallRng::seed_from_u64(seed),
+            addresses: HashMap::new(),
+            reports: channel(),
+            target_at: Instant::default(),
+            excluded: HashSet::new(),
+            shared,
+            model,
+            keeper,
+        }
+    }
+
+    fn run(mut self) {
+        while !self.shared.is_stopped() && lock(&self.shared.swappers).contains(&self.model) {
+            while let Ok(report) = self.reports.1.try_recv() {
+                self.on_report(report);
+            }
+            self.step();
+            thread::sleep(TICK);
+        }
+    }
+
+    fn step(&mut self) {
+        let now = self.shared.now();
+        let Ok(manifest) = self.shared.manifest() else {
+            self.swap.set_guard(None, now);
+            return;
+        };
+        let held = self.keeper.held(now);
+        let guard = held.map(|held| Guard { fence: held.fence, until: held.until });
+        self.swap.set_guard(guard, now);
+        self.follow(&manifest);
+        if guard.is_none() {
+            return;
+        }
+        if now >= self.target_at {
+            self.target_at = now + TARGET_INTERVAL;
+            self.read_target(&manifest);
+        }
+        let model = self.model.clone();
+        let allows = |start, longest| quiet::allows(&manifest, &model, start, longest);
+        let wall = self.shared.timestamp();
+        let actions = self.swap.poll(self.shared.now(), wall, &allows, &mut self.rng);
+        for action in actions {
+            self.carry_out(action);
+        }
+        self.publish_excluded();
+    }
+
+    /// Takes over the replicas of the manifest.
+    fn follow(&mut self, manifest: &Manifest) {
+        let engines = manifest.engines.iter();
+        let engines = engines.filter(|one| one.models.contains(&self.model) && !one.leaving);
+        let engines: Vec<_> = engines.collect();
+        self.addresses =
+            engines.iter().map(|one| (one.upstream.clone(), one.address)).collect();
+        let replicas: Vec<Replica> = engines
+            .iter()
+            .map(|one| Replica {
+                upstream: one.upstream.clone(),
+                checks_fencing: one.checks_fencing,
+            })
+            .collect();
+        if let Err(error) = self.swap.set_replicas(&replicas) {
+            tracing::error!(%error, "replicas_refused");
+        }
+    }
+
+    /// Finds the newest version: the manifest's, or one that a trainer published.
+    fn read_target(&mut self, manifest: &Manifest) {
+        let Some(model) = manifest.models.iter().find(|one| one.model == self.model) else {
+            return;
+        };
+        let mut target = Target { version: model.version, object: model.object.clone() };
+        for trainer in manifest.trainers.iter().filter(|one| one.model == self.model) {
+            let key = Published::key(&trainer.trainer);
+            let row = self.shared.platform.table.read(&key, CALL_TIMEOUT);
+            self.shared.count_store(&row);
+            // Without an answer the swap goes on to the version known before.
+            let Ok(row) = row else { return };
+            match row.as_ref().map(Published::from_row) {
+                Some(Ok(Some(published))) if published.version > target.version => {
+                    target = Target { version: published.version, object: published.object };
+                }
+                Some(Err(error)) => drop(self.shared.violated("published", error)),
+                _ => {}
+            }
+        }
+        if let Err(error) = self.swap.set_target(target) {
+            tracing::debug!(%error, "target_refused");
+        }
+    }
+
+    fn carry_out(&mut self, action: Action) {
+        match action {
+            Action::Order { upstream, order, start_by } => self.order(upstream, order, start_by),
+            Action::Read { upstream } => self.read(upstream),
+            Action::Excluded { upstream, version, attempts } => {
+                self.shared.metrics.count("swap.excluded");
+                self.shared.recorder.record(self.shared.timestamp(), "swap_excluded", |event| {
+                    event
+                        .with("upstream", upstream)
+                        .with("version", version)
+                        .with("attempts", attempts)
+                });
+            }
+            Action::Newer { upstream, version } => {
+                self.shared.recorder.record(self.shared.timestamp(), "swap_newer", |event| {
+                    event.with("upstream", upstream).with("version", version)
+                });
+            }
+        }
+    }
+
+    fn order(&self, upstream: id::Upstream, order: Order, start_by: Instant) {
+        let Some(address) = self.addresses.get(&upstream).copied() else {
+            return;
+        };
+        let (shared, reports) = (self.shared.clone(), self.reports.0.clone());
+        let timeout = self.settings.order_timeout;
+        let (target, operation) = (upstream.clone(), order.order);
+        let accepted = self.shared.workers.run(move || {
+            let outcome = send_order(&shared, address, &upstream, &order, start_by, timeout);
+            // The swapper may have ended.
+            let _ = reports.send(Report::Ordered(upstream, order.order, outcome));
+        });
+        if !accepted {
+            let _ = self.reports.0.send(Report::Ordered(target, operation, Outcome::NotSent));
+        }
+    }
+
+    fn read(&self, upstream: id::Upstream) {
+        let Some(address) = self.addresses.get(&upstream).copied() else {
+            return;
+        };
+        let (shared, reports) = (self.shared.clone(), self.reports.0.clone());
+        // A read that finds no thread free is repeated at the next interval.
+        self.shared.workers.run(move || {
+            let began = shared.now();
+            let weights = shared.platform.engine.weights(address, CALL_TIMEOUT).ok();
+            let _ = reports.send(Report::Weights(upstream, began, weights));
+        });
+    }
+
+    fn on_report(&mut self, report: Report) {
+        let now = self.shared.now();
+        match report {
+            Report::Ordered(upstream, operation, outcome) => {
+                self.swap.on_order_result(&upstream, operation, outcome, now);
+            }
+            Report::Weights(upstream, began, Some(weights)) => {
+                let own = weights.iter().find(|one| one.model == self.model);
+                self.swap.on_weights(&upstream, began, own, now);
+            }
+            Report::Weights(_, _, None) => {}
+        }
+    }
+
+    /// Keeps requests away from replicas that can't load the weights.
+    fn publish_excluded(&mut self) {
+        let excluded: HashSet<_> = self.swap.excluded().cloned().collect();
+        if excluded != self.excluded {
+            if let Ok(group) = self.shared.upstreams.model(&self.model) {
+                group.set_excluded(excluded.clone());
+            }
+            self.excluded = excluded;
+        }
+    }
+}
+
+fn send_order(
+    shared: &Shared,
+    address: SocketAddr,
+    upstream: &id::Upstream,
+    order: &Order,
+    start_by: Instant,
+    timeout: Duration,
+) -> Outcome {
+    // The thread may have waited: the lease is checked right before the order is sent.
+    if shared.now() >= start_by {
+        return Outcome::NotSent;
+    }
+    shared.metrics.count("swap.ordered");
+    let result = shared.platform.engine.order(address, order, timeout);
+    let outcome = match &result {
+        Ok(()) => Outcome::Accepted,
+        Err(error) => match error.cause() {
+            Cause::OrderRefused("old fencing number") => Outcome::Fenced,
+            _ => Outcome::from(error),
+        },
+    };
+    shared.recorder.record(shared.timestamp(), "order_sent", |event| {
+        event
+            .with("upstream", upstream)
+            .with("order", order.order)
+            .with("fence", order.fence)
+            .with("outcome", format!("{outcome:?}"))
+    });
+    outcome
+}
+
+/// Keeps the excluded replicas of one model.
+pub(crate) type Running = Mutex<HashSet<id::Model>>;
--- /dev/null
+++ b/crates/node/src/trainers.rs
@@ -0,0 +1,208 @@
+//! The endpoints of trainers.
+
+use crate::api::parse_name;
+use crate::lock;
+use crate::owner::{Ask, Call, Reply};
+use crate::sampling::Body;
+use crate::shared::Shared;
+use crate::store;
+use dogwoodlb_http::{Request, Response};
+use dogwoodlb_ledger::{bodies, Content, Delivery, Group};
+use dogwoodlb_types::{id, Code, Refusal, Span};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use std::collections::HashMap;
+use std::sync::mpsc::{sync_channel, RecvTimeoutError, TrySendError};
+use std::time::Duration;
+
+const MAX_WAIT: Duration = Duration::from_secs(30);
+
+/// How long the owner may take for anything but a wait: a transaction and its read-back.
+const OWNER_TIMEOUT: Duration = Duration::from_secs(20);
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Submit {
+    session: id::Session,
+    groups: Vec<Group>,
+    max_tokens: u32,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Acknowledge {
+    session: id::Session,
+    delivery: id::Delivery,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Publish {
+    session: id::Session,
+    version: id::Version,
+    object: String,
+}
+
+#[derive(Serialize)]
+struct Step {
+    delivery: id::Delivery,
+    step: id::Step,
+    samples: Vec<Sample>,
+}
+
+#[derive(Serialize)]
+struct Sample {
+    id: String,
+    group: u32,
+    index: u32,
+    text: String,
+    tokens: u32,
+    spans: Vec<Span>,
+    score: Option<f64>,
+    staleness: u64,
+}
+
+/// Answers a request under `/v1/trainers/<trainer>`.
+pub(crate) fn handle(
+    shared: &Shared,
+    request: &Request,
+    trainer: &str,
+    rest: &[&str],
+) -> Result<Response, Refusal> {
+    let trainer: id::Trainer = parse_name("trainer", trainer)?;
+    let ask = match (request.method.as_str(), rest) {
+        ("POST", ["sessions"]) => Ask::Session,
+        ("PUT", ["steps", step]) => submit(request, number(step)?)?,
+        ("GET", ["steps", step]) => fetch(shared, request, number(step)?)?,
+        ("POST", ["steps", step, "ack"]) => {
+            let Acknowledge { session, delivery } = parse(request)?;
+            Ask::Acknowledge { session, step: id::Step(number(step)?), delivery }
+        }
+        ("POST", ["versions"]) => {
+            let Publish { session, version, object } = parse(request)?;
+            Ask::Publish { session, version, object }
+        }
+        _ => {
+            let message = format!("there is no {} {}", request.method, request.path);
+            return Err(Refusal::not_run(Code::NotFound, message));
+        }
+    };
+    answer(shared, ask_owner(shared, &trainer, ask)?)
+}
+
+fn submit(request: &Request, step: u64) -> Result<Ask, Refusal> {
+    let Submit { session, groups, max_tokens } = parse(request)?;
+    if max_tokens == 0 {
+        let message = "`max_tokens` is 0: a sample has at least one token";
+        return Err(Refusal::not_run(Code::BadRequest, message));
+    }
+    let content = Content { groups, max_tokens };
+    Ok(Ask::Submit { session, step: id::Step(step), content })
+}
+
+fn fetch(shared: &Shared, request: &Request, step: u64) -> Result<Ask, Refusal> {
+    let session = request.param("session").ok_or_else(|| {
+        Refusal::not_run(Code::BadRequest, "the parameter `session` is missing")
+    })?;
+    let wait = match request.param("wait_ms") {
+        Some(wait) => Duration::from_millis(number(wait)?).min(MAX_WAIT),
+        None => Duration::ZERO,
+    };
+    Ok(Ask::Fetch {
+        session: id::Session(number(session)?),
+        step: id::Step(step),
+        deadline: shared.now() + wait,
+    })
+}
+
+/// Hands a call to the trainer's owner on this node and waits for the reply.
+fn ask_owner(shared: &Shared, trainer: &id::Trainer, ask: Ask) -> Result<Reply, Refusal> {
+    let manifest = shared.manifest()?;
+    let desk = lock(&shared.trainers).get(trainer).cloned();
+    let listed = manifest.trainers.iter().any(|one| one.trainer == *trainer);
+    let Some(desk) = desk.filter(|_| listed) else {
+        let message = format!("there is no trainer `{trainer}`");
+        return Err(Refusal::not_run(Code::UnknownTrainer, message));
+    };
+    if desk.keeper.held(shared.now()).is_none() {
+        return Err(shared.wrong_node(&desk.keeper));
+    }
+    let wait = match &ask {
+        Ask::Fetch { deadline, .. } => deadline.saturating_since(shared.now()),
+        _ => Duration::ZERO,
+    };
+    let (reply, replies) = sync_channel(1);
+    match desk.calls.try_send(Call { ask, reply }) {
+        Ok(()) => {}
+        Err(TrySendError::Full(_)) => {
+            let refusal = Refusal::not_run(Code::Overloaded, "too many calls of this trainer");
+            return Err(refusal.retry_after(Duration::from_secs(1)));
+        }
+        Err(TrySendError::Disconnected(_)) => return Err(shared.wrong_node(&desk.keeper)),
+    }
+    match replies.recv_timeout(wait + OWNER_TIMEOUT) {
+        Ok(result) => result,
+        Err(RecvTimeoutError::Timeout | RecvTimeoutError::Disconnected) => {
+            let message = "the trainer's owner gave no answer; the outcome isn't known";
+            Err(Refusal::may_have_run(Code::StoreUnavailable, message))
+        }
+    }
+}
+
+fn answer(shared: &Shared, reply: Reply) -> Result<Response, Refusal> {
+    Ok(match reply {
+        Reply::Session { session, version, next } => {
+            let body = json!({ "session": session, "version": version, "next_step": next });
+            Response::json(200, &body)
+        }
+        Reply::Done => Response::json(200, &json!({})),
+        Reply::Waiting(progress) => {
+            let body = json!({ "accepted": progress.accepted, "wanted": progress.wanted });
+            Response::json(202, &body)
+        }
+        Reply::Delivered(delivery) => Response::json(200, &whole(shared, delivery)?),
+    })
+}
+
+/// Adds the bodies to a delivery.
+fn whole(shared: &Shared, delivery: Delivery) -> Result<Step, Refusal> {
+    let mut objects: HashMap<String, Vec<String>> = HashMap::new();
+    let mut samples = Vec::with_capacity(delivery.samples.len());
+    for sample in delivery.samples {
+        if !objects.contains_key(&sample.object) {
+            let object = store::read(shared, &sample.object)?;
+            let texts = bodies(&object).map_err(|error| shared.violated("bodies", error))?;
+            objects.insert(sample.object.clone(), texts);
+        }
+        let texts = objects.get(&sample.object);
+        let text = texts.and_then(|texts| texts.get(sample.position));
+        let body = text.and_then(|text| serde_json::from_str::<Body>(text).ok());
+        let Some(Body { text, score }) = body else {
+            return Err(shared.violated("body", format!("no body of {}", sample.sample)));
+        };
+        samples.push(Sample {
+            id: sample.sample.to_string(),
+            group: sample.sample.group,
+            index: sample.sample.index,
+            text,
+            tokens: sample.tokens,
+            spans: sample.spans,
+            score,
+            staleness: sample.staleness,
+        });
+    }
+    Ok(Step { delivery: delivery.delivery, step: delivery.step, samples })
+}
+
+pub(crate) fn parse<T: DeserializeOwned>(request: &Request) -> Result<T, Refusal> {
+    serde_json::from_slice(&request.body)
+        .map_err(|error| Refusal::not_run(Code::BadRequest, format!("the body: {error}")))
+}
+
+fn number(text: &str) -> Result<u64, Refusal> {
+    text.parse().map_err(|_| {
+        let text: String = text.chars().take(32).collect();
+        Refusal::not_run(Code::BadRequest, format!("`{text}` is not a number"))
+    })
+}
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -9,8 +9,9 @@
 /// The most bytes of a datagram frame; larger datagrams may be fragmented on the way.
 pub const MAX_DATAGRAM_BYTES: usize = 1_200;
 
-/// The most bytes of a stream frame, without its length prefix.
-pub const MAX_STREAM_BYTES: usize = 1 << 20;
+/// The most bytes of a stream frame, without its length prefix: a manifest of 1 MiB and the
+/// other fields of a proposal.
+pub const MAX_STREAM_BYTES: usize = (1 << 20) + 1_024;
 
 const PREFIX_BYTES: usize = 4;
 
@@ -21,7 +22,7 @@
 /// [`Category::Misplaced`](crate::Category::Misplaced) for a stream frame, and
 /// [`Category::Malformed`](crate::Category::Malformed) if it has too many updates.
 pub fn to_vec(frame: &Frame) -> Result<Vec<u8>> {
-    if frame.header().is_none() {
+    if !frame.is_datagram() {
         return Err(Inner::Misplaced.into());
     }
     encode(frame, MAX_DATAGRAM_BYTES)
@@ -34,7 +35,7 @@
 /// Fails if the datagram is too large, malformed, of another version or not a datagram frame.
 pub fn from_slice(bytes: &[u8]) -> Result<Frame> {
     let frame = decode(bytes, MAX_DATAGRAM_BYTES)?;
-    if frame.header().is_none() {
+    if !frame.is_datagram() {
         return Err(Inner::Misplaced.into());
     }
     Ok(frame)
@@ -46,7 +47,7 @@
 ///
 /// Fails if the frame is too large or not a stream frame, or if the stream fails.
 pub fn to_writer(writer: &mut dyn Write, frame: &Frame) -> Result<()> {
-    if frame.header().is_some() {
+    if frame.is_datagram() {
         return Err(Inner::Misplaced.into());
     }
     let bytes = encode(frame, MAX_STREAM_BYTES)?;
@@ -81,7 +82,7 @@
         return Err(std::io::Error::from(ErrorKind::UnexpectedEof).into());
     }
     let frame = decode(&body, MAX_STREAM_BYTES)?;
-    if frame.header().is_some() {
+    if frame.is_datagram() {
         return Err(Inner::Misplaced.into());
     }
     Ok(frame)
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -22,6 +22,15 @@
         /// The VM to ping.
         target: id::Vm,
     },
+    /// Asks a node which manifest it holds; sent while the table can't be read.
+    Ask {
+        /// The VM that asks.
+        vm: id::Vm,
+        /// Pairs the report with the question.
+        sequence: u32,
+    },
+    /// Answers a question about the manifest.
+    Report(Report),
     /// Proposes a manifest before its commit.
     Propose(Proposal),
     /// Answers a proposal.
@@ -29,11 +38,16 @@
 }
 
 impl Frame {
-    /// Returns the header of a datagram frame.
+    /// Returns whether the frame travels as a datagram.
+    pub const fn is_datagram(&self) -> bool {
+        !matches!(self, Self::Propose(_) | Self::Answer(_))
+    }
+
+    /// Returns the header of a membership frame.
     pub const fn header(&self) -> Option<&Header> {
         match self {
             Self::Ping(header) | Self::Ack(header) | Self::PingReq { header, .. } => Some(header),
-            Self::Propose(_) | Self::Answer(_) => None,
+            _ => None,
         }
     }
 }
@@ -92,15 +106,37 @@
     Dead,
 }
 
+/// The most open proposals in a [`Report`]; a node promises no more.
+pub const MAX_PENDING: usize = 4;
+
+/// What a node knows about the manifest; see docs/design.md, section 4.5.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Report {
+    /// The VM that reports.
+    pub vm: id::Vm,
+    /// The number of the question.
+    pub sequence: u32,
+    /// The revision that the VM holds, 0 for none.
+    pub revision: id::Revision,
+    /// The operation that committed this revision.
+    pub operation: Option<id::Operation>,
+    /// The proposals without a known outcome, at most [`MAX_PENDING`].
+    pub pending: Vec<id::Operation>,
+    /// Whether no promise from before a restart can be open.
+    pub settled: bool,
+}
+
 /// A manifest that a node is about to commit.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Proposal {
-    /// The revision that the manifest will have.
-    pub revision: id::Revision,
-    /// The version of the pointer row that the commit is conditional on.
-    pub row_version: u64,
     /// The id of the commit.
     pub operation: id::Operation,
+    /// The operator who commits.
+    pub operator: id::Operator,
+    /// The revision that the proposal replaces.
+    pub base: id::Revision,
+    /// The version of the pointer row that the commit is conditional on.
+    pub row_version: u64,
     /// The text of the manifest.
     pub text: String,
 }
@@ -108,23 +144,23 @@
 /// The answer to a [`Proposal`].
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Answer {
-    /// The revision that was proposed.
-    pub revision: id::Revision,
-    /// Why the proposal was refused; `None` if it was accepted.
-    pub refused: Option<Reason>,
+    /// The operation that was proposed.
+    pub operation: id::Operation,
+    /// What the node says to it.
+    pub verdict: Verdict,
 }
 
-/// Why a node refuses a [`Proposal`].
+/// What a node says to a [`Proposal`].
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
-pub enum Reason {
-    /// The node holds another revision than the one that the proposal follows.
-    Conflict,
-    /// The manifest is not valid.
+pub enum Verdict {
+    /// The node confirms the base revision to nobody until the table shows the outcome.
+    Promised,
+    /// The node knows too many proposals without an outcome.
+    Busy,
+    /// The manifest is not valid for this node's program.
     Invalid,
-    /// The node is shutting down.
-    Leaving,
-    /// The node knows another proposal whose outcome is open.
-    Pending,
+    /// The row that the commit depends on has changed already; this is the newest revision.
+    Stale(id::Revision),
     /// The node has not read the table since it started.
-    Unread,
+    Unready,
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,7 +1,7 @@
 //! The frames between nodes: versioned, bounded, encoded with postcard.
 //!
-//! A frame starts with the version of the protocol. [`Ping`](Frame::Ping), [`Ack`](Frame::Ack)
-//! and [`PingReq`](Frame::PingReq) are datagrams of at most [`MAX_DATAGRAM_BYTES`] bytes, for
+//! A frame starts with the version of the protocol. [`Ping`](Frame::Ping), [`Ack`](Frame::Ack),
+//! [`PingReq`](Frame::PingReq), [`Ask`](Frame::Ask) and [`Report`](Frame::Report) are datagrams of at most [`MAX_DATAGRAM_BYTES`] bytes, for
 //! [`to_vec`] and [`from_slice`]. [`Propose`](Frame::Propose) and [`Answer`](Frame::Answer)
 //! travel over a stream with a length prefix, at most [`MAX_STREAM_BYTES`] bytes each, for
 //! [`to_writer`] and [`from_reader`]. A reader allocates no more than it has received.
@@ -24,9 +24,10 @@
 //! assert_eq!(from_slice(&bytes)?, ping);
 //!
 //! let propose = Frame::Propose(Proposal {
-//!     revision: id::Revision(13),
-//!     row_version: 40,
 //!     operation: id::Operation(5),
+//!     operator: "ana".parse()?,
+//!     base: id::Revision(12),
+//!     row_version: 40,
 //!     text: "{}".to_owned(),
 //! });
 //! let mut stream = Vec::new();
@@ -47,7 +48,10 @@
     from_reader, from_slice, to_vec, to_writer, MAX_DATAGRAM_BYTES, MAX_STREAM_BYTES, VERSION,
 };
 pub use error::{Category, Error};
-pub use frame::{Answer, Frame, Header, Proposal, Reason, State, Status, Update, MAX_UPDATES};
+pub use frame::{
+    Answer, Frame, Header, Proposal, Report, State, Status, Update, Verdict, MAX_PENDING,
+    MAX_UPDATES,
+};
 
 /// The result of an operation of this crate.
 pub type Result<T> = std::result::Result<T, Error>;
--- a/crates/wire/src/packet.rs
+++ b/crates/wire/src/packet.rs
@@ -1,8 +1,10 @@
 //! The encoded form of frames; a change here needs a new protocol version.
 
 use crate::error::Inner;
-use crate::MAX_UPDATES;
-use crate::{Answer, Error, Frame, Header, Proposal, Reason, Result, State, Status, Update};
+use crate::{
+    Answer, Error, Frame, Header, Proposal, Report, Result, State, Status, Update, Verdict,
+};
+use crate::{MAX_PENDING, MAX_UPDATES};
 use dogwoodlb_timeline::Stamp;
 use dogwoodlb_types::id;
 use serde::de::{Error as _, SeqAccess, Visitor};
@@ -15,15 +17,25 @@
     Ping(Head<'a>),
     Ack(Head<'a>),
     PingReq(Head<'a>, &'a str),
-    Propose {
+    Ask(&'a str, u32),
+    Report {
+        vm: &'a str,
+        sequence: u32,
         revision: u64,
-        row_version: u64,
+        operation: Option<u128>,
+        pending: [Option<u128>; MAX_PENDING],
+        settled: bool,
+    },
+    Propose {
         operation: u128,
+        operator: &'a str,
+        base: u64,
+        row_version: u64,
         text: &'a str,
     },
     Answer {
-        revision: u64,
-        refused: Option<Reason>,
+        operation: u128,
+        verdict: Verdict,
     },
 }
 
@@ -87,20 +99,43 @@
             Frame::Ping(header) => Self::Ping(header.try_into()?),
             Frame::Ack(header) => Self::Ack(header.try_into()?),
             Frame::PingReq { header, target } => Self::PingReq(header.try_into()?, target.as_str()),
+            Frame::Ask { vm, sequence } => Self::Ask(vm.as_str(), *sequence),
+            Frame::Report(report) => Self::Report {
+                vm: report.vm.as_str(),
+                sequence: report.sequence,
+                revision: report.revision.0,
+                operation: report.operation.map(|one| one.0),
+                pending: slots(&report.pending)?,
+                settled: report.settled,
+            },
             Frame::Propose(proposal) => Self::Propose {
-                revision: proposal.revision.0,
-                row_version: proposal.row_version,
                 operation: proposal.operation.0,
+                operator: proposal.operator.as_str(),
+                base: proposal.base.0,
+                row_version: proposal.row_version,
                 text: &proposal.text,
             },
             Frame::Answer(answer) => Self::Answer {
-                revision: answer.revision.0,
-                refused: answer.refused,
+                operation: answer.operation.0,
+                verdict: answer.verdict,
             },
         })
     }
 }
 
+fn slots(pending: &[id::Operation]) -> Result<[Option<u128>; MAX_PENDING]> {
+    let count = pending.len();
+    if count > MAX_PENDING {
+        let limit = MAX_PENDING;
+        return Err(Inner::Updates { count, limit }.into());
+    }
+    let mut slots = [None; MAX_PENDING];
+    for (slot, operation) in slots.iter_mut().zip(pending) {
+        *slot = Some(operation.0);
+    }
+    Ok(slots)
+}
+
 impl<'a> TryFrom<&'a Header> for Head<'a> {
     type Error = Error;
 
@@ -148,20 +183,41 @@
                 header: head.try_into()?,
                 target: target.parse()?,
             },
-            Packet::Propose {
+            Packet::Ask(vm, sequence) => Self::Ask {
+                vm: vm.parse()?,
+                sequence,
+            },
+            Packet::Report {
+                vm,
+                sequence,
                 revision,
-                row_version,
                 operation,
-                text,
-            } => Self::Propose(Proposal {
+                pending,
+                settled,
+            } => Self::Report(Report {
+                vm: vm.parse()?,
+                sequence,
                 revision: id::Revision(revision),
+                operation: operation.map(id::Operation),
+                pending: pending.into_iter().flatten().map(id::Operation).collect(),
+                settled,
+            }),
+            Packet::Propose {
+                operation,
+                operator,
+                base,
                 row_version,
+                text,
+            } => Self::Propose(Proposal {
                 operation: id::Operation(operation),
+                operator: operator.parse()?,
+                base: id::Revision(base),
+                row_version,
                 text: text.to_owned(),
             }),
-            Packet::Answer { revision, refused } => Self::Answer(Answer {
-                revision: id::Revision(revision),
-                refused,
+            Packet::Answer { operation, verdict } => Self::Answer(Answer {
+                operation: id::Operation(operation),
+                verdict,
             }),
         })
     }
