Test the at-most-once core with random schedules

Cause: single cases don't show what combinations of crashes, lost replies, late writes and retries on other nodes do to one key.

Change: 10,000 seeded schedules in virtual time (1 or 2 keys, up to 5 attempts each, table outage, lost and late writes, lost and late executions, crashes between any two actions), and one test file a feature.

Conclusion: within these schedules a key is executed at most once and no attempt that was executed is reported as "not run".

--- a/crates/once/src/lib.rs
+++ b/crates/once/src/lib.rs
@@ -14,6 +14,9 @@
 //! open   -> started
 //! ```
 //!
+//! "Not run" speaks of one attempt: while the table is down, a call can't know what became of an
+//! earlier attempt with the same key. Once it has seen such an attempt, it never says "not run".
+//!
 //! # Examples
 //!
 //! ```
--- /dev/null
+++ b/crates/once/tests/failed_dispatch.rs
@@ -0,0 +1,52 @@
+//! Dispatches that fail, and the life of a key.
+
+mod common;
+
+use common::{applied, at, call, done, failure, meet, refusal, reply, written, DEADLINE};
+use dogwoodlb_once::{is_expired, ran, KEY_LIFE};
+use dogwoodlb_platform::Category;
+use dogwoodlb_types::prelude::*;
+use rstest::rstest;
+
+/// A failure that says nothing about the execution reported as "not run".
+#[rstest]
+#[case(Category::NotSent, Ran::NotRun)]
+#[case(Category::Refused, Ran::NotRun)]
+#[case(Category::Ambiguous, Ran::MayHaveRun)]
+#[case(Category::Invalid, Ran::MayHaveRun)]
+#[case(Category::Cancelled, Ran::MayHaveRun)]
+fn classification(#[case] category: Category, #[case] expected: Ran) {
+    assert_eq!(ran(category), expected);
+    let mut call = call(1, b"{}");
+    call.poll(at(0));
+    call.on_commit(&applied(1), at(0)).unwrap();
+    let actions = call.on_dispatch(&failure(category), at(5)).unwrap();
+    assert_eq!(refusal(&actions).ran, expected);
+}
+
+/// A retry that waits for an outcome which can't come any more.
+#[test]
+fn unknown_outcome() {
+    let mut first = call(1, b"{}");
+    first.poll(at(0));
+    first.on_commit(&applied(1), at(0)).unwrap();
+    let actions = first
+        .on_dispatch(&failure(Category::Ambiguous), DEADLINE)
+        .unwrap();
+    assert_eq!(refusal(&actions).code, Code::DeadlineExceeded);
+    let (row, _) = written(&actions, 2);
+    let mut retry = call(2, b"{}");
+    let actions = meet(&mut retry, &row);
+    assert_eq!(refusal(&actions).ran, Ran::MayHaveRun);
+    assert!(retry.is_finished());
+}
+
+/// A key deleted while retries may still come.
+#[test]
+fn key_life() {
+    let row = done(1, b"{}", &reply(b"ok"));
+    let end = Timestamp::from_millis(1_000) + KEY_LIFE;
+    assert!(!is_expired(&row.value, end).unwrap());
+    assert!(is_expired(&row.value, Timestamp::from_millis(end.as_millis() + 1)).unwrap());
+    assert!(is_expired("{}", end).is_err());
+}
--- /dev/null
+++ b/crates/once/tests/foreign_row.rs
@@ -0,0 +1,75 @@
+//! A row that another node has started.
+
+mod common;
+
+use common::{applied, at, call, done, meet, refusal, reply, written, DEADLINE};
+use dogwoodlb_once::{Action, Answer};
+use dogwoodlb_platform::table::Row;
+use dogwoodlb_types::prelude::*;
+
+fn started() -> Row {
+    written(&call(1, b"{}").poll(at(0)), 1).0
+}
+
+/// A retry that dispatches while the first call may still run.
+#[test]
+fn waits_for_outcome() {
+    let mut retry = call(2, b"{}");
+    assert_eq!(meet(&mut retry, &started()), []);
+    let wake = retry.wake().unwrap();
+    assert!(matches!(retry.poll(wake)[..], [Action::Read { .. }]));
+    let row = done(1, b"{}", &reply(b"ok"));
+    let actions = retry.on_read(&Ok(Some(row)), wake).unwrap();
+    assert_eq!(actions, [Action::Answer(Answer::Replay(reply(b"ok")))]);
+}
+
+/// A wait without end, or a false "not run", after the first node crashed.
+#[test]
+fn waits_until_deadline() {
+    let mut retry = call(2, b"{}");
+    meet(&mut retry, &started());
+    let mut reads = 0;
+    loop {
+        let now = retry.wake().unwrap();
+        assert!(now <= DEADLINE);
+        let actions = retry.poll(now);
+        if now == DEADLINE {
+            assert_eq!(refusal(&actions).ran, Ran::MayHaveRun);
+            break;
+        }
+        retry.on_read(&Ok(Some(started())), now).unwrap();
+        reads += 1;
+    }
+    assert_eq!(reads, 49, "one read every 200 ms");
+    assert!(retry.is_finished());
+}
+
+/// A key that stays blocked although the first call didn't reach the upstream.
+#[test]
+fn claims_open_row() {
+    let mut first = call(1, b"{}");
+    first.poll(at(0));
+    first.on_commit(&applied(1), at(0)).unwrap();
+    let failed = common::failure(dogwoodlb_platform::Category::NotSent);
+    let actions = first.on_dispatch(&failed, at(5)).unwrap();
+    assert_eq!(refusal(&actions).ran, Ran::NotRun);
+    let (open, check) = written(&actions, 2);
+    assert_eq!(check, 1);
+
+    let mut retry = call(2, b"{}");
+    let actions = meet(&mut retry, &open);
+    assert_eq!(written(&actions, 3).1, 2);
+    let actions = retry.on_commit(&applied(3), at(9)).unwrap();
+    assert!(matches!(actions[..], [Action::Dispatch { .. }]));
+}
+
+/// A row that vanished during the wait taken as proof that nothing ran.
+#[test]
+fn vanished_row() {
+    let mut retry = call(2, b"{}");
+    meet(&mut retry, &started());
+    retry.poll(retry.wake().unwrap());
+    assert_eq!(retry.on_read(&Ok(None), at(9_900)).unwrap(), []);
+    let actions = retry.poll(DEADLINE);
+    assert_eq!(refusal(&actions).ran, Ran::MayHaveRun);
+}
--- /dev/null
+++ b/crates/once/tests/key_conflict.rs
@@ -0,0 +1,37 @@
+//! One key used for different requests, and keys that are not valid.
+
+#[expect(dead_code, reason = "each test file uses a part of the helpers")]
+mod common;
+
+use common::{call, done, meet, refusal, reply};
+use dogwoodlb_once::{Category, Digest, Key};
+use dogwoodlb_types::prelude::*;
+use rstest::rstest;
+
+/// The answer to one request given to another with the same key.
+#[test]
+fn different_body() {
+    let row = done(1, b"{\"count\":1}", &reply(b"ok"));
+    let actions = meet(&mut call(2, b"{\"count\":2}"), &row);
+    assert_eq!(refusal(&actions).code, Code::Conflict);
+    assert_eq!(refusal(&actions).ran, Ran::NotRun);
+}
+
+/// Requests that differ only in where one part ends and the next begins.
+#[test]
+fn part_borders() {
+    let digest = Digest::new("POST", "/a", b"b");
+    assert_ne!(digest, Digest::new("POST", "/ab", b""));
+    assert_ne!(digest, Digest::new("PUT", "/a", b"b"));
+}
+
+/// A key that reaches into the rows of another caller.
+#[rstest]
+#[case::empty("", 0)]
+#[case::slash("a/b", 1)]
+#[case::space("ab c", 2)]
+fn invalid_key(#[case] key: &str, #[case] offset: usize) {
+    let error = Key::new(&"quotes".parse().unwrap(), key).unwrap_err();
+    assert_eq!(error.classify(), Category::Key);
+    assert!(error.to_string().contains(&format!("byte {offset}")));
+}
--- /dev/null
+++ b/crates/once/tests/lost_reply.rs
@@ -0,0 +1,111 @@
+//! Table replies that are lost, late or missing.
+
+#[expect(dead_code, reason = "each test file uses a part of the helpers")]
+mod common;
+
+use common::{applied, at, call, conflict, failure, refusal, reply, written, DEADLINE};
+use dogwoodlb_once::{Action, Category as Kind};
+use dogwoodlb_platform::Category;
+use dogwoodlb_types::prelude::*;
+use std::time::Duration;
+
+/// A dispatch on an intent that may belong to nobody, or a second intent over the first.
+#[test]
+fn reads_back() {
+    let mut call = call(1, b"{}");
+    let (row, _) = written(&call.poll(at(0)), 4);
+    assert_eq!(
+        call.on_commit(&failure(Category::Ambiguous), at(0))
+            .unwrap(),
+        []
+    );
+    let now = call.wake().unwrap();
+    assert!(matches!(call.poll(now)[..], [Action::Read { .. }]));
+    let actions = call.on_read(&Ok(Some(row)), now).unwrap();
+    assert!(matches!(actions[..], [Action::Dispatch { .. }]));
+}
+
+/// A conflict with the own first copy taken for another node's call.
+#[test]
+fn late_first_copy() {
+    let mut call = call(1, b"{}");
+    let (row, _) = written(&call.poll(at(0)), 4);
+    call.on_commit(&failure(Category::Ambiguous), at(0))
+        .unwrap();
+    let now = call.wake().unwrap();
+    call.poll(now);
+    let actions = call.on_read(&Ok(None), now).unwrap();
+    assert_eq!(written(&actions, 0).1, 0);
+    call.on_commit(&conflict(4), now).unwrap();
+    let actions = call.on_read(&Ok(Some(row)), now).unwrap();
+    assert!(matches!(actions[..], [Action::Dispatch { .. }]));
+}
+
+/// A key blocked by an intent that takes effect after its call gave up.
+#[test]
+fn withdraws_intent() {
+    let mut call = call(1, b"{}");
+    call.poll(at(0));
+    call.on_commit(&failure(Category::Ambiguous), at(0))
+        .unwrap();
+    let actions = call.poll(DEADLINE);
+    assert_eq!(refusal(&actions).code, Code::StoreUnavailable);
+    assert_eq!(refusal(&actions).ran, Ran::NotRun);
+    let actions = call.on_read(&Ok(None), DEADLINE).unwrap();
+    let (row, check) = written(&actions, 0);
+    assert_eq!(check, 0);
+    assert!(row.value.contains("\"open\""));
+    call.on_commit(&applied(1), DEADLINE).unwrap();
+    assert!(call.is_finished());
+}
+
+/// A dispatch whose answer would come after the caller has gone.
+#[test]
+fn late_intent() {
+    let mut call = call(1, b"{}");
+    call.poll(at(0));
+    let actions = call.on_commit(&applied(1), DEADLINE).unwrap();
+    assert_eq!(refusal(&actions).ran, Ran::NotRun);
+    assert!(written(&actions, 2).0.value.contains("\"open\""));
+}
+
+/// A caller that waits although the table is known to be down.
+#[test]
+fn table_down() {
+    let mut call = call(1, b"{}");
+    call.poll(at(0));
+    let actions = call.on_commit(&failure(Category::NotSent), at(0)).unwrap();
+    assert_eq!(refusal(&actions).code, Code::StoreUnavailable);
+    assert!(refusal(&actions).retry_after.is_some());
+    assert!(call.is_finished());
+}
+
+/// An outcome that is lost with one reply, or a call that is kept for ever.
+#[test]
+fn outcome_retried() {
+    let mut call = call(1, b"{}");
+    let (row, _) = written(&call.poll(at(0)), 1);
+    call.on_commit(&applied(1), at(0)).unwrap();
+    call.on_dispatch(&Ok(reply(b"ok")), at(0)).unwrap();
+    call.on_commit(&failure(Category::Ambiguous), at(0))
+        .unwrap();
+    let now = call.wake().unwrap();
+    call.poll(now);
+    let actions = call.on_read(&Ok(Some(row)), now).unwrap();
+    assert_eq!(written(&actions, 2).1, 1);
+    call.on_commit(&failure(Category::NotSent), now).unwrap();
+    call.poll(at(0) + Duration::from_secs(30));
+    assert!(call.is_finished());
+}
+
+/// A result that nobody waits for changing the state of the call.
+#[test]
+fn unexpected_result() {
+    let mut call = call(1, b"{}");
+    call.poll(at(0));
+    let error = call.on_dispatch(&Ok(reply(b"ok")), at(0)).unwrap_err();
+    assert_eq!(error.classify(), Kind::Unexpected);
+    assert!(call.on_read(&Ok(None), at(0)).is_err());
+    assert!(call.on_commit(&applied(1), at(0)).is_ok());
+    assert!(call.on_commit(&applied(1), at(0)).is_err());
+}
--- /dev/null
+++ b/crates/once/tests/random_schedules.rs
@@ -0,0 +1,367 @@
+//! Seeded schedules of several nodes, caller retries, crashes, lost replies and late writes.
+
+use dogwoodlb_once::{Action, Answer, Call, Digest, Key, Request};
+use dogwoodlb_platform::service::Reply;
+use dogwoodlb_platform::table::{Outcome, Row, Txn};
+use dogwoodlb_platform::{Category, Cause, Error};
+use dogwoodlb_types::prelude::*;
+use rand::{rngs::StdRng, RngExt, SeedableRng};
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+const SCHEDULES: u64 = 10_000;
+const DEADLINE: Duration = Duration::from_secs(3);
+
+#[derive(Debug, Default)]
+struct Table {
+    rows: HashMap<String, Row>,
+    version: u64,
+}
+
+impl Table {
+    fn apply(&mut self, txn: &Txn) -> Outcome {
+        for check in &txn.checks {
+            let found = self.rows.get(&check.key).map_or(0, |row| row.version);
+            if found != check.version {
+                let key = check.key.clone();
+                return Outcome::Conflict { key, found };
+            }
+        }
+        self.version += 1;
+        let version = self.version;
+        for put in &txn.puts {
+            let row = Row {
+                key: put.key.clone(),
+                version,
+                value: put.value.clone(),
+            };
+            self.rows.insert(put.key.clone(), row);
+        }
+        Outcome::Applied { version }
+    }
+}
+
+enum Event {
+    Retry { key: usize },
+    Poll { attempt: usize },
+    Late(Txn),
+    LateRun { attempt: usize },
+    Read { attempt: usize },
+    Commit { attempt: usize, txn: Txn },
+    Dispatch { attempt: usize },
+    ReadDone(usize, Result<Option<Row>, Error>),
+    CommitDone(usize, Result<Outcome, Error>),
+    DispatchDone(usize, Result<Reply, Error>),
+}
+
+struct Attempt {
+    key: usize,
+    call: Option<Call>,
+    executed: u32,
+    answer: Option<Answer>,
+}
+
+/// The counts of a set of schedules, which show that the faults were met.
+#[derive(Debug, Default)]
+struct Counts {
+    executed: u64,
+    crashed: u64,
+    late: u64,
+    replayed: u64,
+    not_run: u64,
+    may_have_run: u64,
+    reclaimed: u64,
+}
+
+struct World {
+    rng: StdRng,
+    faults: u32,
+    outage: (u64, u64),
+    table: Table,
+    queue: BTreeMap<(u64, u64), Event>,
+    sequence: u64,
+    attempts: Vec<Attempt>,
+    executed: Vec<u32>,
+    counts: Counts,
+}
+
+fn failure(category: Category) -> Error {
+    Error::new(category, "stand-in", Cause::Timeout(DEADLINE))
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let keys = rng.random_range(1..=2);
+        let start = rng.random_range(0..3_000);
+        let mut world = Self {
+            faults: rng.random_range(0..40),
+            outage: (start, start + rng.random_range(0..3_000)),
+            rng,
+            table: Table::default(),
+            queue: BTreeMap::new(),
+            sequence: 0,
+            attempts: Vec::new(),
+            executed: vec![0; keys],
+            counts: Counts::default(),
+        };
+        for key in 0..keys {
+            for _ in 0..world.rng.random_range(1..=5) {
+                let at = world.rng.random_range(0..6_000);
+                world.push(at, Event::Retry { key });
+            }
+        }
+        world
+    }
+
+    fn push(&mut self, at: u64, event: Event) {
+        self.sequence += 1;
+        self.queue.insert((at, self.sequence), event);
+    }
+
+    fn fault(&mut self) -> bool {
+        self.rng.random_range(0..100) < self.faults
+    }
+
+    fn delay(&mut self) -> u64 {
+        self.rng.random_range(1..40)
+    }
+
+    fn run(&mut self) {
+        let mut steps = 0;
+        while let Some(((at, _), event)) = self.queue.pop_first() {
+            steps += 1;
+            assert!(steps < 10_000, "the schedule does not end");
+            self.step(event, at);
+        }
+    }
+
+    fn step(&mut self, event: Event, at: u64) {
+        let now = Instant::from_millis(at);
+        let down = (self.outage.0..self.outage.1).contains(&at);
+        match event {
+            Event::Retry { key } => self.begin(key, at),
+            Event::Poll { attempt } => self.feed(attempt, at, |call| Ok(call.poll(now))),
+            Event::Late(txn) => {
+                self.table.apply(&txn);
+            }
+            Event::LateRun { attempt } => self.execute(attempt),
+            Event::Read { attempt } => {
+                let key = format!("call/quotes/{}", self.attempts[attempt].key);
+                let lost = down || self.fault();
+                let row = self.table.rows.get(&key).cloned();
+                let result = if lost {
+                    Err(failure(Category::NotSent))
+                } else {
+                    Ok(row)
+                };
+                let at = at + self.delay();
+                self.push(at, Event::ReadDone(attempt, result));
+            }
+            Event::Commit { attempt, txn } => {
+                let result = self.commit(&txn, at, down);
+                let at = at + self.delay();
+                self.push(at, Event::CommitDone(attempt, result));
+            }
+            Event::Dispatch { attempt } => {
+                let result = self.dispatch(attempt, at);
+                let at = at + self.rng.random_range(1..2_000);
+                self.push(at, Event::DispatchDone(attempt, result));
+            }
+            Event::ReadDone(attempt, result) => {
+                self.feed(attempt, at, |call| call.on_read(&result, now));
+            }
+            Event::CommitDone(attempt, result) => {
+                self.feed(attempt, at, |call| call.on_commit(&result, now));
+            }
+            Event::DispatchDone(attempt, result) => {
+                self.feed(attempt, at, |call| call.on_dispatch(&result, now));
+            }
+        }
+    }
+
+    fn begin(&mut self, key: usize, at: u64) {
+        let attempt = self.attempts.len();
+        let caller = "quotes".parse().unwrap();
+        let call = Call::new(Request {
+            key: Key::new(&caller, &key.to_string()).unwrap(),
+            operation: id::Operation(self.rng.random()),
+            digest: Digest::new("POST", "/orders", b"{}"),
+            created: Timestamp::from_millis(0),
+            deadline: Instant::from_millis(at) + DEADLINE,
+        });
+        self.attempts.push(Attempt {
+            key,
+            call: Some(call),
+            executed: 0,
+            answer: None,
+        });
+        self.push(at, Event::Poll { attempt });
+    }
+
+    /// Applies a write now, later or never, and answers truly, ambiguously or not at all.
+    fn commit(&mut self, txn: &Txn, at: u64, down: bool) -> Result<Outcome, Error> {
+        if down {
+            return Err(failure(Category::NotSent));
+        }
+        if !self.fault() {
+            return Ok(self.table.apply(txn));
+        }
+        match self.rng.random_range(0..4) {
+            0 => return Err(failure(Category::NotSent)),
+            1 => {}
+            2 => {
+                self.table.apply(txn);
+            }
+            _ => {
+                self.counts.late += 1;
+                let at = at + self.rng.random_range(1..8_000);
+                self.push(at, Event::Late(txn.clone()));
+            }
+        }
+        Err(failure(Category::Ambiguous))
+    }
+
+    /// Executes a request now, later or never, and reports the truth as far as it is known.
+    fn dispatch(&mut self, attempt: usize, at: u64) -> Result<Reply, Error> {
+        if !self.fault() {
+            self.execute(attempt);
+            return Ok(Reply {
+                status: 201,
+                content_type: None,
+                body: attempt.to_string().into_bytes(),
+            });
+        }
+        match self.rng.random_range(0..5) {
+            0 | 1 => return Err(failure(Category::NotSent)),
+            2 => {}
+            3 => self.execute(attempt),
+            _ => {
+                let at = at + self.rng.random_range(1..6_000);
+                self.push(at, Event::LateRun { attempt });
+            }
+        }
+        Err(failure(Category::Ambiguous))
+    }
+
+    fn execute(&mut self, attempt: usize) {
+        let key = self.attempts[attempt].key;
+        self.attempts[attempt].executed += 1;
+        self.executed[key] += 1;
+        self.counts.executed += 1;
+        assert_eq!(self.executed[key], 1, "key {key} was executed twice");
+    }
+
+    /// Feeds an event to a call unless its node crashed before, and carries out the actions
+    /// unless it crashes between two of them.
+    fn feed(
+        &mut self,
+        attempt: usize,
+        at: u64,
+        event: impl FnOnce(&mut Call) -> dogwoodlb_once::Result<Vec<Action>>,
+    ) {
+        let Some(mut call) = self.attempts[attempt].call.take() else {
+            return;
+        };
+        let actions = event(&mut call).unwrap();
+        for action in actions {
+            if self.rng.random_range(0..400) < self.faults {
+                self.counts.crashed += 1;
+                return;
+            }
+            let at = at + 1;
+            match action {
+                Action::Read { .. } => self.push(at, Event::Read { attempt }),
+                Action::Commit { txn, .. } => {
+                    let open = |row: &Row| row.value.contains("\"open\"");
+                    let claims = txn.puts[0].value.contains("\"started\"");
+                    let row = self.table.rows.get(&txn.puts[0].key);
+                    self.counts.reclaimed += u64::from(claims && row.is_some_and(open));
+                    self.push(at, Event::Commit { attempt, txn });
+                }
+                Action::Dispatch { .. } => self.push(at, Event::Dispatch { attempt }),
+                Action::Answer(answer) => self.answer(attempt, answer),
+            }
+        }
+        if let Some(wake) = call.wake() {
+            let at = wake.as_millis().max(at);
+            self.push(at, Event::Poll { attempt });
+        }
+        self.attempts[attempt].call = Some(call);
+    }
+
+    fn answer(&mut self, index: usize, answer: Answer) {
+        let executed = self.executed[self.attempts[index].key];
+        let attempt = &mut self.attempts[index];
+        assert_eq!(attempt.answer, None, "two answers");
+        match &answer {
+            Answer::Reply(_) => assert_eq!(attempt.executed, 1),
+            Answer::Replay(reply) => {
+                self.counts.replayed += 1;
+                let first: usize = std::str::from_utf8(&reply.body).unwrap().parse().unwrap();
+                assert_eq!(self.attempts[first].executed, 1);
+            }
+            Answer::Refuse(refusal) if refusal.ran == Ran::NotRun => {
+                self.counts.not_run += 1;
+                assert_eq!(attempt.executed, 0, "not run, but executed");
+                // The attempt held the key, so nobody else can have executed it either.
+                if refusal.code == Code::NoUpstream {
+                    assert_eq!(executed, 0, "not run, but executed by another attempt");
+                }
+            }
+            Answer::Refuse(_) => self.counts.may_have_run += 1,
+        }
+        self.attempts[index].answer = Some(answer);
+    }
+
+    fn check(&self) {
+        for attempt in &self.attempts {
+            let refused_as =
+                |ran| matches!(&attempt.answer, Some(Answer::Refuse(r)) if r.ran == ran);
+            if refused_as(Ran::NotRun) {
+                assert_eq!(attempt.executed, 0, "executed after the answer `not run`");
+            }
+            if let Some(call) = &attempt.call {
+                assert!(call.is_finished() && attempt.answer.is_some());
+            }
+        }
+    }
+}
+
+/// A second execution of a key, or an untrue "not run", after any order of crashes, lost
+/// replies, late writes and retries on other nodes.
+#[test]
+fn runs_once() {
+    let mut total = Counts::default();
+    for seed in 0..SCHEDULES {
+        let mut world = World::new(seed);
+        let run = std::panic::AssertUnwindSafe(|| {
+            world.run();
+            world.check();
+        });
+        if let Err(panic) = std::panic::catch_unwind(run) {
+            eprintln!("seed {seed}");
+            std::panic::resume_unwind(panic);
+        }
+        let counts = world.counts;
+        total.executed += counts.executed;
+        total.crashed += counts.crashed;
+        total.late += counts.late;
+        total.replayed += counts.replayed;
+        total.not_run += counts.not_run;
+        total.may_have_run += counts.may_have_run;
+        total.reclaimed += counts.reclaimed;
+    }
+    println!("{total:?}");
+    for count in [
+        total.executed,
+        total.crashed,
+        total.late,
+        total.replayed,
+        total.not_run,
+        total.may_have_run,
+        total.reclaimed,
+    ] {
+        assert!(count > SCHEDULES / 100, "a fault is too rare: {total:?}");
+    }
+}
