--- a/crates/node/src/adopting.rs
+++ b/crates/node/src/adopting.rs
@@ -65,7 +65,9 @@
         Action::Close(txn) => {
             let outcome = table.commit(&txn, CALL_TIMEOUT);
             shared.count_store(&outcome);
-            shared.recorder.record(shared.timestamp(), "proposal_closed", |event| event);
+            shared
+                .recorder
+                .record(shared.timestamp(), "proposal_closed", |event| event);
             None
         }
         Action::Adopted(revision) => {
@@ -78,9 +80,11 @@
 /// Brings the node in line with a manifest that it has just adopted.
 fn adopted(shared: &Arc<Shared>, revision: id::Revision, rng: &mut SmallRng) {
     shared.metrics.gauge("manifest.revision", revision.0);
-    shared.recorder.record(shared.timestamp(), "manifest_adopted", |event| {
-        event.with("revision", revision)
-    });
+    shared
+        .recorder
+        .record(shared.timestamp(), "manifest_adopted", |event| {
+            event.with("revision", revision)
+        });
     let manifest = lock(&shared.adoption).manifest().cloned();
     let Some(manifest) = manifest else {
         return;
@@ -89,7 +93,10 @@
     let peers: Vec<Peer> = manifest
         .entry_vms
         .iter()
-        .map(|entry| Peer { vm: entry.vm.clone(), address: entry.peer })
+        .map(|entry| Peer {
+            vm: entry.vm.clone(),
+            address: entry.peer,
+        })
         .collect();
     if let Err(error) = lock(&shared.members).set_peers(&peers, rng) {
         tracing::error!(%error, "peers_refused");
--- a/crates/node/src/api.rs
+++ b/crates/node/src/api.rs
@@ -96,7 +96,10 @@
 
     fn ready(&self) -> Result<Response, Refusal> {
         if !lock(&self.0.drain).is_listed() {
-            return Err(Refusal::not_run(Code::Leaving, "this node is shutting down"));
+            return Err(Refusal::not_run(
+                Code::Leaving,
+                "this node is shutting down",
+            ));
         }
         self.0.manifest().map(|_| Response::text(200, "ready\n"))
     }
@@ -111,11 +114,19 @@
             .iter()
             .filter(|entry| live.contains(&entry.vm) && (listed || entry.vm != *own))
             .collect();
-        let region = request.param("region").unwrap_or(self.0.settings.region.as_str());
+        let region = request
+            .param("region")
+            .unwrap_or(self.0.settings.region.as_str());
         entries.sort_by_key(|entry| entry.region.as_str() != region);
         let addresses = entries.iter().map(|entry| entry.address).collect();
         let cache_ms = u64::try_from(ADDRESS_CACHE.as_millis()).unwrap_or_default();
-        Ok(Response::json(200, &Addresses { addresses, cache_ms }))
+        Ok(Response::json(
+            200,
+            &Addresses {
+                addresses,
+                cache_ms,
+            },
+        ))
     }
 
     fn complete(&self, kind: Kind, request: &Request, responder: Responder) -> Routed {
@@ -127,7 +138,8 @@
         let (prompt, class) = match checked {
             Ok(checked) => checked,
             Err(refusal) => {
-                self.0.count_request(Class::Customer, head.began, Some(&refusal));
+                self.0
+                    .count_request(Class::Customer, head.began, Some(&refusal));
                 return Err((refusal, responder));
             }
         };
@@ -143,7 +155,8 @@
             return self.stream(&job, &head, responder);
         }
         let result = self.0.generate(&job, &mut |_| ControlFlow::Continue(()));
-        self.0.count_request(class, head.began, result.as_ref().err());
+        self.0
+            .count_request(class, head.began, result.as_ref().err());
         let response = result.map(|answer| whole(&head.request, &prompt, answer));
         reply(response, responder)
     }
@@ -170,7 +183,9 @@
         let result = self.0.generate(job, &mut |event| {
             if let Some(responder) = responder.take() {
                 let elapsed = self.0.now().saturating_since(head.began);
-                self.0.metrics.time("first_event.ms", job.class.as_str(), elapsed);
+                self.0
+                    .metrics
+                    .time("first_event.ms", job.class.as_str(), elapsed);
                 let headers = [
                     ("content-type", "text/event-stream"),
                     ("cache-control", "no-store"),
@@ -178,12 +193,16 @@
                 ];
                 stream = Some(responder.stream(200, &headers));
             }
-            match stream.as_ref().map(|stream| stream.write(&sse::event(event))) {
+            match stream
+                .as_ref()
+                .map(|stream| stream.write(&sse::event(event)))
+            {
                 Some(Ok(())) => ControlFlow::Continue(()),
                 _ => ControlFlow::Break(()),
             }
         });
-        self.0.count_request(job.class, head.began, result.as_ref().err());
+        self.0
+            .count_request(job.class, head.began, result.as_ref().err());
         match (result, stream, responder) {
             (Ok(_), Some(stream), _) => {
                 // An error means that the client is gone.
@@ -233,9 +252,13 @@
             Some(key) => self.0.call_once(&job, &caller.caller, key),
             None => self.0.call(&job),
         };
-        self.0.count_request(caller.class, head.began, result.as_ref().err());
+        self.0
+            .count_request(caller.class, head.began, result.as_ref().err());
         result.map(|reply| {
-            let content_type = reply.content_type.as_deref().unwrap_or("application/octet-stream");
+            let content_type = reply
+                .content_type
+                .as_deref()
+                .unwrap_or("application/octet-stream");
             Response::new(reply.status, content_type, reply.body)
                 .header("x-request-id", &head.request)
         })
@@ -255,7 +278,11 @@
             None => self.0.operation().to_string(),
             Some(name) => checked_id("x-request-id", name)?.to_owned(),
         };
-        Ok(Head { request: name, began, deadline: began + deadline })
+        Ok(Head {
+            request: name,
+            began,
+            deadline: began + deadline,
+        })
     }
 }
 
@@ -272,7 +299,9 @@
 
 /// Checks an id that a caller chose.
 pub(crate) fn checked_id<'a>(header: &str, text: &'a str) -> Result<&'a str, Refusal> {
-    let valid = text.bytes().all(|b| matches!(b, b'a'..=b'z' | b'0'..=b'9' | b'.' | b'_' | b'-'));
+    let valid = text
+        .bytes()
+        .all(|b| matches!(b, b'a'..=b'z' | b'0'..=b'9' | b'.' | b'_' | b'-'));
     if valid && (1..=MAX_ID_BYTES).contains(&text.len()) {
         return Ok(text);
     }
@@ -284,17 +313,28 @@
     what: &str,
     text: &str,
 ) -> Result<T, Refusal> {
-    text.parse().map_err(|error| Refusal::not_run(Code::BadRequest, format!("{what}: {error}")))
+    text.parse()
+        .map_err(|error| Refusal::not_run(Code::BadRequest, format!("{what}: {error}")))
 }
 
 fn caller<'a>(manifest: &'a Manifest, request: &Request) -> Result<&'a Caller, Refusal> {
     let name = request.header("x-caller").ok_or_else(|| {
-        Refusal::not_run(Code::Forbidden, "`x-caller` is missing: name a caller of the manifest")
+        Refusal::not_run(
+            Code::Forbidden,
+            "`x-caller` is missing: name a caller of the manifest",
+        )
     })?;
-    manifest.callers.iter().find(|one| one.caller.as_str() == name).ok_or_else(|| {
-        let name: String = name.chars().take(MAX_ID_BYTES).collect();
-        Refusal::not_run(Code::Forbidden, format!("the manifest has no caller `{name}`"))
-    })
+    manifest
+        .callers
+        .iter()
+        .find(|one| one.caller.as_str() == name)
+        .ok_or_else(|| {
+            let name: String = name.chars().take(MAX_ID_BYTES).collect();
+            Refusal::not_run(
+                Code::Forbidden,
+                format!("the manifest has no caller `{name}`"),
+            )
+        })
 }
 
 #[cold]
@@ -305,7 +345,11 @@
 
 /// Returns a whole answer in the usual shape.
 fn whole(request: &str, prompt: &Prompt, answer: generate::Answer) -> Response {
-    let Output { text, tokens, finish_reason } = answer.output;
+    let Output {
+        text,
+        tokens,
+        finish_reason,
+    } = answer.output;
     let (object, choice) = match prompt.kind {
         Kind::Text => ("text_completion", json!({ "index": 0, "text": text })),
         Kind::Chat => {
--- a/crates/node/src/clock.rs
+++ b/crates/node/src/clock.rs
@@ -12,7 +12,9 @@
     ///
     /// Zero stays free for "before the process started".
     pub fn new() -> Self {
-        Self { origin: std::time::Instant::now() }
+        Self {
+            origin: std::time::Instant::now(),
+        }
     }
 }
 
@@ -29,7 +31,9 @@
     }
 
     fn timestamp(&self) -> Timestamp {
-        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let since = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
         Timestamp::from_millis(i64::try_from(since.as_millis()).unwrap_or(i64::MAX))
     }
 }
--- a/crates/node/src/commit.rs
+++ b/crates/node/src/commit.rs
@@ -27,15 +27,23 @@
 pub(crate) fn run(shared: &Arc<Shared>, order: Order) -> Result<id::Revision, Refusal> {
     let operation = shared.operation();
     let (operator, base) = (order.operator.clone(), order.base);
-    let started = Commit::new(operation, order.operator, order.base, order.text, shared.now());
+    let started = Commit::new(
+        operation,
+        order.operator,
+        order.base,
+        order.text,
+        shared.now(),
+    );
     let result = started.and_then(|(commit, actions)| drive(shared, commit, actions));
-    shared.recorder.record(shared.timestamp(), "commit_ended", |event| {
-        let event = event.with("operator", &operator).with("base", base);
-        match &result {
-            Ok(revision) => event.with("revision", revision),
-            Err(refusal) => event.with("refused", crate::shared::code_name(refusal.code)),
-        }
-    });
+    shared
+        .recorder
+        .record(shared.timestamp(), "commit_ended", |event| {
+            let event = event.with("operator", &operator).with("base", base);
+            match &result {
+                Ok(revision) => event.with("revision", revision),
+                Err(refusal) => event.with("refused", crate::shared::code_name(refusal.code)),
+            }
+        });
     result
 }
 
@@ -118,7 +126,11 @@
             Ok(answer) => {
                 let row_version = proposal.row_version;
                 // The commit may have ended without this answer.
-                let _ = answers.send(Event::Answer { vm, row_version, answer });
+                let _ = answers.send(Event::Answer {
+                    vm,
+                    row_version,
+                    answer,
+                });
             }
             Err(error) => tracing::debug!(%vm, %error, "proposal_not_answered"),
         }
--- a/crates/node/src/completion.rs
+++ b/crates/node/src/completion.rs
@@ -37,7 +37,10 @@
     /// Reads a caller's request; fields that the node doesn't know are passed on.
     pub(crate) fn from_slice(kind: Kind, body: &[u8]) -> Result<Self, Refusal> {
         let body: Map<String, Value> = serde_json::from_slice(body).map_err(|error| {
-            Refusal::not_run(Code::BadRequest, format!("the body is not a JSON object: {error}"))
+            Refusal::not_run(
+                Code::BadRequest,
+                format!("the body is not a JSON object: {error}"),
+            )
         })?;
         let model = field(&body, "model", Value::as_str)?
             .ok_or_else(|| missing("model"))?
@@ -47,7 +50,13 @@
             Kind::Chat => field(&body, "messages", Value::as_array)?.map(|_| ()),
             Kind::Text => field(&body, "prompt", Value::as_str)?.map(|_| ()),
         };
-        input.ok_or_else(|| missing(if kind == Kind::Chat { "messages" } else { "prompt" }))?;
+        input.ok_or_else(|| {
+            missing(if kind == Kind::Chat {
+                "messages"
+            } else {
+                "prompt"
+            })
+        })?;
         let stream = field(&body, "stream", Value::as_bool)?.unwrap_or(false);
         let max_tokens = field(&body, "max_tokens", Value::as_u64)?;
         let max_tokens = match max_tokens.map(u32::try_from) {
@@ -58,7 +67,13 @@
                 return Err(Refusal::not_run(Code::BadRequest, message));
             }
         };
-        Ok(Self { kind, model, stream, max_tokens, body })
+        Ok(Self {
+            kind,
+            model,
+            stream,
+            max_tokens,
+            body,
+        })
     }
 
     /// Creates the request for a sample.
@@ -67,13 +82,23 @@
         body.insert("model".to_owned(), json!(model.as_str()));
         body.insert("prompt".to_owned(), json!(prompt));
         body.insert("seed".to_owned(), json!(seed));
-        Self { kind: Kind::Text, model: model.clone(), stream: false, max_tokens, body }
+        Self {
+            kind: Kind::Text,
+            model: model.clone(),
+            stream: false,
+            max_tokens,
+            body,
+        }
     }
 
     /// Returns the hash of the prompt's beginning, which requests with a common prefix share.
     pub(crate) fn prefix(&self) -> u64 {
         let text = match self.kind {
-            Kind::Text => self.body.get("prompt").and_then(Value::as_str).unwrap_or_default(),
+            Kind::Text => self
+                .body
+                .get("prompt")
+                .and_then(Value::as_str)
+                .unwrap_or_default(),
             Kind::Chat => self
                 .body
                 .get("messages")
@@ -87,7 +112,10 @@
     ///
     /// Returns nothing if `output` already has all tokens that were asked for.
     pub(crate) fn body(&self, priority: usize, output: &Output) -> Option<String> {
-        let remaining = self.max_tokens.checked_sub(output.tokens).filter(|count| *count > 0)?;
+        let remaining = self
+            .max_tokens
+            .checked_sub(output.tokens)
+            .filter(|count| *count > 0)?;
         let mut body = self.body.clone();
         body.insert("stream".to_owned(), json!(true));
         body.insert("max_tokens".to_owned(), json!(remaining));
@@ -101,7 +129,10 @@
     fn continue_after(&self, body: &mut Map<String, Value>, text: &str) {
         match self.kind {
             Kind::Text => {
-                let prompt = body.get("prompt").and_then(Value::as_str).unwrap_or_default();
+                let prompt = body
+                    .get("prompt")
+                    .and_then(Value::as_str)
+                    .unwrap_or_default();
                 let prompt = format!("{prompt}{text}");
                 body.insert("prompt".to_owned(), json!(prompt));
             }
--- a/crates/node/src/error.rs
+++ b/crates/node/src/error.rs
@@ -18,7 +18,10 @@
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum Inner {
     #[error("cannot listen on {address}: {cause}")]
-    Listen { address: SocketAddr, cause: io::Error },
+    Listen {
+        address: SocketAddr,
+        cause: io::Error,
+    },
     #[error("cannot serve HTTP: {0}")]
     Http(dogwoodlb_http::Error),
     #[error("cannot send metrics: {0}")]
--- a/crates/node/src/generate.rs
+++ b/crates/node/src/generate.rs
@@ -60,7 +60,13 @@
             let before = output.tokens;
             let attempt = self.attempt(&group, job, number, &failed, &mut output, on_event)?;
             let error = match attempt.result {
-                Ok(report) => return Ok(Answer { output, report, continued: before > 0 }),
+                Ok(report) => {
+                    return Ok(Answer {
+                        output,
+                        report,
+                        continued: before > 0,
+                    })
+                }
                 Err(error) => error,
             };
             self.record_failure(job, attempt.upstream.as_ref(), &error);
@@ -92,7 +98,9 @@
             exclude: failed,
             deadline: job.deadline,
         };
-        let mut slot = group.enter(&need).map_err(|refusal| after_output(refusal, output))?;
+        let mut slot = group
+            .enter(&need)
+            .map_err(|refusal| after_output(refusal, output))?;
         let Some(body) = job.prompt.body(job.priority, output) else {
             return Err(self.violated("tokens", "an answer without a report has all its tokens"));
         };
@@ -115,17 +123,21 @@
         });
         let first = first.map(|first: Instant| first.saturating_since(sent));
         settle(&mut slot, &result, first);
-        Ok(Attempt { result, upstream: slot.upstream().cloned() })
+        Ok(Attempt {
+            result,
+            upstream: slot.upstream().cloned(),
+        })
     }
 
     fn record_failure(&self, job: &Job<'_>, upstream: Option<&id::Upstream>, error: &Error) {
-        self.recorder.record(self.timestamp(), "model_call_failed", |event| {
-            let event = event.request(job.request).with("error", error);
-            match upstream {
-                Some(upstream) => event.with("upstream", upstream),
-                None => event,
-            }
-        });
+        self.recorder
+            .record(self.timestamp(), "model_call_failed", |event| {
+                let event = event.request(job.request).with("error", error);
+                match upstream {
+                    Some(upstream) => event.with("upstream", upstream),
+                    None => event,
+                }
+            });
     }
 }
 
@@ -177,9 +189,7 @@
             refusal.retry_after(Duration::from_secs(1))
         }
         _ => match error.cause() {
-            Cause::Timeout(_) => {
-                Refusal::may_have_run(Code::DeadlineExceeded, error.to_string())
-            }
+            Cause::Timeout(_) => Refusal::may_have_run(Code::DeadlineExceeded, error.to_string()),
             _ => Refusal::may_have_run(Code::UpstreamFailed, error.to_string()),
         },
     }
--- a/crates/node/src/keeper.rs
+++ b/crates/node/src/keeper.rs
@@ -30,7 +30,12 @@
     ) -> Self {
         let vm = shared.settings.vm.clone();
         let lease = Lease::new(name.clone(), vm, shared.incarnation, usize::MAX);
-        Self { name, text, lease: Mutex::new(lease), wanted: Box::new(wanted) }
+        Self {
+            name,
+            text,
+            lease: Mutex::new(lease),
+            wanted: Box::new(wanted),
+        }
     }
 
     /// Returns the name of the lease as events show it.
@@ -135,10 +140,12 @@
     pub(crate) fn keep(self: &Arc<Self>, keeper: &Arc<Keeper>) {
         lock(&self.keepers).push(keeper.clone());
         let (shared, keeper) = (self.clone(), keeper.clone());
-        let spawned = thread::Builder::new().name("lease".to_owned()).spawn(move || {
-            keeper.run(&shared);
-            lock(&shared.keepers).retain(|one| !Arc::ptr_eq(one, &keeper));
-        });
+        let spawned = thread::Builder::new()
+            .name("lease".to_owned())
+            .spawn(move || {
+                keeper.run(&shared);
+                lock(&shared.keepers).retain(|one| !Arc::ptr_eq(one, &keeper));
+            });
         if let Err(error) = spawned {
             tracing::error!(%error, "thread_failed");
         }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -13,7 +13,7 @@
 
 /// Sends metrics off the request path; docs/metrics.md lists the names.
 #[derive(Debug)]
-pub struct Metrics(StatsdClient);
+pub(crate) struct Metrics(StatsdClient);
 
 impl Metrics {
     /// Sends metrics to `target`, or nowhere.
@@ -21,11 +21,15 @@
     /// # Errors
     ///
     /// Fails if no UDP socket can be opened.
-    pub fn new(target: Option<SocketAddr>) -> io::Result<Self> {
+    pub(crate) fn new(target: Option<SocketAddr>) -> io::Result<Self> {
         let Some(target) = target else {
             return Ok(Self(StatsdClient::from_sink(PREFIX, NopMetricSink)));
         };
-        let local = if target.is_ipv4() { "0.0.0.0:0" } else { "[::]:0" };
+        let local = if target.is_ipv4() {
+            "0.0.0.0:0"
+        } else {
+            "[::]:0"
+        };
         let socket = UdpSocket::bind(local)?;
         socket.set_nonblocking(true)?;
         let sink = UdpMetricSink::from(target, socket)
@@ -35,22 +39,25 @@
     }
 
     /// Counts one occurrence. A metric that can't be sent is dropped.
-    pub fn count(&self, name: &str) {
+    pub(crate) fn count(&self, name: &str) {
         let _ = self.0.incr(name);
     }
 
     /// Counts one occurrence with a tag.
-    pub fn count_tag(&self, name: &str, tag: &str, value: &str) {
+    pub(crate) fn count_tag(&self, name: &str, tag: &str, value: &str) {
         self.0.count_with_tags(name, 1).with_tag(tag, value).send();
     }
 
     /// Sets a gauge.
-    pub fn gauge(&self, name: &str, value: u64) {
+    pub(crate) fn gauge(&self, name: &str, value: u64) {
         let _ = self.0.gauge(name, value);
     }
 
     /// Records how long something took.
-    pub fn time(&self, name: &str, class: &str, elapsed: Duration) {
-        self.0.time_with_tags(name, elapsed).with_tag("class", class).send();
+    pub(crate) fn time(&self, name: &str, class: &str, elapsed: Duration) {
+        self.0
+            .time_with_tags(name, elapsed)
+            .with_tag("class", class)
+            .send();
     }
 }
--- /dev/null
+++ b/crates/node/src/node.rs
@@ -0,0 +1,195 @@
+use crate::api::Api;
+use crate::error::Inner;
+use crate::keeper::Keeper;
+use crate::metrics::Metrics;
+use crate::peers::{self, Questions};
+use crate::pool::Pool;
+use crate::shared::{Parts, Shared};
+use crate::{adopting, lock, watch, Error, Platform, Result};
+use dogwoodlb_http::{Limits, Server};
+use dogwoodlb_manifest::settings::Settings;
+use dogwoodlb_member::Step;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::io;
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+/// Samples that a node generates at a time, for all trainers.
+const SAMPLERS: usize = 128;
+
+/// Threads for short calls: orders, reads of engines, proposals, outcomes of keyed calls.
+const WORKERS: usize = 32;
+
+const TICK: Duration = Duration::from_millis(50);
+const RECEIVE_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// How long connections may take to close after the last request was answered.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// A running node.
+pub struct Node {
+    shared: Arc<Shared>,
+    server: Server,
+    socket: Arc<UdpSocket>,
+}
+
+impl Node {
+    /// Opens the sockets of a node and starts its threads.
+    ///
+    /// The random number `seed` seeds every random choice of the node.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a socket can't be opened or a thread can't be started.
+    pub fn start(settings: Settings, platform: Platform, seed: u64) -> Result<Self> {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let listen = |address| move |cause| Error::from(Inner::Listen { address, cause });
+        let listener = TcpListener::bind(settings.address).map_err(listen(settings.address))?;
+        let stream = TcpListener::bind(settings.peer).map_err(listen(settings.peer))?;
+        stream
+            .set_nonblocking(true)
+            .map_err(listen(settings.peer))?;
+        let socket = UdpSocket::bind(settings.peer).map_err(listen(settings.peer))?;
+        socket
+            .set_read_timeout(Some(RECEIVE_TIMEOUT))
+            .map_err(listen(settings.peer))?;
+        let parts = Parts {
+            metrics: Metrics::new(settings.statsd).map_err(Inner::Metrics)?,
+            rng: SmallRng::seed_from_u64(rng.next_u64()),
+            samplers: Pool::new("sample", SAMPLERS).map_err(Inner::Thread)?,
+            workers: Pool::new("worker", WORKERS).map_err(Inner::Thread)?,
+            settings,
+            platform,
+        };
+        let shared = Arc::new(Shared::new(parts));
+        let socket = Arc::new(socket);
+        spawn_all(&shared, &socket, stream, &mut rng).map_err(Inner::Thread)?;
+        let handler = Arc::new(Api(shared.clone()));
+        let server = Server::start(listener, Limits::default(), handler).map_err(Inner::Http)?;
+        shared
+            .recorder
+            .record(shared.timestamp(), "node_started", |event| {
+                event
+                    .with("address", server.address())
+                    .with("incarnation", shared.incarnation)
+            });
+        Ok(Self {
+            shared,
+            server,
+            socket,
+        })
+    }
+
+    /// Returns the address that callers use.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Begins a graceful shutdown; a repeated call has no effect.
+    pub fn drain(&self) {
+        peers::begin_drain(&self.shared);
+    }
+
+    /// Waits until a graceful shutdown has ended.
+    ///
+    /// Returns the number of requests that were interrupted, which is 0 unless a request
+    /// exceeded the longest deadline.
+    pub fn join(self) -> usize {
+        loop {
+            thread::sleep(TICK);
+            let now = self.shared.now();
+            let in_flight = self
+                .shared
+                .requests
+                .load(Ordering::SeqCst)
+                .max(self.server.in_flight());
+            let mut steps = std::mem::take(&mut *lock(&self.shared.begun));
+            steps.extend(lock(&self.shared.drain).tick(now, in_flight));
+            let released = lock(&self.shared.keepers)
+                .iter()
+                .all(|one| Keeper::is_released(one));
+            if released && self.shared.releasing.load(Ordering::SeqCst) {
+                steps.extend(lock(&self.shared.drain).on_released());
+            }
+            for step in steps {
+                if let Some(interrupted) = self.carry_out(step) {
+                    return interrupted;
+                }
+            }
+        }
+    }
+
+    fn carry_out(&self, step: Step) -> Option<usize> {
+        let shared = &self.shared;
+        shared
+            .recorder
+            .record(shared.timestamp(), "drain", |event| {
+                event.with("step", format!("{step:?}"))
+            });
+        match step {
+            Step::Announce => self.announce(false),
+            // The endpoints ask the drain core.
+            Step::Refuse => {}
+            Step::ReleaseLeases => shared.releasing.store(true, Ordering::SeqCst),
+            Step::Exit { interrupted } => {
+                self.announce(true);
+                self.server.shutdown(CLOSE_TIMEOUT);
+                shared.stopped.store(true, Ordering::SeqCst);
+                return Some(interrupted);
+            }
+        }
+        None
+    }
+
+    fn announce(&self, departs: bool) {
+        let shared = &self.shared;
+        let status = peers::status(shared);
+        let mut rng = lock(&shared.rng);
+        let mut members = lock(&shared.members);
+        let actions = match departs {
+            true => members.depart(&status, &mut *rng),
+            false => members.leave(&status, &mut *rng),
+        };
+        drop((members, rng));
+        peers::carry_out(shared, &self.socket, actions);
+    }
+
+    /// Stops the node at once, as a crash would.
+    pub fn kill(self) {
+        self.shared.stopped.store(true, Ordering::SeqCst);
+        self.server.shutdown(Duration::ZERO);
+    }
+}
+
+fn spawn_all(
+    shared: &Arc<Shared>,
+    socket: &Arc<UdpSocket>,
+    stream: TcpListener,
+    rng: &mut SmallRng,
+) -> io::Result<()> {
+    let questions = Arc::new(Mutex::new(Questions::default()));
+    let mut seeds = || SmallRng::seed_from_u64(rng.next_u64());
+    let (one, mut seed) = (shared.clone(), seeds());
+    spawn("adopt", move || adopting::run(&one, &mut seed))?;
+    let (one, out, open, mut seed) = (shared.clone(), socket.clone(), questions.clone(), seeds());
+    spawn("receive", move || {
+        peers::receive(&one, &out, &open, &mut seed)
+    })?;
+    let (one, out, open, mut seed) = (shared.clone(), socket.clone(), questions, seeds());
+    spawn("member", move || peers::tick(&one, &out, &open, &mut seed))?;
+    let one = shared.clone();
+    spawn("propose", move || peers::serve_proposals(&one, &stream))?;
+    let one = shared.clone();
+    spawn("watch", move || watch::run(&one))
+}
+
+fn spawn(name: &str, run: impl FnOnce() + Send + 'static) -> io::Result<()> {
+    thread::Builder::new()
+        .name(name.to_owned())
+        .spawn(run)
+        .map(drop)
+}
--- /dev/null
+++ b/crates/node/src/once.rs
@@ -0,0 +1,135 @@
+//! Calls with an idempotency key, which run at most once.
+
+use crate::plain::Job;
+use crate::shared::Shared;
+use dogwoodlb_once::{Action, Answer, Call, Digest, Key, Request};
+use dogwoodlb_platform::service::Reply;
+use dogwoodlb_platform::{Category, Cause, Error};
+use dogwoodlb_types::{id, Code, Ran, Refusal};
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The longest pause between two looks at a call that waits.
+const TICK: Duration = Duration::from_millis(20);
+
+impl Shared {
+    /// Carries out a call that runs at most once for its caller and key.
+    ///
+    /// The answer is returned as soon as it is known; a thread of the pool writes the outcome.
+    pub(crate) fn call_once(
+        self: &Arc<Self>,
+        job: &Job<'_>,
+        caller: &id::Caller,
+        key: &str,
+    ) -> Result<Reply, Refusal> {
+        let key = Key::new(caller, key)
+            .map_err(|error| Refusal::not_run(Code::BadRequest, error.to_string()))?;
+        let mut call = Call::new(Request {
+            key,
+            operation: self.operation(),
+            digest: Digest::new(job.method, job.path, job.body),
+            created: self.timestamp(),
+            deadline: job.deadline,
+        });
+        let mut actions = VecDeque::from(call.poll(self.now()));
+        loop {
+            match actions.pop_front() {
+                Some(Action::Answer(answer)) => {
+                    self.finish_later(call, actions);
+                    return match answer {
+                        Answer::Reply(reply) | Answer::Replay(reply) => Ok(reply),
+                        Answer::Refuse(refusal) => Err(refusal),
+                    };
+                }
+                Some(Action::Dispatch { .. }) => {
+                    let result = self.call(job);
+                    let (reply, refusal) = match result {
+                        Ok(reply) => (Ok(reply), None),
+                        Err(refusal) => (Err(error(&refusal)), Some(refusal)),
+                    };
+                    let next = call.on_dispatch(&reply, self.now());
+                    actions.extend(self.checked(next)?);
+                    if let Some(refusal) = refusal {
+                        // The refusal of the call says more than the one of the core.
+                        let is_answer = |action: &Action| matches!(action, Action::Answer(_));
+                        actions.retain(|action| !is_answer(action));
+                        self.finish_later(call, actions);
+                        return Err(refusal);
+                    }
+                }
+                Some(action) => actions.extend(self.access(&mut call, action)?),
+                None => {
+                    std::thread::sleep(TICK);
+                    actions.extend(call.poll(self.now()));
+                }
+            }
+        }
+    }
+
+    /// Carries out an access to the table.
+    fn access(&self, call: &mut Call, action: Action) -> Result<Vec<Action>, Refusal> {
+        let table = &self.platform.table;
+        match action {
+            Action::Read { key, timeout } => {
+                let row = table.read(&key, timeout);
+                self.count_store(&row);
+                self.checked(call.on_read(&row, self.now()))
+            }
+            Action::Commit { txn, timeout, .. } => {
+                let outcome = table.commit(&txn, timeout);
+                self.count_store(&outcome);
+                self.checked(call.on_commit(&outcome, self.now()))
+            }
+            Action::Answer(_) | Action::Dispatch { .. } => Ok(Vec::new()),
+        }
+    }
+
+    fn checked(&self, result: dogwoodlb_once::Result<Vec<Action>>) -> Result<Vec<Action>, Refusal> {
+        result.map_err(|error| {
+            let mut refusal = self.violated("once", error);
+            refusal.ran = Ran::MayHaveRun;
+            refusal
+        })
+    }
+
+    /// Writes the outcome of an answered call.
+    fn finish_later(self: &Arc<Self>, mut call: Call, mut actions: VecDeque<Action>) {
+        if call.is_finished() {
+            return;
+        }
+        let shared = self.clone();
+        let accepted = self.workers.run(move || {
+            while !call.is_finished() && !shared.is_stopped() {
+                let next = match actions.pop_front() {
+                    Some(action) => shared.access(&mut call, action).unwrap_or_default(),
+                    None => {
+                        std::thread::sleep(TICK);
+                        call.poll(shared.now())
+                    }
+                };
+                actions.extend(next);
+            }
+        });
+        if !accepted {
+            // The key stays without an outcome, so a repetition is told that it may have run.
+            tracing::warn!("outcome_not_stored");
+        }
+    }
+}
+
+/// Returns a failed call as the core classifies it.
+fn error(refusal: &Refusal) -> Error {
+    match (refusal.ran, refusal.code) {
+        (Ran::NotRun, _) => Error::new(
+            Category::NotSent,
+            refusal.message.clone(),
+            Cause::Connect(std::io::ErrorKind::NotConnected),
+        ),
+        (Ran::MayHaveRun, _) => Error::new(
+            Category::Ambiguous,
+            refusal.message.clone(),
+            Cause::Truncated,
+        ),
+    }
+}
--- a/crates/node/src/operators.rs
+++ b/crates/node/src/operators.rs
@@ -52,14 +52,24 @@
     let keepers = lock(&shared.keepers).clone();
     let leases = keepers.iter().filter_map(|keeper| {
         let fence = keeper.held(now)?.fence;
-        Some(Lease { lease: keeper.text().clone(), fence })
+        Some(Lease {
+            lease: keeper.text().clone(),
+            fence,
+        })
     });
-    let entries = lock(&shared.adoption).manifest().map(|manifest| manifest.entry_vms.clone());
+    let entries = lock(&shared.adoption)
+        .manifest()
+        .map(|manifest| manifest.entry_vms.clone());
     let members = lock(&shared.members);
     let members = entries.unwrap_or_default().into_iter().map(|entry| {
         let state = members.state(&entry.vm);
-        let state = state.map_or("unknown".to_owned(), |one| format!("{one:?}").to_lowercase());
-        Member { vm: entry.vm, state }
+        let state = state.map_or("unknown".to_owned(), |one| {
+            format!("{one:?}").to_lowercase()
+        });
+        Member {
+            vm: entry.vm,
+            state,
+        }
     });
     let members = members.collect();
     Response::json(
@@ -87,18 +97,35 @@
     if revision == id::Revision(0) {
         return Ok(Response::json(200, &json!({ "revision": 0, "text": "" })));
     }
-    let row = shared.platform.table.read(&record::key(revision), CALL_TIMEOUT);
+    let row = shared
+        .platform
+        .table
+        .read(&record::key(revision), CALL_TIMEOUT);
     shared.count_store(&row);
     let row = row.map_err(|error| Refusal::not_run(Code::StoreUnavailable, error.to_string()))?;
     let Some(record) = row.as_ref().and_then(Record::from_row) else {
         return Err(shared.violated("manifest_row", format!("no text of revision {revision}")));
     };
-    Ok(Response::json(200, &json!({ "revision": revision, "text": record.text })))
+    Ok(Response::json(
+        200,
+        &json!({ "revision": revision, "text": record.text }),
+    ))
 }
 
 pub(crate) fn commit(shared: &Arc<Shared>, request: &Request) -> Result<Response, Refusal> {
-    let Order { base, operator, text } = parse(request)?;
-    let revision = commit::run(shared, commit::Order { base, operator, text })?;
+    let Order {
+        base,
+        operator,
+        text,
+    } = parse(request)?;
+    let revision = commit::run(
+        shared,
+        commit::Order {
+            base,
+            operator,
+            text,
+        },
+    )?;
     Ok(Response::json(200, &json!({ "revision": revision })))
 }
 
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -5,13 +5,10 @@
 use crate::sampling::{Ended, Flags};
 use crate::shared::{Desk, Shared};
 use crate::store::{Driver, Progress};
-use dogwoodlb_ledger::{
-    Accepted, Completion, Content, Delivery, Finished, Ledger, Settings, Start,
-};
 use dogwoodlb_lease::{Guard, Name};
+use dogwoodlb_ledger::{Accepted, Completion, Content, Delivery, Finished, Ledger, Start};
 use dogwoodlb_manifest::section::Trainer;
 use dogwoodlb_manifest::Manifest;
-use dogwoodlb_platform::table::Check;
 use dogwoodlb_rollout::{Action, Planner};
 use dogwoodlb_types::{id, Code, Instant, Refusal};
 use rand::rngs::SmallRng;
@@ -30,9 +27,6 @@
 /// Samples that one trainer generates at a time on one node.
 pub(crate) const IN_FLIGHT: usize = 64;
 
-/// Accepted samples that wait for the store, shared by all trainers of a node.
-const BUFFER_BYTES: usize = 64 << 20;
-
 /// How long an interrupted load of the ledger waits before the next attempt.
 const RELOAD: Duration = Duration::from_millis(250);
 
@@ -40,16 +34,36 @@
 #[derive(Debug)]
 pub(crate) enum Ask {
     Session,
-    Submit { session: id::Session, step: id::Step, content: Content },
-    Fetch { session: id::Session, step: id::Step, deadline: Instant },
-    Acknowledge { session: id::Session, step: id::Step, delivery: id::Delivery },
-    Publish { session: id::Session, version: id::Version, object: String },
+    Submit {
+        session: id::Session,
+        step: id::Step,
+        content: Content,
+    },
+    Fetch {
+        session: id::Session,
+        step: id::Step,
+        deadline: Instant,
+    },
+    Acknowledge {
+        session: id::Session,
+        step: id::Step,
+        delivery: id::Delivery,
+    },
+    Publish {
+        session: id::Session,
+        version: id::Version,
+        object: String,
+    },
 }
 
 /// What a trainer gets.
 #[derive(Debug)]
 pub(crate) enum Reply {
-    Session { session: id::Session, version: id::Version, next: id::Step },
+    Session {
+        session: id::Session,
+        version: id::Version,
+        next: id::Step,
+    },
     Done,
     Waiting(dogwoodlb_ledger::Progress),
     Delivered(Delivery),
@@ -77,20 +91,40 @@
             continue;
         }
         let name = trainer.trainer.clone();
-        let text = format!("trainer.{name}").chars().take(64).collect::<String>();
+        let text = format!("trainer.{name}")
+            .chars()
+            .take(64)
+            .collect::<String>();
         let Ok(text) = text.parse() else { continue };
         let wanted = {
             let (shared, name) = (Arc::downgrade(shared), name.clone());
-            move || shared.upgrade().is_some_and(|shared| is_listed(&shared, &name))
+            move || {
+                shared
+                    .upgrade()
+                    .is_some_and(|shared| is_listed(&shared, &name))
+            }
         };
-        let keeper = Arc::new(Keeper::new(shared, Name::Trainer(name.clone()), text, wanted));
+        let keeper = Arc::new(Keeper::new(
+            shared,
+            Name::Trainer(name.clone()),
+            text,
+            wanted,
+        ));
         let (calls, inbox) = sync_channel(CALLS);
-        trainers.insert(name.clone(), Desk { calls, keeper: keeper.clone() });
+        trainers.insert(
+            name.clone(),
+            Desk {
+                calls,
+                keeper: keeper.clone(),
+            },
+        );
         shared.keep(&keeper);
         let shared = shared.clone();
-        let spawned = thread::Builder::new().name("owner".to_owned()).spawn(move || {
-            Owner::new(shared, name, keeper).run(&inbox);
-        });
+        let spawned = thread::Builder::new()
+            .name("owner".to_owned())
+            .spawn(move || {
+                Owner::new(shared, name, keeper).run(&inbox);
+            });
         if let Err(error) = spawned {
             tracing::error!(%error, "thread_failed");
         }
@@ -196,7 +230,12 @@
             let message = "this node no longer owns the trainer";
             Refusal::may_have_run(Code::WrongNode, message).retry_after(Duration::from_secs(1))
         };
-        for reply in state.fetches.into_iter().map(|fetch| fetch.reply).chain(state.current) {
+        for reply in state
+            .fetches
+            .into_iter()
+            .map(|fetch| fetch.reply)
+            .chain(state.current)
+        {
             let _ = reply.try_send(Err(refusal()));
         }
     }
@@ -206,10 +245,17 @@
         let Ok(manifest) = self.shared.manifest() else {
             return;
         };
-        let Some(settings) = manifest.trainers.iter().find(|one| one.trainer == self.name) else {
+        let Some(settings) = manifest
+            .trainers
+            .iter()
+            .find(|one| one.trainer == self.name)
+        else {
             return;
         };
-        let model = manifest.models.iter().find(|one| one.model == settings.model);
+        let model = manifest
+            .models
+            .iter()
+            .find(|one| one.model == settings.model);
         let first = model.map_or(id::Version(0), |model| model.version);
         match crate::store::load(&self.shared, &self.keeper, guard, settings, first) {
             Ok((ledger, contents)) => self.take_up(guard, settings.clone(), ledger, contents),
@@ -239,10 +285,16 @@
                 self.shared.violated("planner", refusal);
             }
         }
-        self.shared.recorder.record(self.shared.timestamp(), "ledger_loaded", |event| {
-            let event = event.trainer(self.name.clone()).lease(self.keeper.text().clone());
-            event.with("fence", guard.fence).with("steps", ledger.steps().len())
-        });
+        self.shared
+            .recorder
+            .record(self.shared.timestamp(), "ledger_loaded", |event| {
+                let event = event
+                    .trainer(self.name.clone())
+                    .lease(self.keeper.text().clone());
+                event
+                    .with("fence", guard.fence)
+                    .with("steps", ledger.steps().len())
+            });
         self.state = Some(State {
             guard,
             settings,
@@ -258,7 +310,9 @@
 
     fn on_call(&mut self, call: Call) {
         let Some(state) = &mut self.state else {
-            let _ = call.reply.try_send(Err(self.shared.wrong_node(&self.keeper)));
+            let _ = call
+                .reply
+                .try_send(Err(self.shared.wrong_node(&self.keeper)));
             return;
         };
         let start = state.start(&self.shared, call.ask, &call.reply);
@@ -287,7 +341,10 @@
 
     fn on_ended(&mut self, ended: Ended) {
         let now = self.shared.now();
-        let Some(state) = self.state.as_mut().filter(|state| state.guard.fence == ended.fence)
+        let Some(state) = self
+            .state
+            .as_mut()
+            .filter(|state| state.guard.fence == ended.fence)
         else {
             return;
         };
@@ -300,7 +357,9 @@
         if accepted {
             state.planner.on_finished(now, &sample, attempt);
         } else {
-            state.planner.on_failed(now, &sample, attempt, &mut self.rng);
+            state
+                .planner
+                .on_failed(now, &sample, attempt, &mut self.rng);
         }
     }
 
@@ -332,11 +391,19 @@
         let Some(state) = &mut self.state else {
             return;
         };
-        let limit = if state.driver.is_stalled() { 0 } else { IN_FLIGHT };
+        let limit = if state.driver.is_stalled() {
+            0
+        } else {
+            IN_FLIGHT
+        };
         for action in state.planner.poll(now, limit) {
             match action {
                 Action::Cancel { sample, attempt } => state.flags.cancel(&sample, attempt),
-                Action::Generate { sample, attempt, priority } => {
+                Action::Generate {
+                    sample,
+                    attempt,
+                    priority,
+                } => {
                     let job = crate::sampling::Job {
                         manifest: manifest.clone(),
                         trainer: state.settings.clone(),
@@ -349,7 +416,9 @@
                     };
                     if !crate::sampling::start(&self.shared, job, self.ended.0.clone()) {
                         state.flags.remove(&sample, attempt);
-                        state.planner.on_failed(now, &sample, attempt, &mut self.rng);
+                        state
+                            .planner
+                            .on_failed(now, &sample, attempt, &mut self.rng);
                     }
                 }
             }
@@ -400,28 +469,47 @@
         let operation = shared.operation();
         Some(match ask {
             Ask::Session => self.ledger.open_session(operation),
-            Ask::Submit { session, step, content } => {
+            Ask::Submit {
+                session,
+                step,
+                content,
+            } => {
                 if let Err(refusal) = self.check_size(&content) {
                     return Some(Err(refusal));
                 }
                 let start = self.ledger.submit(session, step, &content, operation);
                 if start.is_ok() {
-                    self.contents.entry(step).or_insert_with(|| Arc::new(content));
+                    self.contents
+                        .entry(step)
+                        .or_insert_with(|| Arc::new(content));
                 }
                 start
             }
-            Ask::Fetch { session, step, deadline } => {
+            Ask::Fetch {
+                session,
+                step,
+                deadline,
+            } => {
                 self.planner.set_waiting(Some(step));
                 let reply = reply.clone();
-                self.fetches.push(Fetch { session, step, deadline, reply });
+                self.fetches.push(Fetch {
+                    session,
+                    step,
+                    deadline,
+                    reply,
+                });
                 return None;
             }
-            Ask::Acknowledge { session, step, delivery } => {
-                self.ledger.acknowledge(session, step, delivery, operation)
-            }
-            Ask::Publish { session, version, object } => {
-                self.ledger.publish(session, version, &object, operation)
-            }
+            Ask::Acknowledge {
+                session,
+                step,
+                delivery,
+            } => self.ledger.acknowledge(session, step, delivery, operation),
+            Ask::Publish {
+                session,
+                version,
+                object,
+            } => self.ledger.publish(session, version, &object, operation),
         })
     }
 
@@ -433,7 +521,11 @@
             let message = format!("a group has {found} samples; the manifest says {size}");
             return Err(Refusal::not_run(Code::BadRequest, message));
         }
-        let samples: u64 = content.groups.iter().map(|group| u64::from(group.size)).sum();
+        let samples: u64 = content
+            .groups
+            .iter()
+            .map(|group| u64::from(group.size))
+            .sum();
         let most = self.settings.step_samples;
         if samples > u64::from(most) {
             let message = format!("the step has {samples} samples; the manifest allows {most}");
@@ -466,9 +558,13 @@
             }
             Ok(Accepted::Unlabelled) => {
                 shared.metrics.count("sample.discarded");
-                shared.recorder.record(shared.timestamp(), "sample_discarded", |event| {
-                    event.sample(sample).with("reason", "spans don't cover the tokens")
-                });
+                shared
+                    .recorder
+                    .record(shared.timestamp(), "sample_discarded", |event| {
+                        event
+                            .sample(sample)
+                            .with("reason", "spans don't cover the tokens")
+                    });
                 false
             }
             Err(refusal) => {
@@ -484,9 +580,21 @@
         match completion {
             Completion::Session(session) => {
                 let (version, _) = self.ledger.version();
-                let delivered = self.ledger.steps().iter().find(|step| step.delivered).map(|s| s.step);
-                let after = self.ledger.acknowledged().map_or(id::Step(1), id::Step::next);
-                Reply::Session { session, version, next: delivered.unwrap_or(after) }
+                let delivered = self
+                    .ledger
+                    .steps()
+                    .iter()
+                    .find(|step| step.delivered)
+                    .map(|s| s.step);
+                let after = self
+                    .ledger
+                    .acknowledged()
+                    .map_or(id::Step(1), id::Step::next);
+                Reply::Session {
+                    session,
+                    version,
+                    next: delivered.unwrap_or(after),
+                }
             }
             Completion::Submitted(step) => {
                 if let Some(view) = self.ledger.steps().iter().find(|view| view.step == step) {
@@ -573,7 +681,10 @@
         let owner = holder.and_then(|vm| {
             let adoption = lock(&self.adoption);
             let entries = &adoption.manifest()?.entry_vms;
-            entries.iter().find(|entry| entry.vm == vm).map(|entry| entry.address)
+            entries
+                .iter()
+                .find(|entry| entry.vm == vm)
+                .map(|entry| entry.address)
         });
         let message = "another node owns this trainer, or none does yet";
         let refusal = Refusal::not_run(Code::WrongNode, message).owner(owner);
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -38,7 +38,8 @@
 
 impl Questions {
     fn ask(&mut self, now: Instant) -> u32 {
-        self.open.retain(|_, began| now.saturating_since(*began) < adopt::HOLD);
+        self.open
+            .retain(|_, began| now.saturating_since(*began) < adopt::HOLD);
         self.next = self.next.wrapping_add(1);
         self.open.insert(self.next, now);
         self.next
@@ -81,7 +82,9 @@
         Frame::Report(report) => on_report(shared, questions, report, rng),
         _ => {
             if let Some(header) = frame.header() {
-                let plausible = shared.recorder.observe(header.status.stamp, shared.timestamp());
+                let plausible = shared
+                    .recorder
+                    .observe(header.status.stamp, shared.timestamp());
                 if !plausible {
                     shared.metrics.count("frame.refused");
                 }
@@ -163,7 +166,9 @@
 }
 
 fn ask(shared: &Shared, socket: &UdpSocket, questions: &Mutex<Questions>, now: Instant) {
-    let listed = lock(&shared.adoption).manifest().map(|manifest| manifest.entry_vms.clone());
+    let listed = lock(&shared.adoption)
+        .manifest()
+        .map(|manifest| manifest.entry_vms.clone());
     for entry in listed.unwrap_or_default() {
         if entry.vm == shared.settings.vm {
             continue;
@@ -178,25 +183,42 @@
 pub(crate) fn status(shared: &Shared) -> Status {
     let stamp = shared.recorder.stamp(shared.timestamp());
     let adoption = lock(&shared.adoption);
-    Status { stamp, revision: adoption.revision(), ..Status::default() }
+    Status {
+        stamp,
+        revision: adoption.revision(),
+        ..Status::default()
+    }
 }
 
 pub(crate) fn carry_out(shared: &Shared, socket: &UdpSocket, actions: Vec<Action>) {
     for action in actions {
         match action {
             Action::Send { to, frame } => send(socket, &frame, to),
-            Action::Changed { vm, state, incarnation } => {
-                shared.recorder.record(shared.timestamp(), "member_changed", |event| {
-                    event
-                        .with("member", vm)
-                        .with("state", format!("{state:?}").to_lowercase())
-                        .with("incarnation", incarnation)
-                });
+            Action::Changed {
+                vm,
+                state,
+                incarnation,
+            } => {
+                shared
+                    .recorder
+                    .record(shared.timestamp(), "member_changed", |event| {
+                        event
+                            .with("member", vm)
+                            .with("state", format!("{state:?}").to_lowercase())
+                            .with("incarnation", incarnation)
+                    });
             }
         }
     }
 }
 
+/// Begins a graceful shutdown; the thread in [`Node::join`](crate::Node::join) carries it on.
+pub(crate) fn begin_drain(shared: &Shared) {
+    let now = shared.now();
+    let steps = lock(&shared.drain).begin(now);
+    lock(&shared.begun).extend(steps);
+}
+
 fn send(socket: &UdpSocket, frame: &Frame, to: SocketAddr) {
     match wire::to_vec(frame) {
         // A datagram that can't be sent is lost, as any datagram may be.
@@ -214,10 +236,10 @@
     while !shared.is_stopped() {
         match listener.accept() {
             Ok((stream, from)) => {
-                let shared = shared.clone();
+                let one = shared.clone();
                 let accepted = pool.run(move || {
-                    if let Err(error) = serve_proposal(&shared, stream) {
-                        shared.metrics.count("frame.refused");
+                    if let Err(error) = serve_proposal(&one, stream) {
+                        one.metrics.count("frame.refused");
                         tracing::debug!(%from, %error, "proposal_refused");
                     }
                 });
@@ -240,7 +262,10 @@
         return Ok(());
     };
     let verdict = verdict(answer_own(shared, &proposal));
-    let answer = wire::Answer { operation: proposal.operation, verdict };
+    let answer = wire::Answer {
+        operation: proposal.operation,
+        verdict,
+    };
     wire::to_writer(&mut BufWriter::new(&stream), &Frame::Answer(answer))
 }
 
@@ -258,9 +283,13 @@
         let mut rng = lock(&shared.rng);
         lock(&shared.adoption).on_proposal(&proposal, now, &mut *rng)
     };
-    shared.recorder.record(shared.timestamp(), "proposal_answered", |event| {
-        event.with("operation", proposal.operation).with("answer", format!("{answer:?}"))
-    });
+    shared
+        .recorder
+        .record(shared.timestamp(), "proposal_answered", |event| {
+            event
+                .with("operation", proposal.operation)
+                .with("answer", format!("{answer:?}"))
+        });
     answer
 }
 
@@ -279,7 +308,10 @@
     let stream = TcpStream::connect_timeout(&to, PROPOSAL_TIMEOUT)?;
     stream.set_read_timeout(Some(PROPOSAL_TIMEOUT))?;
     stream.set_write_timeout(Some(PROPOSAL_TIMEOUT))?;
-    wire::to_writer(&mut BufWriter::new(&stream), &Frame::Propose(proposal.clone()))?;
+    wire::to_writer(
+        &mut BufWriter::new(&stream),
+        &Frame::Propose(proposal.clone()),
+    )?;
     match wire::from_reader(&mut BufReader::new(&stream))? {
         Frame::Answer(answer) if answer.operation == proposal.operation => {
             Ok(match answer.verdict {
--- a/crates/node/src/plain.rs
+++ b/crates/node/src/plain.rs
@@ -38,7 +38,9 @@
     let service = manifest.services.iter().find(|one| one.service == *service);
     service.is_some_and(|service| {
         let calls = service.non_idempotent.iter();
-        calls.filter(|call| call.method == method).any(|call| path.starts_with(&call.path))
+        calls
+            .filter(|call| call.method == method)
+            .any(|call| path.starts_with(&call.path))
     })
 }
 
@@ -91,13 +93,14 @@
     }
 
     fn record_plain_failure(&self, job: &Job<'_>, upstream: Option<&id::Upstream>, error: &Error) {
-        self.recorder.record(self.timestamp(), "service_call_failed", |event| {
-            let event = event.request(job.request).with("error", error);
-            match upstream {
-                Some(upstream) => event.with("upstream", upstream),
-                None => event,
-            }
-        });
+        self.recorder
+            .record(self.timestamp(), "service_call_failed", |event| {
+                let event = event.request(job.request).with("error", error);
+                match upstream {
+                    Some(upstream) => event.with("upstream", upstream),
+                    None => event,
+                }
+            });
     }
 }
 
--- a/crates/node/src/sampling.rs
+++ b/crates/node/src/sampling.rs
@@ -95,16 +95,30 @@
     let shared_ = shared.clone();
     shared.samplers.run(move || {
         let result = run(&shared_, &job);
-        let Job { fence, sample, attempt, .. } = job;
+        let Job {
+            fence,
+            sample,
+            attempt,
+            ..
+        } = job;
         // The owner may have ended, and a full channel means that it is about to.
-        let _ = ended.send(Ended { fence, sample, attempt, result });
+        let _ = ended.send(Ended {
+            fence,
+            sample,
+            attempt,
+            result,
+        });
     })
 }
 
 fn run(shared: &Shared, job: &Job) -> Result<Finished, Refusal> {
     let request = format!(
         "{}-{}-{}-{}-{}-{}",
-        job.sample.trainer, job.sample.step, job.sample.group, job.sample.index, job.fence,
+        job.sample.trainer,
+        job.sample.step,
+        job.sample.group,
+        job.sample.index,
+        job.fence,
         job.attempt
     );
     let answer = generate_sample(shared, job, &request)?;
@@ -121,11 +135,7 @@
     })
 }
 
-fn generate_sample(
-    shared: &Shared,
-    job: &Job,
-    request: &str,
-) -> Result<generate::Answer, Refusal> {
+fn generate_sample(shared: &Shared, job: &Job, request: &str) -> Result<generate::Answer, Refusal> {
     let content = job.content.as_ref();
     let group = content.and_then(|content| content.groups.get(job.sample.group as usize));
     let (Some(content), Some(group)) = (content, group) else {
@@ -172,11 +182,16 @@
         body: &body,
         idempotent: !plain::is_non_idempotent(&job.manifest, service, "POST", SCORE_PATH),
     })?;
-    let score = serde_json::from_slice::<Score>(&reply.body).ok().map(|score| score.score);
+    let score = serde_json::from_slice::<Score>(&reply.body)
+        .ok()
+        .map(|score| score.score);
     match score.filter(|_| reply.status == 200) {
         Some(score) => Ok(Some(score)),
         None => {
-            let message = format!("service {service} answered status {} without a score", reply.status);
+            let message = format!(
+                "service {service} answered status {} without a score",
+                reply.status
+            );
             Err(Refusal::may_have_run(Code::UpstreamFailed, message))
         }
     }
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -3,13 +3,14 @@
 use crate::owner::Call;
 use crate::pool::Pool;
 use crate::recorder::Recorder;
+use crate::swapper::Running;
 use crate::upstreams::Upstreams;
 use crate::{lock, Platform};
 use dogwoodlb_limit::Budget;
 use dogwoodlb_manifest::adopt::{Adoption, Authority, Report};
 use dogwoodlb_manifest::settings::Settings;
 use dogwoodlb_manifest::Manifest;
-use dogwoodlb_member::{Drain, Members};
+use dogwoodlb_member::{Drain, Members, Step};
 use dogwoodlb_types::{id, Class, Code, Instant, Refusal, Timestamp};
 use rand::rngs::SmallRng;
 use rand::Rng;
@@ -32,6 +33,9 @@
     pub(crate) adoption: Mutex<Adoption>,
     pub(crate) members: Mutex<Members>,
     pub(crate) drain: Mutex<Drain>,
+    /// The first steps of a shutdown that are still to be carried out.
+    pub(crate) begun: Mutex<Vec<Step>>,
+    pub(crate) swappers: Running,
     pub(crate) upstreams: Upstreams,
     pub(crate) budget: Mutex<Budget>,
     pub(crate) rng: Mutex<SmallRng>,
@@ -71,12 +75,18 @@
 
 impl Shared {
     pub(crate) fn new(mut parts: Parts) -> Self {
-        let Settings { vm, region, centre, .. } = parts.settings.clone();
+        let Settings {
+            vm, region, centre, ..
+        } = parts.settings.clone();
         let clock = parts.platform.clock.clone();
         let now = clock.now();
         let millis = u64::try_from(clock.timestamp().as_millis()).unwrap_or_default();
         let incarnation = id::Incarnation(millis);
-        let place = dogwoodlb_route::Settings { vm: vm.clone(), region, centre };
+        let place = dogwoodlb_route::Settings {
+            vm: vm.clone(),
+            region,
+            centre,
+        };
         Self {
             incarnation,
             metrics: parts.metrics,
@@ -84,6 +94,8 @@
             adoption: Mutex::new(Adoption::new(vm.clone(), now)),
             members: Mutex::new(Members::new(vm, incarnation, &mut parts.rng)),
             drain: Mutex::new(Drain::new(ADDRESS_CACHE)),
+            begun: Mutex::default(),
+            swappers: Running::default(),
             upstreams: Upstreams::new(place, clock, parts.rng.next_u64()),
             budget: Mutex::new(Budget::new(now)),
             rng: Mutex::new(parts.rng),
@@ -138,7 +150,11 @@
             }
             _ => {
                 let manifest = Arc::new(manifest.clone());
-                *snapshot = Some(Snapshot { joint, report, manifest: manifest.clone() });
+                *snapshot = Some(Snapshot {
+                    joint,
+                    report,
+                    manifest: manifest.clone(),
+                });
                 Ok(manifest)
             }
         }
@@ -166,7 +182,11 @@
     pub(crate) fn count_request(&self, class: Class, began: Instant, refusal: Option<&Refusal>) {
         let code = refusal.map_or_else(|| "ok".to_owned(), |refusal| code_name(refusal.code));
         self.metrics.count_tag("request", "code", &code);
-        self.metrics.time("request.ms", class.as_str(), self.now().saturating_since(began));
+        self.metrics.time(
+            "request.ms",
+            class.as_str(),
+            self.now().saturating_since(began),
+        );
     }
 
     /// Reports a failed assertion; the caller refuses the action.
@@ -174,9 +194,10 @@
     pub(crate) fn violated(&self, kind: &'static str, message: impl std::fmt::Display) -> Refusal {
         self.metrics.count_tag("invariant", "kind", kind);
         tracing::error!(kind, %message, "invariant");
-        self.recorder.record(self.timestamp(), "invariant", |event| {
-            event.with("kind", kind).with("message", &message)
-        });
+        self.recorder
+            .record(self.timestamp(), "invariant", |event| {
+                event.with("kind", kind).with("message", &message)
+            });
         Refusal::not_run(Code::Invariant, message.to_string())
     }
 }
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -2,8 +2,8 @@
 
 use crate::keeper::Keeper;
 use crate::shared::Shared;
-use dogwoodlb_ledger::{Commit, Completion, Content, Ledger, Next, Object, Settings};
 use dogwoodlb_lease::Guard;
+use dogwoodlb_ledger::{Commit, Completion, Content, Ledger, Next, Object, Settings};
 use dogwoodlb_manifest::section::Trainer;
 use dogwoodlb_platform::table::Check;
 use dogwoodlb_types::{id, Code, Instant, Refusal};
@@ -32,7 +32,10 @@
 
 enum Work {
     Send(Commit),
-    ReadBack { operation: id::Operation, key: String },
+    ReadBack {
+        operation: id::Operation,
+        key: String,
+    },
 }
 
 /// What came of a step of the driver.
@@ -113,7 +116,10 @@
 /// Stores objects, and forgets those that are stored.
 fn put_objects(shared: &Shared, objects: &mut Vec<Object>) -> bool {
     while let Some(object) = objects.last() {
-        let put = shared.platform.objects.put(&object.name, &object.body, OBJECT_TIMEOUT);
+        let put = shared
+            .platform
+            .objects
+            .put(&object.name, &object.body, OBJECT_TIMEOUT);
         shared.count_store(&put);
         if put.is_err() {
             return false;
@@ -141,14 +147,17 @@
         version: first,
         buffer_bytes: BUFFER_BYTES,
     };
-    let fence = Check { key: keeper.fence_key(), version: guard.row_version };
-    let ledger = Ledger::load(settings, fence, &rows)
-        .map_err(|error| shared.violated("ledger", error))?;
+    let fence = Check {
+        key: keeper.fence_key(),
+        version: guard.row_version,
+    };
+    let ledger =
+        Ledger::load(settings, fence, &rows).map_err(|error| shared.violated("ledger", error))?;
     let mut contents = HashMap::new();
     for step in ledger.steps().iter().filter(|step| !step.delivered) {
         let body = read(shared, &step.object)?;
-        let content = Content::from_slice(&body)
-            .map_err(|error| shared.violated("prompts", error))?;
+        let content =
+            Content::from_slice(&body).map_err(|error| shared.violated("prompts", error))?;
         contents.insert(step.step, Arc::new(content));
     }
     Ok((ledger, contents))
--- a/crates/node/src/swapper.rs
+++ b/crates/node/src/swapper.rs
@@ -3,8 +3,8 @@
 use crate::keeper::Keeper;
 use crate::lock;
 use crate::shared::Shared;
-use dogwoodlb_ledger::Published;
 use dogwoodlb_lease::Name;
+use dogwoodlb_ledger::Published;
 use dogwoodlb_manifest::{quiet, Manifest};
 use dogwoodlb_platform::engine::{Order, Weights};
 use dogwoodlb_platform::Cause;
@@ -44,14 +44,20 @@
         let Ok(text) = text.parse() else { continue };
         let wanted = {
             let (shared, name) = (Arc::downgrade(shared), name.clone());
-            move || shared.upgrade().is_some_and(|one| lock(&one.swappers).contains(&name))
+            move || {
+                shared
+                    .upgrade()
+                    .is_some_and(|one| lock(&one.swappers).contains(&name))
+            }
         };
         let keeper = Arc::new(Keeper::new(shared, Name::Model(name.clone()), text, wanted));
         shared.keep(&keeper);
         let shared = shared.clone();
-        let spawned = thread::Builder::new().name("swap".to_owned()).spawn(move || {
-            Swapper::new(shared, name, keeper).run();
-        });
+        let spawned = thread::Builder::new()
+            .name("swap".to_owned())
+            .spawn(move || {
+                Swapper::new(shared, name, keeper).run();
+            });
         if let Err(error) = spawned {
             tracing::error!(%error, "thread_failed");
         }
@@ -106,7 +112,10 @@
             return;
         };
         let held = self.keeper.held(now);
-        let guard = held.map(|held| Guard { fence: held.fence, until: held.until });
+        let guard = held.map(|held| Guard {
+            fence: held.fence,
+            until: held.until,
+        });
         self.swap.set_guard(guard, now);
         self.follow(&manifest);
         if guard.is_none() {
@@ -119,7 +128,9 @@
         let model = self.model.clone();
         let allows = |start, longest| quiet::allows(&manifest, &model, start, longest);
         let wall = self.shared.timestamp();
-        let actions = self.swap.poll(self.shared.now(), wall, &allows, &mut self.rng);
+        let actions = self
+            .swap
+            .poll(self.shared.now(), wall, &allows, &mut self.rng);
         for action in actions {
             self.carry_out(action);
         }
@@ -131,8 +142,10 @@
         let engines = manifest.engines.iter();
         let engines = engines.filter(|one| one.models.contains(&self.model) && !one.leaving);
         let engines: Vec<_> = engines.collect();
-        self.addresses =
-            engines.iter().map(|one| (one.upstream.clone(), one.address)).collect();
+        self.addresses = engines
+            .iter()
+            .map(|one| (one.upstream.clone(), one.address))
+            .collect();
         let replicas: Vec<Replica> = engines
             .iter()
             .map(|one| Replica {
@@ -150,8 +163,15 @@
         let Some(model) = manifest.models.iter().find(|one| one.model == self.model) else {
             return;
         };
-        let mut target = Target { version: model.version, object: model.object.clone() };
-        for trainer in manifest.trainers.iter().filter(|one| one.model == self.model) {
+        let mut target = Target {
+            version: model.version,
+            object: model.object.clone(),
+        };
+        for trainer in manifest
+            .trainers
+            .iter()
+            .filter(|one| one.model == self.model)
+        {
             let key = Published::key(&trainer.trainer);
             let row = self.shared.platform.table.read(&key, CALL_TIMEOUT);
             self.shared.count_store(&row);
@@ -159,7 +179,10 @@
             let Ok(row) = row else { return };
             match row.as_ref().map(Published::from_row) {
                 Some(Ok(Some(published))) if published.version > target.version => {
-                    target = Target { version: published.version, object: published.object };
+                    target = Target {
+                        version: published.version,
+                        object: published.object,
+                    };
                 }
                 Some(Err(error)) => drop(self.shared.violated("published", error)),
                 _ => {}
@@ -172,21 +195,33 @@
 
     fn carry_out(&mut self, action: Action) {
         match action {
-            Action::Order { upstream, order, start_by } => self.order(upstream, order, start_by),
+            Action::Order {
+                upstream,
+                order,
+                start_by,
+            } => self.order(upstream, order, start_by),
             Action::Read { upstream } => self.read(upstream),
-            Action::Excluded { upstream, version, attempts } => {
+            Action::Excluded {
+                upstream,
+                version,
+                attempts,
+            } => {
                 self.shared.metrics.count("swap.excluded");
-                self.shared.recorder.record(self.shared.timestamp(), "swap_excluded", |event| {
-                    event
-                        .with("upstream", upstream)
-                        .with("version", version)
-                        .with("attempts", attempts)
-                });
+                self.shared
+                    .recorder
+                    .record(self.shared.timestamp(), "swap_excluded", |event| {
+                        event
+                            .with("upstream", upstream)
+                            .with("version", version)
+                            .with("attempts", attempts)
+                    });
             }
             Action::Newer { upstream, version } => {
-                self.shared.recorder.record(self.shared.timestamp(), "swap_newer", |event| {
-                    event.with("upstream", upstream).with("version", version)
-                });
+                self.shared
+                    .recorder
+                    .record(self.shared.timestamp(), "swap_newer", |event| {
+                        event.with("upstream", upstream).with("version", version)
+                    });
             }
         }
     }
@@ -204,7 +239,10 @@
             let _ = reports.send(Report::Ordered(upstream, order.order, outcome));
         });
         if !accepted {
-            let _ = self.reports.0.send(Report::Ordered(target, operation, Outcome::NotSent));
+            let _ = self
+                .reports
+                .0
+                .send(Report::Ordered(target, operation, Outcome::NotSent));
         }
     }
 
@@ -225,7 +263,8 @@
         let now = self.shared.now();
         match report {
             Report::Ordered(upstream, operation, outcome) => {
-                self.swap.on_order_result(&upstream, operation, outcome, now);
+                self.swap
+                    .on_order_result(&upstream, operation, outcome, now);
             }
             Report::Weights(upstream, began, Some(weights)) => {
                 let own = weights.iter().find(|one| one.model == self.model);
@@ -268,15 +307,17 @@
             _ => Outcome::from(error),
         },
     };
-    shared.recorder.record(shared.timestamp(), "order_sent", |event| {
-        event
-            .with("upstream", upstream)
-            .with("order", order.order)
-            .with("fence", order.fence)
-            .with("outcome", format!("{outcome:?}"))
-    });
+    shared
+        .recorder
+        .record(shared.timestamp(), "order_sent", |event| {
+            event
+                .with("upstream", upstream)
+                .with("order", order.order)
+                .with("fence", order.fence)
+                .with("outcome", format!("{outcome:?}"))
+        });
     outcome
 }
 
-/// Keeps the excluded replicas of one model.
+/// The models that have a swapper on this node.
 pub(crate) type Running = Mutex<HashSet<id::Model>>;
--- a/crates/node/src/trainers.rs
+++ b/crates/node/src/trainers.rs
@@ -77,34 +77,60 @@
         ("GET", ["steps", step]) => fetch(shared, request, number(step)?)?,
         ("POST", ["steps", step, "ack"]) => {
             let Acknowledge { session, delivery } = parse(request)?;
-            Ask::Acknowledge { session, step: id::Step(number(step)?), delivery }
+            Ask::Acknowledge {
+                session,
+                step: id::Step(number(step)?),
+                delivery,
+            }
         }
         ("POST", ["versions"]) => {
-            let Publish { session, version, object } = parse(request)?;
-            Ask::Publish { session, version, object }
+            let Publish {
+                session,
+                version,
+                object,
+            } = parse(request)?;
+            Ask::Publish {
+                session,
+                version,
+                object,
+            }
         }
         _ => {
             let message = format!("there is no {} {}", request.method, request.path);
             return Err(Refusal::not_run(Code::NotFound, message));
         }
     };
-    answer(shared, ask_owner(shared, &trainer, ask)?)
+    let submits = matches!(ask, Ask::Submit { .. });
+    let mut response = answer(shared, ask_owner(shared, &trainer, ask)?)?;
+    if submits {
+        // The step is accepted, not done.
+        response.status = 202;
+    }
+    Ok(response)
 }
 
 fn submit(request: &Request, step: u64) -> Result<Ask, Refusal> {
-    let Submit { session, groups, max_tokens } = parse(request)?;
+    let Submit {
+        session,
+        groups,
+        max_tokens,
+    } = parse(request)?;
     if max_tokens == 0 {
         let message = "`max_tokens` is 0: a sample has at least one token";
         return Err(Refusal::not_run(Code::BadRequest, message));
     }
     let content = Content { groups, max_tokens };
-    Ok(Ask::Submit { session, step: id::Step(step), content })
+    Ok(Ask::Submit {
+        session,
+        step: id::Step(step),
+        content,
+    })
 }
 
 fn fetch(shared: &Shared, request: &Request, step: u64) -> Result<Ask, Refusal> {
-    let session = request.param("session").ok_or_else(|| {
-        Refusal::not_run(Code::BadRequest, "the parameter `session` is missing")
-    })?;
+    let session = request
+        .param("session")
+        .ok_or_else(|| Refusal::not_run(Code::BadRequest, "the parameter `session` is missing"))?;
     let wait = match request.param("wait_ms") {
         Some(wait) => Duration::from_millis(number(wait)?).min(MAX_WAIT),
         None => Duration::ZERO,
@@ -152,7 +178,11 @@
 
 fn answer(shared: &Shared, reply: Reply) -> Result<Response, Refusal> {
     Ok(match reply {
-        Reply::Session { session, version, next } => {
+        Reply::Session {
+            session,
+            version,
+            next,
+        } => {
             let body = json!({ "session": session, "version": version, "next_step": next });
             Response::json(200, &body)
         }
@@ -192,7 +222,11 @@
             staleness: sample.staleness,
         });
     }
-    Ok(Step { delivery: delivery.delivery, step: delivery.step, samples })
+    Ok(Step {
+        delivery: delivery.delivery,
+        step: delivery.step,
+        samples,
+    })
 }
 
 pub(crate) fn parse<T: DeserializeOwned>(request: &Request) -> Result<T, Refusal> {
--- a/crates/node/src/upstreams.rs
+++ b/crates/node/src/upstreams.rs
@@ -76,7 +76,11 @@
             leaving: HashSet::new(),
             excluded: HashSet::new(),
         };
-        Self { clock, state: Mutex::new(state), changed: Condvar::new() }
+        Self {
+            clock,
+            state: Mutex::new(state),
+            changed: Condvar::new(),
+        }
     }
 
     /// Waits for admission and picks a replica.
@@ -128,7 +132,10 @@
                 Some(Some(refusal)) => return Err(refusal),
                 None => {}
             }
-            let wake = state.gate.wake().map_or(RECHECK, |wake| wake.saturating_since(now));
+            let wake = state
+                .gate
+                .wake()
+                .map_or(RECHECK, |wake| wake.saturating_since(now));
             state = self.pause(state, wake.max(Duration::from_millis(1)));
         }
     }
@@ -145,13 +152,18 @@
     /// Takes over the replicas of the manifest.
     fn update(&self, replicas: &[(Replica, SocketAddr)]) {
         let mut state = lock(&self.state);
-        let list: Vec<Replica> = replicas.iter().map(|(replica, _)| replica.clone()).collect();
+        let list: Vec<Replica> = replicas
+            .iter()
+            .map(|(replica, _)| replica.clone())
+            .collect();
         if let Err(error) = state.router.update(&list) {
             tracing::error!(%error, "replicas_refused");
             return;
         }
-        state.addresses =
-            replicas.iter().map(|(replica, address)| (replica.upstream.clone(), *address)).collect();
+        state.addresses = replicas
+            .iter()
+            .map(|(replica, address)| (replica.upstream.clone(), *address))
+            .collect();
         let known: HashSet<_> = list.iter().map(|replica| &replica.upstream).collect();
         state.limits.retain(|upstream, _| known.contains(upstream));
         state.mark();
@@ -178,25 +190,26 @@
     pub(crate) fn idle(&self) -> Vec<(id::Upstream, SocketAddr)> {
         let state = lock(&self.state);
         let idle = state.router.idle(self.clock.now());
-        idle.filter_map(|name| Some((name.clone(), *state.addresses.get(name)?))).collect()
+        idle.filter_map(|name| Some((name.clone(), *state.addresses.get(name)?)))
+            .collect()
     }
 
     /// Takes a load report.
     pub(crate) fn on_load(&self, upstream: &id::Upstream, running: u32, waiting: u32) {
         let mut state = lock(&self.state);
         state.reports += 1;
-        let load = Load { sequence: state.reports, running, waiting };
+        let load = Load {
+            sequence: state.reports,
+            running,
+            waiting,
+        };
         // The replica may have left the subset since the read was sent.
         let _ = state.router.on_load(upstream, load, self.clock.now());
     }
 }
 
 impl State {
-    fn pick(
-        &mut self,
-        need: &Need<'_>,
-        now: Instant,
-    ) -> Result<(Pick, SocketAddr), Refusal> {
+    fn pick(&mut self, need: &Need<'_>, now: Instant) -> Result<(Pick, SocketAddr), Refusal> {
         let mut request = Request::new(need.class).exclude(need.exclude);
         if let Some(prefix) = need.prefix {
             request = request.prefix_hash(prefix);
@@ -247,7 +260,10 @@
 
     fn set_capacity(&mut self) {
         let limits = self.router.subset().map(|upstream| {
-            self.limits.get(upstream).map_or(LIMIT.2, Adaptive::get).min(SLOTS)
+            self.limits
+                .get(upstream)
+                .map_or(LIMIT.2, Adaptive::get)
+                .min(SLOTS)
         });
         let capacity = limits.fold(0, u32::saturating_add);
         self.gate.set_capacity(capacity.max(1));
@@ -316,7 +332,12 @@
 
 impl Upstreams {
     pub(crate) fn new(settings: Settings, clock: Arc<dyn Clock>, seed: u64) -> Self {
-        Self { settings, clock, seed, groups: Mutex::default() }
+        Self {
+            settings,
+            clock,
+            seed,
+            groups: Mutex::default(),
+        }
     }
 
     pub(crate) fn model(&self, model: &id::Model) -> Result<Arc<Group>, Refusal> {
@@ -329,7 +350,10 @@
     pub(crate) fn service(&self, service: &id::Service) -> Result<Arc<Group>, Refusal> {
         let groups = lock(&self.groups);
         groups.services.get(service).cloned().ok_or_else(|| {
-            Refusal::not_run(Code::UnknownService, format!("there is no service `{service}`"))
+            Refusal::not_run(
+                Code::UnknownService,
+                format!("there is no service `{service}`"),
+            )
         })
     }
 
@@ -341,13 +365,18 @@
     pub(crate) fn update(&self, manifest: &Manifest) {
         let mut groups = lock(&self.groups);
         let groups = &mut *groups;
-        groups.models.retain(|model, _| manifest.models.iter().any(|one| one.model == *model));
+        groups
+            .models
+            .retain(|model, _| manifest.models.iter().any(|one| one.model == *model));
         for model in &manifest.models {
             let replicas = engines(manifest, &model.model);
-            self.group(&mut groups.models, &model.model).update(&replicas);
+            self.group(&mut groups.models, &model.model)
+                .update(&replicas);
         }
         let services = &manifest.services;
-        groups.services.retain(|name, _| services.iter().any(|one| one.service == *name));
+        groups
+            .services
+            .retain(|name, _| services.iter().any(|one| one.service == *name));
         for service in services {
             let replicas: Vec<_> = service
                 .replicas
@@ -357,16 +386,30 @@
                     (replica(&one.upstream, place, one.leaving), one.address)
                 })
                 .collect();
-            self.group(&mut groups.services, &service.service).update(&replicas);
+            self.group(&mut groups.services, &service.service)
+                .update(&replicas);
         }
     }
 
     /// Marks the upstreams that get no new work, beside those that the manifest marks.
     pub(crate) fn set_leaving(&self, manifest: &Manifest, leaving: &HashSet<id::Upstream>) {
         let mut all = leaving.clone();
-        all.extend(manifest.engines.iter().filter(|one| one.leaving).map(|one| one.upstream.clone()));
-        let replicas = manifest.services.iter().flat_map(|service| &service.replicas);
-        all.extend(replicas.filter(|one| one.leaving).map(|one| one.upstream.clone()));
+        all.extend(
+            manifest
+                .engines
+                .iter()
+                .filter(|one| one.leaving)
+                .map(|one| one.upstream.clone()),
+        );
+        let replicas = manifest
+            .services
+            .iter()
+            .flat_map(|service| &service.replicas);
+        all.extend(
+            replicas
+                .filter(|one| one.leaving)
+                .map(|one| one.upstream.clone()),
+        );
         let groups = lock(&self.groups);
         for group in groups.models.values().chain(groups.services.values()) {
             group.set_leaving(&all);
@@ -378,16 +421,28 @@
         groups: &mut HashMap<K, Arc<Group>>,
         name: &K,
     ) -> Arc<Group> {
-        let new = || Arc::new(Group::new(self.settings.clone(), self.clock.clone(), self.seed));
+        let new = || {
+            Arc::new(Group::new(
+                self.settings.clone(),
+                self.clock.clone(),
+                self.seed,
+            ))
+        };
         groups.entry(name.clone()).or_insert_with(new).clone()
     }
 }
 
 fn engines(manifest: &Manifest, model: &id::Model) -> Vec<(Replica, SocketAddr)> {
-    let engines = manifest.engines.iter().filter(|engine| engine.models.contains(model));
+    let engines = manifest
+        .engines
+        .iter()
+        .filter(|engine| engine.models.contains(model));
     let replicas = engines.map(|engine| {
         let place = (&engine.region, &engine.centre);
-        (replica(&engine.upstream, place, engine.leaving), engine.address)
+        (
+            replica(&engine.upstream, place, engine.leaving),
+            engine.address,
+        )
     });
     replicas.collect()
 }
