--- a/crates/dogwoodlb/src/bin/dogwoodctl.rs
+++ b/crates/dogwoodlb/src/bin/dogwoodctl.rs
@@ -1,2 +1,5 @@
-//! The operators command line.
-fn main() {}
+//! The operators' command line of dogwoodlb.
+
+fn main() -> std::process::ExitCode {
+    dogwoodlb_ctl::main()
+}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -98,7 +98,7 @@
     ///
     /// Returns the number of requests that were interrupted, which is 0 unless a request
     /// exceeded the longest deadline.
-    pub fn join(self) -> usize {
+    pub fn join(&self) -> usize {
         loop {
             thread::sleep(TICK);
             let now = self.shared.now();
--- a/crates/node/src/operators.rs
+++ b/crates/node/src/operators.rs
@@ -7,6 +7,7 @@
 use dogwoodlb_http::{Request, Response};
 use dogwoodlb_manifest::record::{self, Record};
 use dogwoodlb_types::{id, Code, Refusal};
+use dogwoodlb_wire::State;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 use std::sync::atomic::Ordering;
@@ -44,7 +45,16 @@
 #[derive(Serialize)]
 struct Member {
     vm: id::Vm,
-    state: String,
+    state: &'static str,
+}
+
+const fn state(state: State) -> &'static str {
+    match state {
+        State::Alive => "alive",
+        State::Suspect => "suspect",
+        State::Leaving => "leaving",
+        State::Dead => "dead",
+    }
 }
 
 pub(crate) fn status(shared: &Shared) -> Response {
@@ -60,26 +70,25 @@
     let entries = lock(&shared.adoption)
         .manifest()
         .map(|manifest| manifest.entry_vms.clone());
-    let members = lock(&shared.members);
-    let members = entries.unwrap_or_default().into_iter().map(|entry| {
-        let state = members.state(&entry.vm);
-        let state = state.map_or("unknown".to_owned(), |one| {
-            format!("{one:?}").to_lowercase()
-        });
-        Member {
+    let members = {
+        let members = lock(&shared.members);
+        let entries = entries.unwrap_or_default().into_iter();
+        let entries = entries.map(|entry| Member {
+            state: members.state(&entry.vm).map_or("unknown", state),
             vm: entry.vm,
-            state,
-        }
-    });
-    let members = members.collect();
+        });
+        entries.collect()
+    };
+    let revision = lock(&shared.adoption).revision();
+    let leaving = !lock(&shared.drain).is_listed();
     Response::json(
         200,
         &Status {
             vm: shared.settings.vm.clone(),
             incarnation: shared.incarnation,
-            revision: lock(&shared.adoption).revision(),
+            revision,
             authority: shared.authority(),
-            leaving: !lock(&shared.drain).is_listed(),
+            leaving,
             in_flight: shared.requests.load(Ordering::SeqCst).saturating_sub(1),
             leases: leases.collect(),
             members,
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -251,7 +251,9 @@
                 };
             }
         };
-        match job::Job::new(request, chat, &self.weights()) {
+        // The guard must not live on while the answer is generated.
+        let job = job::Job::new(request, chat, &self.weights());
+        match job {
             Ok(job) => answer::serve(self, &job, plan, responder),
             Err(response) => responder.send(response),
         }
