--- /dev/null
+++ b/crates/lease/tests/candidate_rank.rs
@@ -0,0 +1,46 @@
+//! The order of the candidates of a lease.
+
+use dogwoodlb_lease::{rank, Name};
+use dogwoodlb_types::id;
+use std::collections::BTreeSet;
+
+fn members(count: usize) -> Vec<id::Vm> {
+    (0..count)
+        .map(|number| format!("entry-{number}").parse().unwrap())
+        .collect()
+}
+
+fn first(lease: &Name, members: &[id::Vm]) -> id::Vm {
+    let mut members = members.iter().map(|vm| (rank(lease, vm, members), vm));
+    members.find(|(rank, _)| *rank == 0).unwrap().1.clone()
+}
+
+/// Guards against two candidates with the same rank, which would contend.
+#[test]
+fn ranks_are_distinct() {
+    let members = members(11);
+    let lease = Name::Model("scorer".parse().unwrap());
+    let ranks: BTreeSet<usize> = members
+        .iter()
+        .map(|vm| rank(&lease, vm, &members))
+        .collect();
+    assert_eq!(ranks, (0..11).collect());
+}
+
+/// Guards against one VM that comes first for all leases, and against a loss of a VM that moves
+/// leases of other VMs.
+#[test]
+fn leases_are_spread() {
+    let all = members(11);
+    let mut firsts = BTreeSet::new();
+    for number in 0..100 {
+        let lease = Name::Trainer(format!("trainer-{number}").parse().unwrap());
+        let owner = first(&lease, &all);
+        let others: Vec<id::Vm> = all[1..].to_vec();
+        if owner != all[0] {
+            assert_eq!(first(&lease, &others), owner);
+        }
+        firsts.insert(owner);
+    }
+    assert_eq!(firsts.len(), 11);
+}
--- /dev/null
+++ b/crates/lease/tests/fake/shell.rs
@@ -0,0 +1,87 @@
+//! A shell for one candidate that performs each request at once, or loses its reply.
+
+use super::table::Table;
+use dogwoodlb_lease::{Action, Lease, Name};
+use dogwoodlb_platform::{Category, Cause, Error};
+use dogwoodlb_types::prelude::*;
+use rand::rngs::SmallRng;
+use rand::SeedableRng;
+use std::time::Duration;
+
+/// What happens to a request.
+#[derive(Clone, Copy, PartialEq)]
+pub(crate) enum Fate {
+    Answered,
+    ReplyLost,
+    Lost,
+    NotSent,
+}
+
+pub(crate) struct Shell {
+    pub(crate) lease: Lease,
+    rng: SmallRng,
+    /// The number of transactions that were sent.
+    pub(crate) commits: usize,
+}
+
+pub(crate) fn at(millis: u64) -> Instant {
+    Instant::from_millis(millis)
+}
+
+pub(crate) fn failure(category: Category) -> Error {
+    Error::new(category, "table", Cause::Timeout(Duration::from_secs(1)))
+}
+
+impl Shell {
+    pub(crate) fn new(vm: &str, rank: usize) -> Self {
+        Self::seeded(vm, rank, 1)
+    }
+
+    pub(crate) fn seeded(vm: &str, rank: usize, seed: u64) -> Self {
+        let name = Name::Trainer("weld".parse().unwrap());
+        Self {
+            lease: Lease::new(name, vm.parse().unwrap(), id::Incarnation(1), rank),
+            rng: SmallRng::seed_from_u64(seed),
+            commits: 0,
+        }
+    }
+
+    /// Performs the next request, if there is one; returns whether it was a transaction.
+    pub(crate) fn step(&mut self, millis: u64, table: &mut Table, fate: Fate) -> Option<bool> {
+        let action = self.lease.poll(at(millis), &mut self.rng)?;
+        let lost = match fate {
+            Fate::Answered => None,
+            Fate::ReplyLost | Fate::Lost => Some(Category::Ambiguous),
+            Fate::NotSent => Some(Category::NotSent),
+        };
+        let applies = matches!(fate, Fate::Answered | Fate::ReplyLost);
+        match action {
+            Action::Read { ticket, prefix } => {
+                let rows = lost.map_or_else(|| Ok(table.scan(&prefix)), |c| Err(failure(c)));
+                self.lease.on_read(at(millis), ticket, rows).unwrap();
+                Some(false)
+            }
+            Action::Commit { ticket, txn } => {
+                self.commits += 1;
+                let outcome = applies.then(|| table.commit(&txn));
+                let reply = match lost {
+                    Some(category) => Err(failure(category)),
+                    None => Ok(outcome.unwrap()),
+                };
+                self.lease.on_commit(at(millis), ticket, reply);
+                Some(true)
+            }
+        }
+    }
+
+    /// Performs requests every 100 ms until the lease is held and returns the time.
+    pub(crate) fn run_until_held(&mut self, from: u64, table: &mut Table) -> u64 {
+        (from..from + 60_000)
+            .step_by(100)
+            .find(|millis| {
+                while self.step(*millis, table, Fate::Answered).is_some() {}
+                self.lease.held(at(*millis)).is_some()
+            })
+            .unwrap()
+    }
+}
--- /dev/null
+++ b/crates/lease/tests/single_holder.rs
@@ -0,0 +1,272 @@
+//! Randomised runs of several candidates under faults, in virtual time.
+
+#[path = "fake/table.rs"]
+mod table;
+
+use dogwoodlb_lease::{Action, Guard, Lease, Name, Ticket};
+use dogwoodlb_platform::table::{Outcome, Row, Txn};
+use dogwoodlb_platform::{Category, Cause, Error, Result};
+use dogwoodlb_types::prelude::*;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use std::collections::BTreeMap;
+use table::Table;
+
+const CANDIDATES: usize = 3;
+const FAULTS_END_MS: u64 = 50_000;
+const END_MS: u64 = 80_000;
+const SCHEDULES: u64 = 2_000;
+
+enum Event {
+    Tick,
+    Arrive(Ticket, Request),
+    Reply(Ticket, Reply),
+    /// A data write of the holder, delayed on its way to the table.
+    Data(Guard),
+}
+
+enum Request {
+    Read(String),
+    Commit(Txn),
+}
+
+enum Reply {
+    Rows(Result<Vec<Row>>),
+    Outcome(Result<Outcome>),
+}
+
+struct Candidate {
+    lease: Lease,
+    incarnation: u64,
+    rate: f64,
+    offset: f64,
+    paused_until: u64,
+}
+
+impl Candidate {
+    /// Returns the time on the candidate's own clock.
+    fn local(&self, now: u64) -> Instant {
+        Instant::from_millis((now as f64 * self.rate + self.offset) as u64)
+    }
+}
+
+#[derive(Default)]
+struct Tally {
+    takeovers: u64,
+    stale_writes: u64,
+    data_writes: u64,
+}
+
+struct World {
+    rng: SmallRng,
+    now: u64,
+    table: Table,
+    candidates: Vec<Candidate>,
+    /// Events by time; the second number keeps the order of those at the same time. An event
+    /// of an earlier incarnation is dropped unless it is on its way to the table.
+    events: BTreeMap<(u64, u64), (usize, u64, Event)>,
+    sequence: u64,
+    last_fence: id::Fence,
+    written_fence: id::Fence,
+    tally: Tally,
+}
+
+fn lease(vm: usize, incarnation: u64) -> Lease {
+    let name = Name::Trainer("weld".parse().unwrap());
+    let vm = format!("entry-{vm}").parse().unwrap();
+    Lease::new(name, vm, id::Incarnation(incarnation), 0)
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let candidates = (0..CANDIDATES)
+            .map(|vm| Candidate {
+                lease: lease(vm, 0),
+                incarnation: 0,
+                rate: rng.random_range(0.99..=1.01),
+                offset: rng.random_range(0.0..1e6),
+                paused_until: 0,
+            })
+            .collect();
+        let mut world = Self {
+            rng,
+            now: 0,
+            table: Table::default(),
+            candidates,
+            events: BTreeMap::new(),
+            sequence: 0,
+            last_fence: id::Fence(0),
+            written_fence: id::Fence(0),
+            tally: Tally::default(),
+        };
+        for vm in 0..CANDIDATES {
+            world.push(vm, 0, Event::Tick);
+        }
+        world
+    }
+
+    fn push(&mut self, vm: usize, delay: u64, event: Event) {
+        self.sequence += 1;
+        let incarnation = self.candidates[vm].incarnation;
+        let key = (self.now + delay, self.sequence);
+        self.events.insert(key, (vm, incarnation, event));
+    }
+
+    fn chance(&mut self, permille: u32) -> bool {
+        self.now < FAULTS_END_MS && self.rng.random_ratio(permille, 1_000)
+    }
+
+    fn run(mut self, seed: u64) -> Tally {
+        while let Some(((at, _), (vm, incarnation, event))) = self.events.pop_first() {
+            if at >= END_MS {
+                break;
+            }
+            self.now = at;
+            let alive = self.candidates[vm].incarnation == incarnation;
+            match event {
+                Event::Arrive(ticket, request) => self.arrive(vm, alive, ticket, request),
+                Event::Data(guard) => self.write_data(guard, seed),
+                Event::Tick | Event::Reply(..) if !alive => {}
+                event if self.candidates[vm].paused_until > at => {
+                    let delay = self.candidates[vm].paused_until - at;
+                    self.push(vm, delay, event);
+                }
+                Event::Tick => self.tick(vm),
+                Event::Reply(ticket, reply) => self.reply(vm, ticket, reply),
+            }
+            self.check(seed);
+        }
+        let held = self.candidates.iter();
+        let held = held.filter(|own| own.lease.held(own.local(self.now)).is_some());
+        assert_eq!(held.count(), 1, "seed {seed}: no holder after the faults");
+        self.tally
+    }
+
+    fn tick(&mut self, vm: usize) {
+        if self.chance(4) {
+            let candidate = &mut self.candidates[vm];
+            candidate.incarnation += 1;
+            candidate.lease = lease(vm, candidate.incarnation);
+        }
+        let now = self.candidates[vm].local(self.now);
+        if let Some(guard) = self.candidates[vm].lease.held(now) {
+            if self.chance(100) {
+                let delay = self.rng.random_range(5..20_000);
+                self.push(vm, delay, Event::Data(guard));
+            }
+        }
+        if let Some(action) = self.candidates[vm].lease.poll(now, &mut self.rng) {
+            self.send(vm, action);
+        }
+        if self.chance(15) {
+            self.candidates[vm].paused_until = self.now + self.rng.random_range(1_000..16_000);
+        }
+        let delay = self.rng.random_range(50..250);
+        self.push(vm, delay, Event::Tick);
+    }
+
+    /// Sends a request, which may be lost, delayed, or delayed beyond its timeout of 1 s.
+    fn send(&mut self, vm: usize, action: Action) {
+        let failed = |category| Error::new(category, "table", Cause::Truncated);
+        let (ticket, request) = match action {
+            Action::Read { ticket, prefix } => (ticket, Request::Read(prefix)),
+            Action::Commit { ticket, txn } => (ticket, Request::Commit(txn)),
+        };
+        let fail = |request: &Request, category| match request {
+            Request::Read(_) => Reply::Rows(Err(failed(category))),
+            Request::Commit(_) => Reply::Outcome(Err(failed(category))),
+        };
+        if self.chance(40) {
+            let reply = fail(&request, Category::NotSent);
+            return self.push(vm, 1, Event::Reply(ticket, reply));
+        }
+        let reply = fail(&request, Category::Ambiguous);
+        self.push(vm, 1_000, Event::Reply(ticket, reply));
+        if !self.chance(60) {
+            let delay = match self.chance(150) {
+                true => self.rng.random_range(100..20_000),
+                false => self.rng.random_range(1..20),
+            };
+            self.push(vm, delay, Event::Arrive(ticket, request));
+        }
+    }
+
+    fn arrive(&mut self, vm: usize, alive: bool, ticket: Ticket, request: Request) {
+        let reply = match request {
+            Request::Read(prefix) => Reply::Rows(Ok(self.table.scan(&prefix))),
+            Request::Commit(txn) => Reply::Outcome(Ok(self.table.commit(&txn))),
+        };
+        let lost = self.chance(100);
+        if alive && !lost {
+            let delay = match self.chance(100) {
+                true => self.rng.random_range(100..5_000),
+                false => self.rng.random_range(1..20),
+            };
+            self.push(vm, delay, Event::Reply(ticket, reply));
+        }
+    }
+
+    fn reply(&mut self, vm: usize, ticket: Ticket, reply: Reply) {
+        let candidate = &mut self.candidates[vm];
+        let now = candidate.local(self.now);
+        match reply {
+            Reply::Rows(rows) => candidate.lease.on_read(now, ticket, rows).unwrap(),
+            Reply::Outcome(outcome) => candidate.lease.on_commit(now, ticket, outcome),
+        }
+    }
+
+    fn write_data(&mut self, guard: Guard, seed: u64) {
+        let fence_key = "lease/trainer/weld/fence";
+        let txn = Txn::new()
+            .check(fence_key, guard.row_version)
+            .put("data", "1");
+        self.tally.data_writes += 1;
+        match self.table.commit(&txn) {
+            Outcome::Applied { .. } => {
+                assert!(guard.fence >= self.last_fence, "seed {seed}: stale write");
+                assert!(guard.fence >= self.written_fence, "seed {seed}: old number");
+                self.written_fence = guard.fence;
+            }
+            Outcome::Conflict { .. } => self.tally.stale_writes += 1,
+        }
+    }
+
+    /// Checks that at most one candidate, paused or not, is within its validity.
+    fn check(&mut self, seed: u64) {
+        let held = |own: &Candidate| own.lease.held(own.local(self.now));
+        let guards: Vec<Guard> = self.candidates.iter().filter_map(held).collect();
+        assert!(
+            guards.len() <= 1,
+            "seed {seed}, {} ms: {guards:?}",
+            self.now
+        );
+        for guard in guards {
+            assert!(guard.fence >= self.last_fence, "seed {seed}: {guard:?}");
+            if guard.fence > self.last_fence {
+                self.last_fence = guard.fence;
+                self.tally.takeovers += 1;
+            }
+        }
+    }
+}
+
+/// Guards against two holders at the same real time and against a stale holder's data write that
+/// takes effect, under lost replies, delayed writes, pauses, restarts and clock-rate errors.
+#[test]
+fn never_two_holders() {
+    let mut total = Tally::default();
+    for seed in 0..SCHEDULES {
+        let tally = World::new(seed).run(seed);
+        total.takeovers += tally.takeovers;
+        total.stale_writes += tally.stale_writes;
+        total.data_writes += tally.data_writes;
+    }
+    println!(
+        "{SCHEDULES} schedules: {} takeovers, {} data writes, {} of them stale",
+        total.takeovers, total.data_writes, total.stale_writes
+    );
+    // The faults must have had an effect.
+    assert!(total.takeovers > 2 * SCHEDULES);
+    assert!(total.stale_writes > SCHEDULES / 2);
+}
--- /dev/null
+++ b/crates/lease/tests/takeover.rs
@@ -0,0 +1,121 @@
+//! Who takes a lease over, and when.
+
+#[path = "fake/shell.rs"]
+mod shell;
+#[path = "fake/table.rs"]
+mod table;
+
+use dogwoodlb_lease::{Action, Category};
+use dogwoodlb_types::id;
+use rand::rngs::SmallRng;
+use rand::SeedableRng;
+use rstest::rstest;
+use shell::{at, Fate, Shell};
+use table::Table;
+
+/// Guards against a takeover while the holder can still count on its last renewal, and against
+/// candidates that contend instead of waiting for those ranked before them.
+#[rstest]
+#[case(0, 6_260)]
+#[case(1, 6_760)]
+#[case(3, 7_760)]
+fn waits_by_rank(#[case] rank: usize, #[case] wait: u64) {
+    let mut table = Table::default();
+    let mut first = Shell::new("entry-1", 0);
+    assert_eq!(first.run_until_held(0, &mut table), 0);
+    let mut second = Shell::new("entry-2", rank);
+    let taken = second.run_until_held(1_000, &mut table);
+    assert!(
+        (1_000 + wait..1_000 + wait + 100).contains(&taken),
+        "{taken}"
+    );
+    assert!(first.lease.held(at(taken)).is_none());
+    assert_eq!(second.lease.held(at(taken)).unwrap().fence, id::Fence(2));
+    assert_eq!(second.lease.holder().unwrap().vm.as_str(), "entry-2");
+}
+
+/// Guards against a candidate that counts its wait from the first read instead of from the last
+/// renewal it saw, or that sends writes while the holder renews.
+#[test]
+fn renewal_restarts_wait() {
+    let mut table = Table::default();
+    let mut first = Shell::new("entry-1", 0);
+    let mut second = Shell::new("entry-2", 0);
+    for millis in (0..30_000).step_by(100) {
+        while first.step(millis, &mut table, Fate::Answered).is_some() {}
+        while second.step(millis, &mut table, Fate::Answered).is_some() {}
+        assert!(first.lease.held(at(millis)).is_some());
+        assert!(second.lease.held(at(millis)).is_none());
+    }
+    assert_eq!(second.commits, 0);
+    // One write for each 2 s.
+    assert_eq!(first.commits, 15);
+}
+
+/// Guards against a takeover on the strength of a wait that a pause of the candidate spanned.
+#[test]
+fn pause_needs_new_read() {
+    let mut table = Table::default();
+    let mut first = Shell::new("entry-1", 0);
+    first.run_until_held(0, &mut table);
+    let mut second = Shell::new("entry-2", 0);
+    while second.step(0, &mut table, Fate::Answered).is_some() {}
+    first.step(9_000, &mut table, Fate::Answered).unwrap();
+    assert!(!second.step(10_000, &mut table, Fate::Answered).unwrap());
+    assert!(second.step(10_000, &mut table, Fate::Answered).is_none());
+}
+
+/// Guards against a lost reply that leaves a taken lease unused or takes it twice, and against a
+/// term that is counted from a time after the write was sent.
+#[rstest]
+#[case(Fate::ReplyLost, 1, 100)]
+#[case(Fate::Lost, 2, 1_000)]
+#[case(Fate::NotSent, 2, 1_000)]
+fn lost_takeover(#[case] fate: Fate, #[case] commits: usize, #[case] sent: u64) {
+    let mut table = Table::default();
+    let mut first = Shell::new("entry-1", 0);
+    first.step(0, &mut table, Fate::Answered);
+    assert!(first.step(100, &mut table, fate).unwrap());
+    assert!(first.lease.held(at(1_000)).is_none());
+    while first.step(1_000, &mut table, Fate::Answered).is_some() {}
+    let guard = first.lease.held(at(1_000)).unwrap();
+    assert_eq!(guard.until, at(sent + 5_740));
+    assert_eq!(guard.fence, id::Fence(1));
+    assert_eq!(guard.row_version, table.version("lease/trainer/weld/fence"));
+    assert_eq!(first.commits, commits);
+}
+
+/// Guards against a fence row that lost its content: numbers would start again at 1.
+#[test]
+fn damaged_rows_are_refused() {
+    let mut table = Table::default();
+    let mut first = Shell::new("entry-1", 0);
+    first.run_until_held(0, &mut table);
+    let mut rows = table.scan("lease/");
+    rows.retain(|row| row.key.ends_with("beat"));
+    let mut second = Shell::new("entry-2", 0);
+    let mut rng = SmallRng::seed_from_u64(1);
+    let Some(Action::Read { ticket, .. }) = second.lease.poll(at(0), &mut rng) else {
+        panic!("no read");
+    };
+    let error = second.lease.on_read(at(0), ticket, Ok(rows)).unwrap_err();
+    assert_eq!(error.classify(), Category::Row);
+    assert!(second.step(0, &mut table, Fate::Answered).is_none());
+}
+
+/// Guards against a wait that counts from the start of a slow read: the renewal that it shows
+/// may be younger than that.
+#[test]
+fn slow_read() {
+    let mut table = Table::default();
+    let mut second = Shell::new("entry-2", 0);
+    let mut rng = SmallRng::seed_from_u64(1);
+    let Some(Action::Read { ticket, prefix }) = second.lease.poll(at(0), &mut rng) else {
+        panic!("no read");
+    };
+    Shell::new("entry-1", 0).run_until_held(800, &mut table);
+    let rows = table.scan(&prefix);
+    second.lease.on_read(at(900), ticket, Ok(rows)).unwrap();
+    let taken = second.run_until_held(900, &mut table);
+    assert!(taken >= 900 + 6_260, "{taken}");
+}
