Test the ledger core

Cause: the features of the ledger had one doc test.

Change: modules for submission, acceptance, delivery, and lost replies, in one test target so that the fake owner is compiled once. `Answer` is public, because every operation returns it.

--- a/crates/ledger/src/accept.rs
+++ b/crates/ledger/src/accept.rs
@@ -1,9 +1,10 @@
 use crate::buffer::Entry;
-use crate::ledger::{Answer, Ledger};
+use crate::ledger::Ledger;
 use crate::pending::{Effect, Probe};
 use crate::row::{to_json, Batch, Record};
 use crate::step::Slot;
 use crate::view::{Accepted, Commit, Finished, Object, Start};
+use crate::Answer;
 use dogwoodlb_types::{check_spans, id, oldest_version, Code, Instant, Refusal};
 use std::collections::BTreeMap;
 use std::time::Duration;
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -5,13 +5,11 @@
 use crate::row::{parse, Batch, Delivered, Head, Key, Keys, Step};
 use crate::step::{Limit, Open};
 use crate::view::{Counts, Progress, Settings, StepView};
-use crate::Result;
+use crate::{Answer, Result};
 use dogwoodlb_platform::table::{Check, Row, Txn};
 use dogwoodlb_types::{id, Code, Instant, Refusal};
 use std::collections::{BTreeMap, VecDeque};
 
-pub(crate) type Answer<T> = std::result::Result<T, Refusal>;
-
 /// The ledger of one trainer, for as long as one process holds the trainer's lease.
 ///
 /// At most one transaction is in flight: an operation that needs one while another runs
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -92,3 +92,6 @@
 
 /// The result of reading rows or objects.
 pub type Result<T> = std::result::Result<T, Error>;
+
+/// The result of an operation on behalf of a trainer.
+pub type Answer<T> = std::result::Result<T, dogwoodlb_types::Refusal>;
--- a/crates/ledger/src/operation.rs
+++ b/crates/ledger/src/operation.rs
@@ -1,9 +1,10 @@
 use crate::content::{digest, Content};
-use crate::ledger::{conflict, Answer, Ledger};
+use crate::ledger::{conflict, Ledger};
 use crate::pending::{Effect, Probe};
 use crate::row::{to_json, Delivered, Head, Step};
 use crate::step::age;
 use crate::view::{Completion, Object, Start};
+use crate::Answer;
 use dogwoodlb_types::{id, Code, Refusal};
 
 /// The largest number of steps that a trainer may have submitted and not acknowledged.
--- /dev/null
+++ b/crates/ledger/tests/ledger/lost_reply.rs
@@ -0,0 +1,174 @@
+//! Read-back after an ambiguous reply, and transactions of a stale owner.
+
+use crate::owner::{ambiguous, content, finished, owner, trainer, Owner};
+use crate::table::Table;
+use dogwoodlb_ledger::*;
+use dogwoodlb_platform::table::{Check, Outcome, Row};
+use dogwoodlb_types::prelude::*;
+use rstest::rstest;
+
+type Begin = fn(&mut Owner) -> Start;
+
+fn begin_session(owner: &mut Owner) -> Start {
+    let operation = owner.operation();
+    owner.ledger.open_session(operation).unwrap()
+}
+
+fn begin_submit(owner: &mut Owner) -> Start {
+    owner.try_submit(3, &content(1)).unwrap()
+}
+
+fn begin_flush(owner: &mut Owner) -> Start {
+    owner.ledger.accept(finished(2, 0, 0, 5)).unwrap();
+    Start::Commit(owner.flush().unwrap())
+}
+
+fn begin_deliver(owner: &mut Owner) -> Start {
+    owner.try_deliver(1).unwrap()
+}
+
+fn begin_publish(owner: &mut Owner) -> Start {
+    owner.try_publish(6).unwrap()
+}
+
+fn read_back(table: &Table, owner: &mut Owner, next: Next) -> Next {
+    let Next::ReadBack { operation, key } = next else {
+        panic!("{next:?}");
+    };
+    let failed = owner.ledger.on_read_back(operation, Err(ambiguous()));
+    assert!(matches!(failed, Next::ReadBack { .. }));
+    let row = table.scan(&key).into_iter().find(|row| row.key == key);
+    owner.ledger.on_read_back(operation, Ok(row))
+}
+
+fn setup(begin: Begin) -> (Table, Owner, Commit) {
+    let mut table = Table::default();
+    let mut owner = owner(&mut table, 1);
+    owner.submit(&mut table, 2, 1);
+    owner.fill(&mut table, 1, 1, 5);
+    let Start::Commit(commit) = begin(&mut owner) else {
+        panic!("no transaction");
+    };
+    (table, owner, commit)
+}
+
+/// Guards against an operation that is repeated although it took effect, is given up although
+/// it didn't, or is doubled by a delayed copy.
+#[rstest]
+#[case(begin_session)]
+#[case(begin_submit)]
+#[case(begin_flush)]
+#[case(begin_deliver)]
+#[case(begin_publish)]
+fn outcome_is_read_back(#[case] begin: Begin, #[values(true, false)] applied: bool) {
+    let (mut table, mut owner, commit) = setup(begin);
+    if applied {
+        table.commit(&commit.txn);
+    }
+    let next = owner.ledger.on_commit(commit.operation, Err(ambiguous()));
+    let mut next = read_back(&table, &mut owner, next);
+    if !applied {
+        let Next::Resend(again) = next else {
+            panic!("{next:?}");
+        };
+        assert_eq!(again.txn, commit.txn);
+        // The delayed first copy overtakes the second one.
+        table.commit(&commit.txn);
+        let outcome = table.commit(&again.txn);
+        assert!(matches!(outcome, Outcome::Conflict { .. }));
+        next = owner.ledger.on_commit(commit.operation, Ok(outcome));
+        next = read_back(&table, &mut owner, next);
+    }
+    assert!(matches!(next, Next::Done(_)), "{next:?}");
+    assert!(!owner.ledger.is_busy());
+    // The versions in memory are right: the next transaction takes effect.
+    owner.open_session(&mut table);
+}
+
+/// Guards against a stale owner that writes after a takeover, or reports the wrong outcome.
+#[rstest]
+#[case(begin_session)]
+#[case(begin_submit)]
+#[case(begin_flush)]
+#[case(begin_deliver)]
+#[case(begin_publish)]
+fn stale_owner_conflicts(#[case] begin: Begin, #[values(true, false)] ambiguity: bool) {
+    let (mut table, mut stale, commit) = setup(begin);
+    let before = table.scan("trainer/");
+    Owner::take_over(&mut table, 2);
+    let mut operation = commit.operation;
+    if ambiguity {
+        let next = stale.ledger.on_commit(operation, Err(ambiguous()));
+        let Next::Resend(again) = read_back(&table, &mut stale, next) else {
+            panic!("no repetition");
+        };
+        operation = again.operation;
+    }
+    let outcome = table.commit(&commit.txn);
+    let next = stale.ledger.on_commit(operation, Ok(outcome));
+    let Next::Lost(refusal) = read_back(&table, &mut stale, next) else {
+        panic!("not lost");
+    };
+    let ran = if ambiguity {
+        Ran::MayHaveRun
+    } else {
+        Ran::NotRun
+    };
+    assert_eq!((refusal.code, refusal.ran), (Code::WrongNode, ran));
+    assert_eq!(table.scan("trainer/"), before);
+    assert!(stale.ledger.is_lost());
+    assert_eq!(stale.try_deliver(1).unwrap_err().code, Code::WrongNode);
+}
+
+/// Guards against a late reply to another operation that completes this one.
+#[test]
+fn other_replies_are_ignored() {
+    let (mut table, mut owner, commit) = setup(begin_publish);
+    let other = id::Operation(77);
+    let reply = Outcome::Applied { version: 999 };
+    assert_eq!(owner.ledger.on_commit(other, Ok(reply)), Next::Ignored);
+    assert_eq!(
+        owner.ledger.on_read_back(commit.operation, Ok(None)),
+        Next::Ignored
+    );
+    let done = owner.finish(&mut table, Start::Commit(commit));
+    assert!(matches!(done, Completion::Published { .. }));
+}
+
+fn reload(rows: &[Row]) -> Result<Ledger> {
+    let settings = Settings {
+        trainer: trainer(),
+        staleness_bound: 2,
+        version: id::Version(5),
+        buffer_bytes: 0,
+    };
+    let key = "lease/trainer/weld/fence".to_owned();
+    Ledger::load(settings, Check { key, version: 1 }, rows)
+}
+
+/// Guards against rows that contradict each other and would be delivered all the same.
+#[test]
+fn damaged_rows_are_refused() {
+    let mut table = Table::default();
+    let mut owner = owner(&mut table, 1);
+    owner.fill(&mut table, 1, 1, 5);
+    owner.delivery(&mut table, 1);
+    let rows = table.scan("trainer/");
+    for (damage, category) in [
+        ("batch", Category::Invariant),
+        ("step/1", Category::Invariant),
+    ] {
+        let kept: Vec<_> = rows
+            .iter()
+            .filter(|row| !row.key.contains(damage))
+            .cloned()
+            .collect();
+        let error = reload(&kept).unwrap_err();
+        assert_eq!(error.classify(), category);
+    }
+    let mut torn = rows.clone();
+    torn[0].value.truncate(10);
+    let error = reload(&torn).unwrap_err();
+    assert_eq!(error.classify(), Category::Malformed);
+    assert_eq!(error.key(), Some("trainer/weld/head"));
+}
--- /dev/null
+++ b/crates/ledger/tests/ledger/owner.rs
@@ -0,0 +1,173 @@
+//! An owner of a trainer whose transactions take effect at once.
+
+use crate::table::Table;
+use dogwoodlb_ledger::*;
+use dogwoodlb_platform::table::{Check, Txn};
+use dogwoodlb_platform::{Category, Cause, Error};
+use dogwoodlb_types::prelude::*;
+
+const FENCE_KEY: &str = "lease/trainer/weld/fence";
+
+pub(crate) struct Owner {
+    pub(crate) ledger: Ledger,
+    pub(crate) session: id::Session,
+    operations: u128,
+    now: u64,
+}
+
+pub(crate) fn trainer() -> id::Trainer {
+    "weld".parse().unwrap()
+}
+
+pub(crate) fn sample(step: u64, index: u32) -> id::Sample {
+    id::Sample::new(trainer(), id::Step(step), 0, index)
+}
+
+/// Returns a step of one group.
+pub(crate) fn content(size: u32) -> Content {
+    let prompt = "2 + 2 =".to_owned();
+    let groups = vec![Group { prompt, size }];
+    Content {
+        groups,
+        max_tokens: 16,
+    }
+}
+
+/// Returns an attempt that one version produced.
+pub(crate) fn finished(step: u64, index: u32, attempt: u32, version: u64) -> Finished {
+    let span = Span {
+        version: id::Version(version),
+        from: 0,
+        to: 4,
+    };
+    Finished {
+        sample: sample(step, index),
+        attempt,
+        tokens: 4,
+        spans: vec![span],
+        body: format!("body {step}/{index}/{attempt}"),
+    }
+}
+
+pub(crate) fn ambiguous() -> Error {
+    Error::new(Category::Ambiguous, "table", Cause::Truncated)
+}
+
+impl Owner {
+    /// Takes the trainer over and loads its ledger; published is version 5 at first.
+    pub(crate) fn take_over(table: &mut Table, staleness_bound: u64) -> Self {
+        table.commit(&Txn::new().put(FENCE_KEY, "{}"));
+        let settings = Settings {
+            trainer: trainer(),
+            staleness_bound,
+            version: id::Version(5),
+            buffer_bytes: 4_096,
+        };
+        let fence = Check {
+            key: FENCE_KEY.to_owned(),
+            version: table.version(FENCE_KEY),
+        };
+        let rows = table.scan(&Ledger::prefix(&trainer()));
+        let ledger = Ledger::load(settings, fence, &rows).unwrap();
+        Self {
+            session: ledger.session(),
+            ledger,
+            // Operation ids of different owners differ.
+            operations: u128::from(table.version(FENCE_KEY)) << 64,
+            now: 0,
+        }
+    }
+
+    pub(crate) fn operation(&mut self) -> id::Operation {
+        self.operations += 1;
+        id::Operation(self.operations)
+    }
+
+    pub(crate) fn finish(&mut self, table: &mut Table, start: Start) -> Completion {
+        let commit = match start {
+            Start::Done(completion) => return completion,
+            Start::Commit(commit) => commit,
+            Start::Busy => panic!("busy"),
+        };
+        let outcome = table.commit(&commit.txn);
+        match self.ledger.on_commit(commit.operation, Ok(outcome)) {
+            Next::Done(completion) => completion,
+            next => panic!("{next:?}"),
+        }
+    }
+
+    pub(crate) fn open_session(&mut self, table: &mut Table) {
+        let operation = self.operation();
+        let start = self.ledger.open_session(operation).unwrap();
+        let Completion::Session(session) = self.finish(table, start) else {
+            panic!("no session");
+        };
+        self.session = session;
+    }
+
+    pub(crate) fn submit(&mut self, table: &mut Table, step: u64, size: u32) {
+        let start = self.try_submit(step, &content(size)).unwrap();
+        self.finish(table, start);
+    }
+
+    pub(crate) fn try_submit(&mut self, step: u64, content: &Content) -> Answer<Start> {
+        let operation = self.operation();
+        self.ledger
+            .submit(self.session, id::Step(step), content, operation)
+    }
+
+    pub(crate) fn flush(&mut self) -> Option<Commit> {
+        let operation = self.operation();
+        self.now += 200;
+        self.ledger.flush(Instant::from_millis(self.now), operation)
+    }
+
+    /// Accepts one attempt for each sample and stores them.
+    pub(crate) fn fill(&mut self, table: &mut Table, step: u64, size: u32, version: u64) {
+        for index in 0..size {
+            let accepted = self.ledger.accept(finished(step, index, 0, version));
+            assert_eq!(accepted.unwrap(), Accepted::Buffered);
+        }
+        while let Some(commit) = self.flush() {
+            self.finish(table, Start::Commit(commit));
+        }
+    }
+
+    pub(crate) fn try_deliver(&mut self, step: u64) -> Answer<Start> {
+        let operation = self.operation();
+        self.ledger.deliver(self.session, id::Step(step), operation)
+    }
+
+    pub(crate) fn deliver(&mut self, table: &mut Table, step: u64) -> Completion {
+        let start = self.try_deliver(step).unwrap();
+        self.finish(table, start)
+    }
+
+    pub(crate) fn delivery(&mut self, table: &mut Table, step: u64) -> Delivery {
+        match self.deliver(table, step) {
+            Completion::Delivered(delivery) => delivery,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    pub(crate) fn try_acknowledge(&mut self, delivery: &Delivery) -> Answer<Start> {
+        let operation = self.operation();
+        self.ledger
+            .acknowledge(self.session, delivery.step, delivery.delivery, operation)
+    }
+
+    pub(crate) fn try_publish(&mut self, version: u64) -> Answer<Start> {
+        let operation = self.operation();
+        let object = format!("weights/{version}");
+        self.ledger
+            .publish(self.session, id::Version(version), &object, operation)
+    }
+}
+
+/// Returns an owner with a session and a submitted step 1.
+pub(crate) fn owner(table: &mut Table, size: u32) -> Owner {
+    let mut owner = Owner::take_over(table, 2);
+    owner.open_session(table);
+    owner.submit(table, 1, size);
+    owner
+}
--- /dev/null
+++ b/crates/ledger/tests/ledger/sample_acceptance.rs
@@ -0,0 +1,129 @@
+//! Acceptance and group commit of samples.
+
+use crate::owner::{finished, owner, sample};
+use crate::table::Table;
+use dogwoodlb_ledger::*;
+use dogwoodlb_types::prelude::*;
+use rstest::rstest;
+
+/// Guards against samples without a true label.
+#[rstest]
+#[case(&[], 4)]
+#[case(&[(0, 2), (3, 4)], 4)]
+#[case(&[(0, 3), (2, 4)], 4)]
+#[case(&[(0, 4)], 5)]
+fn spans_must_cover(#[case] spans: &[(u32, u32)], #[case] tokens: u32) {
+    let mut table = Table::default();
+    let mut owner = owner(&mut table, 1);
+    let version = id::Version(5);
+    let spans = spans.iter().map(|&(from, to)| Span { version, from, to });
+    let attempt = Finished {
+        tokens,
+        spans: spans.collect(),
+        ..finished(1, 0, 0, 5)
+    };
+    assert_eq!(owner.ledger.accept(attempt).unwrap(), Accepted::Unlabelled);
+    assert_eq!(owner.ledger.counts().unlabelled, 1);
+    assert_eq!(owner.ledger.steps()[0].missing, [sample(1, 0)]);
+}
+
+/// Guards against a second attempt that replaces or doubles the first, before and after the
+/// first is stored.
+#[test]
+fn first_attempt_wins() {
+    let mut table = Table::default();
+    let mut owner = owner(&mut table, 1);
+    owner.ledger.accept(finished(1, 0, 7, 5)).unwrap();
+    let buffered = owner.ledger.accept(finished(1, 0, 8, 5)).unwrap();
+    let commit = owner.flush().unwrap();
+    let in_flight = owner.ledger.accept(finished(1, 0, 9, 5)).unwrap();
+    owner.finish(&mut table, Start::Commit(commit));
+    let stored = owner.ledger.accept(finished(1, 0, 10, 5)).unwrap();
+    assert_eq!([buffered, in_flight, stored], [Accepted::Duplicate; 3]);
+    assert_eq!(owner.delivery(&mut table, 1).samples[0].attempt, 7);
+}
+
+/// Guards against a transaction for each sample and against flushes closer than 200 ms.
+#[test]
+fn samples_share_commit() {
+    let mut table = Table::default();
+    let mut owner = owner(&mut table, 3);
+    owner.submit(&mut table, 2, 1);
+    for (step, index) in [(1, 0), (2, 0), (1, 1)] {
+        owner.ledger.accept(finished(step, index, 0, 5)).unwrap();
+    }
+    let commit = owner.flush().unwrap();
+    assert_eq!((commit.txn.puts.len(), commit.objects.len()), (2, 1));
+    let bodies = bodies(&commit.objects[0].body).unwrap();
+    assert_eq!(bodies, ["body 1/0/0", "body 2/0/0", "body 1/1/0"]);
+    owner.finish(&mut table, Start::Commit(commit));
+    owner.ledger.accept(finished(1, 2, 0, 5)).unwrap();
+    let early = owner
+        .ledger
+        .flush(Instant::from_millis(399), id::Operation(99));
+    assert_eq!(early, None);
+    let due = owner
+        .ledger
+        .flush(Instant::from_millis(400), id::Operation(99));
+    assert!(due.is_some());
+}
+
+/// Guards against a second transaction in flight.
+#[test]
+fn one_transaction_in_flight() {
+    let mut table = Table::default();
+    let mut owner = owner(&mut table, 2);
+    owner.ledger.accept(finished(1, 0, 0, 5)).unwrap();
+    owner.flush().unwrap();
+    assert!(owner.ledger.is_busy());
+    assert_eq!(
+        owner.ledger.accept(finished(1, 1, 0, 5)).unwrap(),
+        Accepted::Buffered
+    );
+    assert!(owner.flush().is_none());
+    assert_eq!(owner.try_publish(6).unwrap(), Start::Busy);
+    assert_eq!(owner.try_deliver(1).unwrap(), Start::Busy);
+    let operation = owner.operation();
+    assert_eq!(owner.ledger.open_session(operation).unwrap(), Start::Busy);
+}
+
+/// Guards against a buffer that grows while the store is away.
+#[test]
+fn buffer_is_bounded() {
+    let mut table = Table::default();
+    let mut owner = owner(&mut table, 2);
+    let large = Finished {
+        body: "x".repeat(4_000),
+        ..finished(1, 0, 0, 5)
+    };
+    let refusal = owner.ledger.accept(large).unwrap_err();
+    assert_eq!((refusal.code, refusal.ran), (Code::Overloaded, Ran::NotRun));
+    assert_eq!(
+        owner.ledger.accept(finished(1, 0, 1, 5)).unwrap(),
+        Accepted::Buffered
+    );
+    assert!(owner.ledger.buffered_bytes() <= 4_096);
+}
+
+/// Guards against batch rows that grow with the step, and against samples of no open step.
+#[test]
+fn rows_stay_small() {
+    let mut table = Table::default();
+    let mut owner = owner(&mut table, 1_024);
+    let mut flushed = 0;
+    for index in 0..1_024 {
+        if owner.ledger.buffered_bytes() > 3_500 {
+            let commit = owner.flush().unwrap();
+            owner.finish(&mut table, Start::Commit(commit));
+            flushed += 1;
+        }
+        owner.ledger.accept(finished(1, index, 0, 5)).unwrap();
+    }
+    owner.fill(&mut table, 1, 0, 5);
+    owner.delivery(&mut table, 1);
+    assert!(flushed > 0);
+    let rows = table.scan("trainer/weld/");
+    assert!(rows.iter().all(|row| row.value.len() < 32_768));
+    let unknown = owner.ledger.accept(finished(1, 1_024, 0, 5)).unwrap_err();
+    assert_eq!(unknown.code, Code::NotFound);
+}
--- /dev/null
+++ b/crates/ledger/tests/ledger/step_delivery.rs
@@ -0,0 +1,212 @@
+//! Delivery, acknowledgement, publication and hand-over.
+
+use crate::owner::{finished, owner, sample, Owner};
+use crate::table::Table;
+use dogwoodlb_ledger::*;
+use dogwoodlb_types::prelude::*;
+
+/// Guards against a repeated fetch, a successor or a new owner that gets another delivery.
+#[test]
+fn same_delivery_again() {
+    let mut table = Table::default();
+    let mut first = owner(&mut table, 2);
+    first.fill(&mut table, 1, 2, 5);
+    let delivery = first.delivery(&mut table, 1);
+    assert_eq!(delivery.samples.len(), 2);
+    assert_eq!(first.delivery(&mut table, 1), delivery);
+    first.open_session(&mut table);
+    assert_eq!(first.delivery(&mut table, 1), delivery);
+    // A lower bound at the new owner must not change what was delivered.
+    let mut second = Owner::take_over(&mut table, 0);
+    assert_eq!(second.delivery(&mut table, 1), delivery);
+    assert_eq!(second.session, first.session);
+}
+
+/// Guards against another choice of attempts after the bound was raised.
+#[test]
+fn assignment_is_fixed() {
+    let mut table = Table::default();
+    let mut first = owner(&mut table, 1);
+    first.fill(&mut table, 1, 1, 3);
+    let start = first.try_publish(6).unwrap();
+    let published = first.finish(&mut table, start);
+    let stale = vec![sample(1, 0)];
+    let version = id::Version(6);
+    assert_eq!(published, Completion::Published { version, stale });
+    first.ledger.accept(finished(1, 0, 1, 6)).unwrap();
+    let commit = first.flush().unwrap();
+    first.finish(&mut table, Start::Commit(commit));
+    let delivery = first.delivery(&mut table, 1);
+    assert_eq!(delivery.samples[0].attempt, 1);
+    let mut second = Owner::take_over(&mut table, 9);
+    assert_eq!(second.delivery(&mut table, 1), delivery);
+}
+
+/// Guards against a step that is delivered before the one before it is acknowledged, or after
+/// its own acknowledgement.
+#[test]
+fn acknowledged_once_in_order() {
+    let mut table = Table::default();
+    let mut owner = owner(&mut table, 1);
+    owner.submit(&mut table, 2, 1);
+    owner.fill(&mut table, 1, 1, 5);
+    owner.fill(&mut table, 2, 1, 5);
+    assert_eq!(owner.try_deliver(2).unwrap_err().code, Code::Conflict);
+    let delivery = owner.delivery(&mut table, 1);
+    assert_eq!(owner.try_deliver(2).unwrap_err().code, Code::Conflict);
+    let other = Delivery {
+        delivery: id::Delivery(9),
+        ..delivery.clone()
+    };
+    assert_eq!(
+        owner.try_acknowledge(&other).unwrap_err().code,
+        Code::Conflict
+    );
+    for _ in 0..2 {
+        let start = owner.try_acknowledge(&delivery).unwrap();
+        let completion = owner.finish(&mut table, start);
+        assert_eq!(completion, Completion::Acknowledged(id::Step(1)));
+    }
+    assert_eq!(owner.try_deliver(1).unwrap_err().code, Code::Conflict);
+    let next = owner.delivery(&mut table, 2);
+    assert!(next.delivery > delivery.delivery);
+}
+
+/// Guards against a delivery before all samples are in the table.
+#[test]
+fn waits_for_all_samples() {
+    let mut table = Table::default();
+    let mut owner = owner(&mut table, 2);
+    let waiting = |accepted| Completion::Waiting {
+        progress: Progress {
+            accepted,
+            wanted: 2,
+        },
+        stale: Vec::new(),
+    };
+    assert_eq!(owner.deliver(&mut table, 1), waiting(0));
+    owner.ledger.accept(finished(1, 0, 0, 5)).unwrap();
+    owner.ledger.accept(finished(1, 1, 0, 5)).unwrap();
+    assert_eq!(owner.deliver(&mut table, 1), waiting(2));
+}
+
+/// Guards against samples older than the bound: counted from the oldest span, at acceptance, in
+/// the buffer, in the table, and at the load.
+#[test]
+fn stale_samples_are_replaced() {
+    let mut table = Table::default();
+    let mut first = owner(&mut table, 3);
+    let mixed = |index, old| {
+        let version = id::Version(old);
+        let mut attempt = finished(1, index, 0, 5);
+        attempt.spans[0].from = 2;
+        attempt.spans.insert(
+            0,
+            Span {
+                version,
+                from: 0,
+                to: 2,
+            },
+        );
+        attempt
+    };
+    assert_eq!(first.ledger.accept(mixed(0, 2)).unwrap(), Accepted::Stale);
+    first.ledger.accept(mixed(0, 3)).unwrap();
+    let commit = first.flush().unwrap();
+    first.finish(&mut table, Start::Commit(commit));
+    first.ledger.accept(mixed(1, 3)).unwrap();
+    first.ledger.accept(mixed(2, 4)).unwrap();
+    let start = first.try_publish(6).unwrap();
+    let completion = first.finish(&mut table, start);
+    let Completion::Published { mut stale, .. } = completion else {
+        panic!("{completion:?}");
+    };
+    stale.sort();
+    assert_eq!(stale, [sample(1, 0), sample(1, 1)]);
+    let second = Owner::take_over(&mut table, 2);
+    assert_eq!(second.ledger.steps()[0].missing.len(), 3);
+}
+
+/// Guards against a bound that is lowered between acceptance and delivery.
+#[test]
+fn lower_bound_applies() {
+    let mut table = Table::default();
+    let mut owner = owner(&mut table, 2);
+    owner.fill(&mut table, 1, 1, 4);
+    owner.ledger.accept(finished(1, 1, 0, 4)).unwrap();
+    let commit = owner.flush().unwrap();
+    owner.ledger.set_staleness_bound(0);
+    owner.finish(&mut table, Start::Commit(commit));
+    let Completion::Waiting { progress, stale } = owner.deliver(&mut table, 1) else {
+        panic!("delivered");
+    };
+    assert_eq!((progress.accepted, stale.len()), (0, 2));
+    let refilled = owner.ledger.accept(finished(1, 1, 1, 5)).unwrap();
+    assert_eq!(refilled, Accepted::Buffered);
+}
+
+/// Guards against a version that makes a delivered step too old before the trainer has
+/// acknowledged it, and against versions that don't grow.
+#[test]
+fn publication_respects_delivery() {
+    let mut table = Table::default();
+    let mut owner = owner(&mut table, 1);
+    owner.fill(&mut table, 1, 1, 4);
+    let delivery = owner.delivery(&mut table, 1);
+    assert_eq!(delivery.samples[0].staleness, 1);
+    for version in [6, 6] {
+        let start = owner.try_publish(version).unwrap();
+        owner.finish(&mut table, start);
+    }
+    assert_eq!(owner.delivery(&mut table, 1), delivery);
+    assert_eq!(owner.try_publish(7).unwrap_err().code, Code::Conflict);
+    let start = owner.try_acknowledge(&delivery).unwrap();
+    owner.finish(&mut table, start);
+    let start = owner.try_publish(7).unwrap();
+    owner.finish(&mut table, start);
+    assert_eq!(owner.try_publish(6).unwrap_err().code, Code::Conflict);
+    let operation = owner.operation();
+    let other = owner
+        .ledger
+        .publish(owner.session, id::Version(7), "other", operation);
+    assert_eq!(other.unwrap_err().code, Code::Conflict);
+}
+
+/// Guards against rows that stay for ever, and against a sweep that removes live ones.
+#[test]
+fn acknowledged_rows_are_deleted() {
+    let mut table = Table::default();
+    let mut first = owner(&mut table, 2);
+    first.submit(&mut table, 2, 1);
+    first.fill(&mut table, 2, 1, 5);
+    first.fill(&mut table, 1, 2, 5);
+    let delivery = first.delivery(&mut table, 1);
+    let start = first.try_acknowledge(&delivery).unwrap();
+    first.finish(&mut table, start);
+    // A new owner finds the rows again.
+    for mut owner in [
+        Owner::take_over(&mut table, 2),
+        Owner::take_over(&mut table, 2),
+    ] {
+        let operation = owner.operation();
+        let Some(Start::Commit(commit)) = owner.ledger.sweep(operation) else {
+            panic!("nothing to sweep");
+        };
+        let outcome = table.commit(&commit.txn);
+        owner.ledger.on_commit(operation, Ok(outcome));
+    }
+    let keys: Vec<String> = table
+        .scan("trainer/")
+        .into_iter()
+        .map(|row| row.key)
+        .collect();
+    let live = [
+        "trainer/weld/head",
+        "trainer/weld/step/2",
+        "trainer/weld/step/2/batch/0",
+    ];
+    assert_eq!(keys, live);
+    let mut last = Owner::take_over(&mut table, 2);
+    let operation = last.operation();
+    assert_eq!(last.ledger.sweep(operation), None);
+}
--- /dev/null
+++ b/crates/ledger/tests/ledger/step_submission.rs
@@ -0,0 +1,84 @@
+//! Sessions and the submission of steps.
+
+use crate::owner::{content, owner};
+use crate::table::Table;
+use dogwoodlb_ledger::*;
+use dogwoodlb_types::prelude::*;
+use rstest::rstest;
+
+/// Guards against a repeated submission that starts the step again, and against one with other
+/// content that is taken for the same.
+#[test]
+fn content_decides() {
+    let mut table = Table::default();
+    let mut owner = owner(&mut table, 2);
+    let again = owner.try_submit(1, &content(2)).unwrap();
+    assert_eq!(again, Start::Done(Completion::Submitted(id::Step(1))));
+    let refusal = owner.try_submit(1, &content(3)).unwrap_err();
+    assert_eq!((refusal.code, refusal.ran), (Code::Conflict, Ran::NotRun));
+}
+
+/// Guards against prompts that can't be read back by a later owner.
+#[test]
+fn prompts_are_objects() {
+    let mut table = Table::default();
+    let mut owner = owner(&mut table, 2);
+    let Start::Commit(commit) = owner.try_submit(2, &content(3)).unwrap() else {
+        panic!("no transaction");
+    };
+    let [object] = &commit.objects[..] else {
+        panic!("not one object");
+    };
+    assert!(object.name.ends_with(&commit.operation.to_string()));
+    assert_eq!(Content::from_slice(&object.body).unwrap(), content(3));
+    assert!(commit.txn.puts[0].value.contains(&object.name));
+}
+
+/// Guards against steps that no row limit or order holds for.
+#[rstest]
+#[case(2, 1_025, Code::TooLarge)]
+#[case(2, 0, Code::BadRequest)]
+fn size_is_bounded(#[case] step: u64, #[case] size: u32, #[case] code: Code) {
+    let mut table = Table::default();
+    let mut owner = owner(&mut table, 2);
+    let refusal = owner.try_submit(step, &content(size)).unwrap_err();
+    assert_eq!(refusal.code, code);
+}
+
+/// Guards against open steps without bound and steps that reappear behind delivered ones.
+#[test]
+fn open_steps_are_bounded() {
+    let mut table = Table::default();
+    let mut owner = owner(&mut table, 1);
+    for step in 2..=MAX_OPEN_STEPS as u64 {
+        owner.submit(&mut table, step, 1);
+    }
+    let refusal = owner.try_submit(1_000, &content(1)).unwrap_err();
+    assert_eq!(refusal.code, Code::Overloaded);
+    owner.fill(&mut table, 1, 1, 5);
+    owner.delivery(&mut table, 1);
+    let refusal = owner.try_submit(0, &content(1)).unwrap_err();
+    assert_eq!(refusal.code, Code::Conflict);
+}
+
+/// Guards against a replaced trainer process that goes on.
+#[test]
+fn new_session_fences() {
+    let mut table = Table::default();
+    let mut owner = owner(&mut table, 1);
+    owner.fill(&mut table, 1, 1, 5);
+    let delivery = owner.delivery(&mut table, 1);
+    let old = owner.session;
+    owner.open_session(&mut table);
+    assert!(owner.session > old);
+    owner.session = old;
+    let refusals = [
+        owner.try_submit(2, &content(1)).unwrap_err(),
+        owner.try_deliver(1).unwrap_err(),
+        owner.try_acknowledge(&delivery).unwrap_err(),
+        owner.try_publish(6).unwrap_err(),
+    ];
+    for refusal in refusals {
+        assert_eq!(refusal.code, Code::StaleSession);
+    }
+}
