Test the rollout planner

Cause: the planner had only doc tests.

Change: one file for what is generated and how far ahead, one for failed, slow and stale attempts, with 2,000 random schedules of attempt ends. The lease core forgets an expired observation when it takes the lease.

Ruled out: requiring that a cancelled attempt still runs.

Conclusion: the planner's features each have a test.

--- a/crates/lease/src/lease.rs
+++ b/crates/lease/src/lease.rs
@@ -115,6 +115,9 @@
     }
 
     /// Returns the next request, if one is due and none is in flight.
+    ///
+    /// Answer every request, after its timeout with an ambiguous error; nothing else is sent
+    /// before.
     pub fn poll(&mut self, now: Instant, rng: &mut dyn Rng) -> Option<Action> {
         if self.flight.is_some() || self.done || now < self.not_before {
             return None;
@@ -312,6 +315,7 @@
                     fence,
                 });
                 self.seen = None;
+                self.expired = false;
             }
             (Kind::Renew, Some(held)) => {
                 held.guard.until = until;
--- a/crates/rollout/src/planner.rs
+++ b/crates/rollout/src/planner.rs
@@ -39,7 +39,7 @@
         /// The priority, 0 being the highest: the step that the trainer waits for.
         priority: u32,
     },
-    /// Cancel an attempt, whose end needn't be reported.
+    /// Cancel an attempt that may have ended already; its end needn't be reported.
     Cancel {
         /// The sample.
         sample: id::Sample,
--- /dev/null
+++ b/crates/rollout/tests/attempt_retry.rs
@@ -0,0 +1,183 @@
+//! Failed, slow and stale attempts.
+
+use dogwoodlb_rollout::{Action, Planner, Settings};
+use dogwoodlb_types::prelude::*;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use std::collections::BTreeSet;
+
+fn at(millis: u64) -> Instant {
+    Instant::from_millis(millis)
+}
+
+fn planner(size: u32) -> Planner {
+    let settings = Settings {
+        trainer: "weld".parse().unwrap(),
+        staleness_bound: 1,
+        idle_weight: 0.0,
+    };
+    let mut planner = Planner::new(settings, id::Version(1));
+    planner.submit(id::Step(1), &[size]).unwrap();
+    planner
+}
+
+fn sample(index: u32) -> id::Sample {
+    id::Sample::new("weld".parse().unwrap(), id::Step(1), 0, index)
+}
+
+type Runs = Vec<(u32, u32)>;
+
+/// Returns the index and number of the attempts to start and to cancel.
+fn poll(planner: &mut Planner, millis: u64) -> (Runs, Runs) {
+    let (mut starts, mut cancels) = (Vec::new(), Vec::new());
+    for action in planner.poll(at(millis), 1_000) {
+        match action {
+            Action::Generate {
+                sample, attempt, ..
+            } => starts.push((sample.index, attempt)),
+            Action::Cancel { sample, attempt } => cancels.push((sample.index, attempt)),
+        }
+    }
+    (starts, cancels)
+}
+
+/// Starts a step of 20 and finishes all but the last two after 1 s.
+fn tail() -> Planner {
+    let mut planner = planner(20);
+    assert_eq!(poll(&mut planner, 0).0.len(), 20);
+    for index in 0..18 {
+        assert_eq!(poll(&mut planner, 9_000).0, []);
+        planner.on_finished(at(1_000), &sample(index), 0);
+    }
+    planner
+}
+
+/// Guards against a failed sample that is lost, or retried at once and for ever.
+#[test]
+fn failures_back_off() {
+    let mut planner = planner(1);
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut now = 0;
+    for (attempt, longest) in (0..8).zip([250, 500, 1_000, 2_000, 4_000, 8_000, 8_000, 8_000]) {
+        assert_eq!(poll(&mut planner, now).0, [(0, attempt)]);
+        planner.on_failed(at(now), &sample(0), attempt, &mut rng);
+        planner.on_failed(at(now), &sample(0), attempt, &mut rng);
+        assert_eq!(poll(&mut planner, now + longest / 2 - 1).0, []);
+        now += longest;
+    }
+}
+
+/// Guards against a step that a few slow samples hold up, and against more than one spare.
+#[test]
+fn stragglers_get_one_spare() {
+    let mut planner = tail();
+    assert_eq!(poll(&mut planner, 2_000).0, []);
+    assert_eq!(poll(&mut planner, 2_001).0, [(18, 1), (19, 1)]);
+    assert_eq!(poll(&mut planner, 60_000), (vec![], vec![]));
+    // Whichever attempt ends first wins.
+    planner.on_finished(at(2_500), &sample(18), 1);
+    planner.on_finished(at(2_500), &sample(19), 0);
+    assert_eq!(poll(&mut planner, 2_500), (vec![], vec![(18, 0), (19, 1)]));
+    assert_eq!(
+        (planner.in_flight(), planner.unfinished(id::Step(1))),
+        (0, Some(0))
+    );
+}
+
+/// Guards against a retry beside a spare that still runs.
+#[test]
+fn spare_replaces_retry() {
+    let mut planner = tail();
+    let mut rng = SmallRng::seed_from_u64(1);
+    poll(&mut planner, 2_001);
+    planner.on_failed(at(2_100), &sample(18), 0, &mut rng);
+    assert_eq!(poll(&mut planner, 20_000).0, []);
+    planner.on_failed(at(20_000), &sample(18), 1, &mut rng);
+    assert_eq!(poll(&mut planner, 30_000).0, [(18, 2)]);
+}
+
+/// Guards against samples that became too old and are never generated again.
+#[test]
+fn stale_samples_start_again() {
+    let mut planner = planner(2);
+    poll(&mut planner, 0);
+    planner.on_finished(at(100), &sample(0), 0);
+    planner.on_stale(at(200), &sample(0));
+    planner.on_stale(at(200), &sample(1));
+    assert_eq!(poll(&mut planner, 200).0, [(0, 1)]);
+}
+
+/// Guards against attempts that run on although the ledger will refuse them, and against
+/// cancelling those that wait in an engine and will begin under the new version.
+#[test]
+fn hopeless_attempts_are_cancelled() {
+    let mut planner = planner(2);
+    poll(&mut planner, 0);
+    planner.on_started(&sample(0), 0);
+    planner.on_version(at(100), id::Version(2));
+    assert_eq!(poll(&mut planner, 100), (vec![], vec![]));
+    planner.on_version(at(200), id::Version(3));
+    assert_eq!(poll(&mut planner, 200), (vec![(0, 1)], vec![(0, 0)]));
+}
+
+/// Guards against a sample that is generated again although its cancelled attempt was accepted,
+/// and against attempts that outlive their step.
+#[test]
+fn late_ends_count() {
+    let mut planner = planner(2);
+    let mut rng = SmallRng::seed_from_u64(1);
+    poll(&mut planner, 0);
+    planner.on_failed(at(100), &sample(0), 0, &mut rng);
+    planner.on_finished(at(101), &sample(0), 0);
+    assert_eq!(poll(&mut planner, 9_000), (vec![], vec![]));
+    planner.on_acknowledged(id::Step(1));
+    assert_eq!(poll(&mut planner, 9_000), (vec![], vec![(1, 0)]));
+    planner.on_finished(at(9_000), &sample(1), 0);
+    assert_eq!(planner.unfinished(id::Step(1)), None);
+}
+
+/// Guards against a step that never ends, a limit that is exceeded and counts that drift, under
+/// random ends of attempts.
+#[test]
+fn every_step_ends() {
+    for seed in 0..2_000 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut planner = planner(12);
+        let (mut started, mut running) = (BTreeSet::new(), BTreeSet::new());
+        let mut now = 0;
+        while planner.unfinished(id::Step(1)) != Some(0) {
+            now += rng.random_range(0..2_000);
+            assert!(now < 10_000_000, "seed {seed}: no end");
+            for action in planner.poll(at(now), 5) {
+                match action {
+                    Action::Generate {
+                        sample, attempt, ..
+                    } => {
+                        assert!(started.insert((sample.clone(), attempt)), "seed {seed}");
+                        running.insert((sample, attempt));
+                    }
+                    // The attempt may have ended since the planner decided.
+                    Action::Cancel { sample, attempt } => {
+                        let run = (sample, attempt);
+                        assert!(started.contains(&run), "seed {seed}");
+                        running.remove(&run);
+                    }
+                }
+            }
+            assert_eq!(planner.in_flight(), running.len(), "seed {seed}");
+            assert!(running.len() <= 5, "seed {seed}");
+            let ended = running.iter().filter(|_| rng.random_bool(0.3));
+            for (sample, attempt) in ended.cloned().collect::<Vec<_>>() {
+                if rng.random_bool(0.5) {
+                    planner.on_failed(at(now), &sample, attempt, &mut rng);
+                    running.remove(&(sample, attempt));
+                } else if running.remove(&(sample.clone(), attempt)) {
+                    planner.on_finished(at(now), &sample, attempt);
+                    if rng.random_bool(0.1) {
+                        planner.on_stale(at(now), &sample);
+                    }
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/rollout/tests/run_ahead.rs
@@ -0,0 +1,100 @@
+//! Which step is generated, and how far ahead.
+
+use dogwoodlb_rollout::{depth, Action, Planner, Settings, MAX_OPEN_STEPS};
+use dogwoodlb_types::prelude::*;
+use rstest::rstest;
+
+const NOW: Instant = Instant::from_millis(0);
+
+fn planner(staleness_bound: u64, idle_weight: f64) -> Planner {
+    let settings = Settings {
+        trainer: "weld".parse().unwrap(),
+        staleness_bound,
+        idle_weight,
+    };
+    let mut planner = Planner::new(settings, id::Version(1));
+    for step in 1..=4 {
+        planner.submit(id::Step(step), &[1, 1]).unwrap();
+    }
+    planner
+}
+
+/// Returns the step and priority of each attempt to start.
+fn starts(planner: &mut Planner, limit: usize) -> Vec<(u64, u32)> {
+    let start = |action| match action {
+        Action::Generate {
+            sample, priority, ..
+        } => (sample.step.0, priority),
+        Action::Cancel { .. } => panic!("cancelled"),
+    };
+    planner.poll(NOW, limit).into_iter().map(start).collect()
+}
+
+/// Guards against samples that are generated so early that they are too old when delivered, and
+/// against a trainer that waits although its weights allow run-ahead.
+#[rstest]
+#[case(2, 0.0, 1)]
+#[case(2, 0.5, 2)]
+#[case(2, 0.8, 3)]
+#[case(3, 1.0, 4)]
+#[case(2, f64::NAN, 1)]
+#[case(2, 7.0, 3)]
+fn depth_follows_weights(#[case] bound: u64, #[case] weight: f64, #[case] steps: u64) {
+    assert_eq!(depth(weight, bound), steps - 1);
+    let mut planner = planner(bound, weight);
+    let expected: Vec<(u64, u32)> = (1..=steps)
+        .flat_map(|step| [(step, step as u32); 2])
+        .collect();
+    assert_eq!(starts(&mut planner, 100), expected);
+    planner.on_acknowledged(id::Step(1));
+    planner.poll(NOW, 0);
+    assert_eq!(starts(&mut planner, 100).is_empty(), steps == 4);
+}
+
+/// Guards against more attempts in flight than the limit, and against starts without a lease.
+#[test]
+fn limit_holds() {
+    let mut planner = planner(2, 1.0);
+    assert_eq!(starts(&mut planner, 0), []);
+    assert_eq!(starts(&mut planner, 3).len(), 3);
+    assert_eq!(starts(&mut planner, 3), []);
+    assert_eq!(starts(&mut planner, 4).len(), 1);
+    assert_eq!(planner.in_flight(), 4);
+}
+
+/// Guards against a step that the trainer waits for and that yields to other steps.
+#[test]
+fn waited_step_comes_first() {
+    let mut planner = planner(2, 1.0);
+    planner.set_waiting(Some(id::Step(2)));
+    assert_eq!(starts(&mut planner, 3), [(2, 0), (2, 0), (1, 1)]);
+}
+
+/// Guards against a new owner that generates again what the ledger has.
+#[test]
+fn resumes_missing_samples() {
+    let mut planner = planner(2, 0.0);
+    planner.on_acknowledged(id::Step(4));
+    let missing = id::Sample::new("weld".parse().unwrap(), id::Step(5), 1, 1);
+    let rest = std::slice::from_ref(&missing);
+    planner.resume(id::Step(5), &[2, 2], rest).unwrap();
+    let actions = planner.poll(NOW, 10);
+    let [Action::Generate { sample, .. }] = &actions[..] else {
+        panic!("{actions:?}");
+    };
+    assert_eq!(*sample, missing);
+    assert_eq!(planner.unfinished(id::Step(5)), Some(1));
+}
+
+/// Guards against plans without bound.
+#[test]
+fn plans_are_bounded() {
+    let mut planner = planner(2, 0.0);
+    let large = planner.submit(id::Step(5), &[1_000, 25]).unwrap_err();
+    assert_eq!(large.code, Code::TooLarge);
+    for step in 5..=MAX_OPEN_STEPS as u64 {
+        planner.submit(id::Step(step), &[1]).unwrap();
+    }
+    let refusal = planner.submit(id::Step(999), &[1]).unwrap_err();
+    assert_eq!(refusal.code, Code::Overloaded);
+}
