Test adoption and commits in seeded faulty runs

**Cause**: P9 depends on how reads, reports, promises and writes interleave, which single cases don't cover.

**Change**: 11 nodes with own clocks, a lossy network and a table with outages, delays and lost replies; 40 seeds of 86 s of virtual time.

--- /dev/null
+++ b/crates/manifest/tests/adopt_races.rs
@@ -0,0 +1,217 @@
+//! Guards against two accepted commits of one base, a revision that goes down, and a node that
+//! acts on an old revision: seeded runs of 11 nodes in virtual time, with a lossy network, store
+//! outages, partitions, pauses, restarts, lost replies and two operators at once.
+
+#[path = "races/store.rs"]
+mod store;
+#[path = "races/world.rs"]
+mod world;
+
+use dogwoodlb_manifest::adopt::Authority;
+use dogwoodlb_manifest::record::Record;
+use dogwoodlb_manifest::Manifest;
+use dogwoodlb_types::{Code, Ran};
+use rand::RngExt;
+use rstest::rstest;
+use world::{World, CUT_OFF, FAULTY_MS, NODES};
+
+/// P9: an accepted manifest is in force everywhere within this time.
+const IN_FORCE_MS: u64 = 4_000;
+const HEALED_MS: u64 = 80_000;
+const END_MS: u64 = 86_000;
+const SEEDS: u64 = 10;
+
+/// How often something happened that the runs are about.
+#[derive(Debug, Default)]
+struct Seen {
+    accepted: usize,
+    ambiguous: usize,
+    closed: usize,
+    conflicts: usize,
+    joint: usize,
+    sole_by_majority: usize,
+    unknown: usize,
+}
+
+fn run_until(world: &mut World, end: u64, seen: &mut Seen) {
+    while world.now < end {
+        world.advance();
+        for node in 0..NODES {
+            if !world.is_paused(node) {
+                check(world, node, seen);
+            }
+        }
+    }
+}
+
+fn allows_only(joint: &Manifest, whole: &Manifest) -> bool {
+    let known = |caller| whole.callers.iter().any(|one| one.caller == caller);
+    joint.callers.iter().all(|one| known(one.caller.clone()))
+}
+
+/// Checks what a running node would act on now.
+fn check(world: &World, node: usize, seen: &mut Seen) {
+    let (state, history) = (&world.nodes[node], &world.store.history);
+    let revision = state.revision.0 as usize;
+    assert_eq!(state.adoption.revision(), state.revision);
+    // Whether a revision was in force at some time in the last 4 s: the next one replaced it.
+    let since = world.now.saturating_sub(IN_FORCE_MS);
+    let recent = |one: usize| {
+        history
+            .get(one)
+            .is_none_or(|&(replaced, _)| replaced >= since)
+    };
+    match state.adoption.authority(world.local(node)) {
+        Authority::Sole(manifest) => {
+            let now = world.now;
+            assert!(recent(revision), "node {node} acts on {revision} at {now}");
+            assert_eq!(*manifest, history[revision - 1].1);
+            let down = world.now < world.down_until && world.now > world.down_since + 3_200;
+            seen.sole_by_majority += usize::from(down);
+        }
+        Authority::Joint(manifest) => {
+            let mut recent = (1..=history.len()).filter(|&one| recent(one));
+            let allowed = recent.any(|one| allows_only(manifest, &history[one - 1].1));
+            assert!(
+                allowed,
+                "joint of node {node} allows too much at {}",
+                world.now
+            );
+            seen.joint += 1;
+        }
+        Authority::Unknown => seen.unknown += 1,
+    }
+}
+
+fn fault(world: &mut World) {
+    let node = world.rng.random_range(0..NODES);
+    let lasting = world.now + world.rng.random_range(500..12_000);
+    match world.rng.random_range(0..10) {
+        0 if world.down_until < world.now => {
+            (world.down_since, world.down_until) = (world.now, lasting);
+        }
+        1 | 2 => world.nodes[node].paused_until = lasting,
+        3 | 4 => world.restart(node),
+        5 | 6 => world.nodes[node].group = world.rng.random_range(0..=CUT_OFF),
+        7 => {
+            for node in 0..NODES {
+                let cut = world.rng.random_bool(0.4);
+                world.nodes[node].group = if cut { CUT_OFF } else { 0 };
+            }
+        }
+        _ => world.nodes.iter_mut().for_each(|node| node.group = 0),
+    }
+}
+
+fn racing_commits(world: &mut World) {
+    let newest = world.store.history.len() as u64;
+    let base = newest - u64::from(newest > 0 && world.rng.random_bool(0.1));
+    for _ in 0..world.rng.random_range(1..=3) {
+        let node = world.rng.random_range(0..NODES);
+        if !world.is_paused(node) {
+            world.commit(node, base);
+        }
+    }
+}
+
+/// Compares what operators were told with what the table holds.
+fn check_results(world: &World, seen: &mut Seen) {
+    for run in &world.runs {
+        let row = world.store.rows.get(&format!("manifest/{}", run.base + 1));
+        let record = row.and_then(Record::from_row);
+        let won = record.is_some_and(|record| record.operation == run.operation);
+        match &run.result {
+            Some(Ok(revision)) => assert!(won && revision.0 == run.base + 1),
+            Some(Err(refusal)) if refusal.ran == Ran::NotRun => {
+                assert!(!won, "{refusal}");
+                seen.conflicts += usize::from(refusal.code == Code::Conflict);
+            }
+            _ => {}
+        }
+    }
+}
+
+fn faulty_run(seed: u64, seen: &mut Seen) {
+    println!("seed {seed}");
+    let mut world = World::new(seed);
+    world.commit(0, 0);
+    run_until(&mut world, 2_000, seen);
+    while world.now < FAULTY_MS {
+        if world.rng.random_bool(0.5) {
+            fault(&mut world);
+        }
+        if world.rng.random_bool(0.4) {
+            racing_commits(&mut world);
+        }
+        let next = world.now + 1_000;
+        run_until(&mut world, next, seen);
+    }
+    world.down_until = 0;
+    for node in &mut world.nodes {
+        (node.group, node.paused_until) = (0, 0);
+    }
+    run_until(&mut world, HEALED_MS, seen);
+    let base = world.store.history.len();
+    let last = world.commit(3, base as u64);
+    run_until(&mut world, END_MS, seen);
+    assert!(
+        matches!(&world.runs[last].result, Some(Ok(revision)) if revision.0 as usize == base + 1)
+    );
+    assert!(world.now - world.store.history[base].0 > IN_FORCE_MS);
+    for (node, state) in world.nodes.iter().enumerate() {
+        let authority = state.adoption.authority(world.local(node));
+        assert!(matches!(authority, Authority::Sole(_)), "node {node}");
+        assert_eq!(state.revision.0 as usize, base + 1);
+    }
+    check_results(&world, seen);
+    seen.accepted += world.store.history.len();
+    seen.ambiguous += world.ambiguous;
+    seen.closed += world.store.closed;
+}
+
+#[rstest]
+#[case(0)]
+#[case(1)]
+#[case(2)]
+#[case(3)]
+fn faulty_runs(#[case] part: u64) {
+    let mut seen = Seen::default();
+    for seed in part * SEEDS..(part + 1) * SEEDS {
+        faulty_run(seed, &mut seen);
+    }
+    println!("{seen:?}");
+    // Without these the runs would prove nothing.
+    assert!(
+        seen.accepted > 50 && seen.ambiguous > 20 && seen.closed > 5,
+        "{seen:?}"
+    );
+    assert!(seen.conflicts > 20 && seen.joint > 500, "{seen:?}");
+    assert!(
+        seen.sole_by_majority > 500 && seen.unknown > 500,
+        "{seen:?}"
+    );
+}
+
+/// Two operators at once in a healthy system: one wins, and the other learns who it was.
+#[test]
+fn two_operators() {
+    for seed in 0..40 {
+        let (mut world, mut seen) = (World::new(seed), Seen::default());
+        world.now = FAULTY_MS;
+        world.commit(0, 0);
+        run_until(&mut world, FAULTY_MS + 1_000, &mut seen);
+        let nodes = [
+            world.rng.random_range(0..NODES),
+            world.rng.random_range(0..NODES),
+        ];
+        let runs = nodes.map(|node| world.commit(node, 1));
+        run_until(&mut world, FAULTY_MS + 1_000 + IN_FORCE_MS, &mut seen);
+        let results = runs.map(|run| world.runs[run].result.clone().unwrap());
+        let winner = results.iter().position(Result::is_ok).unwrap();
+        let refusal = results[1 - winner].clone().unwrap_err();
+        assert_eq!((refusal.code, refusal.ran), (Code::Conflict, Ran::NotRun));
+        let told = format!("operator op-{} committed revision 2", runs[winner]);
+        assert!(refusal.message.contains(&told), "{refusal}");
+        assert!(world.nodes.iter().all(|node| node.revision.0 == 2));
+    }
+}
--- /dev/null
+++ b/crates/manifest/tests/races/store.rs
@@ -0,0 +1,97 @@
+//! The table of a run, and the requests to it.
+
+use dogwoodlb_manifest::record::Record;
+use dogwoodlb_manifest::{from_str, Manifest};
+use dogwoodlb_platform::table::{Outcome, Row, Txn};
+use dogwoodlb_platform::Category;
+use dogwoodlb_types::Instant;
+use std::collections::BTreeMap;
+
+/// Who asked the table: the adoption core, or a commit by its number.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Who {
+    Pointer,
+    Text,
+    Commit(usize),
+}
+
+#[derive(Clone, Debug)]
+pub(crate) enum Request {
+    Read(String),
+    Write(Txn),
+}
+
+#[derive(Clone, Debug)]
+pub(crate) enum Reply {
+    Read(String, Result<Option<Row>, Category>),
+    Write(Result<Outcome, Category>),
+}
+
+/// A request on its way to the table.
+#[derive(Clone, Debug)]
+pub(crate) struct Call {
+    pub(crate) node: usize,
+    pub(crate) incarnation: u64,
+    pub(crate) who: Who,
+    pub(crate) began: Instant,
+    pub(crate) request: Request,
+    /// Whether the client still waits for the answer.
+    pub(crate) answer: bool,
+}
+
+#[derive(Default)]
+pub(crate) struct Store {
+    pub(crate) rows: BTreeMap<String, Row>,
+    version: u64,
+    /// When each revision was written, and its content.
+    pub(crate) history: Vec<(u64, Manifest)>,
+    pub(crate) closed: usize,
+}
+
+impl Request {
+    pub(crate) fn failed(&self, category: Category) -> Reply {
+        match self {
+            Self::Read(key) => Reply::Read(key.clone(), Err(category)),
+            Self::Write(_) => Reply::Write(Err(category)),
+        }
+    }
+}
+
+impl Store {
+    pub(crate) fn on_request(&mut self, request: &Request, now: u64) -> Reply {
+        match request {
+            Request::Read(key) => Reply::Read(key.clone(), Ok(self.rows.get(key).cloned())),
+            Request::Write(txn) => Reply::Write(Ok(self.apply(txn, now))),
+        }
+    }
+
+    fn apply(&mut self, txn: &Txn, now: u64) -> Outcome {
+        for check in &txn.checks {
+            let found = self.rows.get(&check.key).map_or(0, |row| row.version);
+            if found != check.version {
+                let key = check.key.clone();
+                return Outcome::Conflict { key, found };
+            }
+        }
+        self.version += 1;
+        let version = self.version;
+        for put in txn.puts.clone() {
+            let (key, value) = (put.key, put.value);
+            let row = Row {
+                key: key.clone(),
+                version,
+                value,
+            };
+            self.rows.insert(key, row);
+        }
+        if let [record, _] = &txn.puts[..] {
+            let record = Record::from_row(&self.rows[&record.key]).unwrap();
+            assert_eq!(record.revision.0 as usize, self.history.len() + 1);
+            let manifest = from_str(&record.text).unwrap();
+            self.history.push((now, manifest));
+        } else {
+            self.closed += 1;
+        }
+        Outcome::Applied { version }
+    }
+}
