--- /dev/null
+++ b/crates/manifest/tests/adopt_rules.rs
@@ -0,0 +1,317 @@
+//! Guards against each single rule of adoption that is missing: evidence that is too old, not
+//! from a majority or not about the revision in force.
+
+use dogwoodlb_manifest::adopt::{Action, Adoption, Answer, Authority, Event, Proposal, Report};
+use dogwoodlb_manifest::record::{Record, CURRENT};
+use dogwoodlb_platform::table::Row;
+use dogwoodlb_types::{id, Instant};
+use rand::rngs::StdRng;
+use rand::SeedableRng;
+
+const FULL: &str = include_str!("data/full.json");
+
+/// A node of the three that the manifest lists, its table row and its clock.
+struct Node {
+    adoption: Adoption,
+    rng: StdRng,
+    now: u64,
+}
+
+fn at(millis: u64) -> Instant {
+    Instant::from_millis(millis)
+}
+
+fn record(revision: u64, text: &str) -> Record {
+    Record {
+        revision: id::Revision(revision),
+        operation: id::Operation(u128::from(revision)),
+        operator: "ana".parse().unwrap(),
+        text: text.to_owned(),
+    }
+}
+
+fn row(revision: u64, version: u64) -> Row {
+    let txn = record(revision, FULL).commit(0);
+    let (key, value) = (CURRENT.to_owned(), txn.puts[1].value.clone());
+    Row {
+        key,
+        version,
+        value,
+    }
+}
+
+fn proposal(operation: u128, base: u64, row_version: u64, text: &str) -> Proposal {
+    Proposal {
+        operation: id::Operation(operation),
+        operator: "eva".parse().unwrap(),
+        base: id::Revision(base),
+        row_version,
+        text: text.to_owned(),
+    }
+}
+
+fn report(revision: u64, pending: &[u128]) -> Report {
+    Report {
+        revision: id::Revision(revision),
+        operation: Some(id::Operation(u128::from(revision))),
+        pending: pending.iter().copied().map(id::Operation).collect(),
+        settled: true,
+    }
+}
+
+impl Node {
+    /// A node that has read revision 4 at row version 10.
+    fn new() -> Self {
+        let adoption = Adoption::new("entry-1".parse().unwrap(), at(0));
+        let rng = StdRng::seed_from_u64(1);
+        let mut node = Self {
+            adoption,
+            rng,
+            now: 0,
+        };
+        assert_eq!(node.propose(&proposal(9, 4, 10, FULL)), Answer::Unready);
+        assert_eq!(node.read(0, 4, 10), [Action::ReadText(id::Revision(4))]);
+        let value = serde_json::to_string(&record(4, FULL)).unwrap();
+        let text = Row {
+            key: "manifest/4".to_owned(),
+            version: 10,
+            value,
+        };
+        let actions = node.on(Event::Text { row: Some(text) });
+        assert_eq!(actions, [Action::Adopted(id::Revision(4))]);
+        node
+    }
+
+    /// The same after another node has rewritten the row, which settles old promises.
+    fn settled() -> Self {
+        let mut node = Self::new();
+        node.read(0, 4, 11);
+        node
+    }
+
+    fn on(&mut self, event: Event) -> Vec<Action> {
+        self.adoption.on_event(event, at(self.now), &mut self.rng)
+    }
+
+    fn read(&mut self, began: u64, revision: u64, version: u64) -> Vec<Action> {
+        let row = Some(row(revision, version));
+        self.on(Event::Read {
+            began: at(began),
+            row,
+        })
+    }
+
+    fn peer(&mut self, vm: &str, began: u64, report: Report) -> Vec<Action> {
+        let vm = vm.parse().unwrap();
+        self.on(Event::Peer {
+            vm,
+            began: at(began),
+            report,
+        })
+    }
+
+    fn propose(&mut self, proposal: &Proposal) -> Answer {
+        self.adoption
+            .on_proposal(proposal, at(self.now), &mut self.rng)
+    }
+
+    fn authority(&self, now: u64) -> &'static str {
+        match self.adoption.authority(at(now)) {
+            Authority::Sole(_) => "sole",
+            Authority::Joint(_) => "joint",
+            Authority::Unknown => "unknown",
+        }
+    }
+}
+
+/// The age counts from when the read was sent, not from its reply.
+#[test]
+fn old_reads() {
+    let mut node = Node::settled();
+    node.now = 1_500;
+    node.read(700, 4, 11);
+    assert_eq!(
+        (node.authority(3_700), node.authority(3_701)),
+        ("sole", "unknown")
+    );
+}
+
+/// A late or reverted read neither replaces what is known nor extends it.
+#[test]
+fn older_reads() {
+    let mut node = Node::settled();
+    node.now = 2_000;
+    assert_eq!(node.read(1_900, 4, 10), []);
+    assert_eq!(node.read(1_900, 3, 12), []);
+    assert_eq!(
+        node.on(Event::Read {
+            began: at(1_900),
+            row: None
+        }),
+        []
+    );
+    assert_eq!(node.adoption.counters().older_reads, 3);
+    assert_eq!(
+        (node.authority(3_000), node.authority(3_001)),
+        ("sole", "unknown")
+    );
+    let broken = Row {
+        value: "{}".to_owned(),
+        ..row(5, 13)
+    };
+    node.on(Event::Read {
+        began: at(1_900),
+        row: Some(broken),
+    });
+    assert_eq!(node.adoption.counters().invalid_rows, 1);
+    assert_eq!(node.adoption.revision(), id::Revision(4));
+}
+
+#[test]
+fn majority_reports() {
+    let unsettled = Report {
+        settled: false,
+        ..report(4, &[])
+    };
+    for useless in [report(3, &[]), report(4, &[8]), unsettled] {
+        let mut node = Node::settled();
+        node.peer("entry-2", 2_000, useless);
+        node.peer("entry-9", 2_000, report(4, &[]));
+        assert_eq!(node.authority(4_000), "unknown");
+    }
+    let mut node = Node::settled();
+    node.now = 3_500;
+    node.peer("entry-3", 2_000, report(4, &[]));
+    // An answer to an earlier ping arrives late and must not count.
+    node.peer("entry-3", 1_000, report(3, &[]));
+    assert_eq!(
+        (node.authority(5_000), node.authority(5_001)),
+        ("sole", "unknown")
+    );
+    node.peer("entry-2", 2_500, report(5, &[]));
+    assert_eq!(
+        node.authority(4_000),
+        "unknown",
+        "a later revision is known"
+    );
+}
+
+/// A restarted node can't know its promises: it counts for nobody until the row has changed.
+#[test]
+fn restart_barrier() {
+    let mut node = Node::new();
+    assert!(!node.adoption.report().settled);
+    node.peer("entry-2", 2_000, report(4, &[]));
+    assert_eq!(node.authority(4_000), "unknown");
+    node.peer("entry-3", 2_000, report(4, &[]));
+    assert_eq!(node.authority(4_000), "sole");
+    node.read(100, 4, 10);
+    assert!(!node.adoption.report().settled);
+    let closed = loop {
+        node.now += 50;
+        let actions = node.on(Event::Tick);
+        let close = actions
+            .iter()
+            .find(|action| matches!(action, Action::Close(_)));
+        if let Some(Action::Close(txn)) = close {
+            break txn.clone();
+        }
+        node.read(node.now, 4, 10);
+    };
+    assert!((4_000..6_050).contains(&node.now), "{}", node.now);
+    assert_eq!(
+        (closed.checks[0].version, &closed.puts[0].value),
+        (10, &row(4, 10).value)
+    );
+    node.read(node.now, 4, 11);
+    assert!(node.adoption.report().settled);
+}
+
+#[test]
+fn proposal_answers() {
+    let mut node = Node::settled();
+    let revision = id::Revision(4);
+    assert_eq!(
+        node.propose(&proposal(20, 4, 10, FULL)),
+        Answer::Stale { revision }
+    );
+    assert_eq!(
+        node.propose(&proposal(20, 3, 11, FULL)),
+        Answer::Stale { revision }
+    );
+    assert_eq!(node.propose(&proposal(20, 4, 11, "{}")), Answer::Invalid);
+    for operation in [20, 21, 22, 23, 20] {
+        assert_eq!(
+            node.propose(&proposal(operation, 4, 11, FULL)),
+            Answer::Promised
+        );
+    }
+    assert_eq!(node.propose(&proposal(24, 4, 11, FULL)), Answer::Busy);
+    assert_eq!(node.adoption.report().pending.len(), 4);
+    // A later row version tells that the outcome of the four is decided.
+    assert_eq!(node.propose(&proposal(25, 4, 12, FULL)), Answer::Promised);
+    assert_eq!(node.adoption.report().pending, [id::Operation(25)]);
+    node.read(0, 4, 13);
+    assert_eq!(node.adoption.report().pending, []);
+    assert_eq!(node.adoption.counters().refused_proposals, 5);
+}
+
+/// While a proposal is open, a majority of both lists must agree.
+#[test]
+fn joint_majorities() {
+    let mut node = Node::settled();
+    let moved = FULL
+        .replace("entry-", "other-")
+        .replace("[\"stock\"]", "[]");
+    assert_eq!(node.propose(&proposal(5, 4, 11, &moved)), Answer::Promised);
+    assert_eq!(node.authority(3_000), "sole");
+    node.peer("entry-2", 2_000, report(4, &[5]));
+    assert_eq!(node.authority(4_000), "unknown");
+    node.peer("other-1", 2_000, report(4, &[]));
+    node.peer("other-2", 2_000, report(4, &[6]));
+    assert_eq!(node.authority(4_000), "unknown");
+    node.peer("other-2", 2_000, report(4, &[5]));
+    let Authority::Joint(joint) = node.adoption.authority(at(4_000)) else {
+        panic!("no joint manifest");
+    };
+    assert!(joint.callers[0].services.is_empty() && joint.entry_vms.is_empty());
+}
+
+/// The outcome is learnt from a node that has read it, without a read of its own.
+#[test]
+fn peer_outcome() {
+    let mut node = Node::settled();
+    node.propose(&proposal(5, 4, 11, FULL));
+    let actions = node.peer("entry-2", 2_000, report(5, &[]));
+    assert_eq!(actions, [Action::Adopted(id::Revision(5))]);
+    assert_eq!(node.adoption.report().pending, []);
+    assert_eq!(node.authority(5_000), "sole");
+    assert_eq!(node.authority(5_001), "unknown");
+    // A read that was sent before still shows the old row.
+    node.read(0, 4, 11);
+    assert_eq!(node.adoption.revision(), id::Revision(5));
+}
+
+/// The node polls every 500 ms, one read at a time, and closes nothing without a fresh read.
+#[test]
+fn poll_schedule() {
+    let mut node = Node::settled();
+    node.propose(&proposal(5, 4, 11, FULL));
+    let mut reads = Vec::new();
+    while node.now < 8_000 {
+        let actions = node.on(Event::Tick);
+        assert!(!actions
+            .iter()
+            .any(|action| matches!(action, Action::Close(_))));
+        if actions.contains(&Action::Read) {
+            reads.push(node.now);
+            // The first read is never answered, the others fail.
+            if reads.len() > 1 {
+                node.on(Event::ReadFailed);
+            }
+        }
+        node.now += 50;
+    }
+    assert_eq!(reads[..4], [0, 1_000, 1_500, 2_000]);
+    assert_eq!(reads.len(), 15);
+}
--- /dev/null
+++ b/crates/manifest/tests/commit_steps.rs
@@ -0,0 +1,295 @@
+//! Guards against a commit that skips a step, or tells an operator something that is not true.
+
+use dogwoodlb_manifest::adopt::Answer;
+use dogwoodlb_manifest::commit::{Action, Commit, Event};
+use dogwoodlb_manifest::record::{key, Record, CURRENT};
+use dogwoodlb_platform::table::{Outcome, Row, Txn};
+use dogwoodlb_platform::Category;
+use dogwoodlb_types::{id, Code, Instant, Ran, Refusal};
+use rstest::rstest;
+
+const FULL: &str = include_str!("data/full.json");
+
+fn at(millis: u64) -> Instant {
+    Instant::from_millis(millis)
+}
+
+fn record(revision: u64, operation: u128, operator: &str) -> Record {
+    Record {
+        revision: id::Revision(revision),
+        operation: id::Operation(operation),
+        operator: operator.parse().unwrap(),
+        text: FULL.to_owned(),
+    }
+}
+
+/// Answers a read with a row; `put` is 0 for `manifest/<n>` and 1 for `manifest/current`.
+fn row(record: &Record, version: u64, put: usize) -> Event {
+    let put = record.commit(0).puts[put].clone();
+    let row = Row {
+        key: put.key.clone(),
+        version,
+        value: put.value,
+    };
+    Event::Row {
+        key: put.key,
+        result: Ok(Some(row)),
+    }
+}
+
+fn absent(key: &str) -> Event {
+    Event::Row {
+        key: key.to_owned(),
+        result: Ok(None),
+    }
+}
+
+fn new(base: u64) -> Commit {
+    let (operation, operator) = (id::Operation(99), "eva".parse().unwrap());
+    let base = id::Revision(base);
+    let (commit, actions) = Commit::new(operation, operator, base, FULL.to_owned(), at(0)).unwrap();
+    assert_eq!(actions, [Action::Read(CURRENT.to_owned())]);
+    commit
+}
+
+/// A commit on revision 4 that waits for promises.
+fn proposing() -> Commit {
+    let mut commit = new(4);
+    propose(&mut commit, 10);
+    commit
+}
+
+fn propose(commit: &mut Commit, version: u64) {
+    let base = record(4, 1, "ana");
+    let actions = commit.on_event(row(&base, version, 1), at(10));
+    assert_eq!(actions, [Action::Read(key(id::Revision(4)))]);
+    let actions = commit.on_event(row(&base, 10, 0), at(20));
+    let [Action::Propose { vms, proposal }] = &actions[..] else {
+        panic!("{actions:?}");
+    };
+    assert_eq!((vms.len(), proposal.row_version), (3, version));
+}
+
+fn answer(commit: &mut Commit, vm: &str, row_version: u64, answer: Answer) -> Vec<Action> {
+    let vm = vm.parse().unwrap();
+    commit.on_event(
+        Event::Answer {
+            vm,
+            row_version,
+            answer,
+        },
+        at(30),
+    )
+}
+
+/// The same after a majority has promised, and the write that follows.
+fn writing() -> (Commit, Txn) {
+    let mut commit = proposing();
+    let txn = promises(&mut commit, 10);
+    (commit, txn)
+}
+
+fn promises(commit: &mut Commit, version: u64) -> Txn {
+    assert_eq!(answer(commit, "entry-1", version, Answer::Promised), []);
+    let mut actions = answer(commit, "entry-3", version, Answer::Promised);
+    let Some(Action::Write(txn)) = actions.pop() else {
+        panic!("no write");
+    };
+    txn
+}
+
+fn refusal(actions: &[Action]) -> Refusal {
+    match actions {
+        [Action::Done(Err(refusal))] => refusal.clone(),
+        _ => panic!("{actions:?}"),
+    }
+}
+
+fn written(result: Result<Outcome, Category>) -> Event {
+    Event::Written(result)
+}
+
+fn conflict() -> Event {
+    let (key, found) = (CURRENT.to_owned(), 12);
+    written(Ok(Outcome::Conflict { key, found }))
+}
+
+#[test]
+fn first_manifest() {
+    let mut commit = new(0);
+    let actions = commit.on_event(absent(CURRENT), at(1));
+    let [Action::Write(txn)] = &actions[..] else {
+        panic!("{actions:?}");
+    };
+    assert!(txn.checks.iter().all(|check| check.version == 0) && txn.checks.len() == 2);
+    let refused = refusal(&new(3).on_event(absent(CURRENT), at(1)));
+    assert!(refused.message.contains("use base 0"), "{refused}");
+}
+
+/// The write depends on the row that the proposal named, and on a free revision.
+#[test]
+fn accepted_commit() {
+    let (mut commit, txn) = writing();
+    let checks: Vec<_> = txn
+        .checks
+        .iter()
+        .map(|check| (&*check.key, check.version))
+        .collect();
+    assert_eq!(checks, [(CURRENT, 10), ("manifest/5", 0)]);
+    let actions = commit.on_event(written(Ok(Outcome::Applied { version: 11 })), at(40));
+    assert_eq!(actions, [Action::Done(Ok(id::Revision(5)))]);
+    assert_eq!(commit.on_event(Event::Tick, at(99_000)), []);
+}
+
+#[test]
+fn bad_text() {
+    let (operation, operator) = (id::Operation(99), "eva".parse().unwrap());
+    let text = FULL.replace("gpu-", "GPU ");
+    let result = Commit::new(operation, operator, id::Revision(4), text, at(0));
+    let refused = result.unwrap_err();
+    assert_eq!((refused.code, refused.ran), (Code::BadRequest, Ran::NotRun));
+    assert!(refused.message.contains("engines[0].vm") && refused.message.contains("engines[1].vm"));
+}
+
+#[test]
+fn old_base() {
+    let refused = refusal(&new(4).on_event(row(&record(6, 7, "ana"), 12, 1), at(1)));
+    assert_eq!((refused.code, refused.ran), (Code::Conflict, Ran::NotRun));
+    assert!(
+        refused
+            .message
+            .contains("operator ana committed revision 6"),
+        "{refused}"
+    );
+}
+
+/// Answers that are not promises of listed VMs for this proposal must not lead to a write.
+#[test]
+fn no_majority() {
+    let mut commit = proposing();
+    for (vm, version) in [
+        ("entry-1", 10),
+        ("entry-1", 10),
+        ("entry-2", 9),
+        ("entry-9", 10),
+    ] {
+        assert_eq!(answer(&mut commit, vm, version, Answer::Promised), []);
+    }
+    assert_eq!(commit.on_event(Event::Tick, at(2_019)), []);
+    let refused = refusal(&commit.on_event(Event::Tick, at(2_020)));
+    assert_eq!(
+        (refused.code, refused.ran),
+        (Code::ManifestUnknown, Ran::NotRun)
+    );
+    assert!(
+        refused.message.starts_with("1 of the 3 entry VMs"),
+        "{refused}"
+    );
+    let mut commit = proposing();
+    assert_eq!(answer(&mut commit, "entry-1", 10, Answer::Busy), []);
+    refusal(&answer(&mut commit, "entry-2", 10, Answer::Unready));
+}
+
+/// A lost reply is settled by the operation in the record, before anything is sent again.
+#[test]
+fn lost_reply() {
+    let lost = || written(Err(Category::Ambiguous));
+    let (mut commit, txn) = writing();
+    assert_eq!(
+        commit.on_event(lost(), at(40)),
+        [Action::Read("manifest/5".to_owned())]
+    );
+    assert_eq!(
+        commit.on_event(absent("manifest/5"), at(50)),
+        [Action::Write(txn)]
+    );
+    assert_eq!(
+        commit.on_event(conflict(), at(60)),
+        [Action::Read("manifest/5".to_owned())]
+    );
+    let own = row(&record(5, 99, "eva"), 11, 0);
+    assert_eq!(
+        commit.on_event(own, at(70)),
+        [Action::Done(Ok(id::Revision(5)))]
+    );
+    let (mut commit, _) = writing();
+    commit.on_event(lost(), at(40));
+    let refused = refusal(&commit.on_event(row(&record(5, 7, "ana"), 11, 0), at(50)));
+    assert_eq!(refused.ran, Ran::NotRun);
+    assert!(
+        refused
+            .message
+            .contains("operator ana committed revision 5"),
+        "{refused}"
+    );
+}
+
+/// A failing table is asked again after a pause, and the outcome is not guessed.
+#[test]
+fn unknown_outcome() {
+    let (mut commit, _) = writing();
+    commit.on_event(written(Err(Category::Ambiguous)), at(40));
+    let key = "manifest/5".to_owned();
+    let result = Err(Category::NotSent);
+    assert_eq!(
+        commit.on_event(
+            Event::Row {
+                key: key.clone(),
+                result
+            },
+            at(50)
+        ),
+        []
+    );
+    assert_eq!(commit.on_event(Event::Tick, at(249)), []);
+    assert_eq!(commit.on_event(Event::Tick, at(250)), [Action::Read(key)]);
+    let refused = refusal(&commit.on_event(Event::Tick, at(10_000)));
+    assert_eq!(
+        (refused.code, refused.ran),
+        (Code::StoreUnavailable, Ran::MayHaveRun)
+    );
+    let (mut commit, _) = writing();
+    assert_eq!(
+        refusal(&commit.on_event(Event::Tick, at(10_000))).ran,
+        Ran::MayHaveRun
+    );
+}
+
+#[rstest]
+#[case::write(writing().0, written(Err(Category::NotSent)))]
+#[case::refused_write(writing().0, written(Err(Category::Refused)))]
+#[case::pointer(new(4), Event::Row { key: CURRENT.to_owned(), result: Err(Category::Ambiguous) })]
+#[case::late(new(4), Event::Tick)]
+fn store_down(#[case] mut commit: Commit, #[case] event: Event) {
+    let refused = refusal(&commit.on_event(event, at(10_000)));
+    assert_eq!(
+        (refused.code, refused.ran),
+        (Code::StoreUnavailable, Ran::NotRun)
+    );
+    assert!(refused.retry_after.is_some());
+}
+
+/// A proposal that other nodes closed starts again on the new row, but not for ever.
+#[test]
+fn closed_proposal() {
+    let (mut commit, _) = writing();
+    for version in [12, 13] {
+        assert_eq!(
+            commit.on_event(conflict(), at(40)),
+            [Action::Read("manifest/5".to_owned())]
+        );
+        assert_eq!(
+            commit.on_event(absent("manifest/5"), at(50)),
+            [Action::Read(CURRENT.to_owned())]
+        );
+        propose(&mut commit, version);
+        assert_eq!(promises(&mut commit, version).checks[0].version, version);
+    }
+    commit.on_event(conflict(), at(60));
+    let refused = refusal(&commit.on_event(absent("manifest/5"), at(70)));
+    assert_eq!((refused.code, refused.ran), (Code::Conflict, Ran::NotRun));
+    let mut commit = proposing();
+    let revision = id::Revision(5);
+    let actions = answer(&mut commit, "entry-1", 10, Answer::Stale { revision });
+    assert_eq!(actions, [Action::Read(CURRENT.to_owned())]);
+}
