Allow 50 ms above the best latency before the limit shrinks

The adaptive limit takes twice the best latency for overload; on loopback the best time to the first token is about 1 ms, the usual one about 7 ms, so both replicas fell to the floor of 2 requests each.

Ruled out: the owner's loop (10 ms per turn at most), group commits (200 ms apart), the gate's reserve for customers.

Change: `SLACK`, 50 ms: a batching engine's scheduling rounds are no queue.

--- a/crates/limit/src/adaptive.rs
+++ b/crates/limit/src/adaptive.rs
@@ -3,6 +3,10 @@
 
 /// The latency at which the limit shrinks, as a multiple of the best one, in thousandths.
 const TOLERANCE: u64 = 2_000;
+/// The latency above the best one that is no sign of a queue, in microseconds. An engine that
+/// batches lets a request wait for its next scheduling round, which takes some 10 ms, and on a
+/// fast upstream that alone is a multiple of the best latency.
+const SLACK: u64 = 50_000;
 /// What remains of the limit after a decrease, in thousandths.
 const DECREASE: u64 = 800;
 /// One slot in the units of the limit.
@@ -93,7 +97,8 @@
             0 => latency,
             average => average - average / 8 + latency / 8,
         };
-        if self.latency > best.saturating_mul(TOLERANCE) / 1_000 {
+        let longest = (best.saturating_mul(TOLERANCE) / 1_000).max(best.saturating_add(SLACK));
+        if self.latency > longest {
             self.decrease(now);
         } else if u64::from(in_flight) * SLOT * 2 > self.limit {
             // A limit that isn't used would grow without a sign that the upstream can take it.
