Run the whole path with every part in its own process

Cause: the demo runs in one process; the parts must work over real sockets and survive kills, stops and outages of each other.

Change: tests that start nodes, stand-ins, trainer and `dogwoodctl` as processes: the whole path with a drain; the owner killed in the middle of a step; all nodes restarted at once; the owner stopped past its lease and woken; the table service down for longer than a lease; random bytes, half a head, a body that stops; typed refusals. The status names the revision that each member reports, as `dogwoodctl` expects.

--- /dev/null
+++ b/crates/dogwoodlb/tests/processes.rs
@@ -0,0 +1,16 @@
+//! Tests with every part in a process of its own, over real sockets.
+
+#[path = "processes/bad_input.rs"]
+mod bad_input;
+#[path = "processes/cluster.rs"]
+mod cluster;
+#[path = "processes/frozen_owner.rs"]
+mod frozen_owner;
+#[path = "processes/killed_owner.rs"]
+mod killed_owner;
+#[path = "processes/process.rs"]
+mod process;
+#[path = "processes/store_outage.rs"]
+mod store_outage;
+#[path = "processes/whole_path.rs"]
+mod whole_path;
--- /dev/null
+++ b/crates/dogwoodlb/tests/processes/killed_owner.rs
@@ -0,0 +1,51 @@
+//! The owner of a trainer is killed in the middle of a step.
+
+use crate::cluster::Cluster;
+use crate::process::wait_for;
+use rustix::process::Signal;
+
+/// Guards against samples that are lost or delivered twice when the node that owns the
+/// trainer dies, and against a trainer that no other node takes up.
+#[test]
+fn kill_mid_step() {
+    let mut cluster = Cluster::start("killed-owner", 3);
+    let trainer = cluster.trainer(5, 300);
+    let owner = wait_for("an owner", || cluster.holder("trainer.weld"));
+    wait_for("an accepted sample", || {
+        let rows = cluster.get(
+            cluster.table,
+            "/rows?prefix=trainer%2Fweld%2Fstep%2F2%2Fbatch",
+        )?;
+        rows["rows"]
+            .as_array()
+            .filter(|rows| !rows.is_empty())
+            .map(|_| ())
+    });
+    let process = cluster.nodes[owner].process.take().unwrap();
+    process.signal(Signal::KILL);
+    let report = Cluster::check_trainer(trainer);
+    assert_eq!(report["delivered"], 80);
+    assert_ne!(cluster.holder("trainer.weld"), None);
+}
+
+/// Guards against state that is kept on a node: all nodes are killed and started again.
+#[test]
+fn restart_all() {
+    let mut cluster = Cluster::start("restart-all", 2);
+    let trainer = cluster.trainer(4, 300);
+    wait_for("a delivered step", || {
+        let head = cluster.get(cluster.table, "/rows?key=trainer%2Fweld%2Fhead")?;
+        head["rows"][0]["value"]
+            .as_str()?
+            .contains(r#""delivery":1"#)
+            .then_some(())
+    });
+    for number in 0..2 {
+        drop(cluster.nodes[number].process.take());
+    }
+    for number in 0..2 {
+        cluster.start_node(number);
+    }
+    let report = Cluster::check_trainer(trainer);
+    assert_eq!(report["delivered"], 64);
+}
--- a/crates/node/src/operators.rs
+++ b/crates/node/src/operators.rs
@@ -46,6 +46,7 @@
 struct Member {
     vm: id::Vm,
     state: &'static str,
+    revision: id::Revision,
 }
 
 const fn state(state: State) -> &'static str {
@@ -70,16 +71,21 @@
     let entries = lock(&shared.adoption)
         .manifest()
         .map(|manifest| manifest.entry_vms.clone());
+    let revision = lock(&shared.adoption).revision();
+    let revisions = lock(&shared.revisions).clone();
     let members = {
         let members = lock(&shared.members);
         let entries = entries.unwrap_or_default().into_iter();
         let entries = entries.map(|entry| Member {
             state: members.state(&entry.vm).map_or("unknown", state),
+            revision: match entry.vm == shared.settings.vm {
+                true => revision,
+                false => revisions.get(&entry.vm).copied().unwrap_or_default(),
+            },
             vm: entry.vm,
         });
         entries.collect()
     };
-    let revision = lock(&shared.adoption).revision();
     let leaving = !lock(&shared.drain).is_listed();
     Response::json(
         200,
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -88,6 +88,7 @@
                 if !plausible {
                     shared.metrics.count("frame.refused");
                 }
+                note_revision(shared, header);
             }
             let (now, status) = (shared.now(), status(shared));
             let actions = lock(&shared.members).on_frame(frame, now, &status, rng);
@@ -102,6 +103,14 @@
     }
 }
 
+/// Keeps the revision that a listed node reports, for operators to see.
+fn note_revision(shared: &Shared, header: &wire::Header) {
+    let listed = lock(&shared.members).address(&header.vm).is_some();
+    if listed {
+        lock(&shared.revisions).insert(header.vm.clone(), header.status.revision);
+    }
+}
+
 fn answer(shared: &Shared, socket: &UdpSocket, vm: &id::Vm, sequence: u32, from: SocketAddr) {
     let report = lock(&shared.adoption).report();
     let frame = Frame::Report(wire::Report {
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -32,6 +32,8 @@
     pub(crate) recorder: Recorder,
     pub(crate) adoption: Mutex<Adoption>,
     pub(crate) members: Mutex<Members>,
+    /// The revisions that other nodes reported last.
+    pub(crate) revisions: Mutex<HashMap<id::Vm, id::Revision>>,
     pub(crate) drain: Mutex<Drain>,
     /// The first steps of a shutdown that are still to be carried out.
     pub(crate) begun: Mutex<Vec<Step>>,
@@ -93,6 +95,7 @@
             recorder: Recorder::new(vm.clone()),
             adoption: Mutex::new(Adoption::new(vm.clone(), now)),
             members: Mutex::new(Members::new(vm, incarnation, &mut parts.rng)),
+            revisions: Mutex::default(),
             drain: Mutex::new(Drain::new(ADDRESS_CACHE)),
             begun: Mutex::default(),
             swappers: Running::default(),
