Run the ledger under random faults

Cause: exactly-once delivery, the staleness bound and the labels were only tested one feature at a time.

Change: a randomised run of a trainer, its owners and the engines: lost replies, delayed copies, requests that aren't sent, crashes before and after a commit, replaced owners that go on, replaced trainer processes that go on under their old session, attempts that finish twice, too old or with bad spans. After each change of the head row the rows alone must give the same complete, truly labelled delivery within the bound; at the end a run without faults must acknowledge a further step.

Ruled out: a completion that a replaced owner finds by read-back as a fault.

--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -15,7 +15,8 @@
 /// At most one transaction is in flight: an operation that needs one while another runs
 /// returns [`Start::Busy`](crate::Start::Busy). Each transaction requires the fence row's
 /// version, so it conflicts once another process took the lease over. Answers that need no
-/// transaction come from memory, so ask only while the lease is held.
+/// transaction come from memory, and a read-back may find a transaction that took effect before
+/// a takeover; pass either on only while the lease is held.
 #[derive(Debug)]
 pub struct Ledger {
     pub(crate) settings: Settings,
--- /dev/null
+++ b/crates/ledger/tests/ledger/exactly_once.rs
@@ -0,0 +1,496 @@
+//! Randomised runs of a trainer under crashes, lost replies, repeated requests, changes of the
+//! owner and of the trainer process.
+
+use crate::owner::{ambiguous, trainer, FENCE_KEY};
+use crate::table::Table;
+use dogwoodlb_ledger::*;
+use dogwoodlb_platform::table::{Check, Outcome, Txn};
+use dogwoodlb_platform::{Category, Cause, Error};
+use dogwoodlb_types::check_spans;
+use dogwoodlb_types::prelude::*;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use std::collections::BTreeMap;
+
+const SCHEDULES: u64 = 2_000;
+const EVENTS: u64 = 150;
+
+/// How often something happened, by name.
+type Tally = BTreeMap<&'static str, u64>;
+
+enum Flight {
+    Commit(Commit),
+    ReadBack(id::Operation, String),
+}
+
+/// A process that holds, or believes to hold, the trainer's lease.
+struct Process {
+    epoch: u64,
+    ledger: Ledger,
+    flight: Option<Flight>,
+}
+
+struct World {
+    seed: u64,
+    rng: SmallRng,
+    table: Table,
+    objects: BTreeMap<String, Vec<u8>>,
+    bound: u64,
+    epoch: u64,
+    owner: Option<Process>,
+    /// Processes that were paused and replaced.
+    stale: Vec<Process>,
+    /// Copies of transactions that reach the table late.
+    delayed: Vec<(u64, Txn)>,
+    operations: u128,
+    attempts: u32,
+    now: u64,
+    session: id::Session,
+    next_step: u64,
+    deliveries: BTreeMap<id::Step, Delivery>,
+    acknowledged: Option<id::Step>,
+    /// What the engines produced, by attempt.
+    produced: BTreeMap<u32, Finished>,
+    is_calm: bool,
+    tally: Tally,
+}
+
+fn ledger(table: &Table, bound: u64) -> Ledger {
+    let settings = Settings {
+        trainer: trainer(),
+        staleness_bound: bound,
+        version: id::Version(1),
+        buffer_bytes: 1 << 20,
+    };
+    let fence = Check {
+        key: FENCE_KEY.to_owned(),
+        version: table.version(FENCE_KEY),
+    };
+    let rows = table.scan(&Ledger::prefix(&trainer()));
+    Ledger::load(settings, fence, &rows).unwrap()
+}
+
+fn load(table: &mut Table, epoch: u64, bound: u64) -> Process {
+    table.commit(&Txn::new().put(FENCE_KEY, "{}"));
+    Process {
+        epoch,
+        ledger: ledger(table, bound),
+        flight: None,
+    }
+}
+
+fn content(step: u64) -> Content {
+    let group = |number| Group {
+        prompt: format!("{step}/{number}"),
+        size: 2,
+    };
+    Content {
+        groups: vec![group(0), group(1)],
+        max_tokens: 16,
+    }
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut table = Table::default();
+        let bound = rng.random_range(0..3);
+        Self {
+            seed,
+            bound,
+            epoch: 0,
+            owner: Some(load(&mut table, 0, bound)),
+            rng,
+            table,
+            objects: BTreeMap::new(),
+            stale: Vec::new(),
+            delayed: Vec::new(),
+            operations: 0,
+            attempts: 0,
+            now: 0,
+            session: id::Session(0),
+            next_step: 1,
+            deliveries: BTreeMap::new(),
+            acknowledged: None,
+            produced: BTreeMap::new(),
+            is_calm: false,
+            tally: Tally::new(),
+        }
+    }
+
+    fn count(&mut self, name: &'static str, number: u64) {
+        *self.tally.entry(name).or_default() += number;
+    }
+
+    fn one_in(&mut self, n: u32) -> bool {
+        self.rng.random_ratio(1, n)
+    }
+
+    fn operation(&mut self) -> id::Operation {
+        self.operations += 1;
+        id::Operation(self.operations)
+    }
+
+    fn event(&mut self) {
+        self.now += 100;
+        match self.rng.random_range(0..100) {
+            0..3 => self.take_over(),
+            3..8 => self.deliver_delayed(),
+            8..13 => self.run_stale(),
+            _ => self.run_owner(),
+        }
+    }
+
+    /// Replaces the owner, which crashed or is only paused.
+    fn take_over(&mut self) {
+        self.epoch += 1;
+        let new = load(&mut self.table, self.epoch, self.bound);
+        let old = self.owner.replace(new).unwrap();
+        self.count("takeovers", 1);
+        if self.one_in(2) {
+            self.stale.push(old);
+        } else if let Some(Flight::Commit(commit)) = old.flight {
+            self.delayed.push((old.epoch, commit.txn));
+        }
+    }
+
+    fn deliver_delayed(&mut self) {
+        if !self.delayed.is_empty() {
+            let index = self.rng.random_range(0..self.delayed.len());
+            let (epoch, txn) = self.delayed.swap_remove(index);
+            self.count("delayed", 1);
+            self.commit(epoch, &txn);
+        }
+    }
+
+    /// Lets a replaced process go on; its answers without a transaction don't count, because it
+    /// no longer holds the lease.
+    fn run_stale(&mut self) {
+        if self.stale.is_empty() {
+            return;
+        }
+        let index = self.rng.random_range(0..self.stale.len());
+        let mut process = self.stale.swap_remove(index);
+        match process.flight.take() {
+            Some(flight) => {
+                // A read-back may find that the transaction took effect before the takeover.
+                let is_sent = matches!(flight, Flight::Commit(_));
+                let done = self.advance(&mut process, flight);
+                assert!(
+                    !is_sent || done.is_none(),
+                    "seed {}: stale write",
+                    self.seed
+                );
+            }
+            None => {
+                self.request(&mut process);
+            }
+        }
+        if !process.ledger.is_lost() {
+            self.stale.push(process);
+        }
+    }
+
+    fn run_owner(&mut self) {
+        let mut process = self.owner.take().unwrap();
+        let done = match process.flight.take() {
+            Some(flight) => self.advance(&mut process, flight),
+            None => self.request(&mut process),
+        };
+        assert!(!process.ledger.is_lost(), "seed {}: owner lost", self.seed);
+        self.owner = Some(process);
+        if let Some(done) = done {
+            self.observe(done);
+        }
+    }
+
+    /// Moves a transaction or its read-back on; returns the completion, if there is one.
+    fn advance(&mut self, process: &mut Process, flight: Flight) -> Option<Completion> {
+        let next = match flight {
+            Flight::Commit(commit) => {
+                let reply = self.send(process.epoch, &commit);
+                process.ledger.on_commit(commit.operation, reply)
+            }
+            Flight::ReadBack(operation, key) => {
+                let rows = self.table.scan(&key);
+                let reply = match !self.is_calm && self.one_in(4) {
+                    true => Err(ambiguous()),
+                    false => Ok(rows.into_iter().find(|row| row.key == key)),
+                };
+                process.ledger.on_read_back(operation, reply)
+            }
+        };
+        match next {
+            Next::Done(completion) => return Some(completion),
+            Next::ReadBack { operation, key } => {
+                process.flight = Some(Flight::ReadBack(operation, key));
+            }
+            Next::Resend(commit) => process.flight = Some(Flight::Commit(commit)),
+            Next::Lost(_) => self.count("stale_conflicts", 1),
+            Next::Ignored => panic!("seed {}: reply ignored", self.seed),
+        }
+        None
+    }
+
+    fn send(&mut self, epoch: u64, commit: &Commit) -> dogwoodlb_platform::Result<Outcome> {
+        for object in &commit.objects {
+            let old = self
+                .objects
+                .insert(object.name.clone(), object.body.clone());
+            assert!(old.is_none_or(|old| old == object.body), "overwritten");
+        }
+        match self.rng.random_range(0..if self.is_calm { 1 } else { 10 }) {
+            // The reply is lost, or comes too late to count.
+            6 | 7 => {
+                self.commit(epoch, &commit.txn);
+                Err(ambiguous())
+            }
+            8 => {
+                self.delayed.push((epoch, commit.txn.clone()));
+                Err(ambiguous())
+            }
+            9 => Err(Error::new(Category::NotSent, "table", Cause::Truncated)),
+            _ => Ok(self.commit(epoch, &commit.txn)),
+        }
+    }
+
+    fn commit(&mut self, epoch: u64, txn: &Txn) -> Outcome {
+        let outcome = self.table.commit(txn);
+        if matches!(outcome, Outcome::Applied { .. }) {
+            assert_eq!(epoch, self.epoch, "seed {}: stale write", self.seed);
+            // The other transactions change nothing that is checked.
+            if txn.puts.iter().any(|put| put.key.ends_with("/head")) || !txn.deletes.is_empty() {
+                self.check_rows();
+            }
+        }
+        outcome
+    }
+
+    /// Checks what the rows alone must satisfy: a process that crashes now leaves them so.
+    fn check_rows(&mut self) {
+        let mut ledger = ledger(&self.table, self.bound);
+        let version = ledger.version().0;
+        let Some(view) = ledger.steps().into_iter().find(|step| step.delivered) else {
+            return;
+        };
+        let start = ledger.deliver(ledger.session(), view.step, id::Operation(0));
+        let Ok(Start::Done(Completion::Delivered(delivery))) = start else {
+            panic!("seed {}: {start:?}", self.seed);
+        };
+        for sample in &delivery.samples {
+            let oldest = sample.spans.iter().map(|span| span.version).min().unwrap();
+            let age = version.0.saturating_sub(oldest.0);
+            assert!(age <= self.bound, "seed {}: {age} versions old", self.seed);
+        }
+        self.check_delivery(&delivery);
+    }
+
+    /// Checks that a delivery is complete, truly labelled and the same each time.
+    fn check_delivery(&mut self, delivery: &Delivery) {
+        let seed = self.seed;
+        let known = self.deliveries.entry(delivery.step);
+        let first = known.or_insert_with(|| delivery.clone());
+        assert_eq!(first, delivery, "seed {seed}: another delivery");
+        let samples: Vec<_> = delivery.samples.iter().map(|own| &own.sample).collect();
+        let sample = |group, index| id::Sample::new(trainer(), delivery.step, group, index);
+        let all = [sample(0, 0), sample(0, 1), sample(1, 0), sample(1, 1)];
+        assert_eq!(samples, all.iter().collect::<Vec<_>>(), "seed {seed}");
+        for sample in &delivery.samples {
+            let produced = &self.produced[&sample.attempt];
+            assert_eq!(produced.sample, sample.sample, "seed {seed}");
+            assert_eq!(produced.spans, sample.spans, "seed {seed}: label");
+            assert!(
+                check_spans(&sample.spans, produced.tokens).is_ok(),
+                "seed {seed}"
+            );
+            assert!(sample.staleness <= self.bound, "seed {seed}: stale");
+            let bodies = bodies(&self.objects[&sample.object]).unwrap();
+            assert_eq!(bodies[sample.position], produced.body, "seed {seed}: body");
+        }
+    }
+
+    /// Begins something at random; returns an answer that needed no transaction.
+    fn request(&mut self, process: &mut Process) -> Option<Completion> {
+        let operation = self.operation();
+        let steps = process.ledger.steps();
+        // A trainer whose reply was lost in a crash reads where it stands.
+        if let Some(done) = process.ledger.acknowledged() {
+            self.next_step = self.next_step.max(done.0 + 1);
+        }
+        let first = steps
+            .first()
+            .map_or(id::Step(self.next_step), |view| view.step);
+        // Now and then a replaced trainer process goes on under its old session.
+        let old = !self.is_calm && self.session.0 > 1 && self.one_in(10);
+        let session = id::Session(self.session.0 - u64::from(old));
+        let current = process.ledger.session();
+        // Without faults the trainer neither restarts nor publishes, so that the step gets done.
+        let choices = if self.is_calm { 1..18 } else { 0..20 };
+        let choice = self.rng.random_range(choices);
+        let answer = match choice {
+            0 => process.ledger.open_session(operation),
+            // The reply to the last `open_session` may have been lost.
+            _ if session == id::Session(0) || (self.is_calm && session != current) => {
+                process.ledger.open_session(operation)
+            }
+            1..3 => {
+                let last = if steps.len() < 3 {
+                    self.next_step
+                } else {
+                    first.0
+                };
+                let step = self.rng.random_range(first.0..=last);
+                process
+                    .ledger
+                    .submit(session, id::Step(step), &content(step), operation)
+            }
+            3..10 => {
+                self.accept(process, &steps);
+                return None;
+            }
+            10..13 => match process
+                .ledger
+                .flush(Instant::from_millis(self.now), operation)
+            {
+                Some(commit) => Ok(Start::Commit(commit)),
+                None => return None,
+            },
+            13..16 => process.ledger.deliver(session, first, operation),
+            16..18 => match self.deliveries.values().next_back().cloned() {
+                Some(last) => {
+                    process
+                        .ledger
+                        .acknowledge(session, last.step, last.delivery, operation)
+                }
+                None => return None,
+            },
+            18 => {
+                let version = process.ledger.version().0.next();
+                process
+                    .ledger
+                    .publish(session, version, "weights", operation)
+            }
+            _ => process.ledger.sweep(operation).map_or(Ok(Start::Busy), Ok),
+        };
+        // A replaced owner may not know of the new session; its transaction conflicts.
+        let is_fenced = old && process.epoch == self.epoch && matches!(choice, 1..3 | 13..19);
+        assert!(
+            !is_fenced || answer.is_err(),
+            "seed {}: old session",
+            self.seed
+        );
+        match answer {
+            Ok(Start::Commit(commit)) => {
+                process.flight = Some(Flight::Commit(commit));
+                None
+            }
+            Ok(Start::Done(completion)) if process.epoch == self.epoch => {
+                let again = matches!(completion, Completion::Delivered(_));
+                self.count("repeated", u64::from(again));
+                Some(completion)
+            }
+            Ok(Start::Done(_)) => None,
+            Ok(Start::Busy) => None,
+            Err(refusal) => {
+                assert_ne!(
+                    refusal.code,
+                    Code::Invariant,
+                    "seed {}: {refusal}",
+                    self.seed
+                );
+                None
+            }
+        }
+    }
+
+    /// Lets engines finish attempts, some of them twice, too old or badly labelled.
+    fn accept(&mut self, process: &mut Process, steps: &[StepView]) {
+        let version = process.ledger.version().0;
+        for view in steps {
+            for (group, index) in [(0, 0), (0, 1), (1, 0), (1, 1)] {
+                if self.one_in(2) {
+                    continue;
+                }
+                self.attempts += 1;
+                let oldest = version
+                    .0
+                    .saturating_sub(self.rng.random_range(0..=self.bound + 1));
+                let middle = self.rng.random_range(1..6);
+                let span = |version, from, to| Span { version, from, to };
+                let finished = Finished {
+                    sample: id::Sample::new(trainer(), view.step, group, index),
+                    attempt: self.attempts,
+                    tokens: 6,
+                    spans: vec![
+                        span(id::Version(oldest), 0, middle),
+                        span(version, middle, if self.one_in(20) { 5 } else { 6 }),
+                    ],
+                    body: format!("attempt {}", self.attempts),
+                };
+                self.produced.insert(self.attempts, finished.clone());
+                process.ledger.accept(finished).unwrap();
+            }
+        }
+    }
+
+    /// Checks a completion that the trainer sees.
+    fn observe(&mut self, completion: Completion) {
+        let seed = self.seed;
+        match completion {
+            Completion::Session(session) => {
+                assert!(session > self.session, "seed {seed}: session {session}");
+                self.session = session;
+                self.count("handovers", 1);
+            }
+            Completion::Delivered(delivery) => {
+                let done = self.acknowledged.is_some_and(|last| delivery.step <= last);
+                assert!(!done, "seed {seed}: delivered after the acknowledgement");
+                self.check_delivery(&delivery);
+            }
+            Completion::Acknowledged(step) => {
+                self.count("acknowledged", u64::from(self.acknowledged < Some(step)));
+                self.acknowledged = self.acknowledged.max(Some(step));
+            }
+            Completion::Submitted(step) => self.next_step = self.next_step.max(step.0 + 1),
+            Completion::Published { stale, .. } | Completion::Waiting { stale, .. } => {
+                self.count("replaced", stale.len() as u64);
+            }
+            Completion::Flushed(_) | Completion::Swept(_) => {}
+        }
+    }
+
+    /// Runs without faults until another step is acknowledged.
+    fn check_progress(&mut self) {
+        self.is_calm = true;
+        let before = self.acknowledged;
+        for _ in 0..5_000 {
+            self.now += 100;
+            self.run_owner();
+            if self.acknowledged > before {
+                return;
+            }
+        }
+        panic!("seed {}: no progress", self.seed);
+    }
+}
+
+/// Guards against samples that are lost, delivered twice, too old or wrongly labelled, and
+/// against transactions of a replaced owner that take effect.
+#[test]
+fn survives_faults() {
+    let mut total = Tally::new();
+    for seed in 0..SCHEDULES {
+        let mut world = World::new(seed);
+        for _ in 0..EVENTS {
+            world.event();
+        }
+        world.check_progress();
+        for (name, number) in world.tally {
+            *total.entry(name).or_default() += number;
+        }
+    }
+    println!("{SCHEDULES} schedules: {total:?}");
+    // Every kind of fault must have had an effect.
+    assert_eq!(total.len(), 7);
+    assert!(total.values().all(|number| *number > SCHEDULES / 4));
+}
--- a/crates/ledger/tests/ledger/main.rs
+++ b/crates/ledger/tests/ledger/main.rs
@@ -1,8 +1,10 @@
 //! Tests of the ledger core, one module for each feature.
 
+mod exactly_once;
 mod lost_reply;
 mod owner;
 mod sample_acceptance;
 mod step_delivery;
 mod step_submission;
+#[path = "../../../lease/tests/fake/table.rs"]
 mod table;
--- a/crates/ledger/tests/ledger/owner.rs
+++ b/crates/ledger/tests/ledger/owner.rs
@@ -6,7 +6,7 @@
 use dogwoodlb_platform::{Category, Cause, Error};
 use dogwoodlb_types::prelude::*;
 
-const FENCE_KEY: &str = "lease/trainer/weld/fence";
+pub(crate) const FENCE_KEY: &str = "lease/trainer/weld/fence";
 
 pub(crate) struct Owner {
     pub(crate) ledger: Ledger,
