Split long functions of the ledger and its test

Change: `start_delivery` holds the transaction of a delivery; what trainers and engines do in the run is a module of its own. No behaviour changes.

--- a/crates/ledger/src/operation.rs
+++ b/crates/ledger/src/operation.rs
@@ -119,13 +119,25 @@
         let Some(open) = self.open.get(&step) else {
             return Err(unknown(step));
         };
-        let Some(assigned) = open.assignment() else {
-            let progress = open.progress();
-            return Ok(Start::Done(Completion::Waiting { progress, stale }));
-        };
-        let mut row = open.row.clone();
-        row.operation = operation;
-        row.assigned.clone_from(&assigned);
+        match open.assignment() {
+            Some(assigned) => {
+                let row = Step {
+                    operation,
+                    assigned,
+                    ..open.row.clone()
+                };
+                let row_version = open.row_version;
+                Ok(self.start_delivery(step, row, row_version))
+            }
+            None => {
+                let progress = open.progress();
+                Ok(Start::Done(Completion::Waiting { progress, stale }))
+            }
+        }
+    }
+
+    fn start_delivery(&mut self, step: id::Step, row: Step, row_version: u64) -> Start {
+        let operation = row.operation;
         let mut head = self.next_head(operation);
         head.delivery = head.delivery.next();
         head.delivered = Some(Delivered {
@@ -136,12 +148,12 @@
         let key = self.keys.step(step);
         let txn = self
             .txn()
-            .check(key.clone(), open.row_version)
+            .check(key.clone(), row_version)
             .put(self.keys.head(), to_json(&head))
             .put(key, to_json(&row));
         let probe = self.head_probe();
-        let effect = Effect::Deliver(head, assigned);
-        Ok(self.start(operation, txn, Vec::new(), probe, effect))
+        let effect = Effect::Deliver(head, row.assigned);
+        self.start(operation, txn, Vec::new(), probe, effect)
     }
 
     fn deliver_again(&self, delivered: Delivered) -> Answer<Start> {
--- a/crates/ledger/tests/ledger/exactly_once.rs
+++ b/crates/ledger/tests/ledger/exactly_once.rs
@@ -1,6 +1,8 @@
 //! Randomised runs of a trainer under crashes, lost replies, repeated requests, changes of the
 //! owner and of the trainer process.
 
+mod requests;
+
 use crate::owner::{ambiguous, trainer, FENCE_KEY};
 use crate::table::Table;
 use dogwoodlb_ledger::*;
@@ -79,17 +81,6 @@
     }
 }
 
-fn content(step: u64) -> Content {
-    let group = |number| Group {
-        prompt: format!("{step}/{number}"),
-        size: 2,
-    };
-    Content {
-        groups: vec![group(0), group(1)],
-        max_tokens: 16,
-    }
-}
-
 impl World {
     fn new(seed: u64) -> Self {
         let mut rng = SmallRng::seed_from_u64(seed);
@@ -309,130 +300,6 @@
         }
     }
 
-    /// Begins something at random; returns an answer that needed no transaction.
-    fn request(&mut self, process: &mut Process) -> Option<Completion> {
-        let operation = self.operation();
-        let steps = process.ledger.steps();
-        // A trainer whose reply was lost in a crash reads where it stands.
-        if let Some(done) = process.ledger.acknowledged() {
-            self.next_step = self.next_step.max(done.0 + 1);
-        }
-        let first = steps
-            .first()
-            .map_or(id::Step(self.next_step), |view| view.step);
-        // Now and then a replaced trainer process goes on under its old session.
-        let old = !self.is_calm && self.session.0 > 1 && self.one_in(10);
-        let session = id::Session(self.session.0 - u64::from(old));
-        let current = process.ledger.session();
-        // Without faults the trainer neither restarts nor publishes, so that the step gets done.
-        let choices = if self.is_calm { 1..18 } else { 0..20 };
-        let choice = self.rng.random_range(choices);
-        let answer = match choice {
-            0 => process.ledger.open_session(operation),
-            // The reply to the last `open_session` may have been lost.
-            _ if session == id::Session(0) || (self.is_calm && session != current) => {
-                process.ledger.open_session(operation)
-            }
-            1..3 => {
-                let last = if steps.len() < 3 {
-                    self.next_step
-                } else {
-                    first.0
-                };
-                let step = self.rng.random_range(first.0..=last);
-                process
-                    .ledger
-                    .submit(session, id::Step(step), &content(step), operation)
-            }
-            3..10 => {
-                self.accept(process, &steps);
-                return None;
-            }
-            10..13 => match process
-                .ledger
-                .flush(Instant::from_millis(self.now), operation)
-            {
-                Some(commit) => Ok(Start::Commit(commit)),
-                None => return None,
-            },
-            13..16 => process.ledger.deliver(session, first, operation),
-            16..18 => match self.deliveries.values().next_back().cloned() {
-                Some(last) => {
-                    process
-                        .ledger
-                        .acknowledge(session, last.step, last.delivery, operation)
-                }
-                None => return None,
-            },
-            18 => {
-                let version = process.ledger.version().0.next();
-                process
-                    .ledger
-                    .publish(session, version, "weights", operation)
-            }
-            _ => process.ledger.sweep(operation).map_or(Ok(Start::Busy), Ok),
-        };
-        // A replaced owner may not know of the new session; its transaction conflicts.
-        let is_fenced = old && process.epoch == self.epoch && matches!(choice, 1..3 | 13..19);
-        assert!(
-            !is_fenced || answer.is_err(),
-            "seed {}: old session",
-            self.seed
-        );
-        match answer {
-            Ok(Start::Commit(commit)) => {
-                process.flight = Some(Flight::Commit(commit));
-                None
-            }
-            Ok(Start::Done(completion)) if process.epoch == self.epoch => {
-                let again = matches!(completion, Completion::Delivered(_));
-                self.count("repeated", u64::from(again));
-                Some(completion)
-            }
-            Ok(Start::Done(_)) => None,
-            Ok(Start::Busy) => None,
-            Err(refusal) => {
-                assert_ne!(
-                    refusal.code,
-                    Code::Invariant,
-                    "seed {}: {refusal}",
-                    self.seed
-                );
-                None
-            }
-        }
-    }
-
-    /// Lets engines finish attempts, some of them twice, too old or badly labelled.
-    fn accept(&mut self, process: &mut Process, steps: &[StepView]) {
-        let version = process.ledger.version().0;
-        for view in steps {
-            for (group, index) in [(0, 0), (0, 1), (1, 0), (1, 1)] {
-                if self.one_in(2) {
-                    continue;
-                }
-                self.attempts += 1;
-                let oldest = version
-                    .0
-                    .saturating_sub(self.rng.random_range(0..=self.bound + 1));
-                let middle = self.rng.random_range(1..6);
-                let span = |version, from, to| Span { version, from, to };
-                let finished = Finished {
-                    sample: id::Sample::new(trainer(), view.step, group, index),
-                    attempt: self.attempts,
-                    tokens: 6,
-                    spans: vec![
-                        span(id::Version(oldest), 0, middle),
-                        span(version, middle, if self.one_in(20) { 5 } else { 6 }),
-                    ],
-                    body: format!("attempt {}", self.attempts),
-                };
-                self.produced.insert(self.attempts, finished.clone());
-                process.ledger.accept(finished).unwrap();
-            }
-        }
-    }
-
     /// Checks a completion that the trainer sees.
     fn observe(&mut self, completion: Completion) {
         let seed = self.seed;
--- /dev/null
+++ b/crates/ledger/tests/ledger/exactly_once/requests.rs
@@ -0,0 +1,131 @@
+//! What trainers and engines do in a randomised run.
+
+use super::{Flight, Process, World};
+use crate::owner::trainer;
+use dogwoodlb_ledger::*;
+use dogwoodlb_types::prelude::*;
+use rand::RngExt;
+
+fn content(step: u64) -> Content {
+    let group = |number| Group {
+        prompt: format!("{step}/{number}"),
+        size: 2,
+    };
+    Content {
+        groups: vec![group(0), group(1)],
+        max_tokens: 16,
+    }
+}
+
+impl World {
+    /// Begins something at random; returns an answer that needed no transaction.
+    pub(super) fn request(&mut self, process: &mut Process) -> Option<Completion> {
+        // A trainer whose reply was lost in a crash reads where it stands.
+        if let Some(done) = process.ledger.acknowledged() {
+            self.next_step = self.next_step.max(done.0 + 1);
+        }
+        // Now and then a replaced trainer process goes on under its old session.
+        let old = !self.is_calm && self.session.0 > 1 && self.one_in(10);
+        let session = id::Session(self.session.0 - u64::from(old));
+        // Without faults the trainer neither restarts nor publishes, so that the step gets done.
+        let choices = if self.is_calm { 1..18 } else { 0..20 };
+        let choice = self.rng.random_range(choices);
+        let answer = self.choose(process, session, choice)?;
+        // A replaced owner may not know of the new session; its transaction conflicts.
+        let is_fenced = old && process.epoch == self.epoch && matches!(choice, 1..3 | 13..19);
+        let seed = self.seed;
+        assert!(!is_fenced || answer.is_err(), "seed {seed}: old session");
+        match answer {
+            Ok(Start::Commit(commit)) => {
+                process.flight = Some(Flight::Commit(commit));
+                None
+            }
+            Ok(Start::Done(completion)) if process.epoch == self.epoch => {
+                let again = matches!(completion, Completion::Delivered(_));
+                self.count("repeated", u64::from(again));
+                Some(completion)
+            }
+            Ok(Start::Done(_) | Start::Busy) => None,
+            Err(refusal) => {
+                assert_ne!(refusal.code, Code::Invariant, "seed {seed}: {refusal}");
+                None
+            }
+        }
+    }
+
+    fn choose(
+        &mut self,
+        process: &mut Process,
+        session: id::Session,
+        choice: u32,
+    ) -> Option<Answer<Start>> {
+        let operation = self.operation();
+        let steps = process.ledger.steps();
+        let first = steps.first().map_or(self.next_step, |view| view.step.0);
+        let ledger = &mut process.ledger;
+        // The reply to the last `open_session` may have been lost.
+        let is_unknown = self.is_calm && session != ledger.session();
+        if choice == 0 || session == id::Session(0) || is_unknown {
+            return Some(ledger.open_session(operation));
+        }
+        match choice {
+            1..3 => {
+                let last = if steps.len() < 3 {
+                    self.next_step
+                } else {
+                    first
+                };
+                let step = self.rng.random_range(first..=last);
+                Some(ledger.submit(session, id::Step(step), &content(step), operation))
+            }
+            3..10 => {
+                self.accept(process, &steps);
+                None
+            }
+            10..13 => {
+                let commit = ledger.flush(Instant::from_millis(self.now), operation)?;
+                Some(Ok(Start::Commit(commit)))
+            }
+            13..16 => Some(ledger.deliver(session, id::Step(first), operation)),
+            16..18 => {
+                let last = self.deliveries.values().next_back()?;
+                Some(ledger.acknowledge(session, last.step, last.delivery, operation))
+            }
+            18 => {
+                let version = ledger.version().0.next();
+                Some(ledger.publish(session, version, "weights", operation))
+            }
+            _ => ledger.sweep(operation).map(Ok),
+        }
+    }
+
+    /// Lets engines finish attempts, some of them twice, too old or badly labelled.
+    fn accept(&mut self, process: &mut Process, steps: &[StepView]) {
+        let version = process.ledger.version().0;
+        for view in steps {
+            for (group, index) in [(0, 0), (0, 1), (1, 0), (1, 1)] {
+                if self.one_in(2) {
+                    continue;
+                }
+                self.attempts += 1;
+                let oldest = version
+                    .0
+                    .saturating_sub(self.rng.random_range(0..=self.bound + 1));
+                let middle = self.rng.random_range(1..6);
+                let span = |version, from, to| Span { version, from, to };
+                let finished = Finished {
+                    sample: id::Sample::new(trainer(), view.step, group, index),
+                    attempt: self.attempts,
+                    tokens: 6,
+                    spans: vec![
+                        span(id::Version(oldest), 0, middle),
+                        span(version, middle, if self.one_in(20) { 5 } else { 6 }),
+                    ],
+                    body: format!("attempt {}", self.attempts),
+                };
+                self.produced.insert(self.attempts, finished.clone());
+                process.ledger.accept(finished).unwrap();
+            }
+        }
+    }
+}
