Test the limits of the HTTP server and fix its shutdown

**Cause**: During a shutdown the accept loop could wait for a connection permit behind the shutdown itself, which takes all of them. The listening socket then stayed open until the last request ended, and new connections waited in the kernel's queue rather than being refused.

**Ruled out**: A dropped request: the request in flight stayed counted and its connection open until the test's own deadline.

**Change**: The wait for a permit ends when the server stops.

**Conclusion**: New connections are refused as soon as a shutdown begins.

--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -174,10 +174,16 @@
     mut stopped: watch::Receiver<bool>,
 ) {
     loop {
-        let Ok(permit) = shared.connections.clone().acquire_owned().await else {
+        // Biased, so that no connection is accepted once the server stops. A wait for a permit
+        // stands in line behind the shutdown, which takes all of them.
+        let permit = tokio::select! {
+            biased;
+            () = wait(&mut stopped) => return,
+            permit = shared.connections.clone().acquire_owned() => permit,
+        };
+        let Ok(permit) = permit else {
             return;
         };
-        // Biased, so that no connection is accepted once the server stops.
         let accepted = tokio::select! {
             biased;
             () = wait(&mut stopped) => return,
--- /dev/null
+++ b/crates/http/tests/event_streams.rs
@@ -0,0 +1,131 @@
+//! Streamed answers arrive event by event, and a part is never taken for the whole.
+
+#[path = "support/peer.rs"]
+mod peer;
+
+use dogwoodlb_http::{sse, Limits, Response};
+use peer::{connect, read_to_close, start, DEADLINE};
+use std::io::{BufRead, BufReader, Write};
+use std::net::TcpStream;
+use std::sync::{mpsc, Mutex};
+
+const GET: &[u8] = b"GET /stream HTTP/1.1\r\nhost: a\r\n\r\n";
+
+/// Reads lines until one contains `text`.
+fn read_until(reader: &mut BufReader<&TcpStream>, text: &str) {
+    let mut line = String::new();
+    while !line.contains(text) {
+        line.clear();
+        assert_ne!(reader.read_line(&mut line).unwrap(), 0, "no {text}");
+    }
+}
+
+/// Guards against events that are held back until more follow: the handler writes an event only
+/// after the client has read the one before.
+#[test]
+fn events_arrive() {
+    let (sender, receiver) = mpsc::channel::<()>();
+    let receiver = Mutex::new(receiver);
+    let server = start(Limits::default(), move |_, responder| {
+        let stream = responder.stream(200, &[("content-type", "text/event-stream")]);
+        for number in 0..5 {
+            stream
+                .write(&sse::event(&format!("event-{number}")))
+                .unwrap();
+            receiver.lock().unwrap().recv_timeout(DEADLINE).unwrap();
+        }
+        stream.finish().unwrap();
+    });
+    let client = connect(&server);
+    (&client).write_all(GET).unwrap();
+    let mut reader = BufReader::new(&client);
+    for number in 0..5 {
+        read_until(&mut reader, &format!("event-{number}"));
+        sender.send(()).unwrap();
+    }
+}
+
+/// Guards against a dropped stream that looks complete: the last chunk must be missing.
+#[test]
+fn dropped_stream() {
+    let server = start(Limits::default(), |_, responder| {
+        let stream = responder.stream(200, &[]);
+        stream.write(b"part").unwrap();
+    });
+    let mut client = connect(&server);
+    client.write_all(GET).unwrap();
+    let answer = read_to_close(&mut client);
+    assert!(!answer.contains("\r\n0\r\n"), "{answer}");
+}
+
+/// Guards against an aborted request that gets any answer.
+#[test]
+fn aborted_request() {
+    let server = start(Limits::default(), |_, responder| responder.abort());
+    let mut client = connect(&server);
+    client.write_all(GET).unwrap();
+    assert_eq!(read_to_close(&mut client), "");
+}
+
+/// Guards against a handler without an answer that leaves the client waiting.
+#[test]
+fn silent_handler() {
+    let server = start(Limits::default(), |_, responder| drop(responder));
+    let mut client = connect(&server);
+    client
+        .write_all(b"GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n")
+        .unwrap();
+    let answer = read_to_close(&mut client);
+    assert!(answer.starts_with("HTTP/1.1 500"), "{answer}");
+    assert!(answer.contains(r#""ran":"may_have_run""#), "{answer}");
+}
+
+/// Guards against a finished stream that breaks or closes the connection.
+#[test]
+fn reused_connection() {
+    let server = start(Limits::default(), |request, responder| {
+        if request.path != "/stream" {
+            return responder.send(Response::text(200, request.peer.port().to_string()));
+        }
+        let stream = responder.stream(200, &[]);
+        stream.write(b"whole\n").unwrap();
+        stream.finish().unwrap();
+    });
+    let client = connect(&server);
+    let mut reader = BufReader::new(&client);
+    for _ in 0..3 {
+        (&client).write_all(GET).unwrap();
+        read_until(&mut reader, "whole");
+        read_until(&mut reader, "0\r\n");
+    }
+    let port = client.local_addr().unwrap().port().to_string();
+    (&client)
+        .write_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+        .unwrap();
+    read_until(&mut reader, "\r\n");
+    let mut rest = String::new();
+    while !rest.ends_with(&port) {
+        let read = reader.fill_buf().unwrap();
+        assert!(!read.is_empty(), "{rest}");
+        rest.push_str(std::str::from_utf8(read).unwrap());
+        let length = read.len();
+        reader.consume(length);
+    }
+}
+
+/// Guards against a handler that goes on writing for a client that is gone.
+#[test]
+fn client_gone() {
+    let (sender, receiver) = mpsc::channel();
+    let sender = Mutex::new(sender);
+    let server = start(Limits::default(), move |_, responder| {
+        let stream = responder.stream(200, &[]);
+        while stream.write(b"more\n").is_ok() {}
+        sender.lock().unwrap().send(stream.is_closed()).unwrap();
+    });
+    let client = connect(&server);
+    (&client).write_all(GET).unwrap();
+    read_until(&mut BufReader::new(&client), "more");
+    drop(client);
+    assert!(receiver.recv_timeout(DEADLINE).unwrap());
+}
--- /dev/null
+++ b/crates/http/tests/server_bounds.rs
@@ -0,0 +1,148 @@
+//! The bounds of connections and requests, and the shutdown.
+
+#[path = "support/peer.rs"]
+mod peer;
+
+use dogwoodlb_http::{Limits, Response};
+use peer::{connect, read_to_close, start, DEADLINE};
+use std::io::{BufRead, BufReader, Write};
+use std::net::TcpStream;
+use std::sync::{mpsc, Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+const LAST: &[u8] = b"GET /last HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
+
+/// Guards against more open connections than the limit: the second connection's request is sent
+/// first, but must not be seen while the first connection is open.
+#[test]
+fn connection_bound() {
+    let limits = Limits {
+        connections: 1,
+        ..Limits::default()
+    };
+    let seen = Arc::new(Mutex::new(Vec::new()));
+    let log = seen.clone();
+    let server = start(limits, move |request, responder| {
+        log.lock().unwrap().push(request.path.clone());
+        responder.send(Response::text(200, "seen\n"));
+    });
+    let first = connect(&server);
+    let mut reader = BufReader::new(&first);
+    let mut second = None;
+    for _ in 0..20 {
+        (&first)
+            .write_all(b"GET /first HTTP/1.1\r\nhost: a\r\n\r\n")
+            .unwrap();
+        let mut line = String::new();
+        while line != "seen\n" {
+            line.clear();
+            assert_ne!(reader.read_line(&mut line).unwrap(), 0);
+        }
+        second.get_or_insert_with(|| {
+            let mut client = connect(&server);
+            client.write_all(LAST).unwrap();
+            client
+        });
+    }
+    drop(first);
+    let answer = read_to_close(&mut second.unwrap());
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    let mut expected = vec!["/first"; 20];
+    expected.push("/last");
+    assert_eq!(*seen.lock().unwrap(), expected);
+}
+
+/// Guards against more handlers at a time than the limit.
+#[test]
+fn request_bound() {
+    let limits = Limits {
+        requests: 1,
+        ..Limits::default()
+    };
+    let (entered, has_entered) = mpsc::channel();
+    let (release, released) = mpsc::channel::<()>();
+    let gates = Mutex::new((entered, released));
+    let server = start(limits, move |_, responder| {
+        let gates = gates.lock().unwrap();
+        gates.0.send(()).unwrap();
+        gates.1.recv_timeout(DEADLINE).unwrap();
+        responder.send(Response::text(200, "done"));
+    });
+    let mut first = connect(&server);
+    first.write_all(LAST).unwrap();
+    has_entered.recv_timeout(DEADLINE).unwrap();
+    let mut second = connect(&server);
+    second.write_all(LAST).unwrap();
+    let answer = read_to_close(&mut second);
+    assert!(answer.starts_with("HTTP/1.1 429"), "{answer}");
+    assert!(answer.contains(r#""ran":"not_run""#), "{answer}");
+    release.send(()).unwrap();
+    assert!(read_to_close(&mut first).ends_with("done"));
+}
+
+/// Waits until the server takes no connections any more.
+fn wait_until_closed(server: &dogwoodlb_http::Server) {
+    let deadline = Instant::now() + DEADLINE;
+    while TcpStream::connect(server.address()).is_ok() {
+        assert!(Instant::now() < deadline, "the server still listens");
+        thread::yield_now();
+    }
+}
+
+/// Guards against a shutdown that breaks a request in flight, waits for idle connections, or lets
+/// new connections wait in the kernel's queue until the requests in flight end.
+#[test]
+fn graceful_shutdown() {
+    let (entered, has_entered) = mpsc::channel();
+    let (release, released) = mpsc::channel::<()>();
+    let gates = Mutex::new((entered, released));
+    let server = start(Limits::default(), move |_, responder| {
+        let gates = gates.lock().unwrap();
+        let stream = responder.stream(200, &[]);
+        stream.write(b"begin").unwrap();
+        gates.0.send(()).unwrap();
+        gates.1.recv_timeout(DEADLINE).unwrap();
+        stream.write(b"end").unwrap();
+        stream.finish().unwrap();
+    });
+    let mut idle = connect(&server);
+    let mut busy = connect(&server);
+    busy.write_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+        .unwrap();
+    has_entered.recv_timeout(DEADLINE).unwrap();
+    thread::scope(|scope| {
+        let shutdown = scope.spawn(|| server.shutdown(DEADLINE));
+        wait_until_closed(&server);
+        assert_eq!(read_to_close(&mut idle), "");
+        assert_eq!(server.in_flight(), 1);
+        release.send(()).unwrap();
+        let answer = read_to_close(&mut busy);
+        assert!(
+            answer.contains("end") && answer.ends_with("0\r\n\r\n"),
+            "{answer}"
+        );
+        assert!(shutdown.join().unwrap());
+    });
+}
+
+/// Guards against a shutdown that reports success although it broke a request.
+#[test]
+fn impatient_shutdown() {
+    let (entered, has_entered) = mpsc::channel();
+    let (release, released) = mpsc::channel::<()>();
+    let gates = Mutex::new((entered, released));
+    let server = start(Limits::default(), move |_, responder| {
+        let gates = gates.lock().unwrap();
+        gates.0.send(()).unwrap();
+        // Ends when the test drops the sender.
+        let _ = gates.1.recv();
+        responder.send(Response::text(200, "late"));
+    });
+    let mut client = connect(&server);
+    client.write_all(LAST).unwrap();
+    has_entered.recv_timeout(DEADLINE).unwrap();
+    assert!(!server.shutdown(Duration::from_millis(50)));
+    assert_eq!(read_to_close(&mut client), "");
+    drop(release);
+}
--- /dev/null
+++ b/crates/http/tests/support/peer.rs
@@ -0,0 +1,42 @@
+//! A server with a closure as handler, and raw clients.
+
+use dogwoodlb_http::{Handler, Limits, Request, Responder, Server};
+use std::io::Read;
+use std::net::{TcpListener, TcpStream};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Ends a test that would hang; no verdict depends on it otherwise.
+pub(crate) const DEADLINE: Duration = Duration::from_secs(60);
+
+struct Closure<F>(F);
+
+impl<F: Fn(&Request, Responder) + Send + Sync + 'static> Handler for Closure<F> {
+    fn handle(&self, request: &Request, responder: Responder) {
+        (self.0)(request, responder);
+    }
+}
+
+pub(crate) fn start<F>(limits: Limits, handler: F) -> Server
+where
+    F: Fn(&Request, Responder) + Send + Sync + 'static,
+{
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    Server::start(listener, limits, Arc::new(Closure(handler))).unwrap()
+}
+
+pub(crate) fn connect(server: &Server) -> TcpStream {
+    let stream = TcpStream::connect(server.address()).unwrap();
+    stream.set_read_timeout(Some(DEADLINE)).unwrap();
+    stream.set_write_timeout(Some(DEADLINE)).unwrap();
+    stream
+}
+
+/// Reads until the server closes the connection; fails if it never does.
+pub(crate) fn read_to_close(stream: &mut TcpStream) -> String {
+    let mut read = Vec::new();
+    if let Err(error) = stream.read_to_end(&mut read) {
+        assert_eq!(error.kind(), std::io::ErrorKind::ConnectionReset);
+    }
+    String::from_utf8(read).unwrap()
+}
