--- a/crates/swap/src/report.rs
+++ b/crates/swap/src/report.rs
@@ -42,7 +42,8 @@
 impl Swap {
     /// Takes in what a replica reports about the model, `None` if it doesn't know the model.
     ///
-    /// `began` is when the read was sent: a read from before an order says nothing about it.
+    /// `began` is when the read was sent: no order is given by a read from before the last
+    /// order or before the lease was granted.
     pub fn on_weights(
         &mut self,
         upstream: &id::Upstream,
@@ -55,7 +56,7 @@
         };
         let is_late = state.report.is_some_and(|report| began < report.began);
         let is_other = weights.is_some_and(|weights| weights.model != self.model);
-        if is_late || is_other || began < state.reports_after {
+        if is_late || is_other {
             return;
         }
         let report = Report {
