Wait until a node is listed in the whole-path test

Cause: the test asked for addresses before the second node was heard of.

Change: it waits for the entry; the first of the caller's region is still required to be the node there.

Conclusion: the process tests pass.

--- a/crates/dogwoodlb/tests/processes/whole_path.rs
+++ b/crates/dogwoodlb/tests/processes/whole_path.rs
@@ -1,6 +1,7 @@
 //! One request of each kind from start to finish, and a drain.
 
 use crate::cluster::Cluster;
+use crate::process::wait_for;
 use rustix::process::Signal;
 
 /// Guards against a part that works alone but not with the others: a customer's streamed and
@@ -8,11 +9,12 @@
 #[test]
 fn every_caller() {
     let mut cluster = Cluster::start("whole-path", 2);
-    let listed = cluster
-        .get(cluster.nodes[0].address, "/v1/addresses?region=maribor")
-        .unwrap();
-    let own = listed["addresses"][0].as_str().unwrap().parse().unwrap();
-    assert_eq!(own, cluster.nodes[1].address);
+    // A node is listed once it was heard of, those of the caller's region first.
+    let own = cluster.nodes[1].address;
+    wait_for("the address of the own region", || {
+        let listed = cluster.get(cluster.nodes[0].address, "/v1/addresses?region=maribor")?;
+        (listed["addresses"][0].as_str()? == own.to_string()).then_some(())
+    });
 
     let answer = cluster.stream(own, "first").unwrap();
     assert_eq!(answer.status, 200);
