--- a/crates/node/src/adopting.rs
+++ b/crates/node/src/adopting.rs
@@ -101,6 +101,6 @@
     if let Err(error) = lock(&shared.members).set_peers(&peers, rng) {
         tracing::error!(%error, "peers_refused");
     }
-    crate::owner::start(shared, &manifest);
+    crate::calls::start(shared, &manifest);
     crate::swapper::start(shared, &manifest);
 }
--- /dev/null
+++ b/crates/node/src/calls.rs
@@ -0,0 +1,136 @@
+//! The calls of trainers and the way to the owner that answers them.
+
+use crate::keeper::Keeper;
+use crate::lock;
+use crate::owner::Owner;
+use crate::shared::{Desk, Shared};
+use dogwoodlb_lease::Name;
+use dogwoodlb_ledger::{Content, Delivery};
+use dogwoodlb_manifest::Manifest;
+use dogwoodlb_types::{id, Code, Instant, Refusal};
+use std::sync::mpsc::{sync_channel, SyncSender};
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+/// Calls of a trainer that wait for its owner; further ones are refused.
+const CALLS: usize = 64;
+
+/// What a trainer asks for.
+#[derive(Debug)]
+pub(crate) enum Ask {
+    Session,
+    Submit {
+        session: id::Session,
+        step: id::Step,
+        content: Content,
+    },
+    Fetch {
+        session: id::Session,
+        step: id::Step,
+        deadline: Instant,
+    },
+    Acknowledge {
+        session: id::Session,
+        step: id::Step,
+        delivery: id::Delivery,
+    },
+    Publish {
+        session: id::Session,
+        version: id::Version,
+        object: String,
+    },
+}
+
+/// What a trainer gets.
+#[derive(Debug)]
+pub(crate) enum Reply {
+    Session {
+        session: id::Session,
+        version: id::Version,
+        next: id::Step,
+    },
+    Done,
+    Waiting(dogwoodlb_ledger::Progress),
+    Delivered(Delivery),
+}
+
+/// A call of a trainer and where its reply goes.
+#[derive(Debug)]
+pub(crate) struct Call {
+    pub(crate) ask: Ask,
+    pub(crate) reply: SyncSender<Result<Reply, Refusal>>,
+}
+
+/// Starts owners for the trainers of a manifest that have none yet.
+pub(crate) fn start(shared: &Arc<Shared>, manifest: &Manifest) {
+    let mut trainers = lock(&shared.trainers);
+    trainers.retain(|name, _| manifest.trainers.iter().any(|one| one.trainer == *name));
+    for trainer in &manifest.trainers {
+        if trainers.contains_key(&trainer.trainer) {
+            continue;
+        }
+        let name = trainer.trainer.clone();
+        let text = format!("trainer.{name}")
+            .chars()
+            .take(64)
+            .collect::<String>();
+        let Ok(text) = text.parse() else { continue };
+        let wanted = {
+            let (shared, name) = (Arc::downgrade(shared), name.clone());
+            move || {
+                shared
+                    .upgrade()
+                    .is_some_and(|shared| is_listed(&shared, &name))
+            }
+        };
+        let keeper = Arc::new(Keeper::new(
+            shared,
+            Name::Trainer(name.clone()),
+            text,
+            wanted,
+        ));
+        let (calls, inbox) = sync_channel(CALLS);
+        trainers.insert(
+            name.clone(),
+            Desk {
+                calls,
+                keeper: keeper.clone(),
+            },
+        );
+        shared.keep(&keeper);
+        let shared = shared.clone();
+        let spawned = thread::Builder::new()
+            .name("owner".to_owned())
+            .spawn(move || {
+                Owner::new(shared, name, keeper).run(&inbox);
+            });
+        if let Err(error) = spawned {
+            tracing::error!(%error, "thread_failed");
+        }
+    }
+}
+
+fn is_listed(shared: &Shared, name: &id::Trainer) -> bool {
+    let adoption = lock(&shared.adoption);
+    let manifest = adoption.manifest();
+    manifest.is_some_and(|manifest| manifest.trainers.iter().any(|one| one.trainer == *name))
+}
+
+impl Shared {
+    /// Refuses a call that another node answers, and names that node if it is known.
+    pub(crate) fn wrong_node(&self, keeper: &Keeper) -> Refusal {
+        let holder = keeper.holder().filter(|vm| *vm != self.settings.vm);
+        let owner = holder.and_then(|vm| {
+            let adoption = lock(&self.adoption);
+            let entries = &adoption.manifest()?.entry_vms;
+            entries
+                .iter()
+                .find(|entry| entry.vm == vm)
+                .map(|entry| entry.address)
+        });
+        let message = "another node owns this trainer, or none does yet";
+        let refusal = Refusal::not_run(Code::WrongNode, message).owner(owner);
+        refusal.retry_after(Duration::from_millis(500))
+    }
+}
--- a/crates/node/src/generate.rs
+++ b/crates/node/src/generate.rs
@@ -1,8 +1,8 @@
 //! Model calls: choice of a replica, retries and continuation.
 
 use crate::completion::{Output, Prompt};
+use crate::group::{Group, Need, Slot};
 use crate::shared::Shared;
-use crate::upstreams::{Group, Need, Slot};
 use dogwoodlb_limit::Signal;
 use dogwoodlb_platform::engine::{Call, Report};
 use dogwoodlb_platform::{Category, Cause, Error};
--- /dev/null
+++ b/crates/node/src/group.rs
@@ -0,0 +1,316 @@
+//! The replicas of one model or plain service, and admission to them.
+
+use crate::lock;
+use dogwoodlb_limit::{Action, Adaptive, Admission, Gate, Signal};
+use dogwoodlb_route::{Load, Outcome, Pick, Replica, Request, Router, Settings};
+use dogwoodlb_types::{id, Class, Clock, Code, Instant, Refusal};
+use rand::rngs::SmallRng;
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::sync::{Arc, Condvar, Mutex, PoisonError};
+use std::time::Duration;
+
+/// The requests of all nodes that a replica serves at once; the engines' usual batch size.
+pub(crate) const SLOTS: u32 = 32;
+
+/// The bounds and the start of the adaptive limit of one node at one replica.
+const LIMIT: (u32, u32, u32) = (2, 64, 16);
+
+/// The requests of a class that may wait for one model or service.
+const QUEUE: usize = 256;
+
+/// How long a request waits before it looks for a free replica again.
+const RECHECK: Duration = Duration::from_millis(20);
+
+/// The replicas of one model or one plain service.
+pub(crate) struct Group {
+    clock: Arc<dyn Clock>,
+    state: Mutex<State>,
+    changed: Condvar,
+}
+
+struct State {
+    router: Router,
+    gate: Gate,
+    rng: SmallRng,
+    addresses: HashMap<id::Upstream, SocketAddr>,
+    limits: HashMap<id::Upstream, Adaptive>,
+    /// What became of requests that waited at the gate.
+    verdicts: HashMap<dogwoodlb_limit::Ticket, Option<Refusal>>,
+    reports: u64,
+    leaving: HashSet<id::Upstream>,
+    excluded: HashSet<id::Upstream>,
+}
+
+/// The right to send one request to one replica; ends when it is dropped.
+pub(crate) struct Slot<'a> {
+    group: &'a Group,
+    ticket: dogwoodlb_limit::Ticket,
+    pick: Option<Pick>,
+    outcome: Outcome,
+    signal: Option<Signal>,
+    pub(crate) address: SocketAddr,
+}
+
+/// What a request needs from its group.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Need<'a> {
+    pub(crate) class: Class,
+    pub(crate) prefix: Option<u64>,
+    pub(crate) exclude: &'a [id::Upstream],
+    pub(crate) deadline: Instant,
+}
+
+impl Group {
+    pub(crate) fn new(settings: Settings, clock: Arc<dyn Clock>, seed: u64) -> Self {
+        use rand::SeedableRng;
+        let state = State {
+            router: Router::new(settings),
+            gate: Gate::new(1, QUEUE),
+            rng: SmallRng::seed_from_u64(seed),
+            addresses: HashMap::new(),
+            limits: HashMap::new(),
+            verdicts: HashMap::new(),
+            reports: 0,
+            leaving: HashSet::new(),
+            excluded: HashSet::new(),
+        };
+        Self {
+            clock,
+            state: Mutex::new(state),
+            changed: Condvar::new(),
+        }
+    }
+
+    /// Waits for admission and picks a replica.
+    pub(crate) fn enter(&self, need: &Need<'_>) -> Result<Slot<'_>, Refusal> {
+        let mut state = lock(&self.state);
+        let now = self.clock.now();
+        let ticket = match state.gate.arrive(need.class, need.deadline, now)? {
+            Admission::Start(ticket) => ticket,
+            Admission::Wait(ticket) => {
+                state.settle(now);
+                state = self.wait(state, ticket)?;
+                ticket
+            }
+        };
+        loop {
+            let now = self.clock.now();
+            match state.pick(need, now) {
+                Ok((pick, address)) => {
+                    drop(state);
+                    return Ok(Slot {
+                        group: self,
+                        ticket,
+                        pick: Some(pick),
+                        outcome: Outcome::Cancelled,
+                        signal: None,
+                        address,
+                    });
+                }
+                Err(refusal) if refusal.code != Code::Overloaded || now >= need.deadline => {
+                    state.end_gate(ticket, now);
+                    self.changed.notify_all();
+                    return Err(refusal);
+                }
+                Err(_) => state = self.pause(state, RECHECK),
+            }
+        }
+    }
+
+    fn wait<'a>(
+        &self,
+        mut state: std::sync::MutexGuard<'a, State>,
+        ticket: dogwoodlb_limit::Ticket,
+    ) -> Result<std::sync::MutexGuard<'a, State>, Refusal> {
+        loop {
+            let now = self.clock.now();
+            state.settle(now);
+            match state.verdicts.remove(&ticket) {
+                Some(None) => return Ok(state),
+                Some(Some(refusal)) => return Err(refusal),
+                None => {}
+            }
+            let wake = state
+                .gate
+                .wake()
+                .map_or(RECHECK, |wake| wake.saturating_since(now));
+            state = self.pause(state, wake.max(Duration::from_millis(1)));
+        }
+    }
+
+    fn pause<'a>(
+        &self,
+        state: std::sync::MutexGuard<'a, State>,
+        wait: Duration,
+    ) -> std::sync::MutexGuard<'a, State> {
+        let waited = self.changed.wait_timeout(state, wait);
+        waited.unwrap_or_else(PoisonError::into_inner).0
+    }
+
+    /// Takes over the replicas of the manifest.
+    pub(crate) fn update(&self, replicas: &[(Replica, SocketAddr)]) {
+        let mut state = lock(&self.state);
+        let list: Vec<Replica> = replicas
+            .iter()
+            .map(|(replica, _)| replica.clone())
+            .collect();
+        if let Err(error) = state.router.update(&list) {
+            tracing::error!(%error, "replicas_refused");
+            return;
+        }
+        state.addresses = replicas
+            .iter()
+            .map(|(replica, address)| (replica.upstream.clone(), *address))
+            .collect();
+        let known: HashSet<_> = list.iter().map(|replica| &replica.upstream).collect();
+        state.limits.retain(|upstream, _| known.contains(upstream));
+        state.mark();
+        state.set_capacity();
+        drop(state);
+        self.changed.notify_all();
+    }
+
+    /// Sets the replicas that are leaving and get no new work.
+    pub(crate) fn set_leaving(&self, leaving: &HashSet<id::Upstream>) {
+        let mut state = lock(&self.state);
+        state.leaving.clone_from(leaving);
+        state.mark();
+    }
+
+    /// Sets the replicas that get no work because they can't load the model's weights.
+    pub(crate) fn set_excluded(&self, excluded: HashSet<id::Upstream>) {
+        let mut state = lock(&self.state);
+        state.excluded = excluded;
+        state.mark();
+    }
+
+    /// Returns the replicas whose load has to be read.
+    pub(crate) fn idle(&self) -> Vec<(id::Upstream, SocketAddr)> {
+        let state = lock(&self.state);
+        let idle = state.router.idle(self.clock.now());
+        idle.filter_map(|name| Some((name.clone(), *state.addresses.get(name)?)))
+            .collect()
+    }
+
+    /// Takes a load report.
+    pub(crate) fn on_load(&self, upstream: &id::Upstream, running: u32, waiting: u32) {
+        let mut state = lock(&self.state);
+        state.reports += 1;
+        let load = Load {
+            sequence: state.reports,
+            running,
+            waiting,
+        };
+        // The replica may have left the subset since the read was sent.
+        let _ = state.router.on_load(upstream, load, self.clock.now());
+    }
+}
+
+impl State {
+    fn pick(&mut self, need: &Need<'_>, now: Instant) -> Result<(Pick, SocketAddr), Refusal> {
+        let mut request = Request::new(need.class).exclude(need.exclude);
+        if let Some(prefix) = need.prefix {
+            request = request.prefix_hash(prefix);
+        }
+        let pick = self.router.pick(&request, now, &mut self.rng)?;
+        let address = self.addresses.get(&pick.upstream).copied();
+        let Some(address) = address else {
+            self.end_pick(&pick, Outcome::Cancelled, now);
+            let message = format!("replica {} has no address", pick.upstream);
+            return Err(Refusal::not_run(Code::Invariant, message));
+        };
+        if let Err(error) = self.router.on_start(pick.ticket) {
+            tracing::error!(%error, "invariant");
+        }
+        Ok((pick, address))
+    }
+
+    fn mark(&mut self) {
+        for upstream in self.addresses.keys() {
+            let out = self.leaving.contains(upstream) || self.excluded.contains(upstream);
+            // The router lists the same replicas as `addresses`.
+            let _ = self.router.set_leaving(upstream, out);
+        }
+    }
+
+    fn end_pick(&mut self, pick: &Pick, outcome: Outcome, now: Instant) {
+        if let Err(error) = self.router.on_end(pick.ticket, outcome, now) {
+            tracing::error!(%error, "invariant");
+        }
+    }
+
+    fn end_gate(&mut self, ticket: dogwoodlb_limit::Ticket, now: Instant) {
+        if let Err(error) = self.gate.on_end(ticket, now) {
+            tracing::error!(%error, "invariant");
+        }
+        self.settle(now);
+    }
+
+    /// Files what the gate decides about waiting requests.
+    fn settle(&mut self, now: Instant) {
+        for action in self.gate.poll(now) {
+            match action {
+                Action::Start(ticket) => self.verdicts.insert(ticket, None),
+                Action::Refuse(ticket, refusal) => self.verdicts.insert(ticket, Some(refusal)),
+            };
+        }
+    }
+
+    fn set_capacity(&mut self) {
+        let limits = self.router.subset().map(|upstream| {
+            self.limits
+                .get(upstream)
+                .map_or(LIMIT.2, Adaptive::get)
+                .min(SLOTS)
+        });
+        let capacity = limits.fold(0, u32::saturating_add);
+        self.gate.set_capacity(capacity.max(1));
+    }
+
+    fn adapt(&mut self, upstream: &id::Upstream, signal: Signal, now: Instant) {
+        let in_flight = self.router.in_flight(upstream);
+        let (least, most, initial) = LIMIT;
+        let limit = self
+            .limits
+            .entry(upstream.clone())
+            .or_insert_with(|| Adaptive::new(least, most, initial));
+        limit.on_end(signal, in_flight, now);
+        let value = limit.get();
+        // A replica that left the subset has no limit to set.
+        let _ = self.router.set_limit(upstream, value);
+        self.set_capacity();
+    }
+}
+
+impl Slot<'_> {
+    pub(crate) fn upstream(&self) -> Option<&id::Upstream> {
+        self.pick.as_ref().map(|pick| &pick.upstream)
+    }
+
+    /// Records how the request ended; a slot without an outcome counts as cancelled.
+    pub(crate) fn set_outcome(&mut self, outcome: Outcome) {
+        self.outcome = outcome;
+    }
+
+    /// Records what the request told about the replica's load.
+    pub(crate) fn set_signal(&mut self, signal: Signal) {
+        self.signal = Some(signal);
+    }
+}
+
+impl Drop for Slot<'_> {
+    fn drop(&mut self) {
+        let mut state = lock(&self.group.state);
+        let now = self.group.clock.now();
+        if let Some(pick) = self.pick.take() {
+            if let Some(signal) = self.signal.take() {
+                state.adapt(&pick.upstream, signal, now);
+            }
+            state.end_pick(&pick, self.outcome, now);
+        }
+        state.end_gate(self.ticket, now);
+        drop(state);
+        self.group.changed.notify_all();
+    }
+}
--- /dev/null
+++ b/crates/node/src/holding.rs
@@ -0,0 +1,252 @@
+//! What a node has of a trainer while it holds the trainer's lease.
+
+use crate::calls::{Ask, Reply};
+use crate::sampling::Flags;
+use crate::shared::Shared;
+use crate::store::Driver;
+use dogwoodlb_lease::Guard;
+use dogwoodlb_ledger::{Accepted, Completion, Content, Finished, Ledger, Start};
+use dogwoodlb_manifest::section::Trainer;
+use dogwoodlb_manifest::Manifest;
+use dogwoodlb_rollout::Planner;
+use dogwoodlb_types::{id, Code, Instant, Refusal};
+use std::collections::HashMap;
+use std::sync::mpsc::SyncSender;
+use std::sync::Arc;
+
+/// The ledger and the planner of one trainer, and the calls that wait for them.
+pub(crate) struct Holding {
+    pub(crate) guard: Guard,
+    pub(crate) settings: Trainer,
+    pub(crate) ledger: Ledger,
+    pub(crate) planner: Planner,
+    pub(crate) driver: Driver,
+    pub(crate) contents: HashMap<id::Step, Arc<Content>>,
+    pub(crate) flags: Flags,
+    /// The call whose transaction is under way.
+    pub(crate) current: Option<SyncSender<Result<Reply, Refusal>>>,
+    pub(crate) fetches: Vec<Fetch>,
+}
+
+pub(crate) struct Fetch {
+    pub(crate) session: id::Session,
+    pub(crate) step: id::Step,
+    pub(crate) deadline: Instant,
+    pub(crate) reply: SyncSender<Result<Reply, Refusal>>,
+}
+
+impl Holding {
+    /// Starts a call; a fetch is filed and answered later.
+    pub(crate) fn start(
+        &mut self,
+        shared: &Shared,
+        ask: Ask,
+        reply: &SyncSender<Result<Reply, Refusal>>,
+    ) -> Option<Result<Start, Refusal>> {
+        let operation = shared.operation();
+        Some(match ask {
+            Ask::Session => self.ledger.open_session(operation),
+            Ask::Submit {
+                session,
+                step,
+                content,
+            } => {
+                if let Err(refusal) = self.check_size(&content) {
+                    return Some(Err(refusal));
+                }
+                let start = self.ledger.submit(session, step, &content, operation);
+                if start.is_ok() {
+                    self.contents
+                        .entry(step)
+                        .or_insert_with(|| Arc::new(content));
+                }
+                start
+            }
+            Ask::Fetch {
+                session,
+                step,
+                deadline,
+            } => {
+                self.planner.set_waiting(Some(step));
+                let reply = reply.clone();
+                self.fetches.push(Fetch {
+                    session,
+                    step,
+                    deadline,
+                    reply,
+                });
+                return None;
+            }
+            Ask::Acknowledge {
+                session,
+                step,
+                delivery,
+            } => self.ledger.acknowledge(session, step, delivery, operation),
+            Ask::Publish {
+                session,
+                version,
+                object,
+            } => self.ledger.publish(session, version, &object, operation),
+        })
+    }
+
+    /// The manifest bounds the groups and the samples of a step.
+    fn check_size(&self, content: &Content) -> Result<(), Refusal> {
+        let size = self.settings.group_size;
+        if let Some(group) = content.groups.iter().find(|group| group.size != size) {
+            let found = group.size;
+            let message = format!("a group has {found} samples; the manifest says {size}");
+            return Err(Refusal::not_run(Code::BadRequest, message));
+        }
+        let samples: u64 = content
+            .groups
+            .iter()
+            .map(|group| u64::from(group.size))
+            .sum();
+        let most = self.settings.step_samples;
+        if samples > u64::from(most) {
+            let message = format!("the step has {samples} samples; the manifest allows {most}");
+            return Err(Refusal::not_run(Code::BadRequest, message));
+        }
+        Ok(())
+    }
+
+    /// Brings planner and ledger in line with the manifest.
+    pub(crate) fn follow(&mut self, manifest: &Manifest, name: &id::Trainer) {
+        let found = manifest.trainers.iter().find(|one| one.trainer == *name);
+        if let Some(settings) = found.filter(|found| **found != self.settings) {
+            let bound = u64::from(settings.staleness_bound);
+            self.ledger.set_staleness_bound(bound);
+            self.planner.set_weights(bound, settings.idle_weight);
+            self.settings = settings.clone();
+        }
+    }
+
+    pub(crate) fn accept(&mut self, shared: &Shared, finished: Finished) -> bool {
+        let sample = finished.sample.clone();
+        match self.ledger.accept(finished) {
+            Ok(Accepted::Buffered | Accepted::Duplicate) => {
+                shared.metrics.count("sample.accepted");
+                true
+            }
+            Ok(Accepted::Stale) => {
+                shared.metrics.count("sample.stale");
+                false
+            }
+            Ok(Accepted::Unlabelled) => {
+                shared.metrics.count("sample.discarded");
+                shared
+                    .recorder
+                    .record(shared.timestamp(), "sample_discarded", |event| {
+                        event
+                            .sample(sample)
+                            .with("reason", "spans don't cover the tokens")
+                    });
+                false
+            }
+            Err(refusal) => {
+                tracing::debug!(%refusal, "sample_refused");
+                false
+            }
+        }
+    }
+
+    /// Carries the effects of a completed operation over to the planner.
+    pub(crate) fn apply(&mut self, shared: &Shared, completion: Completion) -> Reply {
+        let now = shared.now();
+        match completion {
+            Completion::Session(session) => {
+                let (version, _) = self.ledger.version();
+                let delivered = self
+                    .ledger
+                    .steps()
+                    .iter()
+                    .find(|step| step.delivered)
+                    .map(|s| s.step);
+                let after = self
+                    .ledger
+                    .acknowledged()
+                    .map_or(id::Step(1), id::Step::next);
+                Reply::Session {
+                    session,
+                    version,
+                    next: delivered.unwrap_or(after),
+                }
+            }
+            Completion::Submitted(step) => {
+                if let Some(view) = self.ledger.steps().iter().find(|view| view.step == step) {
+                    if let Err(refusal) = self.planner.resume(step, &view.sizes, &view.missing) {
+                        shared.violated("planner", refusal);
+                    }
+                }
+                Reply::Done
+            }
+            Completion::Delivered(delivery) => {
+                shared.metrics.count("step.delivered");
+                Reply::Delivered(delivery)
+            }
+            Completion::Waiting { progress, stale } => {
+                self.replace(shared, now, &stale);
+                Reply::Waiting(progress)
+            }
+            Completion::Acknowledged(step) => {
+                self.planner.on_acknowledged(step);
+                self.contents.retain(|own, _| *own > step);
+                Reply::Done
+            }
+            Completion::Published { version, stale } => {
+                self.planner.on_version(now, version);
+                self.replace(shared, now, &stale);
+                Reply::Done
+            }
+            Completion::Flushed(_) | Completion::Swept(_) => Reply::Done,
+        }
+    }
+
+    fn replace(&mut self, shared: &Shared, now: Instant, stale: &[id::Sample]) {
+        for sample in stale {
+            shared.metrics.count("sample.stale");
+            self.planner.on_stale(now, sample);
+        }
+    }
+
+    pub(crate) fn answer_fetches(&mut self, shared: &Shared, now: Instant) {
+        for fetch in std::mem::take(&mut self.fetches) {
+            if self.ledger.is_busy() {
+                self.wait_or_answer(fetch, now);
+                continue;
+            }
+            let operation = shared.operation();
+            match self.ledger.deliver(fetch.session, fetch.step, operation) {
+                Err(refusal) => drop(fetch.reply.try_send(Err(refusal))),
+                Ok(Start::Done(completion)) => match self.apply(shared, completion) {
+                    Reply::Waiting(_) => self.wait_or_answer(fetch, now),
+                    reply => drop(fetch.reply.try_send(Ok(reply))),
+                },
+                Ok(Start::Commit(commit)) => {
+                    self.current = Some(fetch.reply);
+                    self.driver.start(commit);
+                }
+                Ok(Start::Busy) => self.wait_or_answer(fetch, now),
+            }
+        }
+        if self.fetches.is_empty() {
+            self.planner.set_waiting(None);
+        }
+    }
+
+    fn wait_or_answer(&mut self, fetch: Fetch, now: Instant) {
+        if now < fetch.deadline {
+            self.fetches.push(fetch);
+            return;
+        }
+        let reply = match self.ledger.progress(fetch.step) {
+            Some(progress) => Ok(Reply::Waiting(progress)),
+            None => {
+                let message = format!("step {} was not submitted", fetch.step);
+                Err(Refusal::not_run(Code::NotFound, message))
+            }
+        };
+        let _ = fetch.reply.try_send(reply);
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -24,11 +24,14 @@
 
 mod adopting;
 mod api;
+mod calls;
 mod clock;
 mod commit;
 mod completion;
 mod error;
 mod generate;
+mod group;
+mod holding;
 mod keeper;
 mod metrics;
 mod node;
--- a/crates/node/src/plain.rs
+++ b/crates/node/src/plain.rs
@@ -1,7 +1,7 @@
 //! Calls of plain services.
 
+use crate::group::Need;
 use crate::shared::Shared;
-use crate::upstreams::Need;
 use dogwoodlb_limit::Signal;
 use dogwoodlb_manifest::Manifest;
 use dogwoodlb_platform::service::{Call, Reply};
--- a/crates/node/src/sampling.rs
+++ b/crates/node/src/sampling.rs
@@ -36,12 +36,20 @@
     pub(crate) priority: u32,
 }
 
-/// How an attempt ended.
-pub(crate) struct Ended {
+/// What an attempt reports to the trainer's owner.
+pub(crate) struct Report {
     pub(crate) fence: id::Fence,
     pub(crate) sample: id::Sample,
     pub(crate) attempt: u32,
-    pub(crate) result: Result<Finished, Refusal>,
+    pub(crate) news: News,
+}
+
+/// How far an attempt is.
+pub(crate) enum News {
+    /// The first token was generated.
+    Started,
+    /// The attempt ended.
+    Ended(Result<Finished, Refusal>),
 }
 
 /// The body of a sample, as the ledger stores it.
@@ -91,27 +99,26 @@
 }
 
 /// Starts an attempt; returns whether a thread could be had for it.
-pub(crate) fn start(shared: &Arc<Shared>, job: Job, ended: SyncSender<Ended>) -> bool {
-    let shared_ = shared.clone();
+pub(crate) fn start(shared: &Arc<Shared>, job: Job, reports: SyncSender<Report>) -> bool {
+    let one = shared.clone();
     shared.samplers.run(move || {
-        let result = run(&shared_, &job);
-        let Job {
-            fence,
-            sample,
-            attempt,
-            ..
-        } = job;
-        // The owner may have ended, and a full channel means that it is about to.
-        let _ = ended.send(Ended {
-            fence,
-            sample,
-            attempt,
-            result,
-        });
+        let report = |news| {
+            let Job { fence, attempt, .. } = job;
+            let sample = job.sample.clone();
+            // Fails only if the owner has ended.
+            let _ = reports.send(Report {
+                fence,
+                sample,
+                attempt,
+                news,
+            });
+        };
+        let result = run(&one, &job, &mut || report(News::Started));
+        report(News::Ended(result));
     })
 }
 
-fn run(shared: &Shared, job: &Job) -> Result<Finished, Refusal> {
+fn run(shared: &Shared, job: &Job, on_started: &mut dyn FnMut()) -> Result<Finished, Refusal> {
     let request = format!(
         "{}-{}-{}-{}-{}-{}",
         job.sample.trainer,
@@ -121,7 +128,7 @@
         job.fence,
         job.attempt
     );
-    let answer = generate_sample(shared, job, &request)?;
+    let answer = generate_sample(shared, job, &request, on_started)?;
     let text = answer.output.text;
     let score = score(shared, job, &request, &text)?;
     let body = serde_json::to_string(&Body { text, score })
@@ -135,7 +142,12 @@
     })
 }
 
-fn generate_sample(shared: &Shared, job: &Job, request: &str) -> Result<generate::Answer, Refusal> {
+fn generate_sample(
+    shared: &Shared,
+    job: &Job,
+    request: &str,
+    on_started: &mut dyn FnMut(),
+) -> Result<generate::Answer, Refusal> {
     let content = job.content.as_ref();
     let group = content.and_then(|content| content.groups.get(job.sample.group as usize));
     let (Some(content), Some(group)) = (content, group) else {
@@ -144,6 +156,7 @@
     // Samples of a group differ by their seeds alone.
     let seed = u64::from(job.sample.index);
     let prompt = Prompt::sample(&job.trainer.model, &group.prompt, content.max_tokens, seed);
+    let mut started = false;
     let answer = shared.generate(
         &generate::Job {
             request,
@@ -153,9 +166,14 @@
             prompt: &prompt,
             resume: false,
         },
-        &mut |_| match job.cancelled.load(Ordering::Relaxed) {
-            true => ControlFlow::Break(()),
-            false => ControlFlow::Continue(()),
+        &mut |_| {
+            if !std::mem::replace(&mut started, true) {
+                on_started();
+            }
+            match job.cancelled.load(Ordering::Relaxed) {
+                true => ControlFlow::Break(()),
+                false => ControlFlow::Continue(()),
+            }
         },
     )?;
     if answer.continued {
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -1,6 +1,6 @@
+use crate::calls::Call;
 use crate::keeper::Keeper;
 use crate::metrics::Metrics;
-use crate::owner::Call;
 use crate::pool::Pool;
 use crate::recorder::Recorder;
 use crate::swapper::Running;
--- a/crates/node/src/trainers.rs
+++ b/crates/node/src/trainers.rs
@@ -1,8 +1,8 @@
 //! The endpoints of trainers.
 
 use crate::api::parse_name;
+use crate::calls::{Ask, Call, Reply};
 use crate::lock;
-use crate::owner::{Ask, Call, Reply};
 use crate::sampling::Body;
 use crate::shared::Shared;
 use crate::store;
