Test lost replies, broken streams, drains and racing operators

Cause: these failures were tried on the cores alone, not over sockets.

Change: process tests for replies of table and service lost after their effect, streams broken by both engines, swaps that fail partway, an engine that is leaving, a drain under load, two operators at once.

`lookup_reply` and `broken_stream` fail: a retry excludes the replicas that failed before, so with one replica, or once both engines have broken a stream, no replica is left and the call is cut although the budget and the deadline allow a retry.

--- a/crates/dogwoodlb/tests/processes.rs
+++ b/crates/dogwoodlb/tests/processes.rs
@@ -4,13 +4,21 @@
 mod bad_input;
 #[path = "processes/cluster.rs"]
 mod cluster;
+#[path = "processes/engine_faults.rs"]
+mod engine_faults;
 #[path = "processes/frozen_owner.rs"]
 mod frozen_owner;
+#[path = "processes/graceful_drain.rs"]
+mod graceful_drain;
 #[path = "processes/killed_owner.rs"]
 mod killed_owner;
+#[path = "processes/lost_replies.rs"]
+mod lost_replies;
 #[path = "processes/process.rs"]
 mod process;
 #[path = "processes/store_outage.rs"]
 mod store_outage;
+#[path = "processes/two_operators.rs"]
+mod two_operators;
 #[path = "processes/whole_path.rs"]
 mod whole_path;
--- a/crates/dogwoodlb/tests/processes/cluster.rs
+++ b/crates/dogwoodlb/tests/processes/cluster.rs
@@ -22,6 +22,7 @@
 pub(crate) struct Cluster {
     pub(crate) nodes: Vec<Node>,
     pub(crate) table: SocketAddr,
+    pub(crate) vms: SocketAddr,
     pub(crate) engines: Vec<SocketAddr>,
     pub(crate) stock: SocketAddr,
     scorer: SocketAddr,
@@ -99,6 +100,7 @@
         let mut cluster = Self {
             nodes: nodes.collect(),
             table,
+            vms,
             engines,
             stock,
             scorer,
@@ -162,14 +164,19 @@
 
     /// Commits the manifest with `dogwoodctl`, which waits until it is in force everywhere.
     pub(crate) fn commit(&self, base: u64) {
-        let file = self.directory.join(format!("manifest-{base}.json"));
-        std::fs::write(&file, self.manifest().to_string()).unwrap();
+        let file = self.write_manifest("first").display().to_string();
         let base = base.to_string();
-        let file = file.display().to_string();
         let (code, output) = self.ctl(&["commit", &file, "--base", &base, "--operator", "test"]);
         assert_eq!(code, Some(0), "{output}");
     }
 
+    /// Writes the manifest to a file.
+    pub(crate) fn write_manifest(&self, name: &str) -> PathBuf {
+        let file = self.directory.join(format!("manifest-{name}.json"));
+        std::fs::write(&file, self.manifest().to_string()).unwrap();
+        file
+    }
+
     /// Runs `dogwoodctl` and returns its exit code and output.
     pub(crate) fn ctl(&self, args: &[&str]) -> (Option<i32>, String) {
         let mut all = Vec::new();
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -68,7 +68,7 @@
 /// A model engine that generates reproducible text.
 ///
 /// `POST /v1/completions` and `/v1/chat/completions` (streamed or whole), `/v1/cancel` and
-/// `/v1/orders`; `GET /v1/load` and `/v1/weights`. The text depends on the seed, the prompt and
+/// `/v1/orders`; `GET /v1/load` and `/v1/weights`; `GET /v1/counts` for tests. The text depends on the seed, the prompt and
 /// the request's `seed` only, so a repeated request has the same text. The report names the
 /// version that was in force at each token. Lower values of a request's `priority` go first.
 pub struct Engine {
@@ -232,6 +232,10 @@
                 let lag = plan.lag.unwrap_or(self.config.lag);
                 Response::json(200, &self.slots.load(lag))
             }
+            ("GET", "/v1/counts") => {
+                let generations: u64 = self.generations().values().sum();
+                Response::json(200, &json!({ "generations": generations }))
+            }
             ("GET", "/v1/weights") => {
                 Response::json(200, &json!({ "weights": self.weights().list() }))
             }
