Fix the deadlock of every completion of the stand-in engine

**Cause**: The lock of the weights was held over the whole completion, because it was taken in the head of a `match`; the first token waits for the same lock.

**Change**: The lock is released before the completion starts. The service stand-in counts the connections that it saw.

**Measured**: `events_arrive` and `cancelled_stream` of `crates/adapter` timed out after 60 s before and pass now.

--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -251,7 +251,8 @@
                 };
             }
         };
-        match job::Job::new(request, chat, &self.weights()) {
+        let job = job::Job::new(request, chat, &self.weights());
+        match job {
             Ok(job) => answer::serve(self, &job, plan, responder),
             Err(response) => responder.send(response),
         }
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -6,7 +6,7 @@
 use dogwoodlb_http::{Request, Response};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use xxhash_rust::xxh3::xxh3_64;
@@ -38,7 +38,10 @@
 }
 
 #[derive(Default)]
-struct Log(Mutex<Counts>);
+struct Log {
+    counts: Mutex<Counts>,
+    peers: Mutex<BTreeSet<SocketAddr>>,
+}
 
 #[derive(Deserialize)]
 struct Judged {
@@ -86,6 +89,11 @@
         counts.requests.get(request).copied().unwrap_or_default()
     }
 
+    /// Returns the number of addresses and ports that requests came from.
+    pub fn connections(&self) -> usize {
+        self.log.peers().len()
+    }
+
     /// Returns the number of orders placed.
     pub fn orders(&self) -> u64 {
         self.log.lock().orders
@@ -94,7 +102,11 @@
 
 impl Log {
     fn lock(&self) -> MutexGuard<'_, Counts> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        self.counts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn peers(&self) -> MutexGuard<'_, BTreeSet<SocketAddr>> {
+        self.peers.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -114,6 +126,11 @@
 
 impl Site for Log {
     fn answer(&self, request: &Request, _plan: &Plan) -> Response {
+        let mut peers = self.peers();
+        if peers.len() < MAX_COUNTED {
+            peers.insert(request.peer);
+        }
+        drop(peers);
         let mut counts = self.lock();
         let endpoint = (request.method.as_str(), request.path.as_str());
         match endpoint {
