Test the adapters

**Change**: Tests of effects and categories, truncated answers, encoded names, one connection for each service call, and engine streams.

`broken_stream` passed by timeout while the engine was deadlocked, so it now refuses a timeout as the cause.

--- /dev/null
+++ b/crates/adapter/tests/engine_streams.rs
@@ -0,0 +1,155 @@
+//! A stream of an engine is complete, belongs to its request, and stops when its reader does.
+
+#[path = "support/script.rs"]
+mod script;
+
+use dogwoodlb_adapter::Engine;
+use dogwoodlb_platform::engine::{Call, Report};
+use dogwoodlb_platform::{Category, Cause, Engine as _, Result};
+use dogwoodlb_standin::{engine, local, Effect, Fault};
+use dogwoodlb_types::{check_spans, id};
+use rstest::rstest;
+use script::{closed, start, DEADLINE};
+use std::net::SocketAddr;
+use std::ops::ControlFlow;
+
+fn generate(
+    upstream: SocketAddr,
+    on_event: &mut dyn FnMut(&str) -> ControlFlow<()>,
+) -> Result<Report> {
+    let call = Call {
+        upstream,
+        path: "/v1/completions",
+        request: "r-1",
+        body: r#"{"prompt":"a","max_tokens":20,"stream":true}"#,
+        idle_timeout: DEADLINE,
+        timeout: DEADLINE,
+    };
+    Engine::new().generate(&call, on_event)
+}
+
+fn server() -> engine::Engine {
+    let config = engine::Config {
+        models: vec![("scorer".parse().unwrap(), id::Version(3))],
+        min_tokens: 10,
+        ..engine::Config::default()
+    };
+    engine::Engine::start(local().unwrap(), config).unwrap()
+}
+
+/// Guards against events that are held back: the engine may generate a token only after the
+/// reader has seen the one before.
+#[test]
+fn events_arrive() {
+    let server = server();
+    server.allow(Some(1));
+    let mut events = Vec::new();
+    let report = generate(server.address(), &mut |event| {
+        events.push(event.to_owned());
+        server.allow(Some(1));
+        ControlFlow::Continue(())
+    });
+    let report = report.unwrap();
+    assert_eq!(events.pop().as_deref(), Some("[DONE]"));
+    assert_eq!(events.len() as u32, report.tokens + 1);
+    assert_eq!(report.request_id, "r-1");
+    check_spans(&report.spans, report.tokens).unwrap();
+}
+
+/// Guards against a stream that is read on after its reader stopped.
+#[test]
+fn cancelled_stream() {
+    let server = server();
+    server.allow(Some(1));
+    let error = generate(server.address(), &mut |_| ControlFlow::Break(())).unwrap_err();
+    assert_eq!(error.classify(), Category::Cancelled, "{error}");
+    // The engine can only end this request, which may not generate, because the client is gone.
+    let ended = std::time::Instant::now() + DEADLINE;
+    while server.load().running > 0 {
+        assert!(std::time::Instant::now() < ended, "the request still runs");
+        std::thread::yield_now();
+    }
+}
+
+/// Guards against a part that is taken for the whole.
+#[rstest]
+#[case::at_once(Effect::Break { events: 0 }, Category::Ambiguous)]
+#[case::halfway(Effect::Break { events: 5 }, Category::Ambiguous)]
+#[case::lost(Effect::LoseReply, Category::Ambiguous)]
+#[case::dropped(Effect::LoseRequest, Category::Ambiguous)]
+#[case::refused(Effect::Refuse, Category::Refused)]
+fn broken_stream(#[case] effect: Effect, #[case] category: Category) {
+    let server = server();
+    server
+        .faults()
+        .order(Fault::once("/v1/completions", effect));
+    let error = generate(server.address(), &mut |_| ControlFlow::Continue(())).unwrap_err();
+    assert_eq!(error.classify(), category, "{error}");
+    assert!(!matches!(error.cause(), Cause::Timeout(_)), "{error}");
+}
+
+macro_rules! stream {
+    ($body:literal) => {
+        concat!("HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n", $body)
+    };
+}
+
+const REPORT: &str = stream!(
+    "data: {\"dogwood\":{\"request_id\":\"r-1\",\"spans\":[],\"tokens\":0,\"queue\":0}}\n\n\
+     data: [DONE]\n\n"
+);
+
+/// Guards against answers of other requests, and answers without a report or an end.
+#[rstest]
+#[case::other(
+    stream!("data: {\"dogwood\":{\"request_id\":\"r-2\",\"spans\":[],\"tokens\":0,\"queue\":0}}\n\ndata: [DONE]\n\n"),
+    "answer belongs to another request"
+)]
+#[case::no_report(stream!("data: {}\n\ndata: [DONE]\n\n"), "malformed answer: the report is missing")]
+#[case::nothing(stream!("data: [DONE]\n\n"), "malformed answer: the report is missing")]
+#[case::early_report(
+    stream!("data: {\"dogwood\":{\"request_id\":\"r-1\",\"spans\":[],\"tokens\":0,\"queue\":0}}\n\ndata: {}\n\ndata: [DONE]\n\n"),
+    "malformed answer: the report is missing"
+)]
+#[case::no_end(
+    stream!("data: {\"dogwood\":{\"request_id\":\"r-1\",\"spans\":[],\"tokens\":0,\"queue\":0}}\n\n"),
+    "answer ended early"
+)]
+#[case::half_end(
+    stream!("data: {\"dogwood\":{\"request_id\":\"r-1\",\"spans\":[],\"tokens\":0,\"queue\":0}}\n\ndata: [DONE]\n"),
+    "answer ended early"
+)]
+#[case::more(
+    stream!("data: {\"dogwood\":{\"request_id\":\"r-1\",\"spans\":[],\"tokens\":0,\"queue\":0}}\n\ndata: [DONE]\n\ndata: {}\n\n"),
+    "malformed answer: an event follows the end mark"
+)]
+fn wrong_stream(#[case] answer: &'static str, #[case] cause: &str) {
+    let (address, _requests) = start(answer);
+    let error = generate(address, &mut |_| ControlFlow::Continue(())).unwrap_err();
+    assert_eq!(error.classify(), Category::Ambiguous, "{error}");
+    assert_eq!(error.cause().to_string(), cause);
+}
+
+/// Guards against a check that refuses a right stream, which would make the cases above vacuous.
+#[test]
+fn right_stream() {
+    let (address, _requests) = start(REPORT);
+    let report = generate(address, &mut |_| ControlFlow::Continue(()));
+    assert_eq!(report.unwrap().request_id, "r-1");
+}
+
+/// Guards against an engine that fills the memory with one event.
+#[test]
+fn endless_event() {
+    let long = "x".repeat(2 * 1024 * 1024).leak();
+    let (address, _requests) = start(format!("{}data: {long}", stream!("")).leak());
+    let error = generate(address, &mut |_| ControlFlow::Continue(())).unwrap_err();
+    assert!(matches!(error.cause(), Cause::Malformed(_)), "{error}");
+}
+
+/// Guards against an unreachable engine that counts as started.
+#[test]
+fn closed_port() {
+    let error = generate(closed(), &mut |_| ControlFlow::Continue(())).unwrap_err();
+    assert_eq!(error.classify(), Category::NotSent, "{error}");
+}
--- /dev/null
+++ b/crates/adapter/tests/service_calls.rs
@@ -0,0 +1,117 @@
+//! A service call is made once, and its failure tells whether it can have run.
+
+#[path = "support/script.rs"]
+mod script;
+
+use dogwoodlb_adapter::Service;
+use dogwoodlb_platform::service::{Call, Reply};
+use dogwoodlb_platform::{Category, Result, Service as _};
+use rstest::rstest;
+use script::{closed, start, DEADLINE};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+fn call(upstream: SocketAddr, method: &str, body: &str) -> Result<Reply> {
+    Service::new().call(&Call {
+        upstream,
+        method,
+        path: "/orders?a=b",
+        request: "r-1",
+        content_type: Some("text/plain"),
+        body: body.as_bytes(),
+        timeout: DEADLINE,
+    })
+}
+
+/// Guards against statuses that become errors, and redirects that are followed.
+#[rstest]
+#[case(200, "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok")]
+#[case(
+    302,
+    "HTTP/1.1 302 Found\r\nlocation: /other\r\ncontent-length: 2\r\n\r\nok"
+)]
+#[case(503, "HTTP/1.1 503 Busy\r\ncontent-length: 2\r\n\r\nok")]
+#[case(
+    200,
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"
+)]
+fn any_status(#[case] status: u16, #[case] answer: &'static str) {
+    let (address, requests) = start(answer);
+    let reply = call(address, "POST", "body").unwrap();
+    assert_eq!((reply.status, reply.body.as_slice()), (status, &b"ok"[..]));
+    let request = requests.recv_timeout(DEADLINE).unwrap();
+    assert!(
+        request.starts_with("POST /orders?a=b HTTP/1.1\r\n"),
+        "{request}"
+    );
+    assert!(request.contains("x-request-id: r-1\r\n"), "{request}");
+    assert!(request.ends_with("\r\n\r\nbody"), "{request}");
+    assert!(requests.try_recv().is_err(), "the call was repeated");
+}
+
+/// Guards against a call that is repeated or taken as complete although its answer is missing,
+/// cut short, or could be cut short unnoticed.
+#[rstest]
+#[case::missing("")]
+#[case::half_head("HTTP/1.1 200 OK\r\ncontent-le")]
+#[case::cut_length("HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nok")]
+#[case::cut_chunks("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n")]
+#[case::no_length("HTTP/1.1 200 OK\r\n\r\nok")]
+#[case::not_http("ok ok ok ok\r\n\r\n")]
+fn broken_answer(
+    #[case] answer: &'static str,
+    #[values("GET", "POST", "PUT", "DELETE")] method: &str,
+) {
+    let (address, requests) = start(answer);
+    let error = call(address, method, "").unwrap_err();
+    assert_eq!(error.classify(), Category::Ambiguous, "{error}");
+    requests.recv_timeout(DEADLINE).unwrap();
+    assert!(requests.try_recv().is_err(), "the call was repeated");
+}
+
+/// Guards against a refused connection that counts as a call that may have run.
+#[test]
+fn closed_port() {
+    let error = call(closed(), "POST", "body").unwrap_err();
+    assert_eq!(error.classify(), Category::NotSent, "{error}");
+}
+
+/// Guards against a call that is started after its time.
+#[test]
+fn no_time() {
+    let (address, requests) = start("");
+    let expired = Call {
+        upstream: address,
+        method: "POST",
+        path: "/orders",
+        request: "r-1",
+        content_type: None,
+        body: b"",
+        timeout: Duration::ZERO,
+    };
+    let error = Service::new().call(&expired).unwrap_err();
+    assert_eq!(error.classify(), Category::NotSent, "{error}");
+    assert!(requests.try_recv().is_err());
+}
+
+/// Guards against a call over a connection that the service may be closing.
+#[test]
+fn fresh_connections() {
+    let service = dogwoodlb_standin::service::Service::start(dogwoodlb_standin::local().unwrap());
+    let service = service.unwrap();
+    let client = Service::new();
+    for _ in 0..3 {
+        let reply = client.call(&Call {
+            upstream: service.address(),
+            method: "POST",
+            path: "/echo",
+            request: "r-1",
+            content_type: None,
+            body: b"same",
+            timeout: DEADLINE,
+        });
+        assert_eq!(reply.unwrap().body, b"same");
+    }
+    assert_eq!(service.executions("r-1"), 3);
+    assert_eq!(service.connections(), 3);
+}
--- /dev/null
+++ b/crates/adapter/tests/store_failures.rs
@@ -0,0 +1,141 @@
+//! What a failed call of the table or the object store tells about its effect.
+
+#[path = "support/script.rs"]
+mod script;
+
+use dogwoodlb_adapter::{Objects, Table, Vms};
+use dogwoodlb_platform::table::{Outcome, Txn};
+use dogwoodlb_platform::vms::{State, Vm};
+use dogwoodlb_platform::{Category, Objects as _, Table as _, Vms as _};
+use dogwoodlb_standin::{local, objects, table, vms, Effect, Fault};
+use rstest::rstest;
+use script::{closed, start, DEADLINE};
+use std::time::Duration;
+
+/// Guards against a wrong statement about the effect of a write.
+#[rstest]
+#[case(Effect::LoseRequest, Category::Ambiguous, 0)]
+#[case(Effect::LoseReply, Category::Ambiguous, 1)]
+#[case(Effect::Refuse, Category::Refused, 0)]
+fn failed_commit(#[case] effect: Effect, #[case] category: Category, #[case] applied: u64) {
+    let server = table::Table::start(local().unwrap()).unwrap();
+    server.faults().order(Fault::once("/txn", effect));
+    let table = Table::new(server.address());
+    let error = table
+        .commit(&Txn::new().put("a", "1"), DEADLINE)
+        .unwrap_err();
+    assert_eq!(error.classify(), category, "{error}");
+    assert_eq!(server.applied(), applied);
+    assert_eq!(server.faults().pending(), 0);
+}
+
+/// Guards against a reply that comes too late, or is malformed, and counts as not applied.
+#[test]
+fn unknown_outcome() {
+    let server = table::Table::start(local().unwrap()).unwrap();
+    server
+        .faults()
+        .order(Fault::once("/txn", Effect::Delay { delay_ms: 60_000 }));
+    let table = Table::new(server.address());
+    let late = table.commit(&Txn::new().put("a", "1"), Duration::from_millis(50));
+    assert_eq!(late.unwrap_err().classify(), Category::Ambiguous);
+
+    let (address, _requests) = start("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}");
+    let malformed = Table::new(address)
+        .commit(&Txn::new(), DEADLINE)
+        .unwrap_err();
+    assert_eq!(malformed.classify(), Category::Ambiguous, "{malformed}");
+    let malformed = Table::new(address).read("a", DEADLINE).unwrap_err();
+    assert_eq!(malformed.classify(), Category::Invalid, "{malformed}");
+}
+
+/// Guards against an unreachable store that counts as ambiguous.
+#[test]
+fn closed_port() {
+    let table = Table::new(closed());
+    let error = table.commit(&Txn::new(), DEADLINE).unwrap_err();
+    assert_eq!(error.classify(), Category::NotSent, "{error}");
+}
+
+/// Guards against keys and names that change on their way.
+#[rstest]
+#[case("a/b.c_d-e")]
+#[case("a b&c=d?e#f%20+g")]
+#[case("šžč/..//x")]
+fn odd_names(#[case] name: &str) {
+    let server = table::Table::start(local().unwrap()).unwrap();
+    let table = Table::new(server.address());
+    table
+        .commit(&Txn::new().put(name, "1").put("b", "2"), DEADLINE)
+        .unwrap();
+    assert_eq!(table.read(name, DEADLINE).unwrap(), server.row(name));
+    assert_eq!(table.scan(name, DEADLINE).unwrap().len(), 1);
+    assert_eq!(table.read("absent", DEADLINE).unwrap(), None);
+
+    let server = objects::Objects::start(local().unwrap()).unwrap();
+    let objects = Objects::new(server.address());
+    assert_eq!(objects.get(name, DEADLINE).unwrap(), None);
+    objects.put(name, &[0, 255], DEADLINE).unwrap();
+    assert_eq!(server.names(""), [name]);
+    assert_eq!(objects.get(name, DEADLINE).unwrap(), Some(vec![0, 255]));
+}
+
+/// Guards against an object that is overwritten under its name.
+#[test]
+fn changed_object() {
+    let server = objects::Objects::start(local().unwrap()).unwrap();
+    let objects = Objects::new(server.address());
+    objects.put("a", b"1", DEADLINE).unwrap();
+    objects.put("a", b"1", DEADLINE).unwrap();
+    let error = objects.put("a", b"2", DEADLINE).unwrap_err();
+    assert_eq!(error.classify(), Category::Refused, "{error}");
+    assert_eq!(
+        (server.object("a"), server.overwrites()),
+        (Some(b"1".to_vec()), 1)
+    );
+}
+
+/// Guards against a transaction of which only a part is applied, and versions that repeat.
+#[test]
+fn conflicting_commit() {
+    let server = table::Table::start(local().unwrap()).unwrap();
+    let table = Table::new(server.address());
+    let first = Txn::new().absent("a").put("a", "1").put("b", "1");
+    assert_eq!(
+        table.commit(&first, DEADLINE).unwrap(),
+        Outcome::Applied { version: 1 }
+    );
+    let conflict = Outcome::Conflict {
+        key: "a".to_owned(),
+        found: 1,
+    };
+    assert_eq!(table.commit(&first, DEADLINE).unwrap(), conflict);
+    let second = Txn::new().check("a", 1).delete("a").put("b", "2");
+    assert_eq!(
+        table.commit(&second, DEADLINE).unwrap(),
+        Outcome::Applied { version: 2 }
+    );
+    let rows = table.scan("", DEADLINE).unwrap();
+    assert_eq!(rows, server.rows(""));
+    assert_eq!(
+        (rows.len(), rows[0].version, rows[0].value.as_str()),
+        (1, 2, "2")
+    );
+}
+
+/// Guards against a list that doesn't follow the platform.
+#[test]
+fn listed_states() {
+    let name = "entry-1".parse().unwrap();
+    let vm = |state| Vm {
+        name: "entry-1".parse().unwrap(),
+        state,
+    };
+    let server = vms::Vms::start(local().unwrap(), &[vm(State::Live)]).unwrap();
+    let list = Vms::new(server.address());
+    assert_eq!(list.list(DEADLINE).unwrap(), [vm(State::Live)]);
+    server.set(&name, Some(State::Leaving));
+    assert_eq!(list.list(DEADLINE).unwrap(), [vm(State::Leaving)]);
+    server.set(&name, None);
+    assert_eq!(list.list(DEADLINE).unwrap(), []);
+}
--- a/crates/http/tests/event_streams.rs
+++ b/crates/http/tests/event_streams.rs
@@ -5,6 +5,7 @@
 
 use dogwoodlb_http::{sse, Limits, Response};
 use peer::{connect, read_to_close, start, DEADLINE};
+use rstest::rstest;
 use std::io::{BufRead, BufReader, Write};
 use std::net::TcpStream;
 use std::sync::{mpsc, Mutex};
@@ -45,6 +46,30 @@
     }
 }
 
+/// Guards against a stream that stalls if its first event comes after its head was sent.
+#[rstest]
+#[case::without_body(GET)]
+#[case::with_body(b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\nbody")]
+fn late_event(#[case] request: &[u8]) {
+    let (sender, receiver) = mpsc::channel::<()>();
+    let receiver = Mutex::new(receiver);
+    let server = start(Limits::default(), move |_, responder| {
+        let stream = responder.stream(200, &[("content-type", "text/event-stream")]);
+        receiver.lock().unwrap().recv_timeout(DEADLINE).unwrap();
+        stream.write(&sse::event("late")).unwrap();
+        // Ends when the client has read the event.
+        receiver.lock().unwrap().recv_timeout(DEADLINE).unwrap();
+        stream.finish().unwrap();
+    });
+    let client = connect(&server);
+    (&client).write_all(request).unwrap();
+    let mut reader = BufReader::new(&client);
+    read_until(&mut reader, "content-type");
+    sender.send(()).unwrap();
+    read_until(&mut reader, "late");
+    sender.send(()).unwrap();
+}
+
 /// Guards against a dropped stream that looks complete: the last chunk must be missing.
 #[test]
 fn dropped_stream() {
