--- a/crates/standin/src/trainer/check.rs
+++ b/crates/standin/src/trainer/check.rs
@@ -60,6 +60,7 @@
         for sample in &delivered.samples {
             let place = (sample.group, sample.index);
             let wanted = sample.group < self.groups && sample.index < self.group_size;
+            // A sample seen before doesn't fill its place, so the one asked for counts as lost.
             let fresh = self.ids.insert(sample.id.to_string()) && places.insert(place);
             if !(wanted && fresh && is_new) {
                 self.report.duplicated += 1;
--- /dev/null
+++ b/crates/standin/tests/request_queue.rs
@@ -0,0 +1,160 @@
+//! The engine's queue, cancellation, load reports and text.
+
+use dogwoodlb_adapter::{Engine, Service};
+use dogwoodlb_platform::engine::Call;
+use dogwoodlb_platform::{service, Category, Engine as _, Service as _};
+use dogwoodlb_standin::engine::{self, Config};
+use dogwoodlb_standin::{local, Effect, Fault};
+use dogwoodlb_types::id;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::ops::ControlFlow;
+use std::thread;
+use std::time::{Duration, Instant};
+
+const DEADLINE: Duration = Duration::from_secs(60);
+
+fn server(slots: usize, queue: usize) -> engine::Engine {
+    let config = Config {
+        models: vec![("scorer".parse().unwrap(), id::Version(1))],
+        slots,
+        queue,
+        ..Config::default()
+    };
+    engine::Engine::start(local().unwrap(), config).unwrap()
+}
+
+fn generate(upstream: SocketAddr, request: &str, priority: i64) -> Result<String, Category> {
+    let body = format!(r#"{{"prompt":"a","max_tokens":3,"stream":true,"priority":{priority}}}"#);
+    let call = Call {
+        upstream,
+        path: "/v1/completions",
+        request,
+        body: &body,
+        idle_timeout: DEADLINE,
+        timeout: DEADLINE,
+    };
+    let mut finish = String::new();
+    let report = Engine::new().generate(&call, &mut |event| {
+        let event: Value = serde_json::from_str(event).unwrap_or_default();
+        if let Some(reason) = event["choices"][0]["finish_reason"].as_str() {
+            finish = reason.to_owned();
+        }
+        ControlFlow::Continue(())
+    });
+    report.map(|_| finish).map_err(|error| error.classify())
+}
+
+fn whole(upstream: SocketAddr, body: &str) -> Value {
+    let reply = Service::new().call(&service::Call {
+        upstream,
+        method: "POST",
+        path: "/v1/completions",
+        request: "r",
+        content_type: Some("application/json"),
+        body: body.as_bytes(),
+        timeout: DEADLINE,
+    });
+    serde_json::from_slice(&reply.unwrap().body).unwrap()
+}
+
+/// Waits for a state of the engine, which must come.
+fn wait(wanted: impl Fn() -> bool) {
+    let deadline = Instant::now() + DEADLINE;
+    while !wanted() {
+        assert!(Instant::now() < deadline, "the state never came");
+        thread::yield_now();
+    }
+}
+
+/// Guards against a queue that ignores priorities or its bound.
+#[test]
+fn ordered_queue() {
+    let server = server(1, 2);
+    server.allow(Some(0));
+    let address = server.address();
+    thread::scope(|scope| {
+        for (index, priority) in [0, 9, 1].into_iter().enumerate() {
+            scope.spawn(move || {
+                generate(address, &format!("p{priority}"), priority).unwrap();
+            });
+            wait(|| server.load().running + server.load().waiting == index as u32 + 1);
+            wait(|| server.load().running == 1);
+        }
+        assert_eq!(generate(address, "full", 0), Err(Category::Refused));
+        server.allow(Some(3));
+        wait(|| server.generations("p1") == 1);
+        assert_eq!(server.generations("p9"), 0);
+        server.allow(None);
+    });
+    assert_eq!(
+        (server.generations("p9"), server.generations("full")),
+        (1, 0)
+    );
+    assert_eq!(server.total_generations(), 3);
+}
+
+/// Guards against a cancelled request that keeps its slot or its place.
+#[test]
+fn cancelled_request() {
+    let server = server(1, 4);
+    server.allow(Some(1));
+    let (address, engine) = (server.address(), Engine::new());
+    thread::scope(|scope| {
+        let running = scope.spawn(move || generate(address, "running", 0));
+        wait(|| server.load().running == 1);
+        let waiting = scope.spawn(move || generate(address, "waiting", 0));
+        wait(|| server.load().waiting == 1);
+        engine.cancel(address, "waiting", DEADLINE).unwrap();
+        assert_eq!(waiting.join().unwrap(), Err(Category::Ambiguous));
+        engine.cancel(address, "running", DEADLINE).unwrap();
+        assert_eq!(running.join().unwrap().as_deref(), Ok("abort"));
+    });
+    wait(|| server.load() == Default::default());
+    let unknown = engine.cancel(address, "unknown", DEADLINE).unwrap_err();
+    assert_eq!(unknown.classify(), Category::Refused, "{unknown}");
+    assert_eq!(server.generations("waiting"), 0);
+}
+
+/// Guards against load reports that are always fresh, or never come back after a gap.
+#[test]
+fn late_reports() {
+    let server = server(1, 4);
+    server.allow(Some(0));
+    let (address, engine) = (server.address(), Engine::new());
+    let lag = Effect::Lag { lag_ms: 3_600_000 };
+    server.faults().order(Fault::once("/v1/load", lag));
+    thread::scope(|scope| {
+        scope.spawn(move || generate(address, "r", 0).unwrap());
+        wait(|| server.load().running == 1);
+        assert_eq!(engine.load(address, DEADLINE).unwrap().running, 0);
+        assert_eq!(engine.load(address, DEADLINE).unwrap().running, 1);
+        server
+            .faults()
+            .order(Fault::once("/v1/load", Effect::LoseRequest));
+        let gap = engine.load(address, DEADLINE).unwrap_err();
+        assert_eq!(gap.classify(), Category::Ambiguous, "{gap}");
+        assert_eq!(engine.load(address, DEADLINE).unwrap().running, 1);
+        server.allow(None);
+    });
+}
+
+/// Guards against text that changes between runs, and lengths without a tail.
+#[test]
+fn same_text() {
+    let (first, second) = (server(4, 64), server(4, 64));
+    let mut lengths = Vec::new();
+    for seed in 0..300 {
+        let body = format!(r#"{{"prompt":"a","max_tokens":100000,"seed":{seed}}}"#);
+        let answer = whole(first.address(), &body);
+        let tokens = answer["usage"]["completion_tokens"].as_u64().unwrap();
+        assert_eq!(answer["choices"], whole(second.address(), &body)["choices"]);
+        let text = answer["choices"][0]["text"].as_str().unwrap();
+        assert_eq!(text.split(' ').count() as u64, tokens);
+        assert_eq!(answer["dogwood"]["tokens"], tokens);
+        lengths.push(tokens);
+    }
+    lengths.sort_unstable();
+    assert!(lengths[299] > 10 * lengths[150], "{lengths:?}");
+    assert!(lengths[0] >= 4, "{lengths:?}");
+}
--- /dev/null
+++ b/crates/standin/tests/weight_swaps.rs
@@ -0,0 +1,159 @@
+//! The engine's labels are true and its orders are fenced.
+
+use dogwoodlb_adapter::Engine;
+use dogwoodlb_platform::engine::{Action, Call, Order, Report};
+use dogwoodlb_platform::{Category, Engine as _, Result};
+use dogwoodlb_standin::engine::{self, Config};
+use dogwoodlb_standin::{local, Effect, Fault};
+use dogwoodlb_types::{check_spans, id, Timestamp};
+use rstest::rstest;
+use std::ops::ControlFlow;
+use std::time::Duration;
+
+const DEADLINE: Duration = Duration::from_secs(60);
+const FAR: Timestamp = Timestamp::from_millis(i64::MAX);
+
+fn model() -> id::Model {
+    "scorer".parse().unwrap()
+}
+
+fn server(config: Config) -> engine::Engine {
+    let config = Config {
+        models: vec![(model(), id::Version(1))],
+        min_tokens: 10,
+        ..config
+    };
+    engine::Engine::start(local().unwrap(), config).unwrap()
+}
+
+fn order(number: u128, fence: u64, version: u64, not_after_ms: Timestamp) -> Order {
+    Order {
+        order: id::Operation(number),
+        fence: id::Fence(fence),
+        not_after_ms,
+        action: Action::LoadVersion {
+            model: model(),
+            version: id::Version(version),
+            object: format!("weights/scorer/{version}"),
+        },
+    }
+}
+
+/// Generates and calls `at_third` when the third token has arrived.
+fn generate(server: &engine::Engine, at_third: &dyn Fn()) -> Result<Report> {
+    let call = Call {
+        upstream: server.address(),
+        path: "/v1/chat/completions",
+        request: "r-1",
+        body: r#"{"messages":[{"role":"user","content":"a"}],"max_tokens":8,"stream":true}"#,
+        idle_timeout: DEADLINE,
+        timeout: DEADLINE,
+    };
+    let mut events = 0;
+    server.allow(Some(3));
+    Engine::new().generate(&call, &mut |_| {
+        events += 1;
+        if events == 3 {
+            at_third();
+            server.allow(None);
+        }
+        ControlFlow::Continue(())
+    })
+}
+
+/// Guards against a label that names only one of the versions that produced a sample.
+#[test]
+fn swapped_midway() {
+    let server = server(Config::default());
+    let engine = Engine::new();
+    let report = generate(&server, &|| {
+        let order = order(1, 1, 2, FAR);
+        engine.order(server.address(), &order, DEADLINE).unwrap();
+    });
+    let report = report.unwrap();
+    check_spans(&report.spans, report.tokens).unwrap();
+    let spans: Vec<_> = report
+        .spans
+        .iter()
+        .map(|s| (s.version.0, s.from, s.to))
+        .collect();
+    assert_eq!(spans, [(1, 0, 3), (2, 3, 8)]);
+}
+
+/// Guards against a sample that is completed without weights.
+#[test]
+fn failed_swap() {
+    let server = server(Config::default());
+    let engine = Engine::new();
+    server
+        .faults()
+        .order(Fault::once("/v1/orders", Effect::FailSwap));
+    let error = generate(&server, &|| {
+        let order = order(1, 1, 2, FAR);
+        engine.order(server.address(), &order, DEADLINE).unwrap();
+    });
+    assert_eq!(error.unwrap_err().classify(), Category::Ambiguous);
+    let weights = engine.weights(server.address(), DEADLINE).unwrap();
+    assert_eq!((weights[0].version, weights[0].loading), (None, None));
+    let refused = generate(&server, &|| {}).unwrap_err();
+    assert_eq!(refused.classify(), Category::Refused, "{refused}");
+    engine
+        .order(server.address(), &order(2, 1, 2, FAR), DEADLINE)
+        .unwrap();
+    assert_eq!(server.weights()[0].version, Some(id::Version(2)));
+}
+
+/// Guards against an engine that takes the orders of a former holder, or refuses them although it
+/// is meant to ignore the number.
+#[rstest]
+#[case(true, Err(Category::Refused), 5)]
+#[case(false, Ok(()), 4)]
+fn old_fence(
+    #[case] checks_fencing: bool,
+    #[case] expected: std::result::Result<(), Category>,
+    #[case] version: u64,
+) {
+    let server = server(Config {
+        checks_fencing,
+        ..Config::default()
+    });
+    let engine = Engine::new();
+    let send = |order: &Order| engine.order(server.address(), order, DEADLINE);
+    send(&order(1, 7, 5, FAR)).unwrap();
+    let old = send(&order(2, 6, 4, FAR));
+    assert_eq!(old.map_err(|error| error.classify()), expected);
+    assert_eq!(server.weights()[0].version, Some(id::Version(version)));
+}
+
+/// Guards against an order that is carried out twice or after its time.
+#[test]
+fn repeated_order() {
+    let server = server(Config::default());
+    let engine = Engine::new();
+    let send = |order: &Order| engine.order(server.address(), order, DEADLINE);
+    send(&order(1, 1, 2, FAR)).unwrap();
+    send(&order(2, 1, 3, FAR)).unwrap();
+    send(&order(1, 1, 2, FAR)).unwrap();
+    let expired = send(&order(3, 1, 4, Timestamp::from_millis(1))).unwrap_err();
+    assert_eq!(expired.classify(), Category::Refused, "{expired}");
+    assert_eq!(server.weights()[0].version, Some(id::Version(3)));
+    assert_eq!(server.orders(), 2);
+}
+
+/// Guards against a version that is reported as served while it is loaded.
+#[test]
+fn slow_swap() {
+    let server = server(Config {
+        swap: Duration::from_secs(3600),
+        ..Config::default()
+    });
+    let engine = Engine::new();
+    engine
+        .order(server.address(), &order(1, 1, 2, FAR), DEADLINE)
+        .unwrap();
+    let weights = engine.weights(server.address(), DEADLINE).unwrap();
+    assert_eq!(weights[0].version, Some(id::Version(1)));
+    assert_eq!(weights[0].loading, Some(id::Version(2)));
+    let report = generate(&server, &|| {}).unwrap();
+    assert_eq!(report.spans[0].version, id::Version(1));
+}
