--- /dev/null
+++ b/crates/standin/tests/ordered_faults.rs
@@ -0,0 +1,103 @@
+//! Stand-ins in processes of their own are controlled over HTTP.
+
+use dogwoodlb_adapter::Service;
+use dogwoodlb_platform::service::Call;
+use dogwoodlb_platform::{Category, Result, Service as _};
+use dogwoodlb_standin::{local, service, vms};
+use rstest::rstest;
+use serde_json::{json, Value};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+fn call(upstream: SocketAddr, method: &str, path: &str, body: &Value) -> Result<(u16, Value)> {
+    let reply = Service::new().call(&Call {
+        upstream,
+        method,
+        path,
+        request: "r-1",
+        content_type: Some("application/json"),
+        body: body.to_string().as_bytes(),
+        timeout: Duration::from_secs(60),
+    })?;
+    Ok((
+        reply.status,
+        serde_json::from_slice(&reply.body).unwrap_or_default(),
+    ))
+}
+
+/// Guards against a fault that is lost, stays, or hits another path.
+#[test]
+fn fault_endpoint() {
+    let server = service::Service::start(local().unwrap()).unwrap();
+    let send = |method, path, body: Value| call(server.address(), method, path, &body);
+    let fault = json!({
+        "method": "POST", "path": "/orders", "times": 2, "effect": { "kind": "lose_reply" },
+    });
+    assert_eq!(send("POST", "/faults", fault.clone()).unwrap().0, 200);
+    assert_eq!(send("POST", "/echo", json!(1)).unwrap(), (200, json!(1)));
+    let lost = send("POST", "/orders", json!(2)).unwrap_err();
+    assert_eq!(lost.classify(), Category::Ambiguous, "{lost}");
+    assert_eq!(server.orders(), 1);
+    assert_eq!(send("DELETE", "/faults", json!(0)).unwrap().0, 200);
+    assert_eq!(
+        send("POST", "/orders", json!(2)).unwrap(),
+        (200, json!({ "order": 2 }))
+    );
+    let counts: service::Counts =
+        serde_json::from_value(send("GET", "/counts", json!(0)).unwrap().1).unwrap();
+    assert_eq!(counts, server.counts());
+    assert_eq!(
+        (counts.orders, counts.bodies["2"], counts.requests["r-1"]),
+        (2, 2, 3)
+    );
+}
+
+/// Guards against an order with a typing error that does nothing.
+#[rstest]
+#[case(json!({ "path": "/orders", "effect": { "kind": "explode" } }))]
+#[case(json!({ "paths": "/orders", "effect": { "kind": "refuse" } }))]
+#[case(json!({ "path": "/orders" }))]
+fn wrong_fault(#[case] fault: Value) {
+    let server = service::Service::start(local().unwrap()).unwrap();
+    let reply = call(server.address(), "POST", "/faults", &fault).unwrap();
+    assert_eq!((reply.0, server.faults().pending()), (400, 0));
+}
+
+/// Guards against a score that depends on anything but the text, or is given to a malformed
+/// request.
+#[test]
+fn text_score() {
+    let server = service::Service::start(local().unwrap()).unwrap();
+    let score = |body| call(server.address(), "POST", "/score", &body).unwrap();
+    let expected = (200, json!({ "score": service::score("a b") }));
+    assert_eq!(
+        score(json!({ "sample": "weld/1/0/0", "text": "a b" })),
+        expected
+    );
+    assert_eq!(
+        score(json!({ "sample": "weld/1/0/1", "text": "a b" })),
+        expected
+    );
+    assert_eq!(score(json!({ "sample": "weld/1/0/1" })).0, 400);
+    assert!((0.0..=1.0).contains(&service::score("a b")));
+}
+
+/// Guards against a VM whose state can't be changed from another process.
+#[test]
+fn vm_endpoint() {
+    let server = vms::Vms::start(local().unwrap(), &[]).unwrap();
+    let send = |method, path| {
+        call(
+            server.address(),
+            method,
+            path,
+            &json!({ "state": "leaving" }),
+        )
+    };
+    assert_eq!(send("PUT", "/vms/entry-1").unwrap().0, 200);
+    let listed = json!({ "vms": [{ "name": "entry-1", "state": "leaving" }] });
+    assert_eq!(send("GET", "/vms").unwrap(), (200, listed));
+    assert_eq!(send("DELETE", "/vms/entry-1").unwrap().0, 200);
+    assert_eq!(send("GET", "/vms").unwrap(), (200, json!({ "vms": [] })));
+    assert_eq!(send("PUT", "/vms/Entry").unwrap().0, 400);
+}
