--- /dev/null
+++ b/crates/wire/tests/random_bytes.rs
@@ -0,0 +1,69 @@
+//! Guards against a panic or a wrong acceptance of bytes that no node sent.
+
+use dogwoodlb_wire::{from_reader, from_slice, to_vec, Category, VERSION};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+/// A ping of `a1` about `b2`.
+const PING: [u8; 17] = [
+    VERSION, 0, 2, b'a', b'1', 9, 7, 0, 0, 0, 0, 1, 1, 2, b'b', b'2', 1,
+];
+
+fn ping() -> Vec<u8> {
+    [&PING[..], &[9]].concat()
+}
+
+/// A frame that decodes must be one that a node could have encoded.
+fn check(bytes: &[u8]) {
+    if let Ok(frame) = from_slice(bytes) {
+        assert_eq!(from_slice(&to_vec(&frame).unwrap()).unwrap(), frame);
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(1),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn slices_are_safe(bytes in prop::collection::vec(any::<u8>(), 0..1_400)) {
+        check(&bytes);
+        check(&[&[VERSION], &bytes[..]].concat());
+    }
+
+    #[test]
+    fn streams_are_safe(body in prop::collection::vec(any::<u8>(), 0..400), prefix: u32) {
+        let _ = from_reader(&mut [&prefix.to_be_bytes()[..], &body].concat().as_slice());
+        let prefix = (body.len() as u32 + 1).to_be_bytes();
+        let framed = [&prefix[..], &[VERSION], &body].concat();
+        let _ = from_reader(&mut framed.as_slice());
+    }
+
+    #[test]
+    fn changed_bytes(at in 0..18_usize, byte: u8) {
+        let mut bytes = ping();
+        bytes[at] = byte;
+        check(&bytes);
+        if at == 0 && byte != VERSION {
+            let error = from_slice(&bytes).unwrap_err();
+            prop_assert_eq!(error.classify(), Category::Version);
+        }
+    }
+}
+
+#[test]
+fn cut_frames() {
+    let bytes = ping();
+    assert!(from_slice(&bytes).is_ok());
+    let longer = [&bytes[..], &[0]].concat();
+    // Names are checked on arrival, so a frame can't bring in one that the rest refuses.
+    let mut misnamed = bytes.clone();
+    misnamed[14] = b'B';
+    let cut = (0..bytes.len()).map(|length| bytes[..length].to_vec());
+    for bytes in cut.chain([longer, misnamed]) {
+        let error = from_slice(&bytes).unwrap_err();
+        assert_eq!(error.classify(), Category::Malformed, "{bytes:?}");
+    }
+}
