--- a/crates/swap/src/report.rs
+++ b/crates/swap/src/report.rs
@@ -42,7 +42,8 @@
 impl Swap {
     /// Takes in what a replica reports about the model, `None` if it doesn't know the model.
     ///
-    /// `began` is when the read was sent: a read from before an order says nothing about it.
+    /// `began` is when the read was sent: no order is given by a read from before the last
+    /// order or before the lease was granted.
     pub fn on_weights(
         &mut self,
         upstream: &id::Upstream,
@@ -55,7 +56,7 @@
         };
         let is_late = state.report.is_some_and(|report| began < report.began);
         let is_other = weights.is_some_and(|weights| weights.model != self.model);
-        if is_late || is_other || began < state.reports_after {
+        if is_late || is_other {
             return;
         }
         let report = Report {
@@ -114,8 +115,12 @@
             Outcome::Fenced => {
                 self.fenced = self.guard.take().map(|guard| guard.fence).max(self.fenced);
             }
-            Outcome::Refused | Outcome::NotSent => self.failed.push((upstream.clone(), None)),
-            Outcome::Unknown => self.failed.push((upstream.clone(), Some(operation))),
+            Outcome::Refused | Outcome::NotSent => {
+                self.failed.insert(upstream.clone(), None);
+            }
+            Outcome::Unknown => {
+                self.failed.insert(upstream.clone(), Some(operation));
+            }
         }
     }
 
@@ -125,10 +130,10 @@
             match state.phase {
                 Phase::Sent { operation, at, .. }
                     if now.saturating_since(at) > self.settings.order_timeout * 2
-                        && !self.failed.iter().any(|(failed, _)| failed == upstream) =>
+                        && !self.failed.contains_key(upstream) =>
                 {
                     state.reports_after = now;
-                    self.failed.push((upstream.clone(), Some(operation)));
+                    self.failed.insert(upstream.clone(), Some(operation));
                 }
                 Phase::Loading { since, .. } => {
                     let is_stopped = state.report.is_some_and(|report| {
@@ -136,7 +141,7 @@
                             && report.began.saturating_since(since) >= REPORT_LAG
                     });
                     if is_stopped || now.saturating_since(since) >= self.settings.longest {
-                        self.failed.push((upstream.clone(), None));
+                        self.failed.insert(upstream.clone(), None);
                     }
                 }
                 _ => {}
--- a/crates/swap/src/swap.rs
+++ b/crates/swap/src/swap.rs
@@ -77,7 +77,7 @@
     /// The highest fencing number that an engine has refused as old.
     pub(crate) fenced: Option<id::Fence>,
     /// The replicas whose attempt failed, with the operation if it may have been accepted.
-    pub(crate) failed: Vec<(id::Upstream, Option<id::Operation>)>,
+    pub(crate) failed: BTreeMap<id::Upstream, Option<id::Operation>>,
     pub(crate) rate: Rate,
     last_fence: Option<id::Fence>,
 }
@@ -94,7 +94,7 @@
             guard: None,
             guarded_since: Instant::default(),
             fenced: None,
-            failed: Vec::new(),
+            failed: BTreeMap::new(),
             rate,
             last_fence: None,
         }
