--- /dev/null
+++ b/crates/route/tests/load_choice.rs
@@ -0,0 +1,161 @@
+//! The choice by load, locality, class and prefix.
+
+mod common;
+
+use common::{at, replicas, router};
+use dogwoodlb_route::{Change, Event, Freshness, Level, Load, Request};
+use dogwoodlb_types::prelude::*;
+use rand::{rngs::StdRng, SeedableRng};
+use rstest::rstest;
+
+fn load(sequence: u64, running: u32) -> Load {
+    Load {
+        sequence,
+        running,
+        waiting: 0,
+    }
+}
+
+/// Far replicas used while near ones have slots, or near ones used beyond their slots.
+#[test]
+fn spills_by_level() {
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut list = replicas("lj", "lj-a", 2);
+    list.extend(replicas("lj", "lj-b", 1));
+    list.extend(replicas("mb", "mb-a", 1));
+    let mut router = router(&list);
+    let mut pick = || router.pick(&Request::new(Class::Customer), at(0), &mut rng);
+    let levels: Vec<_> = (0..40).map(|_| pick().unwrap().level).collect();
+    assert!(levels[..20].iter().all(|&level| level == Level::Centre));
+    assert!(levels[20..30].iter().all(|&level| level == Level::Region));
+    assert!(levels[30..].iter().all(|&level| level == Level::Remote));
+    let refusal = pick().unwrap_err();
+    assert_eq!((refusal.code, refusal.ran), (Code::Overloaded, Ran::NotRun));
+}
+
+/// The last slots taken by samples or background work.
+#[rstest]
+#[case(Class::Customer, 10)]
+#[case(Class::Trainer, 9)]
+#[case(Class::Background, 8)]
+fn reserved_slots(#[case] class: Class, #[case] most: usize) {
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut router = router(&replicas("lj", "lj-a", 1));
+    let mut pick = |class| router.pick(&Request::new(class), at(0), &mut rng).is_ok();
+    assert_eq!((0..20).filter(|_| pick(class)).count(), most);
+    assert_eq!(pick(Class::Customer), class != Class::Customer);
+}
+
+/// A late report that replaces a newer one, counts own requests twice, or counts for ever.
+#[test]
+fn lagged_reports() {
+    let mut rng = StdRng::seed_from_u64(1);
+    let list = replicas("lj", "lj-a", 1);
+    let name = &list[0].upstream;
+    let mut router = router(&list);
+    let request = Request::new(Class::Customer);
+    for _ in 0..5 {
+        let pick = router.pick(&request, at(0), &mut rng).unwrap();
+        router.on_start(pick.ticket).unwrap();
+    }
+    assert_eq!(
+        router.on_load(name, load(1, 5), at(0)).unwrap(),
+        Freshness::Fresh
+    );
+    assert!(
+        router.pick(&request, at(0), &mut rng).is_ok(),
+        "own requests counted twice"
+    );
+    assert_eq!(
+        router.on_load(name, load(4, 20), at(0)).unwrap(),
+        Freshness::Gap(2)
+    );
+    assert_eq!(
+        router.on_load(name, load(3, 0), at(0)).unwrap(),
+        Freshness::Stale
+    );
+    assert!(router.pick(&request, at(0), &mut rng).is_err());
+    assert!(
+        router.pick(&request, at(5_000), &mut rng).is_ok(),
+        "old report still counts"
+    );
+    assert_eq!(
+        router.on_load(name, load(1, 0), at(9_000)).unwrap(),
+        Freshness::Fresh
+    );
+}
+
+/// The fuller of two replicas chosen.
+#[test]
+fn two_choices() {
+    let mut rng = StdRng::seed_from_u64(1);
+    let list = replicas("lj", "lj-a", 2);
+    let mut router = router(&list);
+    router
+        .on_load(&list[0].upstream, load(1, 8), at(0))
+        .unwrap();
+    for _ in 0..7 {
+        let pick = router
+            .pick(&Request::new(Class::Customer), at(0), &mut rng)
+            .unwrap();
+        assert_eq!(pick.upstream, list[1].upstream);
+    }
+}
+
+/// A popular prefix that overloads one replica, or one that wanders among idle replicas.
+#[test]
+fn bounded_affinity() {
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut router = router(&replicas("lj", "lj-a", 10));
+    let request = Request::new(Class::Customer).prefix(b"You are");
+    let first = router.pick(&request, at(0), &mut rng).unwrap();
+    router
+        .on_end(first.ticket, dogwoodlb_route::Outcome::Success, at(0))
+        .unwrap();
+    let again = router.pick(&request, at(0), &mut rng).unwrap();
+    assert_eq!(first.upstream, again.upstream);
+    for _ in 1..40 {
+        router.pick(&request, at(0), &mut rng).unwrap();
+    }
+    // 1.25 times the mean of 4, rounded up.
+    let most = router.subset().map(|name| router.in_flight(name)).max();
+    assert_eq!(most, Some(5));
+}
+
+/// A late eviction that hides what the replica holds now.
+#[test]
+fn late_cache_event() {
+    let mut rng = StdRng::seed_from_u64(1);
+    let list = replicas("lj", "lj-a", 10);
+    let request = Request::new(Class::Customer).prefix_hash(7);
+    let usual = router(&list)
+        .pick(&request, at(0), &mut rng)
+        .unwrap()
+        .upstream;
+    let holder = &list.iter().find(|r| r.upstream != usual).unwrap().upstream;
+    let mut router = router(&list);
+    let event = |sequence, change| Event { sequence, change };
+    let stored = event(5, Change::Stored(7));
+    assert_eq!(
+        router.on_cache_event(holder, stored).unwrap(),
+        Freshness::Fresh
+    );
+    let late = event(4, Change::Evicted(7));
+    assert_eq!(
+        router.on_cache_event(holder, late).unwrap(),
+        Freshness::Stale
+    );
+    assert_eq!(
+        router.pick(&request, at(0), &mut rng).unwrap().upstream,
+        *holder
+    );
+    let gap = event(9, Change::Stored(8));
+    assert_eq!(
+        router.on_cache_event(holder, gap).unwrap(),
+        Freshness::Gap(3)
+    );
+    assert_eq!(
+        router.pick(&request, at(0), &mut rng).unwrap().upstream,
+        usual
+    );
+}
--- /dev/null
+++ b/crates/route/tests/replica_ejection.rs
@@ -0,0 +1,97 @@
+//! Ejection and slow return.
+
+mod common;
+
+use common::{at, replicas, router};
+use dogwoodlb_route::{Outcome, Pick, Request, Router};
+use dogwoodlb_types::prelude::*;
+use rand::{rngs::StdRng, SeedableRng};
+
+/// Fails requests at the first replica until it is ejected, and returns how many it took.
+fn eject(router: &mut Router, name: &id::Upstream, others: &[id::Upstream], now: u64) -> u32 {
+    let mut rng = StdRng::seed_from_u64(1);
+    let request = Request::new(Class::Customer).exclude(others);
+    let mut failures = 0;
+    while !router.is_ejected(name, at(now)) {
+        let pick = router.pick(&request, at(now), &mut rng).unwrap();
+        router
+            .on_end(pick.ticket, Outcome::Failure, at(now))
+            .unwrap();
+        failures += 1;
+    }
+    failures
+}
+
+/// A failing replica that keeps its share of the load, or returns with all of it at once.
+#[test]
+fn growing_pause() {
+    let mut rng = StdRng::seed_from_u64(1);
+    let list = replicas("lj", "lj-a", 2);
+    let mut router = router(&list);
+    let (name, other) = (&list[0].upstream, &list[1].upstream);
+    assert_eq!(eject(&mut router, name, std::slice::from_ref(other), 0), 3);
+    let request = Request::new(Class::Customer);
+    for _ in 0..10 {
+        let pick = router.pick(&request, at(999), &mut rng).unwrap();
+        assert_eq!(pick.upstream, *other);
+    }
+    assert!(
+        router.pick(&request, at(999), &mut rng).is_err(),
+        "work during the pause"
+    );
+    assert!(!router.is_ejected(name, at(1_000)));
+    let only = [other.clone()];
+    let request = Request::new(Class::Customer).exclude(&only);
+    let pick = router.pick(&request, at(1_000), &mut rng).unwrap();
+    assert!(
+        router.pick(&request, at(1_000), &mut rng).is_err(),
+        "one slot at first"
+    );
+    router
+        .on_end(pick.ticket, Outcome::Cancelled, at(1_000))
+        .unwrap();
+
+    // One failure during the slow start ejects again, for twice as long.
+    assert_eq!(eject(&mut router, name, &only, 1_001), 1);
+    assert!(router.is_ejected(name, at(3_000)));
+    assert!(!router.is_ejected(name, at(3_001)));
+}
+
+/// One fault, met by all requests in flight, taken for several.
+#[test]
+fn single_fault() {
+    let mut rng = StdRng::seed_from_u64(1);
+    let list = replicas("lj", "lj-a", 1);
+    let mut router = router(&list);
+    let request = Request::new(Class::Customer);
+    let picks: Vec<_> = (0..10)
+        .map(|_| router.pick(&request, at(0), &mut rng).unwrap())
+        .collect();
+    let mut end = |pick: &Pick, now| {
+        router
+            .on_end(pick.ticket, Outcome::Failure, at(now))
+            .unwrap()
+    };
+    picks[..5].iter().for_each(|pick| end(pick, 500));
+    picks[5..].iter().for_each(|pick| end(pick, 1_600));
+    assert!(!router.is_ejected(&list[0].upstream, at(1_600)));
+}
+
+/// An outage made by ejecting every replica.
+#[test]
+fn all_ejected() {
+    let mut rng = StdRng::seed_from_u64(1);
+    let list = replicas("lj", "lj-a", 1);
+    let mut router = router(&list);
+    eject(&mut router, &list[0].upstream, &[], 0);
+    let refusal = router
+        .pick(&Request::new(Class::Trainer), at(1), &mut rng)
+        .unwrap_err();
+    assert_eq!(refusal.code, Code::NoUpstream);
+    assert!(refusal.retry_after.is_some());
+    let pick = router
+        .pick(&Request::new(Class::Customer), at(1), &mut rng)
+        .unwrap();
+    router.on_end(pick.ticket, Outcome::Success, at(2)).unwrap();
+    assert!(!router.is_ejected(&list[0].upstream, at(2)));
+}
--- /dev/null
+++ b/crates/route/tests/subset_choice.rs
@@ -0,0 +1,81 @@
+//! The subset of replicas that a node uses.
+
+mod common;
+
+use common::{at, replicas, router, settings};
+use dogwoodlb_route::{Category, Request, Router, SUBSET};
+use dogwoodlb_types::prelude::*;
+use rand::{rngs::StdRng, SeedableRng};
+use std::collections::BTreeSet;
+
+fn names(router: &Router) -> BTreeSet<String> {
+    router.subset().map(ToString::to_string).collect()
+}
+
+/// A subset that grows with the replicas, misses local ones, or has nowhere to spill to.
+#[test]
+fn local_first() {
+    let mut list = replicas("lj", "lj-a", 9);
+    list.extend(replicas("lj", "lj-b", 100));
+    list.extend(replicas("mb", "mb-a", 100));
+    let few = names(&router(&list));
+    assert_eq!(few.len(), SUBSET);
+    assert_eq!(few.iter().filter(|n| n.starts_with("lj-a")).count(), 9);
+    assert_eq!(few.iter().filter(|n| n.starts_with("mb-a")).count(), 2);
+
+    list.extend(replicas("lj", "lj-a", 100).split_off(9));
+    let many = names(&router(&list));
+    assert_eq!(many.len(), SUBSET);
+    assert_eq!(many.iter().filter(|n| n.starts_with("lj-a")).count(), 14);
+    assert_eq!(names(&router(&replicas("mb", "mb-a", 100))).len(), SUBSET);
+}
+
+/// A subset that is reshuffled by one replica's departure, or is the same on every node.
+#[test]
+fn stable_subset() {
+    let list = replicas("lj", "lj-a", 200);
+    let mut first = router(&list);
+    let before = names(&first);
+    let gone = first.subset().next().unwrap().clone();
+    first.set_leaving(&gone, true).unwrap();
+    let after = names(&first);
+    assert_eq!(before.difference(&after).count(), 1);
+    assert_eq!(after.len(), SUBSET);
+
+    let mut second = Router::new(settings("entry-2"));
+    second.update(&list).unwrap();
+    assert_ne!(before, names(&second));
+}
+
+/// New work for a leaving replica, or a manifest update that forgets the VM list.
+#[test]
+fn leaving_replica() {
+    let mut list = replicas("lj", "lj-a", 2);
+    let mut router = router(&list);
+    let (gone, other) = (list[0].upstream.clone(), list[1].upstream.clone());
+    router.set_leaving(&gone, true).unwrap();
+    router.update(&list).unwrap();
+    let mut rng = StdRng::seed_from_u64(1);
+    for _ in 0..10 {
+        let request = Request::new(Class::Customer);
+        assert_eq!(
+            router.pick(&request, at(0), &mut rng).unwrap().upstream,
+            other
+        );
+    }
+    list[1].leaving = true;
+    router.update(&list).unwrap();
+    let refusal = router.pick(&Request::new(Class::Customer), at(0), &mut rng);
+    assert_eq!(refusal.unwrap_err().code, Code::NoUpstream);
+}
+
+/// A faulty list that replaces a good one.
+#[test]
+fn duplicate_name() {
+    let mut list = replicas("lj", "lj-a", 3);
+    let mut router = router(&list);
+    list.push(list[0].clone());
+    let error = router.update(&list).unwrap_err();
+    assert_eq!(error.classify(), Category::Replicas);
+    assert_eq!(router.subset().count(), 3);
+}
