Say "not run" of a keyed call only if no call with the key has run

Cause: while the table is down, a keyed call was refused as "not run" although an earlier attempt with the same key may have executed. A caller that repeats a call reads the answer as one about its key, and could place the order elsewhere.

Change: the refusal of a call whose key can't be read says "may have run"; "not run" is left for a key that a read shows as open or that the call holds itself.

--- a/crates/once/src/claim.rs
+++ b/crates/once/src/claim.rs
@@ -31,11 +31,7 @@
                 self.read(now)
             }
             Err(Category::NotSent | Category::Refused) if !self.exposed && !self.foreign => {
-                let refusal = Refusal::not_run(
-                    Code::StoreUnavailable,
-                    "the intent could not be written to the table",
-                );
-                self.answer(Answer::Refuse(refusal.retry_after(RETRY_AFTER)))
+                self.answer(Answer::Refuse(unread()))
             }
             Err(Category::NotSent | Category::Refused) => self.read_later(now),
             // The write may have taken effect or may do so later: read back before any retry.
@@ -78,7 +74,7 @@
             }
             State::Open if now >= self.request.deadline => {
                 self.foreign = false;
-                self.give_up(now)
+                self.give_up_open(now)
             }
             State::Open => {
                 self.foreign = false;
@@ -108,6 +104,9 @@
     }
 
     /// Answers at the deadline without a dispatch.
+    ///
+    /// A caller that repeats a call reads "not run" as a statement about its key. The key's
+    /// state isn't known here, so an earlier call with it may have run.
     pub(crate) fn give_up(&mut self, now: Instant) -> Vec<Action> {
         let refusal = if self.foreign {
             Refusal::may_have_run(
@@ -115,12 +114,19 @@
                 "an earlier call with this key has no outcome yet",
             )
         } else {
-            Refusal::not_run(
-                Code::StoreUnavailable,
-                "the intent could not be written before the deadline",
-            )
-            .retry_after(RETRY_AFTER)
+            unread()
         };
+        self.refuse(refusal, now)
+    }
+
+    /// Answers at the deadline, when a read has just shown that no call with the key has run.
+    fn give_up_open(&mut self, now: Instant) -> Vec<Action> {
+        let message = "the intent could not be written before the deadline";
+        let refusal = Refusal::not_run(Code::StoreUnavailable, message);
+        self.refuse(refusal.retry_after(RETRY_AFTER), now)
+    }
+
+    fn refuse(&mut self, refusal: Refusal, now: Instant) -> Vec<Action> {
         if self.exposed {
             return self.withdraw(Answer::Refuse(refusal), now);
         }
@@ -152,3 +158,12 @@
         vec![Action::Answer(answer)]
     }
 }
+
+#[cold]
+fn unread() -> Refusal {
+    let refusal = Refusal::may_have_run(
+        Code::StoreUnavailable,
+        "the key can't be read: this call was not sent, an earlier one with the key may have run",
+    );
+    refusal.retry_after(RETRY_AFTER)
+}
--- a/crates/once/src/lib.rs
+++ b/crates/once/src/lib.rs
@@ -14,8 +14,9 @@
 //! open   -> started
 //! ```
 //!
-//! "Not run" speaks of one attempt: while the table is down, a call can't know what became of an
-//! earlier attempt with the same key. Once it has seen such an attempt, it never says "not run".
+//! "Not run" speaks of the key: it is said only where a read or an own write shows that no call
+//! with the key has run. While the table is down a call can't know that, so it is refused with
+//! `store_unavailable` as one that may have run, and the caller repeats it with the same key.
 //!
 //! # Examples
 //!
