Wire the link budget and the cleanup of keyed calls

Cause: the design promises a byte budget for the link between regions and the deletion of keyed calls after 24 h; neither was wired in. An answer whose engine failed between the last token and the report was reported as a failed assertion.

Measured: `cargo test -p dogwoodlb -p dogwoodlb-ctl -p dogwoodlb-once` passes. The budget's effect in the daemon is not tested.

--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -20,8 +20,11 @@
     /// write JSON, also for errors
     #[argh(switch)]
     pub(crate) json: bool,
+    /// print the version
+    #[argh(switch)]
+    pub(crate) version: bool,
     #[argh(subcommand)]
-    pub(crate) command: Command,
+    pub(crate) command: Option<Command>,
 }
 
 #[derive(Debug, FromArgs)]
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -29,6 +29,7 @@
 use args::{Args, Command};
 use output::Output;
 use std::io::Write;
+use std::net::SocketAddr;
 
 pub use error::{Category, Error};
 pub use remote::{Failure, Http, Remote, Reply, Request};
@@ -92,9 +93,17 @@
             return exit;
         }
     };
+    if args.version {
+        let _ = writeln!(out, "dogwoodctl {}", env!("CARGO_PKG_VERSION"));
+        return Exit::Done;
+    }
+    let Some(command) = &args.command else {
+        let _ = writeln!(err, "no command: see --help");
+        return Exit::Usage;
+    };
     let json = args.json;
     let mut output = Output { json, out, err };
-    let Err(error) = dispatch(&args, remote, &mut output) else {
+    let Err(error) = dispatch(&args.node, command, remote, &mut output) else {
         return Exit::Done;
     };
     match json {
@@ -104,9 +113,13 @@
     error.classify().into()
 }
 
-fn dispatch(args: &Args, remote: &dyn Remote, output: &mut Output<'_>) -> Result<()> {
-    let nodes = &args.node;
-    match &args.command {
+fn dispatch(
+    nodes: &[SocketAddr],
+    command: &Command,
+    remote: &dyn Remote,
+    output: &mut Output<'_>,
+) -> Result<()> {
+    match command {
         Command::Check(args) => view::check(args, output),
         Command::Commit(args) => commit::run(args, nodes, remote, output),
         Command::Diff(args) => view::diff_file(args, nodes, remote, output),
--- a/crates/node/src/adopting.rs
+++ b/crates/node/src/adopting.rs
@@ -90,6 +90,7 @@
         return;
     };
     shared.upstreams.update(&manifest);
+    shared.share_link(&manifest);
     let peers: Vec<Peer> = manifest
         .entry_vms
         .iter()
--- a/crates/node/src/calls.rs
+++ b/crates/node/src/calls.rs
@@ -71,11 +71,6 @@
             continue;
         }
         let name = trainer.trainer.clone();
-        let text = format!("trainer.{name}")
-            .chars()
-            .take(64)
-            .collect::<String>();
-        let Ok(text) = text.parse() else { continue };
         let wanted = {
             let (shared, name) = (Arc::downgrade(shared), name.clone());
             move || {
@@ -84,12 +79,10 @@
                     .is_some_and(|shared| is_listed(&shared, &name))
             }
         };
-        let keeper = Arc::new(Keeper::new(
-            shared,
-            Name::Trainer(name.clone()),
-            text,
-            wanted,
-        ));
+        let Ok(keeper) = Keeper::new(shared, Name::Trainer(name.clone()), wanted) else {
+            continue;
+        };
+        let keeper = Arc::new(keeper);
         let (calls, inbox) = sync_channel(CALLS);
         trainers.insert(
             name.clone(),
--- /dev/null
+++ b/crates/node/src/cleaner.rs
@@ -0,0 +1,75 @@
+//! The thread that deletes the rows of old keyed calls.
+
+use crate::keeper::Keeper;
+use crate::shared::Shared;
+use dogwoodlb_lease::Name;
+use dogwoodlb_once::{is_expired, PREFIX};
+use dogwoodlb_platform::table::{Row, Txn};
+use dogwoodlb_types::Instant;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+/// The name of the lease whose holder deletes rows.
+const LEASE: &str = "cleanup";
+
+/// How often the rows are read: rows live for 24 h, so a late deletion costs little.
+const INTERVAL: Duration = Duration::from_secs(600);
+
+/// The pause between two transactions, so that a deletion leaves the table to other work.
+const PAUSE: Duration = Duration::from_millis(200);
+
+/// Rows deleted in one transaction.
+const ROWS: usize = 64;
+
+const TICK: Duration = Duration::from_millis(250);
+const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
+
+/// Deletes expired rows while this node holds the lease, until the node stops.
+pub(crate) fn run(shared: &Arc<Shared>) {
+    let name = LEASE.parse().map(Name::Other);
+    let Ok(keeper) = name.and_then(|name| Keeper::new(shared, name, || true)) else {
+        return;
+    };
+    let keeper = Arc::new(keeper);
+    shared.keep(&keeper);
+    let mut next = Instant::default();
+    while !shared.is_stopped() {
+        thread::sleep(TICK);
+        let now = shared.now();
+        if now >= next && keeper.held(now).is_some() {
+            next = now + INTERVAL;
+            clean(shared, &keeper);
+        }
+    }
+}
+
+fn clean(shared: &Shared, keeper: &Keeper) {
+    let rows = shared.platform.table.scan(PREFIX, CALL_TIMEOUT);
+    shared.count_store(&rows);
+    let wall = shared.timestamp();
+    // A row that can't be read is left for the operators to look at.
+    let expired = |row: &Row| is_expired(&row.value, wall).unwrap_or(false);
+    let rows: Vec<Row> = rows
+        .unwrap_or_default()
+        .into_iter()
+        .filter(expired)
+        .collect();
+    for chunk in rows.chunks(ROWS) {
+        let Some(guard) = keeper.held(shared.now()) else {
+            return;
+        };
+        let mut txn = Txn::new().check(keeper.fence_key(), guard.row_version);
+        for row in chunk {
+            txn = txn.check(&row.key, row.version).delete(&row.key);
+        }
+        let outcome = shared.platform.table.commit(&txn, CALL_TIMEOUT);
+        shared.count_store(&outcome);
+        thread::sleep(PAUSE);
+    }
+    shared
+        .recorder
+        .record(shared.timestamp(), "calls_cleaned", |event| {
+            event.with("rows", rows.len())
+        });
+}
--- a/crates/node/src/completion.rs
+++ b/crates/node/src/completion.rs
@@ -7,6 +7,9 @@
 const PREFIX_BYTES: usize = 256;
 const DEFAULT_MAX_TOKENS: u32 = 256;
 
+/// The usual size of an event with one token.
+const EVENT_BYTES: usize = 128;
+
 /// The two shapes of a completion request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Kind {
@@ -126,6 +129,11 @@
         Some(Value::Object(body).to_string())
     }
 
+    /// Returns about how many bytes a whole answer takes, its events included.
+    pub(crate) fn answer_bytes(&self) -> usize {
+        (self.max_tokens as usize).saturating_mul(EVENT_BYTES)
+    }
+
     fn continue_after(&self, body: &mut Map<String, Value>, text: &str) {
         match self.kind {
             Kind::Text => {
--- a/crates/node/src/generate.rs
+++ b/crates/node/src/generate.rs
@@ -3,6 +3,7 @@
 use crate::completion::{Output, Prompt};
 use crate::group::{Group, Need, Slot};
 use crate::shared::Shared;
+use dogwoodlb_http::sse::DONE;
 use dogwoodlb_limit::Signal;
 use dogwoodlb_platform::engine::{Call, Report};
 use dogwoodlb_platform::{Category, Cause, Error};
@@ -102,8 +103,11 @@
             .enter(&need)
             .map_err(|refusal| after_output(refusal, output))?;
         let Some(body) = job.prompt.body(job.priority, output) else {
-            return Err(self.violated("tokens", "an answer without a report has all its tokens"));
+            return Ok(finish(job, output, on_event));
         };
+        let bytes = body.len() + job.prompt.answer_bytes();
+        self.spend(slot.level(), job.class, bytes, job.deadline)
+            .map_err(|refusal| after_output(refusal, output))?;
         // Each attempt has an id of its own, so that a late answer can't be taken for another.
         let request = format!("{}.{number}", job.request);
         let call = Call {
@@ -141,6 +145,26 @@
     }
 }
 
+/// Ends an answer whose engine failed after the last token, before its report.
+fn finish(
+    job: &Job<'_>,
+    output: &Output,
+    on_event: &mut dyn FnMut(&str) -> ControlFlow<()>,
+) -> Attempt {
+    // A reader that stops here has the whole answer.
+    let _ = on_event(DONE);
+    let report = Report {
+        request_id: job.request.to_owned(),
+        spans: Vec::new(),
+        tokens: output.tokens,
+        queue: 0,
+    };
+    Attempt {
+        result: Ok(report),
+        upstream: None,
+    }
+}
+
 fn settle(slot: &mut Slot<'_>, result: &Result<Report, Error>, first: Option<Duration>) {
     match result {
         Ok(_) => {
--- a/crates/node/src/group.rs
+++ b/crates/node/src/group.rs
@@ -2,7 +2,7 @@
 
 use crate::lock;
 use dogwoodlb_limit::{Action, Adaptive, Admission, Gate, Signal};
-use dogwoodlb_route::{Load, Outcome, Pick, Replica, Request, Router, Settings};
+use dogwoodlb_route::{Level, Load, Outcome, Pick, Replica, Request, Router, Settings};
 use dogwoodlb_types::{id, Class, Clock, Code, Instant, Refusal};
 use rand::rngs::SmallRng;
 use std::collections::{HashMap, HashSet};
@@ -290,6 +290,10 @@
 }
 
 impl Slot<'_> {
+    pub(crate) fn level(&self) -> Level {
+        self.pick.as_ref().map_or(Level::Centre, |pick| pick.level)
+    }
+
     pub(crate) fn upstream(&self) -> Option<&id::Upstream> {
         self.pick.as_ref().map(|pick| &pick.upstream)
     }
--- a/crates/node/src/keeper.rs
+++ b/crates/node/src/keeper.rs
@@ -1,7 +1,7 @@
 use crate::lock;
 use crate::shared::Shared;
 use dogwoodlb_lease::{rank, Action, Guard, Lease, Name};
-use dogwoodlb_types::{id, Instant};
+use dogwoodlb_types::{id, Error, Instant};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -25,17 +25,24 @@
     pub(crate) fn new(
         shared: &Shared,
         name: Name,
-        text: id::Lease,
         wanted: impl Fn() -> bool + Send + Sync + 'static,
-    ) -> Self {
+    ) -> Result<Self, Error> {
+        // Events name a lease as `trainer.weld`, cut to the length that a name may have.
+        let text: String = name
+            .to_string()
+            .replace('/', ".")
+            .chars()
+            .take(64)
+            .collect();
+        let text = text.parse()?;
         let vm = shared.settings.vm.clone();
         let lease = Lease::new(name.clone(), vm, shared.incarnation, usize::MAX);
-        Self {
+        Ok(Self {
             name,
             text,
             lease: Mutex::new(lease),
             wanted: Box::new(wanted),
-        }
+        })
     }
 
     /// Returns the name of the lease as events show it.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -25,6 +25,7 @@
 mod adopting;
 mod api;
 mod calls;
+mod cleaner;
 mod clock;
 mod commit;
 mod completion;
@@ -33,6 +34,7 @@
 mod group;
 mod holding;
 mod keeper;
+mod link;
 mod metrics;
 mod node;
 mod once;
--- /dev/null
+++ b/crates/node/src/link.rs
@@ -0,0 +1,66 @@
+//! The node's share of the link between regions.
+
+use crate::lock;
+use crate::shared::Shared;
+use dogwoodlb_limit::{Link, Verdict};
+use dogwoodlb_manifest::Manifest;
+use dogwoodlb_route::Level;
+use dogwoodlb_types::{Class, Code, Instant, Refusal};
+use std::time::Duration;
+
+/// The capacity of the link between regions in each direction, 450 Mb/s.
+const LINK_BYTES_PER_S: u64 = 450_000_000 / 8;
+
+/// The longest pause between two looks at the budget.
+const LONGEST_WAIT: Duration = Duration::from_millis(100);
+
+impl Shared {
+    /// Gives the node its share of the link: an equal part for each entry VM of its region.
+    pub(crate) fn share_link(&self, manifest: &Manifest) {
+        let region = &self.settings.region;
+        let own = manifest
+            .entry_vms
+            .iter()
+            .filter(|entry| entry.region == *region);
+        let nodes = own.count().max(1) as u64;
+        let mut link = lock(&self.link);
+        if link.0 != nodes {
+            *link = (nodes, Link::new(LINK_BYTES_PER_S / nodes, self.now()));
+        }
+    }
+
+    /// Counts bytes that cross the link, and waits until they may be sent.
+    ///
+    /// # Errors
+    ///
+    /// Refuses background work at the bound, and other work that would wait past `deadline`;
+    /// nothing was sent.
+    pub(crate) fn spend(
+        &self,
+        level: Level,
+        class: Class,
+        bytes: usize,
+        deadline: Instant,
+    ) -> Result<(), Refusal> {
+        if level != Level::Remote {
+            return Ok(());
+        }
+        let bytes = bytes as u64;
+        loop {
+            let now = self.now();
+            let verdict = lock(&self.link).1.ask(class, bytes, now);
+            match verdict {
+                Verdict::Send => return Ok(()),
+                Verdict::Refuse(refusal) => return Err(refusal),
+                Verdict::Wait(wait) if now + wait <= deadline => {
+                    std::thread::sleep(wait.min(LONGEST_WAIT));
+                }
+                Verdict::Wait(wait) => {
+                    let message = "the link between regions is used up until the deadline";
+                    let refusal = Refusal::not_run(Code::Overloaded, message);
+                    return Err(refusal.retry_after(wait));
+                }
+            }
+        }
+    }
+}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -5,7 +5,7 @@
 use crate::peers::{self, Questions};
 use crate::pool::Pool;
 use crate::shared::{Parts, Shared};
-use crate::{adopting, lock, watch, Error, Platform, Result};
+use crate::{adopting, cleaner, lock, watch, Error, Platform, Result};
 use dogwoodlb_http::{Limits, Server};
 use dogwoodlb_manifest::settings::Settings;
 use dogwoodlb_member::Step;
@@ -184,6 +184,8 @@
     let one = shared.clone();
     spawn("propose", move || peers::serve_proposals(&one, &stream))?;
     let one = shared.clone();
+    spawn("clean", move || cleaner::run(&one))?;
+    let one = shared.clone();
     spawn("watch", move || watch::run(&one))
 }
 
--- a/crates/node/src/plain.rs
+++ b/crates/node/src/plain.rs
@@ -61,6 +61,8 @@
                 deadline: job.deadline,
             };
             let mut slot = group.enter(&need).map_err(|refusal| after(refusal, sent))?;
+            self.spend(slot.level(), job.class, job.body.len(), job.deadline)
+                .map_err(|refusal| after(refusal, sent))?;
             let result = self.platform.service.call(&Call {
                 upstream: slot.address,
                 method: job.method,
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -6,7 +6,7 @@
 use crate::swapper::Running;
 use crate::upstreams::Upstreams;
 use crate::{lock, Platform};
-use dogwoodlb_limit::Budget;
+use dogwoodlb_limit::{Budget, Link};
 use dogwoodlb_manifest::adopt::{Adoption, Authority, Report};
 use dogwoodlb_manifest::settings::Settings;
 use dogwoodlb_manifest::Manifest;
@@ -40,6 +40,8 @@
     pub(crate) swappers: Running,
     pub(crate) upstreams: Upstreams,
     pub(crate) budget: Mutex<Budget>,
+    /// The share of the link between regions, and for how many nodes it was computed.
+    pub(crate) link: Mutex<(u64, Link)>,
     pub(crate) rng: Mutex<SmallRng>,
     pub(crate) samplers: Pool,
     pub(crate) workers: Pool,
@@ -101,6 +103,7 @@
             swappers: Running::default(),
             upstreams: Upstreams::new(place, clock, parts.rng.next_u64()),
             budget: Mutex::new(Budget::full(now)),
+            link: Mutex::new((0, Link::new(1, now))),
             rng: Mutex::new(parts.rng),
             samplers: parts.samplers,
             workers: parts.workers,
--- a/crates/node/src/swapper.rs
+++ b/crates/node/src/swapper.rs
@@ -40,8 +40,6 @@
             continue;
         }
         let name = model.model.clone();
-        let text = format!("model.{name}").chars().take(64).collect::<String>();
-        let Ok(text) = text.parse() else { continue };
         let wanted = {
             let (shared, name) = (Arc::downgrade(shared), name.clone());
             move || {
@@ -50,7 +48,10 @@
                     .is_some_and(|one| lock(&one.swappers).contains(&name))
             }
         };
-        let keeper = Arc::new(Keeper::new(shared, Name::Model(name.clone()), text, wanted));
+        let Ok(keeper) = Keeper::new(shared, Name::Model(name.clone()), wanted) else {
+            continue;
+        };
+        let keeper = Arc::new(keeper);
         shared.keep(&keeper);
         let shared = shared.clone();
         let spawned = thread::Builder::new()
--- a/crates/once/src/key.rs
+++ b/crates/once/src/key.rs
@@ -7,6 +7,9 @@
 
 const MAX_KEY_BYTES: usize = 128;
 
+/// The prefix of the keys of all rows of calls, for the scan of the cleanup.
+pub const PREFIX: &str = "call/";
+
 /// The key of the row of one call: the caller and its idempotency key.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Key(String);
@@ -24,7 +27,7 @@
             Some(offset) => offset,
             None if key.is_empty() => 0,
             None if key.len() > MAX_KEY_BYTES => MAX_KEY_BYTES,
-            None => return Ok(Self(format!("call/{caller}/{key}"))),
+            None => return Ok(Self(format!("{PREFIX}{caller}/{key}"))),
         };
         Err(Error::from(Inner::Key {
             offset,
--- a/crates/once/src/lib.rs
+++ b/crates/once/src/lib.rs
@@ -62,7 +62,7 @@
 pub use action::{Action, Answer};
 pub use call::{ran, Call, Request};
 pub use error::{Category, Error};
-pub use key::{Digest, Key};
+pub use key::{Digest, Key, PREFIX};
 pub use row::{is_expired, KEY_LIFE, MAX_ANSWER_BYTES};
 
 /// The result of an operation of this crate.
