Release leases as soon as a leaving node refuses trainers

Cause: a node that shuts down kept its trainers' leases until its last customer request had ended, up to 110 s, while it already refused the trainers' calls. The trainers stood idle meanwhile.

Ruled out: releasing at the signal; callers may still use a cached address.

Change: leases are released once requests are refused and no call of the trainer is under way; a waiting fetch is answered with its progress.

The gain in idle time was not measured.

--- a/crates/node/src/holding.rs
+++ b/crates/node/src/holding.rs
@@ -211,7 +211,11 @@
     }
 
     pub(crate) fn answer_fetches(&mut self, shared: &Shared, now: Instant) {
-        for fetch in std::mem::take(&mut self.fetches) {
+        for mut fetch in std::mem::take(&mut self.fetches) {
+            if shared.is_releasing() {
+                // The trainer asks the next owner.
+                fetch.deadline = now;
+            }
             if self.ledger.is_busy() {
                 self.wait_or_answer(fetch, now);
                 continue;
@@ -235,6 +239,11 @@
         }
     }
 
+    /// Returns whether a call of the trainer is under way.
+    pub(crate) fn is_busy(&self) -> bool {
+        self.current.is_some() || !self.fetches.is_empty() || self.ledger.is_busy()
+    }
+
     fn wait_or_answer(&mut self, fetch: Fetch, now: Instant) {
         if now < fetch.deadline {
             self.fetches.push(fetch);
--- a/crates/node/src/keeper.rs
+++ b/crates/node/src/keeper.rs
@@ -2,6 +2,7 @@
 use crate::shared::Shared;
 use dogwoodlb_lease::{rank, Action, Guard, Lease, Name};
 use dogwoodlb_types::{id, Error, Instant};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -18,6 +19,8 @@
     text: id::Lease,
     lease: Mutex<Lease>,
     wanted: Box<dyn Fn() -> bool + Send + Sync>,
+    /// Whether a call that needs the lease is under way, so that it isn't released yet.
+    busy: AtomicBool,
 }
 
 impl Keeper {
@@ -42,6 +45,7 @@
             text,
             lease: Mutex::new(lease),
             wanted: Box::new(wanted),
+            busy: AtomicBool::new(false),
         })
     }
 
@@ -70,8 +74,8 @@
         let mut was_held = None;
         while !shared.is_stopped() {
             self.set_rank(shared);
-            let leaving = shared.releasing.load(std::sync::atomic::Ordering::SeqCst);
-            if leaving || !(self.wanted)() {
+            let busy = self.busy.load(Ordering::SeqCst);
+            if (shared.is_releasing() && !busy) || !(self.wanted)() {
                 lock(&self.lease).release();
             }
             self.step(shared);
@@ -83,6 +87,11 @@
         }
     }
 
+    /// Tells whether a call that needs the lease is under way.
+    pub(crate) fn set_busy(&self, busy: bool) {
+        self.busy.store(busy, Ordering::SeqCst);
+    }
+
     pub(crate) fn is_released(&self) -> bool {
         lock(&self.lease).is_released()
     }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -132,9 +132,9 @@
             });
         match step {
             Step::Announce => self.announce(false),
-            // The endpoints ask the drain core.
-            Step::Refuse => {}
-            Step::ReleaseLeases => shared.releasing.store(true, Ordering::SeqCst),
+            // The endpoints ask the drain core. Trainers are refused from now on, so that another
+            // node should own them, while customers' requests may go on for long.
+            Step::Refuse | Step::ReleaseLeases => shared.releasing.store(true, Ordering::SeqCst),
             Step::Exit { interrupted } => {
                 self.announce(true);
                 self.server.shutdown(CLOSE_TIMEOUT);
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -104,6 +104,7 @@
     }
 
     fn give_up(&mut self) {
+        self.keeper.set_busy(false);
         let Some(holding) = self.holding.take() else {
             return;
         };
@@ -265,6 +266,8 @@
         }
         self.generate(&manifest, now);
         self.drive();
+        self.keeper
+            .set_busy(self.holding.as_ref().is_some_and(Holding::is_busy));
     }
 
     fn generate(&mut self, manifest: &Arc<Manifest>, now: Instant) {
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -126,6 +126,11 @@
         self.platform.clock.timestamp()
     }
 
+    /// Returns whether a shutdown has come so far that leases are released.
+    pub(crate) fn is_releasing(&self) -> bool {
+        self.releasing.load(Ordering::SeqCst)
+    }
+
     pub(crate) fn is_stopped(&self) -> bool {
         self.stopped.load(Ordering::SeqCst)
     }
