Test that a node without table and peers stops

Cause: rule (b) of manifest adoption was tried on the core alone.

Change: two of three nodes are stopped while the table is down; the third must refuse with `manifest_unknown` and serve again once they wake.

--- a/crates/dogwoodlb/tests/processes/store_outage.rs
+++ b/crates/dogwoodlb/tests/processes/store_outage.rs
@@ -2,6 +2,7 @@
 
 use crate::cluster::Cluster;
 use crate::process::wait_for;
+use rustix::process::Signal;
 use serde_json::json;
 
 /// Guards against customers that depend on the store, against a commit that is accepted
@@ -51,3 +52,42 @@
     let report = Cluster::check_trainer(trainer);
     assert_eq!(report["delivered"], 64);
 }
+
+/// Guards against a node that acts on a manifest that may be old: without the table and with
+/// its peers stopped it must refuse, and with them back it must serve again.
+#[test]
+fn minority_stops() {
+    let cluster = Cluster::start("minority-stops", 3);
+    let address = cluster.nodes[0].address;
+    assert_eq!(cluster.stream(address, "before").unwrap().status, 200);
+    cluster.order(
+        cluster.table,
+        &json!({ "path": "/", "effect": { "kind": "refuse" } }),
+    );
+    let others: Vec<_> = cluster.nodes[1..]
+        .iter()
+        .filter_map(|node| node.process.as_ref())
+        .collect();
+    for process in &others {
+        process.signal(Signal::STOP);
+    }
+    let refused = wait_for("a refusal", || {
+        let answer = cluster.stream(address, "during")?;
+        (answer.status != 200).then_some(answer)
+    });
+    assert_eq!(
+        refused.json()["error"]["code"],
+        "manifest_unknown",
+        "{}",
+        refused.text
+    );
+    assert_eq!(refused.json()["error"]["ran"], "not_run");
+    for process in &others {
+        process.signal(Signal::CONT);
+    }
+    wait_for("an answer", || {
+        cluster
+            .stream(address, "after")
+            .filter(|answer| answer.status == 200)
+    });
+}
