Split two long functions of the at-most-once core

Change: the part that follows the digest check and the read of the random schedules are functions of their own; no behaviour changes.

--- a/crates/once/src/claim.rs
+++ b/crates/once/src/claim.rs
@@ -68,9 +68,14 @@
             );
             return self.answer(Answer::Refuse(refusal));
         }
+        self.on_claim_row(row, found.version, now)
+    }
+
+    /// Continues by the state of a row whose digest is this request's.
+    fn on_claim_row(&mut self, row: Row, version: u64, now: Instant) -> Vec<Action> {
         match row.state {
             State::Started if row.operation == self.request.operation => {
-                self.on_claimed(found.version, now)
+                self.on_claimed(version, now)
             }
             State::Started => {
                 self.foreign = true;
@@ -82,7 +87,7 @@
             }
             State::Open => {
                 self.foreign = false;
-                self.claim(found.version, now)
+                self.claim(version, now)
             }
             State::Done { answer } => self.replay(answer),
             State::Unknown => {
--- a/crates/once/tests/random_schedules.rs
+++ b/crates/once/tests/random_schedules.rs
@@ -146,18 +146,7 @@
                 self.table.apply(&txn);
             }
             Event::LateRun { attempt } => self.execute(attempt),
-            Event::Read { attempt } => {
-                let key = format!("call/quotes/{}", self.attempts[attempt].key);
-                let lost = down || self.fault();
-                let row = self.table.rows.get(&key).cloned();
-                let result = if lost {
-                    Err(failure(Category::NotSent))
-                } else {
-                    Ok(row)
-                };
-                let at = at + self.delay();
-                self.push(at, Event::ReadDone(attempt, result));
-            }
+            Event::Read { attempt } => self.read(attempt, at, down),
             Event::Commit { attempt, txn } => {
                 let result = self.commit(&txn, at, down);
                 let at = at + self.delay();
@@ -180,6 +169,19 @@
         }
     }
 
+    fn read(&mut self, attempt: usize, at: u64, down: bool) {
+        let key = format!("call/quotes/{}", self.attempts[attempt].key);
+        let lost = down || self.fault();
+        let row = self.table.rows.get(&key).cloned();
+        let result = if lost {
+            Err(failure(Category::NotSent))
+        } else {
+            Ok(row)
+        };
+        let at = at + self.delay();
+        self.push(at, Event::ReadDone(attempt, result));
+    }
+
     fn begin(&mut self, key: usize, at: u64) {
         let attempt = self.attempts.len();
         let caller = "quotes".parse().unwrap();
