--- a/crates/http/src/error.rs
+++ b/crates/http/src/error.rs
@@ -1,4 +1,3 @@
-use std::fmt;
 use std::io;
 
 /// The kind of an [`Error`].
@@ -47,23 +46,4 @@
     }
 }
 
-impl<E: Into<Inner>> From<E> for Error {
-    #[cold]
-    fn from(inner: E) -> Self {
-        Self(Box::new(inner.into()))
-    }
-}
-
-impl fmt::Debug for Error {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        fmt::Debug::fmt(&self.0, f)
-    }
-}
-
-impl fmt::Display for Error {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        fmt::Display::fmt(&self.0, f)
-    }
-}
-
-impl std::error::Error for Error {}
+dogwoodlb_types::opaque_error!(Error, Inner);
--- a/crates/once/tests/failed_dispatch.rs
+++ b/crates/once/tests/failed_dispatch.rs
@@ -1,5 +1,6 @@
 //! Dispatches that fail, and the life of a key.
 
+#[path = "common/calls.rs"]
 mod common;
 
 use common::{applied, at, call, done, failure, meet, refusal, reply, written, DEADLINE};
--- a/crates/once/tests/foreign_row.rs
+++ b/crates/once/tests/foreign_row.rs
@@ -1,5 +1,6 @@
 //! A row that another node has started.
 
+#[path = "common/calls.rs"]
 mod common;
 
 use common::{applied, at, call, done, meet, refusal, reply, written, DEADLINE};
--- a/crates/once/tests/key_conflict.rs
+++ b/crates/once/tests/key_conflict.rs
@@ -1,6 +1,7 @@
 //! One key used for different requests, and keys that are not valid.
 
 #[expect(dead_code, reason = "each test file uses a part of the helpers")]
+#[path = "common/calls.rs"]
 mod common;
 
 use common::{call, done, meet, refusal, reply};
--- a/crates/once/tests/lost_reply.rs
+++ b/crates/once/tests/lost_reply.rs
@@ -1,6 +1,7 @@
 //! Table replies that are lost, late or missing.
 
 #[expect(dead_code, reason = "each test file uses a part of the helpers")]
+#[path = "common/calls.rs"]
 mod common;
 
 use common::{applied, at, call, conflict, failure, refusal, reply, written, DEADLINE};
--- a/crates/once/tests/stored_answer.rs
+++ b/crates/once/tests/stored_answer.rs
@@ -1,6 +1,7 @@
 //! Replay of the answer that an earlier call stored.
 
 #[expect(dead_code, reason = "each test file uses a part of the helpers")]
+#[path = "common/calls.rs"]
 mod common;
 
 use common::{call, done, meet, refusal, reply};
--- a/crates/route/src/error.rs
+++ b/crates/route/src/error.rs
@@ -1,6 +1,5 @@
 use crate::Ticket;
 use dogwoodlb_types::id;
-use std::fmt;
 
 /// The kind of an [`Error`].
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -48,23 +47,4 @@
     }
 }
 
-impl From<Inner> for Error {
-    #[cold]
-    fn from(inner: Inner) -> Self {
-        Self(Box::new(inner))
-    }
-}
-
-impl fmt::Debug for Error {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        fmt::Debug::fmt(&self.0, f)
-    }
-}
-
-impl fmt::Display for Error {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        fmt::Display::fmt(&self.0, f)
-    }
-}
-
-impl std::error::Error for Error {}
+dogwoodlb_types::opaque_error!(Error, Inner);
--- a/crates/route/tests/load_choice.rs
+++ b/crates/route/tests/load_choice.rs
@@ -1,5 +1,6 @@
 //! The choice by load, locality, class and prefix.
 
+#[path = "common/replicas.rs"]
 mod common;
 
 use common::{at, replicas, router};
--- a/crates/route/tests/replica_ejection.rs
+++ b/crates/route/tests/replica_ejection.rs
@@ -1,5 +1,6 @@
 //! Ejection and slow return.
 
+#[path = "common/replicas.rs"]
 mod common;
 
 use common::{at, replicas, router};
--- a/crates/route/tests/subset_choice.rs
+++ b/crates/route/tests/subset_choice.rs
@@ -1,5 +1,6 @@
 //! The subset of replicas that a node uses.
 
+#[path = "common/replicas.rs"]
 mod common;
 
 use common::{at, replicas, router, settings};
--- a/crates/route/tests/ticket_end.rs
+++ b/crates/route/tests/ticket_end.rs
@@ -1,5 +1,6 @@
 //! Tickets, which end exactly once.
 
+#[path = "common/replicas.rs"]
 mod common;
 
 use common::{at, replicas, router};
--- a/crates/types/src/error.rs
+++ b/crates/types/src/error.rs
@@ -1,5 +1,3 @@
-use std::fmt;
-
 /// The kind of an [`Error`].
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 #[non_exhaustive]
@@ -41,23 +39,4 @@
     }
 }
 
-impl From<Inner> for Error {
-    #[cold]
-    fn from(inner: Inner) -> Self {
-        Self(Box::new(inner))
-    }
-}
-
-impl fmt::Debug for Error {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        fmt::Debug::fmt(&self.0, f)
-    }
-}
-
-impl fmt::Display for Error {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        fmt::Display::fmt(&self.0, f)
-    }
-}
-
-impl std::error::Error for Error {}
+crate::opaque_error!(Error, Inner);
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -25,6 +25,8 @@
 mod class;
 mod error;
 pub mod id;
+#[macro_use]
+mod opaque;
 pub mod prelude;
 mod refusal;
 mod span;
