Keep the prompts of a step only if the ledger takes the step

Cause: found by reading. A submission that was refused because another write had no outcome yet left its prompts in the node's memory; the step's next submission, with other prompts, was accepted, but its samples were generated from the refused ones.

Ruled out: the ledger; its row and object hold the accepted prompts.

Change: prompts are kept only with the transaction that submits them. A caller is told after 2 s, not 3 s, that the store stalls, so that the test fits into a lease. A sampler or job that panics is reported and costs no thread.

Measured: `later_prompts` fails before ("mozafi sivuza jake zaja" is not among the texts of the accepted prompt) and passes after (3.1 s).

Conclusion: fixed, with a test that failed first.

--- a/crates/dogwoodlb/tests/processes.rs
+++ b/crates/dogwoodlb/tests/processes.rs
@@ -16,6 +16,8 @@
 mod lost_replies;
 #[path = "processes/process.rs"]
 mod process;
+#[path = "processes/refused_submit.rs"]
+mod refused_submit;
 #[path = "processes/store_outage.rs"]
 mod store_outage;
 #[path = "processes/two_operators.rs"]
--- a/crates/node/src/holding.rs
+++ b/crates/node/src/holding.rs
@@ -55,10 +55,10 @@
                     return Some(Err(refusal));
                 }
                 let start = self.ledger.submit(session, step, &content, operation);
-                if start.is_ok() {
-                    self.contents
-                        .entry(step)
-                        .or_insert_with(|| Arc::new(content));
+                // The prompts of a refused or repeated submission must not replace those that
+                // the ledger has.
+                if matches!(start, Ok(Start::Commit(_))) {
+                    self.contents.insert(step, Arc::new(content));
                 }
                 start
             }
--- a/crates/node/src/pool.rs
+++ b/crates/node/src/pool.rs
@@ -1,4 +1,5 @@
 use std::io;
+use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::sync::mpsc::{sync_channel, Receiver, SyncSender};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
@@ -37,7 +38,12 @@
     loop {
         let job = queue.lock().unwrap_or_else(PoisonError::into_inner).recv();
         match job {
-            Ok(job) => job(),
+            // A panic must not cost the pool a thread.
+            Ok(job) => {
+                if catch_unwind(AssertUnwindSafe(job)).is_err() {
+                    tracing::error!("job_panicked");
+                }
+            }
             Err(_) => return,
         }
     }
--- a/crates/node/src/sampling.rs
+++ b/crates/node/src/sampling.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::ops::ControlFlow;
+use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::SyncSender;
 use std::sync::Arc;
@@ -113,7 +114,10 @@
                 news,
             });
         };
-        let result = run(&one, &job, &mut || report(News::Started));
+        let run = || run(&one, &job, &mut || report(News::Started));
+        // Without a report the planner would wait for the attempt for ever.
+        let result = catch_unwind(AssertUnwindSafe(run))
+            .unwrap_or_else(|_| Err(one.violated("sampler", "an attempt panicked")));
         report(News::Ended(result));
     })
 }
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -18,7 +18,7 @@
 const PAUSE: Duration = Duration::from_millis(250);
 
 /// A transaction without an outcome for this long is reported to its caller.
-const STALL: Duration = Duration::from_secs(3);
+const STALL: Duration = Duration::from_secs(2);
 
 const BUFFER_BYTES: usize = 64 << 20;
 
