Take ports outside the kernel's range for nodes in tests and demo

The port was chosen by binding port 0 and released; with 18 tests at once, an outgoing connection of another test took it first.

Ruled out: a port used twice by one test; each node asked for its own.

Change: `standin::free_address` counts through ports below the range of outgoing connections, from a start that depends on the process, and checks that the port is free.

--- a/crates/dogwoodlb/examples/overhead.rs
+++ b/crates/dogwoodlb/examples/overhead.rs
@@ -9,7 +9,7 @@
 use dogwoodlb_http::sse::{Events, DONE};
 use dogwoodlb_manifest::settings::Settings;
 use dogwoodlb_node::{Node, Platform, System};
-use dogwoodlb_standin::{engine, local, objects, table, vms};
+use dogwoodlb_standin::{engine, free_address, local, objects, table, vms};
 use dogwoodlb_types::id;
 use hdrhistogram::Histogram;
 use serde::Serialize;
@@ -90,8 +90,8 @@
             vm: "entry-1".parse()?,
             region: "ljubljana".parse()?,
             centre: "lj-a".parse()?,
-            address: local()?.local_addr()?,
-            peer: local()?.local_addr()?,
+            address: free_address(),
+            peer: free_address(),
             table: table.address(),
             objects: objects.address(),
             vms: vms.address(),
--- a/crates/dogwoodlb/src/demo/cluster.rs
+++ b/crates/dogwoodlb/src/demo/cluster.rs
@@ -3,11 +3,10 @@
 use dogwoodlb_manifest::settings::Settings;
 use dogwoodlb_node::Node;
 use dogwoodlb_platform::vms::{State, Vm};
-use dogwoodlb_standin::{engine, local, objects, service, table, vms};
+use dogwoodlb_standin::{engine, free_address, local, objects, service, table, vms};
 use dogwoodlb_types::id;
 use serde_json::{json, Value};
-use std::io;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
+use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -206,8 +205,8 @@
         vm: format!("entry-{number}").parse()?,
         region: region.parse()?,
         centre: centre.parse()?,
-        address: free_port().map_err(Inner::Port)?,
-        peer: free_port().map_err(Inner::Port)?,
+        address: free_address(),
+        peer: free_address(),
         table,
         objects,
         vms,
@@ -216,17 +215,6 @@
     })
 }
 
-/// Finds a port that is free for TCP and UDP.
-fn free_port() -> io::Result<SocketAddr> {
-    loop {
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
-        let address = listener.local_addr()?;
-        if UdpSocket::bind(address).is_ok() {
-            return Ok(address);
-        }
-    }
-}
-
 /// Returns a client that takes any status as an answer.
 pub(super) fn agent() -> ureq::Agent {
     let config = ureq::Agent::config_builder()
--- a/crates/dogwoodlb/src/error.rs
+++ b/crates/dogwoodlb/src/error.rs
@@ -24,8 +24,6 @@
     Signal(io::Error),
     #[error("a stand-in can't start: {0}")]
     Standin(#[from] dogwoodlb_standin::Error),
-    #[error("no port is free: {0}")]
-    Port(io::Error),
     #[error("the manifest of the demo was not accepted: {0}")]
     Manifest(String),
     #[error("{0}")]
--- a/crates/dogwoodlb/tests/processes/cluster.rs
+++ b/crates/dogwoodlb/tests/processes/cluster.rs
@@ -1,8 +1,9 @@
 //! Nodes and stand-ins, each in a process of its own.
 
 use crate::process::{binary, standin, wait_for, Process};
+use dogwoodlb_standin::free_address;
 use serde_json::{json, Value};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -81,7 +82,7 @@
         let nodes = (0..count).map(|number| {
             let (region, centre) = REGIONS[number % 2];
             let vm = format!("entry-{}", number + 1);
-            let (address, peer) = (free_port(), free_port());
+            let (address, peer) = (free_address(), free_address());
             let settings = directory.join(format!("{vm}.json"));
             let text = json!({ "vm": vm, "region": region, "centre": centre, "address": address,
                 "peer": peer, "table": table, "objects": objects, "vms": vms, "log": "warn" });
@@ -290,14 +291,3 @@
         let _ = std::fs::remove_dir_all(&self.directory);
     }
 }
-
-/// Finds a port that is free for TCP and UDP.
-fn free_port() -> SocketAddr {
-    loop {
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
-        let address = listener.local_addr().unwrap();
-        if UdpSocket::bind(address).is_ok() {
-            return address;
-        }
-    }
-}
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -315,7 +315,7 @@
         };
         let progress = holding.driver.step(&self.shared, &mut holding.ledger);
         if matches!(progress, Progress::Done(_)) && !self.is_held() {
-            // A read-back that came after the end of the lease may show an older holding.
+            // A read-back that came after the end of the lease may show an older state.
             return self.give_up();
         }
         let Some(holding) = &mut self.holding else {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -31,6 +31,7 @@
 mod fault;
 mod host;
 pub mod objects;
+mod port;
 pub mod service;
 pub mod table;
 pub mod trainer;
@@ -39,6 +40,7 @@
 pub use error::{Category, Error};
 pub use fault::{Effect, Fault, Faults};
 pub use host::local;
+pub use port::free_address;
 
 /// The result of an operation of this crate.
 pub type Result<T> = std::result::Result<T, Error>;
