Add benches and an example for the capacity page

**Cause**: docs/design.md, section 1.4, names a target size, and nothing measured how cost grows towards it.

**Change**: one criterion bench per core, and crates/dogwoodlb/examples/capacity.rs for bytes, counts, virtual times, memory and a real node on loopback. A counting allocator would need unsafe, which the workspace forbids, so memory is the growth of the resident set.

**Conclusion**: the slopes can be measured again with the same commands.

--- /dev/null
+++ b/crates/dogwoodlb/examples/capacity.rs
@@ -0,0 +1,106 @@
+//! Prints the bytes, counts and virtual times that docs/CAPACITY.md works with.
+//!
+//! Timings are in the benches of the crates. Everything here but the memory figures is the
+//! same in each run.
+
+#[path = "capacity/adoption.rs"]
+mod adoption;
+#[path = "capacity/bytes.rs"]
+mod bytes;
+#[path = "capacity/daemon.rs"]
+mod daemon;
+#[path = "capacity/generated.rs"]
+mod generated;
+#[path = "capacity/leases.rs"]
+mod leases;
+#[path = "capacity/memory.rs"]
+mod memory;
+#[path = "capacity/steps.rs"]
+mod steps;
+#[path = "capacity/swaps.rs"]
+mod swaps;
+
+use argh::FromArgs;
+use std::error::Error;
+use std::net::SocketAddr;
+
+/// Prints the figures of docs/CAPACITY.md that aren't timings.
+#[derive(FromArgs)]
+struct Arguments {
+    /// print one JSON object
+    #[argh(switch)]
+    json: bool,
+
+    /// the part to print: bytes, leases, adoption, swaps, steps, memory or daemon; all by
+    /// default
+    #[argh(option)]
+    part: Option<String>,
+
+    /// used by the example itself: hold this many streams open against a node
+    #[argh(option)]
+    client: Option<usize>,
+
+    /// used by the example itself: the address of the node
+    #[argh(option)]
+    node: Option<SocketAddr>,
+
+    /// used by the example itself: serve as engine and store
+    #[argh(switch)]
+    upstreams: bool,
+}
+
+/// The figures, by name.
+#[derive(Default)]
+pub(crate) struct Report(Vec<(String, f64)>);
+
+impl Report {
+    pub(crate) fn add(&mut self, name: impl Into<String>, value: f64) {
+        self.0.push((name.into(), value));
+    }
+}
+
+type Result<T> = std::result::Result<T, Box<dyn Error>>;
+type Part = fn(&mut Report) -> Result<()>;
+
+const PARTS: [(&str, Part); 7] = [
+    ("bytes", bytes::run),
+    ("leases", leases::run),
+    ("adoption", adoption::run),
+    ("swaps", swaps::run),
+    ("steps", steps::run),
+    ("memory", memory::run),
+    ("daemon", daemon::run),
+];
+
+fn main() -> Result<()> {
+    let arguments: Arguments = argh::from_env();
+    if arguments.upstreams {
+        return daemon::serve_upstreams();
+    }
+    if let (Some(streams), Some(node)) = (arguments.client, arguments.node) {
+        return daemon::hold_streams(node, streams);
+    }
+    let mut report = Report::default();
+    for (name, part) in PARTS {
+        if arguments
+            .part
+            .as_deref()
+            .is_none_or(|wanted| wanted == name)
+        {
+            part(&mut report)?;
+        }
+    }
+    if arguments.json {
+        let map: serde_json::Map<_, _> = report
+            .0
+            .into_iter()
+            .map(|(name, value)| (name, value.into()))
+            .collect();
+        println!("{}", serde_json::Value::Object(map));
+        return Ok(());
+    }
+    for (name, value) in report.0 {
+        println!("{name:<64} {value:>14.1}");
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/dogwoodlb/examples/capacity/daemon.rs
@@ -0,0 +1,469 @@
+//! The memory, threads and processor time of a real node with open streams, on loopback.
+//!
+//! This process is the node. Its upstreams and its client run in two further processes, so
+//! that the resident set is the node's alone.
+
+use crate::memory::resident;
+use crate::{Report, Result};
+use dogwoodlb_adapter::{Engine, Objects, Service, Table, Vms};
+use dogwoodlb_manifest::settings;
+use dogwoodlb_node::{Node, Platform, System};
+use dogwoodlb_platform::Engine as _;
+use dogwoodlb_standin::{objects, table, vms};
+use dogwoodlb_wire::{Answer, Frame, Verdict};
+use serde_json::json;
+use std::collections::HashSet;
+use std::fs::read_to_string;
+use std::io::{BufRead, BufReader, BufWriter, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, ChildStdin, ChildStdout, Command, Stdio};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// The replicas of one of 14 models at the target, 1,900 in all.
+const ENGINES: usize = 136;
+/// The engines that the streams use; a node starts with 16 slots at each.
+const STREAM_ENGINES: usize = 20;
+const STREAMS: [usize; 3] = [75, 150, 300];
+/// The entry VMs of manifests that are committed one after the other.
+const ENTRIES: [usize; 5] = [40, 80, 160, 320, 320];
+/// The streams and the events of each with which the cost of an event is measured.
+const FLOOD: (usize, usize) = (20, 5_000);
+/// The time between two events of a stream that is held open.
+const PAUSE: Duration = Duration::from_millis(200);
+const STACK_BYTES: usize = 64 * 1024;
+const EVENT: &str =
+    "data: {\"choices\":[{\"index\":0,\"text\":\"word \",\"finish_reason\":null}]}\n\n";
+/// The load reads over which the cost of one is averaged.
+const READS: usize = 5_000;
+/// The time over which an idle node's processor time is counted.
+const IDLE: Duration = Duration::from_secs(10);
+/// Clock ticks per second in /proc/self/stat on Linux.
+const TICKS_PER_S: f64 = 100.0;
+
+/// A process of this example; it ends when its standard input is closed.
+struct Helper {
+    child: Child,
+    stdin: Option<ChildStdin>,
+    stdout: BufReader<ChildStdout>,
+}
+
+impl Helper {
+    fn start(args: &[String]) -> Result<Self> {
+        let mut child = Command::new(std::env::current_exe()?)
+            .args(args)
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .spawn()?;
+        let stdin = child.stdin.take();
+        let stdout = child.stdout.take().ok_or("no standard output")?;
+        Ok(Self {
+            child,
+            stdin,
+            stdout: BufReader::new(stdout),
+        })
+    }
+
+    fn ask(&mut self) -> Result<String> {
+        if let Some(stdin) = &mut self.stdin {
+            stdin.write_all(b"\n")?;
+        }
+        self.line()
+    }
+
+    fn line(&mut self) -> Result<String> {
+        let mut line = String::new();
+        self.stdout.read_line(&mut line)?;
+        Ok(line.trim().to_owned())
+    }
+}
+
+impl Drop for Helper {
+    fn drop(&mut self) {
+        drop(self.stdin.take());
+        let _ = self.child.wait();
+    }
+}
+
+/// Answers each line of the standard input until it is closed.
+fn answer_input(answer: impl Fn() -> String) -> Result<()> {
+    for line in std::io::stdin().lines() {
+        line?;
+        println!("{}", answer());
+    }
+    Ok(())
+}
+
+/// Serves the table, the object store, the list of VMs, engines that never finish and nodes
+/// that agree to every proposal.
+pub(crate) fn serve_upstreams() -> Result<()> {
+    let listener = || TcpListener::bind("127.0.0.1:0");
+    let table = table::Table::start(listener()?)?;
+    let objects = objects::Objects::start(listener()?)?;
+    let vms = vms::Vms::start(listener()?, &[])?;
+    let mut addresses = vec![table.address(), objects.address(), vms.address()];
+    let read: Arc<Mutex<HashSet<usize>>> = Arc::default();
+    for index in 0..ENGINES {
+        let read = read.clone();
+        let note = move || {
+            read.lock().map(|mut read| read.insert(index)).ok();
+        };
+        addresses.push(accept(move |stream| {
+            serve(stream, &note).unwrap_or_default()
+        })?);
+    }
+    for _ in 0..ENTRIES.into_iter().max().unwrap_or_default() {
+        addresses.push(accept(|stream| agree(stream).unwrap_or_default())?);
+    }
+    let addresses: Vec<String> = addresses.iter().map(SocketAddr::to_string).collect();
+    println!("{}", addresses.join(" "));
+    answer_input(|| read.lock().map_or(0, |read| read.len()).to_string())
+}
+
+fn accept(serve: impl Fn(TcpStream) + Clone + Send + 'static) -> Result<SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    let address = listener.local_addr()?;
+    let builder = || thread::Builder::new().stack_size(STACK_BYTES);
+    builder().spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let serve = serve.clone();
+            let _ = builder().spawn(move || serve(stream));
+        }
+    })?;
+    Ok(address)
+}
+
+/// Answers a proposal as another node would.
+fn agree(stream: TcpStream) -> dogwoodlb_wire::Result<()> {
+    let frame = dogwoodlb_wire::from_reader(&mut BufReader::new(&stream))?;
+    if let Frame::Propose(proposal) = frame {
+        let answer = Frame::Answer(Answer {
+            operation: proposal.operation,
+            verdict: Verdict::Promised,
+        });
+        dogwoodlb_wire::to_writer(&mut BufWriter::new(&stream), &answer)?;
+    }
+    Ok(())
+}
+
+/// Answers one connection: reports are short, a completion sends one event and stays open.
+fn serve(stream: TcpStream, note: &dyn Fn()) -> std::io::Result<()> {
+    let mut reader = BufReader::new(stream.try_clone()?);
+    let mut writer = stream;
+    loop {
+        let head = Head::read(&mut reader)?;
+        if head.line.is_empty() {
+            return Ok(());
+        }
+        let mut body = vec![0; head.length];
+        reader.read_exact(&mut body)?;
+        let body = match head.line.as_str() {
+            line if line.contains("/v1/completions") => {
+                let start = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n";
+                writer.write_all(format!("{start}{EVENT}").as_bytes())?;
+                if body.windows(5).any(|window| window == b"flood") {
+                    return flood_answer(&mut writer, &head.request);
+                }
+                // Held until the node closes the connection.
+                loop {
+                    thread::sleep(PAUSE);
+                    writer.write_all(EVENT.as_bytes())?;
+                }
+            }
+            line if line.contains("/v1/load") => {
+                json!({ "running": 1, "waiting": 0, "cache_permille": 0 })
+            }
+            line if line.contains("/v1/weights") => {
+                note();
+                json!({ "weights": [{ "model": "model-01", "version": 1, "loading": null }] })
+            }
+            _ => json!({}),
+        };
+        let (body, head) = (body.to_string(), "HTTP/1.1 200 OK");
+        let kind = "content-type: application/json";
+        let length = body.len();
+        let answer = format!("{head}\r\n{kind}\r\ncontent-length: {length}\r\n\r\n{body}");
+        writer.write_all(answer.as_bytes())?;
+    }
+}
+
+/// Sends the events of a whole answer without a pause, and the report at its end.
+fn flood_answer(writer: &mut TcpStream, request: &str) -> std::io::Result<()> {
+    for _ in 1..FLOOD.1 {
+        writer.write_all(EVENT.as_bytes())?;
+    }
+    let tokens = FLOOD.1;
+    let report = json!({ "request_id": request, "tokens": tokens, "queue": 0,
+        "spans": [{ "version": 1, "from": 0, "to": tokens }] });
+    let last = json!({ "choices": [], "dogwood": report });
+    writer.write_all(format!("data: {last}\n\ndata: [DONE]\n\n").as_bytes())
+}
+
+/// What the head of a request says.
+#[derive(Default)]
+struct Head {
+    line: String,
+    length: usize,
+    request: String,
+}
+
+impl Head {
+    fn read(reader: &mut BufReader<TcpStream>) -> std::io::Result<Self> {
+        let mut head = Self::default();
+        loop {
+            let mut line = String::new();
+            reader.read_line(&mut line)?;
+            let line = line.trim();
+            if line.is_empty() {
+                return Ok(head);
+            }
+            match line.split_once(": ") {
+                Some((name, value)) if name.eq_ignore_ascii_case("content-length") => {
+                    head.length = value.parse().unwrap_or_default();
+                }
+                Some((name, value)) if name.eq_ignore_ascii_case("x-request-id") => {
+                    head.request = value.to_owned();
+                }
+                _ if head.line.is_empty() => head.line = line.to_owned(),
+                _ => {}
+            }
+        }
+    }
+}
+
+fn ask(node: SocketAddr, prompt: &str, number: usize) -> std::io::Result<TcpStream> {
+    let body = json!({ "model": "model-01", "prompt": prompt, "max_tokens": 100_000,
+        "stream": true })
+    .to_string();
+    let mut stream = TcpStream::connect(node)?;
+    stream.set_read_timeout(Some(Duration::from_secs(20)))?;
+    let length = body.len();
+    let request = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: node\r\nx-caller: caller\r\n\
+         x-request-id: {prompt}-{number}\r\nx-deadline-ms: 60000\r\nconnection: close\r\n\
+         content-type: application/json\r\ncontent-length: {length}\r\n\r\n{body}"
+    );
+    stream.write_all(request.as_bytes())?;
+    Ok(stream)
+}
+
+/// Opens streams against a node, waits for the first event of each and holds them.
+pub(crate) fn hold_streams(node: SocketAddr, count: usize) -> Result<()> {
+    let open = (0..count).map(|number| ask(node, "hold", number));
+    let mut open: Vec<TcpStream> = open.collect::<std::io::Result<_>>()?;
+    let mut answered = 0;
+    for stream in &mut open {
+        let mut seen = Vec::new();
+        let mut buffer = [0; 4096];
+        while !seen.windows(5).any(|window| window == b"data:") {
+            match stream.read(&mut buffer) {
+                Ok(length @ 1..) => seen.extend(&buffer[..length]),
+                _ => break,
+            }
+        }
+        let text = String::from_utf8_lossy(&seen);
+        answered += usize::from(text.starts_with("HTTP/1.1 200"));
+    }
+    println!("{answered}");
+    answer_input(String::new)
+}
+
+fn threads() -> Result<f64> {
+    let status = read_to_string("/proc/self/status")?;
+    let line = status.lines().find(|line| line.starts_with("Threads:"));
+    let count = line.and_then(|line| line.split_whitespace().nth(1));
+    Ok(count.ok_or("no count of threads")?.parse()?)
+}
+
+/// Returns the processor time of this process in seconds.
+fn processor() -> Result<f64> {
+    let stat = read_to_string("/proc/self/stat")?;
+    let rest = stat.rsplit(')').next().unwrap_or_default();
+    let fields: Vec<&str> = rest.split_whitespace().collect();
+    let ticks = |index: usize| {
+        fields
+            .get(index)
+            .and_then(|field| field.parse::<f64>().ok())
+    };
+    let both = ticks(11).zip(ticks(12)).ok_or("no processor time")?;
+    Ok((both.0 + both.1) / TICKS_PER_S)
+}
+
+pub(crate) fn run(report: &mut Report) -> Result<()> {
+    report.add("daemon.before.bytes", resident()?);
+    let mut upstreams = Helper::start(&["--upstreams".to_owned()])?;
+    let line = upstreams.line()?;
+    let addresses: Vec<SocketAddr> = line
+        .split(' ')
+        .map(str::parse)
+        .collect::<std::result::Result<_, _>>()?;
+    let (engines, peers) = addresses[3..].split_at(ENGINES);
+    let node = start(&addresses)?;
+    let few = &engines[..STREAM_ENGINES];
+    reads(report, engines[0])?;
+    let (status, _) = commit(node.address(), 0, &peers[..0], few)?;
+    report.add("daemon.first_commit.status", status);
+    idle(report)?;
+    for count in STREAMS {
+        streams(report, &node, count)?;
+    }
+    flood(report, &node)?;
+    let (status, _) = commit(node.address(), 1, &peers[..0], engines)?;
+    report.add("daemon.second_commit.status", status);
+    thread::sleep(IDLE);
+    let read: f64 = upstreams.ask()?.parse()?;
+    report.add("daemon.engines_listed", ENGINES as f64);
+    report.add("daemon.engines_read", read);
+    commits(report, &node, peers, few)?;
+    node.kill();
+    Ok(())
+}
+
+/// Measures the processor time of the client's side of one load read.
+fn reads(report: &mut Report, engine: SocketAddr) -> Result<()> {
+    let client = Engine::new();
+    let before = processor()?;
+    for _ in 0..READS {
+        client.load(engine, Duration::from_secs(5))?;
+    }
+    let used = processor()? - before;
+    report.add("daemon.us_per_load_read", used * 1e6 / READS as f64);
+    Ok(())
+}
+
+fn idle(report: &mut Report) -> Result<()> {
+    thread::sleep(Duration::from_secs(2));
+    report.add("daemon.idle.bytes", resident()?);
+    report.add("daemon.idle.threads", threads()?);
+    let (before, began) = (processor()?, Instant::now());
+    thread::sleep(IDLE);
+    let used = (processor()? - before) / began.elapsed().as_secs_f64();
+    report.add("daemon.idle.core_percent", used * 100.0);
+    Ok(())
+}
+
+fn client(node: &Node, count: usize) -> Result<Helper> {
+    let address = node.address().to_string();
+    let args = ["--client", &count.to_string(), "--node", &address];
+    Helper::start(&args.map(str::to_owned))
+}
+
+fn streams(report: &mut Report, node: &Node, count: usize) -> Result<()> {
+    let mut client = client(node, count)?;
+    let answered: f64 = client.line()?.parse()?;
+    report.add(format!("daemon.{count}_streams.answered"), answered);
+    report.add(format!("daemon.{count}_streams.bytes"), resident()?);
+    report.add(format!("daemon.{count}_streams.threads"), threads()?);
+    drop(client);
+    // The node notices at the next event that the client has gone.
+    thread::sleep(PAUSE * 5);
+    Ok(())
+}
+
+/// Measures the processor time of an event that is passed on.
+fn flood(report: &mut Report, node: &Node) -> Result<()> {
+    let (streams, events) = FLOOD;
+    let before = processor()?;
+    let readers: Vec<_> = (0..streams)
+        .map(|number| {
+            let address = node.address();
+            thread::spawn(move || ask(address, "flood", number)?.read_to_end(&mut Vec::new()))
+        })
+        .collect();
+    let mut received = 0;
+    for reader in readers {
+        received += reader.join().map_err(|_| "a reader failed")??;
+    }
+    let used = processor()? - before;
+    let count = (streams * events) as f64;
+    report.add("daemon.flood.bytes_per_event", received as f64 / count);
+    report.add("daemon.flood.us_per_event", used * 1e6 / count);
+    Ok(())
+}
+
+/// Commits manifests with more and more entry VMs; the base's ones are asked.
+fn commits(
+    report: &mut Report,
+    node: &Node,
+    peers: &[SocketAddr],
+    engines: &[SocketAddr],
+) -> Result<()> {
+    let mut asked = 1;
+    for (base, entries) in (2..).zip(ENTRIES) {
+        let began = Instant::now();
+        let (status, text) = commit(node.address(), base, &peers[..entries - 1], engines)?;
+        let name = format!("daemon.commit.{asked}_asked");
+        report.add(format!("{name}.status"), status);
+        report.add(format!("{name}.ms"), began.elapsed().as_millis() as f64);
+        if status != 200.0 {
+            eprintln!("{text}");
+            return Ok(());
+        }
+        thread::sleep(Duration::from_secs(1));
+        asked = entries;
+    }
+    Ok(())
+}
+
+fn start(addresses: &[SocketAddr]) -> Result<Node> {
+    let [table, objects, vms, ..] = addresses else {
+        return Err("too few addresses".into());
+    };
+    let (address, peer) = (free()?, free()?);
+    let text = json!({ "vm": "entry-1", "region": "ljubljana", "centre": "lj-a",
+        "address": address, "peer": peer, "table": table, "objects": objects, "vms": vms });
+    let settings = settings::from_str(&text.to_string())?;
+    let platform = Platform {
+        clock: Arc::new(System::new()),
+        engine: Arc::new(Engine::new()),
+        objects: Arc::new(Objects::new(*objects)),
+        service: Arc::new(Service::new()),
+        table: Arc::new(Table::new(*table)),
+        vms: Arc::new(Vms::new(*vms)),
+    };
+    Ok(Node::start(settings, platform, 1)?)
+}
+
+fn free() -> Result<SocketAddr> {
+    Ok(TcpListener::bind("127.0.0.1:0")?.local_addr()?)
+}
+
+/// Commits a manifest that lists the node and further entry VMs; returns status and answer.
+fn commit(
+    node: SocketAddr,
+    base: u64,
+    peers: &[SocketAddr],
+    engines: &[SocketAddr],
+) -> Result<(f64, String)> {
+    let entry = |vm: String, address: SocketAddr, peer: SocketAddr| {
+        json!({ "vm": vm, "region": "ljubljana", "centre": "lj-a", "address": address,
+            "peer": peer })
+    };
+    let mut entries = vec![entry("entry-1".to_owned(), node, free()?)];
+    for (number, peer) in (2..).zip(peers) {
+        // A listed address is unique; nothing is sent to this one.
+        let address = ([10, 0, (number / 250) as u8, (number % 250) as u8], 8_000).into();
+        entries.push(entry(format!("entry-{number}"), address, *peer));
+    }
+    let engines = (0..).zip(engines).map(|(number, address)| {
+        json!({ "upstream": format!("engine-{number}"), "vm": format!("gpu-{number}"),
+            "region": "ljubljana", "centre": "lj-a", "address": address,
+            "models": ["model-01"], "checks_fencing": true })
+    });
+    let text = json!({
+        "entry_vms": entries,
+        "models": [{ "model": "model-01", "version": 1, "object": "weights/1" }],
+        "callers": [{ "caller": "caller", "class": "customer", "models": ["model-01"],
+            "services": [] }],
+        "engines": engines.collect::<Vec<_>>(),
+    });
+    let body = json!({ "base": base, "operator": "ana", "text": text.to_string() });
+    let config = ureq::Agent::config_builder().http_status_as_error(false);
+    let agent = config.build().new_agent();
+    let mut answer = agent
+        .post(format!("http://{node}/v1/manifest"))
+        .send(body.to_string())?;
+    let status = f64::from(answer.status().as_u16());
+    Ok((status, answer.body_mut().read_to_string()?))
+}
--- /dev/null
+++ b/crates/lease/benches/capacity.rs
@@ -0,0 +1,63 @@
+//! The cost of a lease by the number of candidates; docs/CAPACITY.md uses the slopes.
+
+use criterion::{BenchmarkId, Criterion};
+use dogwoodlb_lease::{rank, Action, Lease, Name};
+use dogwoodlb_platform::table::Outcome;
+use dogwoodlb_types::prelude::*;
+use rand::rngs::SmallRng;
+use rand::SeedableRng;
+use std::hint::black_box;
+use std::time::Duration;
+
+fn name() -> Name {
+    Name::Trainer("trainer-01".parse().unwrap())
+}
+
+fn ranks(c: &mut Criterion) {
+    let mut group = c.benchmark_group("lease");
+    for count in [11, 40, 160, 320] {
+        let vm = |index: usize| format!("entry-{index:04}").parse().unwrap();
+        let live: Vec<id::Vm> = (0..count).map(vm).collect();
+        let name = name();
+        group.bench_function(BenchmarkId::new("rank", count), |b| {
+            b.iter(|| rank(&name, black_box(&live[3]), &live));
+        });
+    }
+}
+
+fn polls(c: &mut Criterion) {
+    let mut group = c.benchmark_group("lease");
+    let mut rng = SmallRng::seed_from_u64(1);
+    let vm: id::Vm = "entry-0003".parse().unwrap();
+    let mut lease = Lease::new(name(), vm, id::Incarnation(1), 0);
+    let mut now = Instant::from_millis(0);
+    let mut version = 1;
+    // One turn of 50 ms of the holder; every fortieth renews.
+    group.bench_function("holder_tick", |b| {
+        b.iter(|| {
+            now = now + Duration::from_millis(50);
+            match lease.poll(now, &mut rng) {
+                Some(Action::Read { ticket, .. }) => {
+                    lease.on_read(now, ticket, Ok(Vec::new())).unwrap();
+                }
+                Some(Action::Commit { ticket, .. }) => {
+                    version += 1;
+                    lease.on_commit(now, ticket, Ok(Outcome::Applied { version }));
+                }
+                None => {}
+            }
+            lease.held(now)
+        });
+    });
+}
+
+fn main() {
+    let mut c = Criterion::default()
+        .sample_size(10)
+        .warm_up_time(Duration::from_millis(100))
+        .measurement_time(Duration::from_millis(300))
+        .configure_from_args();
+    ranks(&mut c);
+    polls(&mut c);
+    c.final_summary();
+}
--- /dev/null
+++ b/crates/ledger/benches/capacity.rs
@@ -0,0 +1,176 @@
+//! The cost of the ledger by the samples of a step; docs/CAPACITY.md uses the slopes.
+
+use criterion::{BatchSize, BenchmarkId, Criterion};
+use dogwoodlb_ledger::{
+    Commit, Completion, Content, Finished, Group, Ledger, Next, Settings, Start,
+};
+use dogwoodlb_platform::table::{Check, Outcome, Row};
+use dogwoodlb_types::prelude::*;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+const SAMPLES: [u32; 4] = [64, 256, 512, 1_024];
+const GROUP: u32 = 8;
+/// The samples accepted between two flushes, near the 2.4 in 200 ms of 1,024 in 7 min.
+const BATCH: u32 = 4;
+const BODY_BYTES: usize = 4_096;
+
+/// A ledger with its rows.
+struct Store {
+    ledger: Ledger,
+    rows: BTreeMap<String, Row>,
+    version: u64,
+    session: id::Session,
+}
+
+fn settings() -> (Settings, Check) {
+    let settings = Settings {
+        trainer: "trainer-01".parse().unwrap(),
+        staleness_bound: 2,
+        version: id::Version(1),
+        buffer_bytes: 64 << 20,
+    };
+    let key = "lease/trainer/trainer-01/fence".to_owned();
+    (settings, Check { key, version: 7 })
+}
+
+impl Store {
+    fn new(samples: u32) -> Self {
+        let (settings, fence) = settings();
+        let mut store = Self {
+            ledger: Ledger::load(settings, fence, &[]).unwrap(),
+            rows: BTreeMap::new(),
+            version: 7,
+            session: id::Session(0),
+        };
+        let start = store.ledger.open_session(id::Operation(1)).unwrap();
+        if let Some(Completion::Session(session)) = store.finish(start) {
+            store.session = session;
+        }
+        let group = || Group {
+            prompt: "p".repeat(512),
+            size: GROUP,
+        };
+        let groups = (0..samples / GROUP).map(|_| group()).collect();
+        let content = Content {
+            groups,
+            max_tokens: 1_024,
+        };
+        let session = store.session;
+        let start = store
+            .ledger
+            .submit(session, id::Step(1), &content, id::Operation(2));
+        store.finish(start.unwrap());
+        store
+    }
+
+    fn finish(&mut self, start: Start) -> Option<Completion> {
+        match start {
+            Start::Commit(commit) => Some(self.commit(commit)),
+            Start::Done(completion) => Some(completion),
+            Start::Busy => None,
+        }
+    }
+
+    fn commit(&mut self, commit: Commit) -> Completion {
+        self.version += 1;
+        let version = self.version;
+        for put in commit.txn.puts {
+            let row = Row {
+                key: put.key.clone(),
+                version,
+                value: put.value,
+            };
+            self.rows.insert(put.key, row);
+        }
+        match self
+            .ledger
+            .on_commit(commit.operation, Ok(Outcome::Applied { version }))
+        {
+            Next::Done(completion) => completion,
+            next => panic!("{next:?}"),
+        }
+    }
+
+    fn accept(&mut self, place: u32) {
+        let trainer = "trainer-01".parse().unwrap();
+        let (group, index) = (place / GROUP, place % GROUP);
+        let finished = Finished {
+            sample: id::Sample::new(trainer, id::Step(1), group, index),
+            attempt: 0,
+            tokens: 1_024,
+            spans: vec![Span {
+                version: id::Version(1),
+                from: 0,
+                to: 1_024,
+            }],
+            body: "b".repeat(BODY_BYTES),
+        };
+        self.ledger.accept(finished).unwrap();
+    }
+
+    fn fill(&mut self, samples: u32) {
+        for place in 0..samples {
+            self.accept(place);
+            if place % BATCH == BATCH - 1 {
+                let now = Instant::from_millis(u64::from(place) * 200);
+                let operation = id::Operation(u128::from(place) + 10);
+                let commit = self.ledger.flush(now, operation).unwrap();
+                self.commit(commit);
+            }
+        }
+    }
+
+    fn rows(&self) -> Vec<Row> {
+        self.rows.values().cloned().collect()
+    }
+}
+
+fn step(c: &mut Criterion) {
+    let mut group = c.benchmark_group("ledger");
+    for samples in SAMPLES {
+        let batched = BatchSize::LargeInput;
+        group.bench_function(BenchmarkId::new("accept_all", samples), |b| {
+            b.iter_batched(
+                || Store::new(samples),
+                |mut store| {
+                    (0..samples).for_each(|place| store.accept(place));
+                    store
+                },
+                batched,
+            );
+        });
+        group.bench_function(BenchmarkId::new("accept_flush_all", samples), |b| {
+            b.iter_batched(
+                || Store::new(samples),
+                |mut store| {
+                    store.fill(samples);
+                    store
+                },
+                batched,
+            );
+        });
+        let mut full = Store::new(samples);
+        full.fill(samples);
+        let rows = full.rows();
+        group.bench_function(BenchmarkId::new("load", samples), |b| {
+            b.iter(|| {
+                let (settings, fence) = settings();
+                Ledger::load(settings, fence, &rows).unwrap()
+            });
+        });
+        group.bench_function(BenchmarkId::new("views", samples), |b| {
+            b.iter(|| full.ledger.steps());
+        });
+    }
+}
+
+fn main() {
+    let mut c = Criterion::default()
+        .sample_size(10)
+        .warm_up_time(Duration::from_millis(100))
+        .measurement_time(Duration::from_millis(300))
+        .configure_from_args();
+    step(&mut c);
+    c.final_summary();
+}
