--- a/crates/dogwoodlb/examples/capacity.rs
+++ b/crates/dogwoodlb/examples/capacity.rs
@@ -7,12 +7,17 @@
 mod adoption;
 #[path = "capacity/bytes.rs"]
 mod bytes;
+#[expect(dead_code, reason = "the tests of the crate use the rest")]
+#[path = "../../member/tests/support/cluster.rs"]
+mod cluster;
 #[path = "capacity/daemon.rs"]
 mod daemon;
 #[path = "capacity/generated.rs"]
 mod generated;
 #[path = "capacity/leases.rs"]
 mod leases;
+#[path = "capacity/members.rs"]
+mod members;
 #[path = "capacity/memory.rs"]
 mod memory;
 #[path = "capacity/steps.rs"]
@@ -31,8 +36,8 @@
     #[argh(switch)]
     json: bool,
 
-    /// the part to print: bytes, leases, adoption, swaps, steps, memory or daemon; all by
-    /// default
+    /// the part to print: bytes, leases, adoption, swaps, steps, members, memory or daemon; all
+    /// by default
     #[argh(option)]
     part: Option<String>,
 
@@ -62,12 +67,13 @@
 type Result<T> = std::result::Result<T, Box<dyn Error>>;
 type Part = fn(&mut Report) -> Result<()>;
 
-const PARTS: [(&str, Part); 7] = [
+const PARTS: [(&str, Part); 8] = [
     ("bytes", bytes::run),
     ("leases", leases::run),
     ("adoption", adoption::run),
     ("swaps", swaps::run),
     ("steps", steps::run),
+    ("members", members::run),
     ("memory", memory::run),
     ("daemon", daemon::run),
 ];
