Measure a real node at three sizes of the manifest

**Cause**: the sum of core times left out connections, wake-ups and locks.

**Change**: the part target of the example starts a real node with a generated manifest and reports processor time by thread, resident set and threads.

--- a/crates/dogwoodlb/examples/capacity.rs
+++ b/crates/dogwoodlb/examples/capacity.rs
@@ -24,6 +24,8 @@
 mod steps;
 #[path = "capacity/swaps.rs"]
 mod swaps;
+#[path = "capacity/target.rs"]
+mod target;
 
 use argh::FromArgs;
 use std::error::Error;
@@ -36,8 +38,8 @@
     #[argh(switch)]
     json: bool,
 
-    /// the part to print: bytes, leases, adoption, swaps, steps, members, memory or daemon; all
-    /// by default
+    /// the part to print: bytes, leases, adoption, swaps, steps, members, memory, daemon
+    /// or target; all by default
     #[argh(option)]
     part: Option<String>,
 
@@ -49,9 +51,10 @@
     #[argh(option)]
     node: Option<SocketAddr>,
 
-    /// used by the example itself: serve as engine and store
-    #[argh(switch)]
-    upstreams: bool,
+    /// used by the example itself: serve as the upstreams of the part daemon, or of a size of
+    /// the part target
+    #[argh(option)]
+    serve: Option<String>,
 }
 
 /// The figures, by name.
@@ -67,7 +70,7 @@
 type Result<T> = std::result::Result<T, Box<dyn Error>>;
 type Part = fn(&mut Report) -> Result<()>;
 
-const PARTS: [(&str, Part); 8] = [
+const PARTS: [(&str, Part); 9] = [
     ("bytes", bytes::run),
     ("leases", leases::run),
     ("adoption", adoption::run),
@@ -76,12 +79,15 @@
     ("members", members::run),
     ("memory", memory::run),
     ("daemon", daemon::run),
+    ("target", target::run),
 ];
 
 fn main() -> Result<()> {
     let arguments: Arguments = argh::from_env();
-    if arguments.upstreams {
-        return daemon::serve_upstreams();
+    match arguments.serve.as_deref() {
+        None => {}
+        Some("daemon") => return daemon::serve_upstreams(),
+        Some(size) => return target::serve_upstreams(size),
     }
     if let (Some(streams), Some(node)) = (arguments.client, arguments.node) {
         return daemon::hold_streams(node, streams);
--- a/crates/dogwoodlb/examples/capacity/bytes.rs
+++ b/crates/dogwoodlb/examples/capacity/bytes.rs
@@ -1,6 +1,6 @@
 //! The bytes of messages, as the real codecs and clients send them.
 
-use crate::generated::{self, Size, TARGET, TODAY};
+use crate::generated::{self, HALF, TARGET, TODAY};
 use crate::{Report, Result};
 use dogwoodlb_adapter::{Engine, Table, Vms};
 use dogwoodlb_platform::table::Txn;
@@ -96,13 +96,7 @@
 }
 
 fn manifests(report: &mut Report) -> Result<()> {
-    let half = Size {
-        nodes: 160,
-        engines: 800,
-        service_replicas: 150,
-        ..TARGET
-    };
-    for (name, size) in [("today", TODAY), ("half", half), ("target", TARGET)] {
+    for (name, size) in [("today", TODAY), ("half", HALF), ("target", TARGET)] {
         let text = generated::text(size, 0);
         report.add(format!("bytes.manifest.{name}"), text.len() as f64);
         let proposal = Frame::Propose(Proposal {
--- a/crates/dogwoodlb/examples/capacity/daemon.rs
+++ b/crates/dogwoodlb/examples/capacity/daemon.rs
@@ -12,7 +12,7 @@
 use dogwoodlb_standin::{objects, table, vms};
 use dogwoodlb_wire::{Answer, Frame, Verdict};
 use serde_json::json;
-use std::collections::HashSet;
+use std::collections::{BTreeMap, HashSet};
 use std::fs::read_to_string;
 use std::io::{BufRead, BufReader, BufWriter, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -32,6 +32,7 @@
 const FLOOD: (usize, usize) = (20, 5_000);
 /// The time between two events of a stream that is held open.
 const PAUSE: Duration = Duration::from_millis(200);
+const MODELS: usize = 14;
 const STACK_BYTES: usize = 64 * 1024;
 const EVENT: &str =
     "data: {\"choices\":[{\"index\":0,\"text\":\"word \",\"finish_reason\":null}]}\n\n";
@@ -43,14 +44,14 @@
 const TICKS_PER_S: f64 = 100.0;
 
 /// A process of this example; it ends when its standard input is closed.
-struct Helper {
+pub(crate) struct Helper {
     child: Child,
     stdin: Option<ChildStdin>,
     stdout: BufReader<ChildStdout>,
 }
 
 impl Helper {
-    fn start(args: &[String]) -> Result<Self> {
+    pub(crate) fn start(args: &[String]) -> Result<Self> {
         let mut child = Command::new(std::env::current_exe()?)
             .args(args)
             .stdin(Stdio::piped())
@@ -65,14 +66,14 @@
         })
     }
 
-    fn ask(&mut self) -> Result<String> {
+    pub(crate) fn ask(&mut self) -> Result<String> {
         if let Some(stdin) = &mut self.stdin {
             stdin.write_all(b"\n")?;
         }
         self.line()
     }
 
-    fn line(&mut self) -> Result<String> {
+    pub(crate) fn line(&mut self) -> Result<String> {
         let mut line = String::new();
         self.stdout.read_line(&mut line)?;
         Ok(line.trim().to_owned())
@@ -87,7 +88,7 @@
 }
 
 /// Answers each line of the standard input until it is closed.
-fn answer_input(answer: impl Fn() -> String) -> Result<()> {
+pub(crate) fn answer_input(answer: impl Fn() -> String) -> Result<()> {
     for line in std::io::stdin().lines() {
         line?;
         println!("{}", answer());
@@ -106,23 +107,29 @@
     let read: Arc<Mutex<HashSet<usize>>> = Arc::default();
     for index in 0..ENGINES {
         let read = read.clone();
-        let note = move || {
-            read.lock().map(|mut read| read.insert(index)).ok();
+        let note = move |line: &str| {
+            if line.contains("/v1/weights") {
+                read.lock().map(|mut read| read.insert(index)).ok();
+            }
         };
-        addresses.push(accept(move |stream| {
-            serve(stream, &note).unwrap_or_default()
-        })?);
+        let serve = move |stream| serve(stream, &note).unwrap_or_default();
+        addresses.push(accept("127.0.0.1:0", serve)?);
     }
     for _ in 0..ENTRIES.into_iter().max().unwrap_or_default() {
-        addresses.push(accept(|stream| agree(stream).unwrap_or_default())?);
+        addresses.push(accept("127.0.0.1:0", |stream| {
+            agree(stream).unwrap_or_default()
+        })?);
     }
     let addresses: Vec<String> = addresses.iter().map(SocketAddr::to_string).collect();
     println!("{}", addresses.join(" "));
     answer_input(|| read.lock().map_or(0, |read| read.len()).to_string())
 }
 
-fn accept(serve: impl Fn(TcpStream) + Clone + Send + 'static) -> Result<SocketAddr> {
-    let listener = TcpListener::bind("127.0.0.1:0")?;
+pub(crate) fn accept(
+    address: &str,
+    serve: impl Fn(TcpStream) + Clone + Send + 'static,
+) -> Result<SocketAddr> {
+    let listener = TcpListener::bind(address)?;
     let address = listener.local_addr()?;
     let builder = || thread::Builder::new().stack_size(STACK_BYTES);
     builder().spawn(move || {
@@ -148,7 +155,7 @@
 }
 
 /// Answers one connection: reports are short, a completion sends one event and stays open.
-fn serve(stream: TcpStream, note: &dyn Fn()) -> std::io::Result<()> {
+pub(crate) fn serve(stream: TcpStream, note: &dyn Fn(&str)) -> std::io::Result<()> {
     let mut reader = BufReader::new(stream.try_clone()?);
     let mut writer = stream;
     loop {
@@ -158,6 +165,7 @@
         }
         let mut body = vec![0; head.length];
         reader.read_exact(&mut body)?;
+        note(&head.line);
         let body = match head.line.as_str() {
             line if line.contains("/v1/completions") => {
                 let start = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n";
@@ -175,8 +183,8 @@
                 json!({ "running": 1, "waiting": 0, "cache_permille": 0 })
             }
             line if line.contains("/v1/weights") => {
-                note();
-                json!({ "weights": [{ "model": "model-01", "version": 1, "loading": null }] })
+                let weights = |index| json!({ "model": format!("model-{index:02}"), "version": 1, "loading": null });
+                json!({ "weights": (0..MODELS).map(weights).collect::<Vec<_>>() })
             }
             _ => json!({}),
         };
@@ -269,17 +277,17 @@
     answer_input(String::new)
 }
 
-fn threads() -> Result<f64> {
+pub(crate) fn threads() -> Result<f64> {
     let status = read_to_string("/proc/self/status")?;
     let line = status.lines().find(|line| line.starts_with("Threads:"));
     let count = line.and_then(|line| line.split_whitespace().nth(1));
     Ok(count.ok_or("no count of threads")?.parse()?)
 }
 
-/// Returns the processor time of this process in seconds.
-fn processor() -> Result<f64> {
-    let stat = read_to_string("/proc/self/stat")?;
-    let rest = stat.rsplit(')').next().unwrap_or_default();
+/// Returns the name and the seconds of processor time that a line of `stat` tells.
+fn parse_stat(stat: &str) -> Result<(String, f64)> {
+    let (start, rest) = stat.rsplit_once(')').ok_or("a malformed stat")?;
+    let name = start.split_once('(').map_or("", |(_, name)| name);
     let fields: Vec<&str> = rest.split_whitespace().collect();
     let ticks = |index: usize| {
         fields
@@ -287,19 +295,38 @@
             .and_then(|field| field.parse::<f64>().ok())
     };
     let both = ticks(11).zip(ticks(12)).ok_or("no processor time")?;
-    Ok((both.0 + both.1) / TICKS_PER_S)
+    Ok((name.to_owned(), (both.0 + both.1) / TICKS_PER_S))
+}
+
+/// Returns the processor time of this process in seconds.
+pub(crate) fn processor() -> Result<f64> {
+    Ok(parse_stat(&read_to_string("/proc/self/stat")?)?.1)
+}
+
+/// Returns the processor time of the running threads of this process by their names.
+pub(crate) fn processor_by_name() -> Result<BTreeMap<String, f64>> {
+    let mut times = BTreeMap::new();
+    for task in std::fs::read_dir("/proc/self/task")? {
+        // A thread that has ended meanwhile has no file any more.
+        let Ok(stat) = read_to_string(task?.path().join("stat")) else {
+            continue;
+        };
+        let (name, seconds) = parse_stat(&stat)?;
+        *times.entry(name).or_default() += seconds;
+    }
+    Ok(times)
 }
 
 pub(crate) fn run(report: &mut Report) -> Result<()> {
     report.add("daemon.before.bytes", resident()?);
-    let mut upstreams = Helper::start(&["--upstreams".to_owned()])?;
+    let mut upstreams = Helper::start(&["--serve".to_owned(), "daemon".to_owned()])?;
     let line = upstreams.line()?;
     let addresses: Vec<SocketAddr> = line
         .split(' ')
         .map(str::parse)
         .collect::<std::result::Result<_, _>>()?;
     let (engines, peers) = addresses[3..].split_at(ENGINES);
-    let node = start(&addresses)?;
+    let node = start("entry-1", &addresses)?;
     let few = &engines[..STREAM_ENGINES];
     reads(report, engines[0])?;
     let (status, _) = commit(node.address(), 0, &peers[..0], few)?;
@@ -406,12 +433,12 @@
     Ok(())
 }
 
-fn start(addresses: &[SocketAddr]) -> Result<Node> {
+pub(crate) fn start(vm: &str, addresses: &[SocketAddr]) -> Result<Node> {
     let [table, objects, vms, ..] = addresses else {
         return Err("too few addresses".into());
     };
     let (address, peer) = (free()?, free()?);
-    let text = json!({ "vm": "entry-1", "region": "ljubljana", "centre": "lj-a",
+    let text = json!({ "vm": vm, "region": "ljubljana", "centre": "lj-a",
         "address": address, "peer": peer, "table": table, "objects": objects, "vms": vms });
     let settings = settings::from_str(&text.to_string())?;
     let platform = Platform {
@@ -458,7 +485,12 @@
             "services": [] }],
         "engines": engines.collect::<Vec<_>>(),
     });
-    let body = json!({ "base": base, "operator": "ana", "text": text.to_string() });
+    post(node, base, text.to_string())
+}
+
+/// Commits a manifest; returns status and answer.
+pub(crate) fn post(node: SocketAddr, base: u64, text: String) -> Result<(f64, String)> {
+    let body = json!({ "base": base, "operator": "ana", "text": text });
     let config = ureq::Agent::config_builder().http_status_as_error(false);
     let agent = config.build().new_agent();
     let mut answer = agent
--- a/crates/dogwoodlb/examples/capacity/generated.rs
+++ b/crates/dogwoodlb/examples/capacity/generated.rs
@@ -14,7 +14,8 @@
     pub(crate) centres: usize,
 }
 
-/// The sizes of docs/design.md, section 1.4: Livarna Tok's today and the target.
+/// The sizes of docs/design.md, section 1.4: Livarna Tok's today and the
+/// target, and half of the target.
 pub(crate) const TODAY: Size = Size {
     nodes: 11,
     engines: 9,
@@ -57,6 +58,13 @@
     format!("10.{net}.{}.{}:7001", index / 250, index % 250 + 1)
 }
 
+pub(crate) const HALF: Size = Size {
+    nodes: 160,
+    engines: 800,
+    service_replicas: 150,
+    ..TARGET
+};
+
 /// Returns the text of a manifest; `change` makes two of them differ in one engine.
 pub(crate) fn text(size: Size, change: usize) -> String {
     let mut text = String::from("{\n");
--- a/crates/manifest/benches/capacity.rs
+++ b/crates/manifest/benches/capacity.rs
@@ -9,23 +9,14 @@
 use dogwoodlb_manifest::{diff, from_str, joint};
 use dogwoodlb_platform::table::Row;
 use dogwoodlb_types::{id, Instant};
-use generated::{Size, TARGET, TODAY};
+use generated::{Size, HALF, TARGET, TODAY};
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
 use std::collections::HashMap;
 use std::hint::black_box;
 use std::time::Duration;
 
-const SIZES: [Size; 3] = [
-    TODAY,
-    Size {
-        nodes: 160,
-        engines: 800,
-        service_replicas: 150,
-        ..TARGET
-    },
-    TARGET,
-];
+const SIZES: [Size; 3] = [TODAY, HALF, TARGET];
 
 fn parse(c: &mut Criterion) {
     let mut group = c.benchmark_group("manifest");
