--- a/crates/dogwoodlb/examples/capacity.rs
+++ b/crates/dogwoodlb/examples/capacity.rs
@@ -20,12 +20,16 @@
 mod members;
 #[path = "capacity/memory.rs"]
 mod memory;
+#[path = "capacity/process.rs"]
+mod process;
 #[path = "capacity/steps.rs"]
 mod steps;
 #[path = "capacity/swaps.rs"]
 mod swaps;
 #[path = "capacity/target.rs"]
 mod target;
+#[path = "capacity/upstreams.rs"]
+mod upstreams;
 
 use argh::FromArgs;
 use std::error::Error;
@@ -86,7 +90,7 @@
     let arguments: Arguments = argh::from_env();
     match arguments.serve.as_deref() {
         None => {}
-        Some("daemon") => return daemon::serve_upstreams(),
+        Some("daemon") => return upstreams::serve_upstreams(),
         Some(size) => return target::serve_upstreams(size),
     }
     if let (Some(streams), Some(node)) = (arguments.client, arguments.node) {
--- a/crates/dogwoodlb/examples/capacity/daemon.rs
+++ b/crates/dogwoodlb/examples/capacity/daemon.rs
@@ -4,241 +4,31 @@
 //! that the resident set is the node's alone.
 
 use crate::memory::resident;
+use crate::process::{answer_input, processor, threads, Helper};
+use crate::upstreams::{ENGINES, FLOOD_EVENTS, PAUSE};
 use crate::{Report, Result};
 use dogwoodlb_adapter::{Engine, Objects, Service, Table, Vms};
 use dogwoodlb_manifest::settings;
 use dogwoodlb_node::{Node, Platform, System};
 use dogwoodlb_platform::Engine as _;
-use dogwoodlb_standin::{objects, table, vms};
-use dogwoodlb_wire::{Answer, Frame, Verdict};
 use serde_json::json;
-use std::collections::{BTreeMap, HashSet};
-use std::fs::read_to_string;
-use std::io::{BufRead, BufReader, BufWriter, Read, Write};
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::process::{Child, ChildStdin, ChildStdout, Command, Stdio};
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// The replicas of one of 14 models at the target, 1,900 in all.
-const ENGINES: usize = 136;
 /// The engines that the streams use; a node starts with 16 slots at each.
 const STREAM_ENGINES: usize = 20;
 const STREAMS: [usize; 3] = [75, 150, 300];
 /// The entry VMs of manifests that are committed one after the other.
 const ENTRIES: [usize; 5] = [40, 80, 160, 320, 320];
-/// The streams and the events of each with which the cost of an event is measured.
-const FLOOD: (usize, usize) = (20, 5_000);
-/// The time between two events of a stream that is held open.
-const PAUSE: Duration = Duration::from_millis(200);
-const MODELS: usize = 14;
-const STACK_BYTES: usize = 64 * 1024;
-const EVENT: &str =
-    "data: {\"choices\":[{\"index\":0,\"text\":\"word \",\"finish_reason\":null}]}\n\n";
+/// The streams with which the cost of an event is measured.
+const FLOOD_STREAMS: usize = 20;
 /// The load reads over which the cost of one is averaged.
 const READS: usize = 5_000;
 /// The time over which an idle node's processor time is counted.
 const IDLE: Duration = Duration::from_secs(10);
-/// Clock ticks per second in /proc/self/stat on Linux.
-const TICKS_PER_S: f64 = 100.0;
-
-/// A process of this example; it ends when its standard input is closed.
-pub(crate) struct Helper {
-    child: Child,
-    stdin: Option<ChildStdin>,
-    stdout: BufReader<ChildStdout>,
-}
-
-impl Helper {
-    pub(crate) fn start(args: &[String]) -> Result<Self> {
-        let mut child = Command::new(std::env::current_exe()?)
-            .args(args)
-            .stdin(Stdio::piped())
-            .stdout(Stdio::piped())
-            .spawn()?;
-        let stdin = child.stdin.take();
-        let stdout = child.stdout.take().ok_or("no standard output")?;
-        Ok(Self {
-            child,
-            stdin,
-            stdout: BufReader::new(stdout),
-        })
-    }
-
-    pub(crate) fn ask(&mut self) -> Result<String> {
-        if let Some(stdin) = &mut self.stdin {
-            stdin.write_all(b"\n")?;
-        }
-        self.line()
-    }
-
-    pub(crate) fn line(&mut self) -> Result<String> {
-        let mut line = String::new();
-        self.stdout.read_line(&mut line)?;
-        Ok(line.trim().to_owned())
-    }
-}
-
-impl Drop for Helper {
-    fn drop(&mut self) {
-        drop(self.stdin.take());
-        let _ = self.child.wait();
-    }
-}
-
-/// Answers each line of the standard input until it is closed.
-pub(crate) fn answer_input(answer: impl Fn() -> String) -> Result<()> {
-    for line in std::io::stdin().lines() {
-        line?;
-        println!("{}", answer());
-    }
-    Ok(())
-}
-
-/// Serves the table, the object store, the list of VMs, engines that never finish and nodes
-/// that agree to every proposal.
-pub(crate) fn serve_upstreams() -> Result<()> {
-    let listener = || TcpListener::bind("127.0.0.1:0");
-    let table = table::Table::start(listener()?)?;
-    let objects = objects::Objects::start(listener()?)?;
-    let vms = vms::Vms::start(listener()?, &[])?;
-    let mut addresses = vec![table.address(), objects.address(), vms.address()];
-    let read: Arc<Mutex<HashSet<usize>>> = Arc::default();
-    for index in 0..ENGINES {
-        let read = read.clone();
-        let note = move |line: &str| {
-            if line.contains("/v1/weights") {
-                read.lock().map(|mut read| read.insert(index)).ok();
-            }
-        };
-        let serve = move |stream| serve(stream, &note).unwrap_or_default();
-        addresses.push(accept("127.0.0.1:0", serve)?);
-    }
-    for _ in 0..ENTRIES.into_iter().max().unwrap_or_default() {
-        addresses.push(accept("127.0.0.1:0", |stream| {
-            agree(stream).unwrap_or_default()
-        })?);
-    }
-    let addresses: Vec<String> = addresses.iter().map(SocketAddr::to_string).collect();
-    println!("{}", addresses.join(" "));
-    answer_input(|| read.lock().map_or(0, |read| read.len()).to_string())
-}
-
-pub(crate) fn accept(
-    address: &str,
-    serve: impl Fn(TcpStream) + Clone + Send + 'static,
-) -> Result<SocketAddr> {
-    let listener = TcpListener::bind(address)?;
-    let address = listener.local_addr()?;
-    let builder = || thread::Builder::new().stack_size(STACK_BYTES);
-    builder().spawn(move || {
-        for stream in listener.incoming().flatten() {
-            let serve = serve.clone();
-            let _ = builder().spawn(move || serve(stream));
-        }
-    })?;
-    Ok(address)
-}
-
-/// Answers a proposal as another node would.
-fn agree(stream: TcpStream) -> dogwoodlb_wire::Result<()> {
-    let frame = dogwoodlb_wire::from_reader(&mut BufReader::new(&stream))?;
-    if let Frame::Propose(proposal) = frame {
-        let answer = Frame::Answer(Answer {
-            operation: proposal.operation,
-            verdict: Verdict::Promised,
-        });
-        dogwoodlb_wire::to_writer(&mut BufWriter::new(&stream), &answer)?;
-    }
-    Ok(())
-}
-
-/// Answers one connection: reports are short, a completion sends one event and stays open.
-pub(crate) fn serve(stream: TcpStream, note: &dyn Fn(&str)) -> std::io::Result<()> {
-    let mut reader = BufReader::new(stream.try_clone()?);
-    let mut writer = stream;
-    loop {
-        let head = Head::read(&mut reader)?;
-        if head.line.is_empty() {
-            return Ok(());
-        }
-        let mut body = vec![0; head.length];
-        reader.read_exact(&mut body)?;
-        note(&head.line);
-        let body = match head.line.as_str() {
-            line if line.contains("/v1/completions") => {
-                let start = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n";
-                writer.write_all(format!("{start}{EVENT}").as_bytes())?;
-                if body.windows(5).any(|window| window == b"flood") {
-                    return flood_answer(&mut writer, &head.request);
-                }
-                // Held until the node closes the connection.
-                loop {
-                    thread::sleep(PAUSE);
-                    writer.write_all(EVENT.as_bytes())?;
-                }
-            }
-            line if line.contains("/v1/load") => {
-                json!({ "running": 1, "waiting": 0, "cache_permille": 0 })
-            }
-            line if line.contains("/v1/weights") => {
-                let weights = |index| json!({ "model": format!("model-{index:02}"), "version": 1, "loading": null });
-                json!({ "weights": (0..MODELS).map(weights).collect::<Vec<_>>() })
-            }
-            _ => json!({}),
-        };
-        let (body, head) = (body.to_string(), "HTTP/1.1 200 OK");
-        let kind = "content-type: application/json";
-        let length = body.len();
-        let answer = format!("{head}\r\n{kind}\r\ncontent-length: {length}\r\n\r\n{body}");
-        writer.write_all(answer.as_bytes())?;
-    }
-}
-
-/// Sends the events of a whole answer without a pause, and the report at its end.
-fn flood_answer(writer: &mut TcpStream, request: &str) -> std::io::Result<()> {
-    for _ in 1..FLOOD.1 {
-        writer.write_all(EVENT.as_bytes())?;
-    }
-    let tokens = FLOOD.1;
-    let report = json!({ "request_id": request, "tokens": tokens, "queue": 0,
-        "spans": [{ "version": 1, "from": 0, "to": tokens }] });
-    let last = json!({ "choices": [], "dogwood": report });
-    writer.write_all(format!("data: {last}\n\ndata: [DONE]\n\n").as_bytes())
-}
-
-/// What the head of a request says.
-#[derive(Default)]
-struct Head {
-    line: String,
-    length: usize,
-    request: String,
-}
-
-impl Head {
-    fn read(reader: &mut BufReader<TcpStream>) -> std::io::Result<Self> {
-        let mut head = Self::default();
-        loop {
-            let mut line = String::new();
-            reader.read_line(&mut line)?;
-            let line = line.trim();
-            if line.is_empty() {
-                return Ok(head);
-            }
-            match line.split_once(": ") {
-                Some((name, value)) if name.eq_ignore_ascii_case("content-length") => {
-                    head.length = value.parse().unwrap_or_default();
-                }
-                Some((name, value)) if name.eq_ignore_ascii_case("x-request-id") => {
-                    head.request = value.to_owned();
-                }
-                _ if head.line.is_empty() => head.line = line.to_owned(),
-                _ => {}
-            }
-        }
-    }
-}
 
 fn ask(node: SocketAddr, prompt: &str, number: usize) -> std::io::Result<TcpStream> {
     let body = json!({ "model": "model-01", "prompt": prompt, "max_tokens": 100_000,
@@ -277,46 +67,6 @@
     answer_input(String::new)
 }
 
-pub(crate) fn threads() -> Result<f64> {
-    let status = read_to_string("/proc/self/status")?;
-    let line = status.lines().find(|line| line.starts_with("Threads:"));
-    let count = line.and_then(|line| line.split_whitespace().nth(1));
-    Ok(count.ok_or("no count of threads")?.parse()?)
-}
-
-/// Returns the name and the seconds of processor time that a line of `stat` tells.
-fn parse_stat(stat: &str) -> Result<(String, f64)> {
-    let (start, rest) = stat.rsplit_once(')').ok_or("a malformed stat")?;
-    let name = start.split_once('(').map_or("", |(_, name)| name);
-    let fields: Vec<&str> = rest.split_whitespace().collect();
-    let ticks = |index: usize| {
-        fields
-            .get(index)
-            .and_then(|field| field.parse::<f64>().ok())
-    };
-    let both = ticks(11).zip(ticks(12)).ok_or("no processor time")?;
-    Ok((name.to_owned(), (both.0 + both.1) / TICKS_PER_S))
-}
-
-/// Returns the processor time of this process in seconds.
-pub(crate) fn processor() -> Result<f64> {
-    Ok(parse_stat(&read_to_string("/proc/self/stat")?)?.1)
-}
-
-/// Returns the processor time of the running threads of this process by their names.
-pub(crate) fn processor_by_name() -> Result<BTreeMap<String, f64>> {
-    let mut times = BTreeMap::new();
-    for task in std::fs::read_dir("/proc/self/task")? {
-        // A thread that has ended meanwhile has no file any more.
-        let Ok(stat) = read_to_string(task?.path().join("stat")) else {
-            continue;
-        };
-        let (name, seconds) = parse_stat(&stat)?;
-        *times.entry(name).or_default() += seconds;
-    }
-    Ok(times)
-}
-
 pub(crate) fn run(report: &mut Report) -> Result<()> {
     report.add("daemon.before.bytes", resident()?);
     let mut upstreams = Helper::start(&["--serve".to_owned(), "daemon".to_owned()])?;
@@ -390,7 +140,7 @@
 
 /// Measures the processor time of an event that is passed on.
 fn flood(report: &mut Report, node: &Node) -> Result<()> {
-    let (streams, events) = FLOOD;
+    let (streams, events) = (FLOOD_STREAMS, FLOOD_EVENTS);
     let before = processor()?;
     let readers: Vec<_> = (0..streams)
         .map(|number| {
--- a/crates/dogwoodlb/examples/capacity/target.rs
+++ b/crates/dogwoodlb/examples/capacity/target.rs
@@ -3,9 +3,11 @@
 //! The other entry VMs don't run: the list of VMs shows them as live, and the count ends before
 //! more than a few of them are found to be dead. A further process holds all leases.
 
-use crate::daemon::{self, Helper};
+use crate::daemon;
 use crate::generated::{self, Size, HALF, TARGET, TODAY};
 use crate::memory::resident;
+use crate::process::{answer_input, processor, processor_by_name, threads, Helper};
+use crate::upstreams::{accept, serve};
 use crate::{Report, Result};
 use dogwoodlb_lease::{Action, Lease, Name};
 use dogwoodlb_platform::vms::{State, Vm};
@@ -57,13 +59,13 @@
     let loads: Arc<AtomicU64> = Arc::default();
     let count = loads.clone();
     // One listener serves all engines: they differ in the address within 127.0.0.0/8.
-    let engines = daemon::accept("0.0.0.0:0", move |stream| {
+    let engines = accept("0.0.0.0:0", move |stream| {
         let note = |line: &str| {
             if line.contains("/v1/load") {
                 count.fetch_add(1, Ordering::SeqCst);
             }
         };
-        daemon::serve(stream, &note).unwrap_or_default();
+        serve(stream, &note).unwrap_or_default();
     })?;
     let mut leases = Vec::new();
     for index in 0..size.trainers {
@@ -76,7 +78,7 @@
     let addresses = [table.address(), objects.address(), vms.address(), engines];
     let addresses = addresses.map(|address| address.to_string());
     println!("{}", addresses.join(" "));
-    daemon::answer_input(|| loads.swap(0, Ordering::SeqCst).to_string())
+    answer_input(|| loads.swap(0, Ordering::SeqCst).to_string())
 }
 
 fn hold(table: &table::Table, names: Vec<Name>) -> Result<()> {
@@ -131,24 +133,24 @@
     }
     thread::sleep(WARM_UP);
     upstreams.ask()?;
-    let names = daemon::processor_by_name()?;
-    let (before, began) = (daemon::processor()?, std::time::Instant::now());
+    let names = processor_by_name()?;
+    let (before, began) = (processor()?, std::time::Instant::now());
     thread::sleep(COUNTED);
     let seconds = began.elapsed().as_secs_f64();
-    let used = (daemon::processor()? - before) / seconds;
+    let used = (processor()? - before) / seconds;
     let loads: f64 = upstreams.ask()?.parse()?;
     report.add(format!("node.{name}.load_reads_per_s"), loads / seconds);
     report.add(format!("node.{name}.core_percent"), used * 100.0);
     for thread in [
         "adopt", "lease", "member", "owner", "receive", "swap", "watch", "worker",
     ] {
-        let times = daemon::processor_by_name()?;
+        let times = processor_by_name()?;
         let time = |times: &BTreeMap<String, f64>| times.get(thread).copied().unwrap_or_default();
         let share = (time(&times) - time(&names)) / seconds;
         report.add(format!("node.{name}.core_percent.{thread}"), share * 100.0);
     }
     report.add(format!("node.{name}.bytes"), resident()?);
-    report.add(format!("node.{name}.threads"), daemon::threads()?);
+    report.add(format!("node.{name}.threads"), threads()?);
     node.kill();
     // The node's threads end before the next node starts.
     thread::sleep(WARM_UP);
