--- a/crates/limit/tests/retry_budget.rs
+++ b/crates/limit/tests/retry_budget.rs
@@ -15,7 +15,7 @@
         if per_second > 0 && milli % (1_000 / per_second) == 0 {
             budget.on_request();
         }
-        while budget.try_retry(Instant::from_millis(milli)) {
+        while retries < 1_000 && budget.try_retry(Instant::from_millis(milli)) {
             retries += 1;
         }
     }
@@ -29,7 +29,7 @@
     let mut budget = Budget::new(Instant::from_millis(0));
     let now = Instant::from_millis(36_000_000);
     let retries = std::iter::repeat_with(|| budget.try_retry(now));
-    assert_eq!(retries.take_while(|&taken| taken).count(), 30);
+    assert_eq!(retries.take(100).filter(|&taken| taken).count(), 30);
 }
 
 /// A clock that is read out of order and fills the budget twice.
--- a/crates/member/tests/leaving_peers.rs
+++ b/crates/member/tests/leaving_peers.rs
@@ -34,6 +34,16 @@
     }
 }
 
+/// After a start of all nodes, news about every member must not hold up the announcement.
+#[test]
+fn large_cluster() {
+    let mut cluster = Cluster::new(320, 1);
+    cluster.loss = 0.2;
+    cluster.call(3, |node, _, rng| node.leave(&Status::default(), rng));
+    let unlisted = cluster.advance_until(LEAVE_MS, |cluster| !cluster.is_listed(3));
+    println!("320 nodes, 20% loss: a leaving one is unlisted after {unlisted} ms");
+}
+
 #[test]
 fn departed_node() {
     let mut cluster = Cluster::new(11, 1);
--- a/crates/node/src/adopting.rs
+++ b/crates/node/src/adopting.rs
@@ -90,6 +90,7 @@
         return;
     };
     shared.upstreams.update(&manifest);
+    shared.share_link(&manifest);
     let peers: Vec<Peer> = manifest
         .entry_vms
         .iter()
@@ -101,6 +102,6 @@
     if let Err(error) = lock(&shared.members).set_peers(&peers, rng) {
         tracing::error!(%error, "peers_refused");
     }
-    crate::owner::start(shared, &manifest);
+    crate::calls::start(shared, &manifest);
     crate::swapper::start(shared, &manifest);
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -24,12 +24,17 @@
 
 mod adopting;
 mod api;
+mod calls;
+mod cleaner;
 mod clock;
 mod commit;
 mod completion;
 mod error;
 mod generate;
+mod group;
+mod holding;
 mod keeper;
+mod link;
 mod metrics;
 mod node;
 mod once;
--- a/crates/node/src/plain.rs
+++ b/crates/node/src/plain.rs
@@ -1,7 +1,7 @@
 //! Calls of plain services.
 
+use crate::group::Need;
 use crate::shared::Shared;
-use crate::upstreams::Need;
 use dogwoodlb_limit::Signal;
 use dogwoodlb_manifest::Manifest;
 use dogwoodlb_platform::service::{Call, Reply};
@@ -61,6 +61,8 @@
                 deadline: job.deadline,
             };
             let mut slot = group.enter(&need).map_err(|refusal| after(refusal, sent))?;
+            self.spend(slot.level(), job.class, job.body.len(), job.deadline)
+                .map_err(|refusal| after(refusal, sent))?;
             let result = self.platform.service.call(&Call {
                 upstream: slot.address,
                 method: job.method,
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -1,12 +1,12 @@
+use crate::calls::Call;
 use crate::keeper::Keeper;
 use crate::metrics::Metrics;
-use crate::owner::Call;
 use crate::pool::Pool;
 use crate::recorder::Recorder;
 use crate::swapper::Running;
 use crate::upstreams::Upstreams;
 use crate::{lock, Platform};
-use dogwoodlb_limit::Budget;
+use dogwoodlb_limit::{Budget, Link};
 use dogwoodlb_manifest::adopt::{Adoption, Authority, Report};
 use dogwoodlb_manifest::settings::Settings;
 use dogwoodlb_manifest::Manifest;
@@ -40,6 +40,8 @@
     pub(crate) swappers: Running,
     pub(crate) upstreams: Upstreams,
     pub(crate) budget: Mutex<Budget>,
+    /// The share of the link between regions, and for how many nodes it was computed.
+    pub(crate) link: Mutex<(u64, Link)>,
     pub(crate) rng: Mutex<SmallRng>,
     pub(crate) samplers: Pool,
     pub(crate) workers: Pool,
@@ -100,7 +102,8 @@
             begun: Mutex::default(),
             swappers: Running::default(),
             upstreams: Upstreams::new(place, clock, parts.rng.next_u64()),
-            budget: Mutex::new(Budget::new(now)),
+            budget: Mutex::new(Budget::full(now)),
+            link: Mutex::new((0, Link::new(1, now))),
             rng: Mutex::new(parts.rng),
             samplers: parts.samplers,
             workers: parts.workers,
@@ -123,6 +126,11 @@
         self.platform.clock.timestamp()
     }
 
+    /// Returns whether a shutdown has come so far that leases are released.
+    pub(crate) fn is_releasing(&self) -> bool {
+        self.releasing.load(Ordering::SeqCst)
+    }
+
     pub(crate) fn is_stopped(&self) -> bool {
         self.stopped.load(Ordering::SeqCst)
     }
--- a/crates/swap/src/report.rs
+++ b/crates/swap/src/report.rs
@@ -115,8 +115,12 @@
             Outcome::Fenced => {
                 self.fenced = self.guard.take().map(|guard| guard.fence).max(self.fenced);
             }
-            Outcome::Refused | Outcome::NotSent => self.failed.push((upstream.clone(), None)),
-            Outcome::Unknown => self.failed.push((upstream.clone(), Some(operation))),
+            Outcome::Refused | Outcome::NotSent => {
+                self.failed.insert(upstream.clone(), None);
+            }
+            Outcome::Unknown => {
+                self.failed.insert(upstream.clone(), Some(operation));
+            }
         }
     }
 
@@ -126,10 +130,10 @@
             match state.phase {
                 Phase::Sent { operation, at, .. }
                     if now.saturating_since(at) > self.settings.order_timeout * 2
-                        && !self.failed.iter().any(|(failed, _)| failed == upstream) =>
+                        && !self.failed.contains_key(upstream) =>
                 {
                     state.reports_after = now;
-                    self.failed.push((upstream.clone(), Some(operation)));
+                    self.failed.insert(upstream.clone(), Some(operation));
                 }
                 Phase::Loading { since, .. } => {
                     let is_stopped = state.report.is_some_and(|report| {
@@ -137,7 +141,7 @@
                             && report.began.saturating_since(since) >= REPORT_LAG
                     });
                     if is_stopped || now.saturating_since(since) >= self.settings.longest {
-                        self.failed.push((upstream.clone(), None));
+                        self.failed.insert(upstream.clone(), None);
                     }
                 }
                 _ => {}
--- a/crates/wire/tests/random_bytes.rs
+++ b/crates/wire/tests/random_bytes.rs
@@ -5,8 +5,8 @@
 use proptest::test_runner::RngSeed;
 
 /// A ping of `a1` about `b2`.
-const PING: [u8; 17] = [
-    VERSION, 0, 2, b'a', b'1', 9, 7, 0, 0, 0, 0, 1, 1, 2, b'b', b'2', 1,
+const PING: [u8; 15] = [
+    VERSION, 0, 2, b'a', b'1', 9, 7, 0, 0, 0, 1, 2, b'b', b'2', 1,
 ];
 
 fn ping() -> Vec<u8> {
@@ -42,7 +42,7 @@
     }
 
     #[test]
-    fn changed_bytes(at in 0..18_usize, byte: u8) {
+    fn changed_bytes(at in 0..16_usize, byte: u8) {
         let mut bytes = ping();
         bytes[at] = byte;
         check(&bytes);
@@ -60,7 +60,7 @@
     let longer = [&bytes[..], &[0]].concat();
     // Names are checked on arrival, so a frame can't bring in one that the rest refuses.
     let mut misnamed = bytes.clone();
-    misnamed[14] = b'B';
+    misnamed[12] = b'B';
     let cut = (0..bytes.len()).map(|length| bytes[..length].to_vec());
     for bytes in cut.chain([longer, misnamed]) {
         let error = from_slice(&bytes).unwrap_err();
--- a/crates/wire/tests/round_trip.rs
+++ b/crates/wire/tests/round_trip.rs
@@ -2,8 +2,8 @@
 
 use dogwoodlb_timeline::Stamp;
 use dogwoodlb_types::id;
-use dogwoodlb_wire::{from_reader, from_slice, to_vec, to_writer, MAX_UPDATES};
-use dogwoodlb_wire::{Answer, Frame, Header, Proposal, Reason, State, Status, Update};
+use dogwoodlb_wire::{from_reader, from_slice, to_vec, to_writer, MAX_PENDING, MAX_UPDATES};
+use dogwoodlb_wire::{Answer, Frame, Header, Proposal, Report, State, Status, Update, Verdict};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
@@ -13,7 +13,6 @@
     fn header()(
         names in prop::collection::vec("[a-z0-9._-]{1,64}", 1..=MAX_UPDATES + 1),
         (incarnation, sequence, millis, logical, revision) in any::<(u64, u32, i64, u32, u64)>(),
-        (pending, fresh) in any::<(bool, bool)>(),
     ) -> Header {
         let names = names.into_iter().map(|name| name.parse().unwrap());
         let mut updates: Vec<Update> = names
@@ -27,7 +26,7 @@
         let vm = updates.remove(0).vm;
         let (incarnation, revision) = (id::Incarnation(incarnation), id::Revision(revision));
         let stamp = Stamp { millis, logical };
-        let status = Status { stamp, revision, pending, fresh };
+        let status = Status { stamp, revision };
         Header { vm, incarnation, sequence, status, updates }
     }
 }
@@ -43,21 +42,34 @@
     fn datagrams_survive(header in header()) {
         let target = header.vm.clone();
         let ping_req = Frame::PingReq { header: header.clone(), target };
-        for frame in [Frame::Ping(header.clone()), Frame::Ack(header), ping_req] {
+        let ask = Frame::Ask { vm: header.vm.clone(), sequence: header.sequence };
+        let operations = header.updates.iter().map(|one| id::Operation(one.incarnation.0.into()));
+        let report = Frame::Report(Report {
+            vm: header.vm.clone(),
+            sequence: header.sequence,
+            revision: header.status.revision,
+            operation: operations.clone().next(),
+            pending: operations.take(MAX_PENDING).collect(),
+            settled: header.sequence % 2 == 0,
+        });
+        let frames = [Frame::Ping(header.clone()), Frame::Ack(header), ping_req, ask, report];
+        for frame in frames {
             prop_assert_eq!(from_slice(&to_vec(&frame).unwrap()).unwrap(), frame);
         }
     }
 
     #[test]
     fn streams_survive(text in ".{0,2000}", numbers in any::<(u64, u64, u128)>()) {
-        let revision = id::Revision(numbers.0);
+        let base = id::Revision(numbers.0);
         let operation = id::Operation(numbers.2);
         let row_version = numbers.1;
-        let proposal = Proposal { revision, row_version, operation, text };
-        let answer = |refused| Frame::Answer(Answer { revision, refused });
-        let reasons = [Reason::Conflict, Reason::Invalid, Reason::Leaving, Reason::Pending];
-        let mut frames = vec![Frame::Propose(proposal), answer(None), answer(Some(Reason::Unread))];
-        frames.extend(reasons.map(|reason| answer(Some(reason))));
+        let operator = "ana".parse().unwrap();
+        let proposal = Proposal { operation, operator, base, row_version, text };
+        let mut frames = vec![Frame::Propose(proposal)];
+        let verdicts = [Verdict::Busy, Verdict::Invalid, Verdict::Stale(base), Verdict::Unready];
+        frames.extend(verdicts.map(|verdict| Frame::Answer(Answer { operation, verdict })));
+        let verdict = Verdict::Promised;
+        frames.push(Frame::Answer(Answer { operation, verdict }));
         let mut bytes = Vec::new();
         for frame in &frames {
             to_writer(&mut bytes, frame).unwrap();
--- a/crates/wire/tests/size_limits.rs
+++ b/crates/wire/tests/size_limits.rs
@@ -3,7 +3,7 @@
 use dogwoodlb_timeline::Stamp;
 use dogwoodlb_types::id;
 use dogwoodlb_wire::{from_reader, from_slice, to_vec, to_writer};
-use dogwoodlb_wire::{Answer, Category, Frame, Header, Proposal, State, Status, Update};
+use dogwoodlb_wire::{Answer, Category, Frame, Header, Proposal, State, Status, Update, Verdict};
 use dogwoodlb_wire::{MAX_DATAGRAM_BYTES, MAX_STREAM_BYTES, MAX_UPDATES, VERSION};
 use std::io::ErrorKind;
 
@@ -14,8 +14,6 @@
     let status = Status {
         stamp: Stamp { millis, logical },
         revision: id::Revision(u64::MAX),
-        pending: true,
-        fresh: true,
     };
     let update = Update {
         vm: vm.clone(),
@@ -35,13 +33,12 @@
 }
 
 fn proposal(bytes: usize) -> Frame {
-    let (revision, operation) = (id::Revision(1), id::Operation(1));
-    let text = "x".repeat(bytes);
     Frame::Propose(Proposal {
-        revision,
+        operation: id::Operation(1),
+        operator: "ana".parse().unwrap(),
+        base: id::Revision(1),
         row_version: 1,
-        operation,
-        text,
+        text: "x".repeat(bytes),
     })
 }
 
@@ -58,8 +55,8 @@
 /// A frame that claims more updates than allowed must be refused although it fits.
 #[test]
 fn claimed_updates() {
-    // Kind, name, incarnation, sequence, stamp, revision and flags of a ping.
-    let head = [VERSION, 0, 1, b'a', 1, 1, 0, 0, 0, 0, 0];
+    // Kind, name, incarnation, sequence, stamp and revision of a ping.
+    let head = [VERSION, 0, 1, b'a', 1, 1, 0, 0, 0];
     let bytes = |count: usize| {
         let updates = [1, b'b', 0, 1].repeat(count);
         [&head[..], &[count as u8], &updates].concat()
@@ -92,8 +89,8 @@
 
 #[test]
 fn wrong_transport() {
-    let (revision, refused) = (id::Revision(1), None);
-    let answer = Frame::Answer(Answer { revision, refused });
+    let (operation, verdict) = (id::Operation(1), Verdict::Promised);
+    let answer = Frame::Answer(Answer { operation, verdict });
     let mut stream = Vec::new();
     to_writer(&mut stream, &answer).unwrap();
     let datagram = to_vec(&largest(0)).unwrap();
