--- a/crates/dogwoodlb/examples/capacity.rs
+++ b/crates/dogwoodlb/examples/capacity.rs
@@ -74,7 +74,10 @@
 type Result<T> = std::result::Result<T, Box<dyn Error>>;
 type Part = fn(&mut Report) -> Result<()>;
 
+/// The node comes first and the memory of states last, because it isn't given back.
 const PARTS: [(&str, Part); 9] = [
+    ("daemon", daemon::run),
+    ("target", target::run),
     ("bytes", bytes::run),
     ("leases", leases::run),
     ("adoption", adoption::run),
@@ -82,8 +85,6 @@
     ("steps", steps::run),
     ("members", members::run),
     ("memory", memory::run),
-    ("daemon", daemon::run),
-    ("target", target::run),
 ];
 
 fn main() -> Result<()> {
