Tell cache misses from a queue in the adaptive limit

Cause: the limit compared the average time to the first token with the best one. A prompt that misses the engine's prefix cache needs a few hundred milliseconds more, so the limit fell to its floor of 2 at engines that ran 5 of 32 requests, while 50 samples waited at the gate.

Change: the best of the latest 8 answers is compared; a queue delays all of them.

Measured: test `cache_misses` failed before (the limit fell to 2) and passes now; `varied_queue` guards the other side.

--- a/crates/dogwoodlb/examples/policy/sim.rs
+++ b/crates/dogwoodlb/examples/policy/sim.rs
@@ -175,11 +175,11 @@
                 self.on_output(index, request, output);
             }
         }
-        if self.now % RECHECK_MS == 0 {
+        if self.now.is_multiple_of(RECHECK_MS) {
             self.plan();
             self.recheck();
         }
-        if self.now % 1_000 == 0 {
+        if self.now.is_multiple_of(1_000) {
             self.poll_loads();
         }
         for node in 0..self.nodes.len() {
--- a/crates/limit/src/adaptive.rs
+++ b/crates/limit/src/adaptive.rs
@@ -18,6 +18,10 @@
 /// nothing about it.
 const SHORTEST_PAUSE: Duration = Duration::from_millis(50);
 
+/// The latest answers, the best of which shows the queue. A prompt that misses the prefix cache
+/// needs a few hundred milliseconds more on an idle engine, while a queue delays every answer.
+const RECENT: usize = 8;
+
 /// What the end of a request tells about the upstream.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Signal {
@@ -53,8 +57,9 @@
     /// The best latency of this window and of the one before, in microseconds.
     best: [Option<u64>; 2],
     window: Instant,
-    /// A moving average of the latency in microseconds.
-    latency: u64,
+    /// The latency of the latest answers in microseconds; the oldest is replaced next.
+    recent: [u64; RECENT],
+    answers: usize,
     decreased: Option<Instant>,
 }
 
@@ -70,7 +75,8 @@
             limit: (u64::from(initial) * SLOT).clamp(least, most),
             best: [None; 2],
             window: Instant::default(),
-            latency: 0,
+            recent: [u64::MAX; RECENT],
+            answers: 0,
             decreased: None,
         }
     }
@@ -93,12 +99,11 @@
         let current = self.best[0].map_or(latency, |best| best.min(latency));
         self.best[0] = Some(current);
         let best = self.best[1].map_or(current, |earlier| earlier.min(current));
-        self.latency = match self.latency {
-            0 => latency,
-            average => average - average / 8 + latency / 8,
-        };
+        self.recent[self.answers % RECENT] = latency;
+        self.answers = self.answers.wrapping_add(1);
         let longest = (best.saturating_mul(TOLERANCE) / 1_000).max(best.saturating_add(SLACK));
-        if self.latency > longest {
+        let full = self.recent.iter().all(|own| *own != u64::MAX);
+        if full && self.latency() > longest {
             self.decrease(now);
         } else if u64::from(in_flight) * SLOT * 2 > self.limit {
             // A limit that isn't used would grow without a sign that the upstream can take it.
@@ -106,6 +111,12 @@
         }
     }
 
+    /// Returns the best of the latest answers.
+    fn latency(&self) -> u64 {
+        let known = self.recent.iter().filter(|own| **own != u64::MAX);
+        known.copied().min().unwrap_or(0)
+    }
+
     fn turn_window(&mut self, now: Instant) {
         if now.saturating_since(self.window) >= WINDOW {
             self.best = [None, self.best[0]];
@@ -114,7 +125,7 @@
     }
 
     fn decrease(&mut self, now: Instant) {
-        let pause = Duration::from_micros(self.latency).max(SHORTEST_PAUSE);
+        let pause = Duration::from_micros(self.latency()).max(SHORTEST_PAUSE);
         let recent = |at: Instant| now.saturating_since(at) < pause;
         if self.decreased.is_some_and(recent) {
             return;
--- a/crates/limit/tests/adaptive_limit.rs
+++ b/crates/limit/tests/adaptive_limit.rs
@@ -89,3 +89,30 @@
     }
     assert!(limit.get() >= 16, "the limit fell to {}", limit.get());
 }
+
+/// Guards against prompts that miss the prefix cache taken for a queue: every fourth answer
+/// needs 250 ms more, and the limit fell to its floor at an engine that was nearly idle.
+#[test]
+fn cache_misses() {
+    let mut limit = Adaptive::new(2, 64, 16);
+    for number in 0..400 {
+        let latency = if number % 4 == 0 { 280 } else { 30 };
+        let signal = Signal::Latency(Duration::from_millis(latency));
+        limit.on_end(signal, 16, Instant::from_millis(number * 50));
+    }
+    assert!(limit.get() >= 16, "the limit fell to {}", limit.get());
+}
+
+/// Guards against a queue that is overlooked because the latency varies: every answer waits
+/// 300 ms, and every fourth 250 ms more.
+#[test]
+fn varied_queue() {
+    let mut limit = Adaptive::new(2, 64, 16);
+    for number in 0..400 {
+        let queue = if number < 40 { 0 } else { 300 };
+        let latency = queue + if number % 4 == 0 { 280 } else { 30 };
+        let signal = Signal::Latency(Duration::from_millis(latency));
+        limit.on_end(signal, 16, Instant::from_millis(number * 50));
+    }
+    assert_eq!(limit.get(), 2);
+}
