Count the run-ahead from the requested step

Cause: the planner counted the depth from the first open step. While the trainer trains, that step is already one ahead, so a step more than the depth was generated; with weight 0.9 and bound 2 it was too old when delivered and its samples were generated again while the trainer waited. At the full bound, samples that an engine starts before it has loaded the published version are too old as well.

Change: the first open step counts as one ahead after an acknowledgement, until the next step is waited for. Steps as far ahead as the bound start 18 s after a publication.

Tests: `depth_follows_weights` expected step 2 to start right after the acknowledgement of step 1, also with weight 0; it now expects nothing new until step 2 is waited for, and the next step after that. `resumes_missing_samples` sets the waited step, because an owner that acknowledged a step generates with depth 0 only what is requested; its check is unchanged. `bound_waits_for_swap` is new; it and five cases of `depth_follows_weights` failed before.

--- a/crates/dogwoodlb/examples/policy/trainer.rs
+++ b/crates/dogwoodlb/examples/policy/trainer.rs
@@ -136,7 +136,10 @@
     pub(crate) fn publish(&mut self, now: Instant) {
         self.version += 1;
         self.step += 1;
-        self.planner.on_version(now, id::Version(self.version));
+        // A baseline generates at once as far ahead as it may, without regard to swaps.
+        let published = self.ahead.map_or(now, |_| Instant::default());
+        self.planner
+            .on_version(published, id::Version(self.version));
         self.planner.set_waiting(Some(id::Step(self.step)));
         self.phase = Phase::Waits(now.as_millis());
         self.submit();
--- a/crates/rollout/src/planner.rs
+++ b/crates/rollout/src/planner.rs
@@ -16,6 +16,10 @@
 /// The longest wait before any retry.
 const MAX_BACKOFF: Duration = Duration::from_secs(8);
 
+/// How long engines may need to load a published version; docs/design.md, section 1.4, sets
+/// 18 s as the target.
+const SETTLE: Duration = Duration::from_secs(18);
+
 /// The settings of a trainer's planner.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -48,7 +52,7 @@
     },
 }
 
-/// Returns how many steps ahead of the first open one are generated.
+/// Returns how many steps ahead of the requested one are generated.
 ///
 /// A step ahead of the requested one keeps the trainer from waiting, but becomes a version
 /// older with each step before it; see docs/design.md, section 4.14.
@@ -71,6 +75,9 @@
     settings: Settings,
     version: id::Version,
     waited: Option<id::Step>,
+    /// Whether a step was acknowledged and no later one is waited for.
+    trains: bool,
+    published: Option<Instant>,
     plans: BTreeMap<id::Step, Plan>,
     cancels: Vec<Action>,
 }
@@ -82,6 +89,8 @@
             settings,
             version,
             waited: None,
+            trains: false,
+            published: None,
             plans: BTreeMap::new(),
             cancels: Vec::new(),
         }
@@ -145,7 +154,7 @@
     pub fn poll(&mut self, now: Instant, limit: usize) -> Vec<Action> {
         let mut actions = std::mem::take(&mut self.cancels);
         let mut room = limit.saturating_sub(self.in_flight());
-        for (priority, step) in self.eligible() {
+        for (priority, step) in self.eligible(now) {
             let Some(plan) = self.plans.get_mut(&step) else {
                 continue;
             };
@@ -166,13 +175,22 @@
     }
 
     /// Returns the steps within the run-ahead depth, highest priority first.
-    fn eligible(&self) -> Vec<(u32, id::Step)> {
+    ///
+    /// While the trainer trains an acknowledged step, the first open one is already one ahead;
+    /// counted as the requested one, a step more was generated and was too old when delivered.
+    fn eligible(&self, now: Instant) -> Vec<(u32, id::Step)> {
         let depth = depth(self.settings.idle_weight, self.settings.staleness_bound);
-        let count = usize::try_from(depth).unwrap_or(usize::MAX);
-        let steps = self.plans.keys().take(count.saturating_add(1));
+        let settled = self.published.is_none_or(|at| now >= at + SETTLE);
+        let ahead = u64::from(self.trains)..;
+        let steps = ahead.zip(self.plans.keys());
+        let steps = steps.take_while(|(ahead, _)| *ahead <= depth);
+        // As far ahead as the bound, a sample that an engine starts with the version before the
+        // published one is too old when delivered.
+        let bound = self.settings.staleness_bound.max(1);
+        let young = steps.filter(|(ahead, _)| settled || *ahead < bound);
         let mut eligible: Vec<_> = (1..)
-            .zip(steps)
-            .map(|(position, step)| match self.waited {
+            .zip(young)
+            .map(|(position, (_, step))| match self.waited {
                 Some(waited) if waited == *step => (0, *step),
                 _ => (position, *step),
             })
@@ -194,6 +212,7 @@
     /// Records which step the trainer waits for; its attempts get the highest priority.
     pub fn set_waiting(&mut self, step: Option<id::Step>) {
         self.waited = step;
+        self.trains &= step.is_none();
     }
 
     /// Changes staleness bound and idle weight, as after a change of the manifest.
@@ -253,7 +272,10 @@
     /// Attempts whose first token came under a version beyond the staleness bound are cancelled
     /// and started again: the ledger would refuse them.
     pub fn on_version(&mut self, now: Instant, version: id::Version) {
-        self.version = self.version.max(version);
+        if version > self.version {
+            self.version = version;
+            self.published = Some(now);
+        }
         let oldest = id::Version(self.version.0.saturating_sub(self.settings.staleness_bound));
         let steps: Vec<id::Step> = self.plans.keys().copied().collect();
         for step in steps {
@@ -266,6 +288,7 @@
 
     /// Ends the plans of all steps up to an acknowledged one.
     pub fn on_acknowledged(&mut self, step: id::Step) {
+        self.trains = true;
         let steps: Vec<id::Step> = self.plans.range(..=step).map(|(own, _)| *own).collect();
         for step in steps {
             let lost = self.plans.get_mut(&step).map(Plan::cancel_all);
--- a/crates/rollout/tests/run_ahead.rs
+++ b/crates/rollout/tests/run_ahead.rs
@@ -48,9 +48,30 @@
     assert_eq!(starts(&mut planner, 100), expected);
     planner.on_acknowledged(id::Step(1));
     planner.poll(NOW, 0);
+    // The trainer trains step 1, so step 2 is already one ahead.
+    assert_eq!(starts(&mut planner, 100), []);
+    planner.set_waiting(Some(id::Step(2)));
     assert_eq!(starts(&mut planner, 100).is_empty(), steps == 4);
 }
 
+/// Guards against samples as far ahead as the bound that start on an engine that has not loaded
+/// the published version yet: they are one version older, and the trainer waits for others.
+#[test]
+fn bound_waits_for_swap() {
+    let mut planner = planner(2, 1.0);
+    planner.on_acknowledged(id::Step(1));
+    planner.on_version(NOW, id::Version(2));
+    planner.set_waiting(Some(id::Step(2)));
+    assert_eq!(starts(&mut planner, 100), [(2, 0), (2, 0), (3, 2), (3, 2)]);
+    let settled = NOW + std::time::Duration::from_secs(18);
+    let actions = planner.poll(settled, 100);
+    let steps = actions.iter().map(|action| match action {
+        Action::Generate { sample, .. } => sample.step.0,
+        Action::Cancel { .. } => panic!("cancelled"),
+    });
+    assert!(steps.eq([4, 4]));
+}
+
 /// Guards against more attempts in flight than the limit, and against starts without a lease.
 #[test]
 fn limit_holds() {
@@ -78,6 +99,7 @@
     let missing = id::Sample::new("weld".parse().unwrap(), id::Step(5), 1, 1);
     let rest = std::slice::from_ref(&missing);
     planner.resume(id::Step(5), &[2, 2], rest).unwrap();
+    planner.set_waiting(Some(id::Step(5)));
     let actions = planner.poll(NOW, 10);
     let [Action::Generate { sample, .. }] = &actions[..] else {
         panic!("{actions:?}");
