Let a prompt choose among all data centres of a region

Cause: the router filled the local data centre to its slots before it used another one. Three of nine engines decoded large batches while six were idle, and their caches missed.

Change: for a request with a prompt prefix the local data centre and the region count as one level. Requests without a prefix keep their order.

Measured: test `region_affinity` failed before (2 replicas used instead of 4).

--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -27,6 +27,11 @@
                 && in_service(member)
                 && member.has_room(wanted.class, now)
         }));
+        // A prefix that misses the cache costs a hundred times the latency between the data
+        // centres of a region, so that they count as one for a prompt.
+        if wanted.prefix.is_some() && level == Level::Centre {
+            continue;
+        }
         if !candidates.is_empty() {
             let near = wanted.prefix;
             return near
--- a/crates/route/tests/load_choice.rs
+++ b/crates/route/tests/load_choice.rs
@@ -7,6 +7,7 @@
 use dogwoodlb_types::prelude::*;
 use rand::{rngs::StdRng, SeedableRng};
 use rstest::rstest;
+use std::collections::BTreeSet;
 
 fn load(sequence: u64, running: u32) -> Load {
     Load {
@@ -122,6 +123,30 @@
     assert_eq!(most, Some(5));
 }
 
+/// Model calls that fill one data centre to its slots, and miss caches there, while replicas
+/// of the same region are idle; and plain calls that leave their data centre.
+#[rstest]
+#[case(true, 4)]
+#[case(false, 2)]
+fn region_affinity(#[case] is_model: bool, #[case] used: usize) {
+    let mut list = replicas("lj", "lj-a", 2);
+    list.extend(replicas("lj", "lj-b", 2));
+    list.extend(replicas("mb", "mb-a", 2));
+    let mut router = router(&list);
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut names = BTreeSet::new();
+    for prefix in 0..16 {
+        let mut request = Request::new(Class::Customer);
+        if is_model {
+            request = request.prefix_hash(prefix);
+        }
+        let pick = router.pick(&request, at(0), &mut rng).unwrap();
+        assert_ne!(pick.level, Level::Remote);
+        names.insert(pick.upstream);
+    }
+    assert_eq!(names.len(), used);
+}
+
 /// A late eviction that hides what the replica holds now.
 #[test]
 fn late_cache_event() {
