Let the adaptive limit return quickly to its start

Cause: after an overload or a swap the limit grew by one slot for each round of answers. Samples take many seconds, so limits stayed at 2 to 5 for minutes.

Change: below its start the limit grows by one for each answer.

Measured: test `fast_return` failed before: the limit was 6 after 20 answers and passes now.

--- a/crates/limit/src/adaptive.rs
+++ b/crates/limit/src/adaptive.rs
@@ -36,8 +36,8 @@
 
 /// The number of requests that a node may have in flight at one upstream.
 ///
-/// The limit grows by one for each round of answers near the best latency, and shrinks by a
-/// fifth when the latency doubles or the upstream is overloaded.
+/// The limit grows by one for each round of answers near the best latency, below its start by
+/// one for each answer, and shrinks by a fifth when the latency doubles or the upstream is overloaded.
 ///
 /// # Examples
 ///
@@ -54,6 +54,7 @@
     least: u64,
     most: u64,
     limit: u64,
+    initial: u64,
     /// The best latency of this window and of the one before, in microseconds.
     best: [Option<u64>; 2],
     window: Instant,
@@ -73,6 +74,7 @@
             least,
             most,
             limit: (u64::from(initial) * SLOT).clamp(least, most),
+            initial: (u64::from(initial) * SLOT).clamp(least, most),
             best: [None; 2],
             window: Instant::default(),
             recent: [u64::MAX; RECENT],
@@ -107,7 +109,13 @@
             self.decrease(now);
         } else if u64::from(in_flight) * SLOT * 2 > self.limit {
             // A limit that isn't used would grow without a sign that the upstream can take it.
-            self.limit = (self.limit + SLOT * SLOT / self.limit).min(self.most);
+            // Below its start the limit doubles with each round, because long answers are few.
+            let step = if self.limit < self.initial {
+                SLOT
+            } else {
+                SLOT * SLOT / self.limit
+            };
+            self.limit = (self.limit + step).min(self.most);
         }
     }
 
--- a/crates/limit/tests/adaptive_limit.rs
+++ b/crates/limit/tests/adaptive_limit.rs
@@ -116,3 +116,19 @@
     }
     assert_eq!(limit.get(), 2);
 }
+
+/// Guards against a limit that stays at its floor for minutes after an overload: answers of
+/// some seconds are few, and each added less than a slot.
+#[test]
+fn fast_return() {
+    let mut limit = Adaptive::new(2, 64, 16);
+    for second in 1..60 {
+        limit.on_end(Signal::Overload, 1, Instant::from_millis(second * 1_000));
+    }
+    assert_eq!(limit.get(), 2);
+    for second in 60..80 {
+        let signal = Signal::Latency(Duration::from_millis(30));
+        limit.on_end(signal, limit.get(), Instant::from_millis(second * 1_000));
+    }
+    assert!((16..20).contains(&limit.get()), "limit {}", limit.get());
+}
