--- a/crates/dogwoodlb/examples/policy.rs
+++ b/crates/dogwoodlb/examples/policy.rs
@@ -33,6 +33,9 @@
     /// the virtual time of a run
     #[argh(option, default = "1200")]
     seconds: u64,
+    /// how long an engine stands still for new weights
+    #[argh(option, default = "sim::SWAP_MS")]
+    swap_ms: u64,
     /// print one JSON object for each run
     #[argh(switch)]
     json: bool,
@@ -63,12 +66,13 @@
                 scenario,
                 seed,
                 millis: arguments.seconds * 1_000,
+                swap_ms: arguments.swap_ms,
                 with_trainers,
             };
             let seeds = arguments.seed..arguments.seed + arguments.seeds;
             let results = run_all(seeds.clone().map(setup).collect())?;
             if arguments.json {
-                report::print_json(deployment.name, scenario, name, seeds, &results)?;
+                report::print_json(&arguments.deployment, scenario, name, seeds, &results)?;
             }
             rows.push(report::Row {
                 scenario,
@@ -81,7 +85,7 @@
         report::print_tables(&rows);
     }
     if let Some(path) = &arguments.svg {
-        std::fs::write(path, report::svg(deployment.name, &rows))?;
+        std::fs::write(path, report::svg(&arguments.deployment, &rows))?;
     }
     Ok(())
 }
--- a/crates/dogwoodlb/examples/policy/deployment.rs
+++ b/crates/dogwoodlb/examples/policy/deployment.rs
@@ -25,7 +25,6 @@
 /// A deployment.
 #[derive(Clone, Debug)]
 pub(crate) struct Deployment {
-    pub(crate) name: &'static str,
     /// The replicas of each data centre; the last centre is the other region.
     replicas: [usize; 3],
     nodes: [usize; 3],
@@ -44,7 +43,6 @@
 impl Deployment {
     pub(crate) fn named(name: &str) -> Option<Self> {
         let tok = Self {
-            name: "tok",
             replicas: [3, 3, 3],
             nodes: [4, 3, 3],
             regions: ["ljubljana", "maribor"],
@@ -59,7 +57,6 @@
         match name {
             "tok" => Some(tok),
             "kauri" => Some(Self {
-                name: "kauri",
                 replicas: [3, 3, 2],
                 regions: ["auckland", "christchurch"],
                 centre_ms: 1,
--- a/crates/dogwoodlb/examples/policy/scenario.rs
+++ b/crates/dogwoodlb/examples/policy/scenario.rs
@@ -1,6 +1,6 @@
 //! The faults of a run.
 
-use super::{Event, Sim, SWAP_MS};
+use super::{Event, Sim};
 
 const FROM_MS: u64 = 600_000;
 const TO_MS: u64 = 660_000;
@@ -120,7 +120,7 @@
         if self.engines[engine].down {
             return;
         }
-        let longest = SWAP_MS;
+        let longest = self.setup.swap_ms;
         if self.is_during(Scenario::Swap) && engine % 2 == 1 && tries < FAILED_ORDERS {
             let old = self.engines[engine].versions[model];
             self.engines[engine].swap(model, old, self.now, longest / 2);
--- a/crates/dogwoodlb/examples/policy/sim.rs
+++ b/crates/dogwoodlb/examples/policy/sim.rs
@@ -34,7 +34,8 @@
 const IN_FLIGHT: usize = 64;
 const WARM_UP_MS: u64 = 180_000;
 const REGION_MS: u64 = 12;
-const SWAP_MS: u64 = 4_000;
+/// How long an engine stands still for new weights.
+pub(crate) const SWAP_MS: u64 = 4_000;
 
 /// What one run is.
 #[derive(Clone, Debug)]
@@ -44,6 +45,7 @@
     pub(crate) scenario: Scenario,
     pub(crate) seed: u64,
     pub(crate) millis: u64,
+    pub(crate) swap_ms: u64,
     /// Whether trainers run beside the customers.
     pub(crate) with_trainers: bool,
 }
@@ -267,7 +269,7 @@
         for engine in 0..self.engines.len() {
             let wave = engine as u64 % 2;
             self.at(
-                self.now + wave * SWAP_MS,
+                self.now + wave * self.setup.swap_ms,
                 Event::Swap(engine, index, version, 0),
             );
         }
