--- a/crates/limit/src/adaptive.rs
+++ b/crates/limit/src/adaptive.rs
@@ -18,6 +18,10 @@
 /// nothing about it.
 const SHORTEST_PAUSE: Duration = Duration::from_millis(50);
 
+/// The latest answers, the best of which shows the queue. A prompt that misses the prefix cache
+/// needs a few hundred milliseconds more on an idle engine, while a queue delays every answer.
+const RECENT: usize = 8;
+
 /// What the end of a request tells about the upstream.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Signal {
@@ -32,8 +36,8 @@
 
 /// The number of requests that a node may have in flight at one upstream.
 ///
-/// The limit grows by one for each round of answers near the best latency, and shrinks by a
-/// fifth when the latency doubles or the upstream is overloaded.
+/// The limit grows by one for each round of answers near the best latency, below its start by
+/// one for each answer, and shrinks by a fifth when the latency doubles or the upstream is overloaded.
 ///
 /// # Examples
 ///
@@ -50,11 +54,13 @@
     least: u64,
     most: u64,
     limit: u64,
+    initial: u64,
     /// The best latency of this window and of the one before, in microseconds.
     best: [Option<u64>; 2],
     window: Instant,
-    /// A moving average of the latency in microseconds.
-    latency: u64,
+    /// The latency of the latest answers in microseconds; the oldest is replaced next.
+    recent: [u64; RECENT],
+    answers: usize,
     decreased: Option<Instant>,
 }
 
@@ -68,9 +74,11 @@
             least,
             most,
             limit: (u64::from(initial) * SLOT).clamp(least, most),
+            initial: (u64::from(initial) * SLOT).clamp(least, most),
             best: [None; 2],
             window: Instant::default(),
-            latency: 0,
+            recent: [u64::MAX; RECENT],
+            answers: 0,
             decreased: None,
         }
     }
@@ -93,19 +101,30 @@
         let current = self.best[0].map_or(latency, |best| best.min(latency));
         self.best[0] = Some(current);
         let best = self.best[1].map_or(current, |earlier| earlier.min(current));
-        self.latency = match self.latency {
-            0 => latency,
-            average => average - average / 8 + latency / 8,
-        };
+        self.recent[self.answers % RECENT] = latency;
+        self.answers = self.answers.wrapping_add(1);
         let longest = (best.saturating_mul(TOLERANCE) / 1_000).max(best.saturating_add(SLACK));
-        if self.latency > longest {
+        let full = self.recent.iter().all(|own| *own != u64::MAX);
+        if full && self.latency() > longest {
             self.decrease(now);
         } else if u64::from(in_flight) * SLOT * 2 > self.limit {
             // A limit that isn't used would grow without a sign that the upstream can take it.
-            self.limit = (self.limit + SLOT * SLOT / self.limit).min(self.most);
+            // Below its start the limit doubles with each round, because long answers are few.
+            let step = if self.limit < self.initial {
+                SLOT
+            } else {
+                SLOT * SLOT / self.limit
+            };
+            self.limit = (self.limit + step).min(self.most);
         }
     }
 
+    /// Returns the best of the latest answers.
+    fn latency(&self) -> u64 {
+        let known = self.recent.iter().filter(|own| **own != u64::MAX);
+        known.copied().min().unwrap_or(0)
+    }
+
     fn turn_window(&mut self, now: Instant) {
         if now.saturating_since(self.window) >= WINDOW {
             self.best = [None, self.best[0]];
@@ -114,7 +133,7 @@
     }
 
     fn decrease(&mut self, now: Instant) {
-        let pause = Duration::from_micros(self.latency).max(SHORTEST_PAUSE);
+        let pause = Duration::from_micros(self.latency()).max(SHORTEST_PAUSE);
         let recent = |at: Instant| now.saturating_since(at) < pause;
         if self.decreased.is_some_and(recent) {
             return;
--- a/crates/limit/tests/adaptive_limit.rs
+++ b/crates/limit/tests/adaptive_limit.rs
@@ -89,3 +89,46 @@
     }
     assert!(limit.get() >= 16, "the limit fell to {}", limit.get());
 }
+
+/// Guards against prompts that miss the prefix cache taken for a queue: every fourth answer
+/// needs 250 ms more, and the limit fell to its floor at an engine that was nearly idle.
+#[test]
+fn cache_misses() {
+    let mut limit = Adaptive::new(2, 64, 16);
+    for number in 0..400 {
+        let latency = if number % 4 == 0 { 280 } else { 30 };
+        let signal = Signal::Latency(Duration::from_millis(latency));
+        limit.on_end(signal, 16, Instant::from_millis(number * 50));
+    }
+    assert!(limit.get() >= 16, "the limit fell to {}", limit.get());
+}
+
+/// Guards against a queue that is overlooked because the latency varies: every answer waits
+/// 300 ms, and every fourth 250 ms more.
+#[test]
+fn varied_queue() {
+    let mut limit = Adaptive::new(2, 64, 16);
+    for number in 0..400 {
+        let queue = if number < 40 { 0 } else { 300 };
+        let latency = queue + if number % 4 == 0 { 280 } else { 30 };
+        let signal = Signal::Latency(Duration::from_millis(latency));
+        limit.on_end(signal, 16, Instant::from_millis(number * 50));
+    }
+    assert_eq!(limit.get(), 2);
+}
+
+/// Guards against a limit that stays at its floor for minutes after an overload: answers of
+/// some seconds are few, and each added less than a slot.
+#[test]
+fn fast_return() {
+    let mut limit = Adaptive::new(2, 64, 16);
+    for second in 1..60 {
+        limit.on_end(Signal::Overload, 1, Instant::from_millis(second * 1_000));
+    }
+    assert_eq!(limit.get(), 2);
+    for second in 60..80 {
+        let signal = Signal::Latency(Duration::from_millis(30));
+        limit.on_end(signal, limit.get(), Instant::from_millis(second * 1_000));
+    }
+    assert!((16..20).contains(&limit.get()), "limit {}", limit.get());
+}
