Give short calls a queue and drop repeated work of a node at rest

All proposals of a commit, and all reads of a swap, fell due in one turn, and the pool took 64 of them: lists of more than about 64 entry VMs could not commit, and models with more than about 64 replicas were never swapped whole. A node at the target's manifest used 21% to 27% of a core at rest. Each trainer had a buffer of 64 MB, where the design says each node.

Ruled out: more idle connections for load reads (1,024 in place of 256): a read still took 2 ms of processor time; `ureq` looks at every idle connection of its pool for each call.

Change: 4,096 short calls may wait; ranks are computed once a second; a swapper takes the replicas over only from a new manifest; short calls to engines use connections of their own; the buffer is shared out.

--- a/crates/adapter/src/engine.rs
+++ b/crates/adapter/src/engine.rs
@@ -20,6 +20,9 @@
 #[derive(Debug)]
 pub struct Engine {
     client: Client,
+    /// For short calls. The pool of `ureq` looks at every idle connection for each call, which
+    /// with 280 replicas costs more than a new connection.
+    short: Client,
 }
 
 #[derive(Deserialize)]
@@ -47,6 +50,7 @@
     pub fn new() -> Self {
         Self {
             client: Client::new(IDLE_CONNECTIONS),
+            short: Client::new(0),
         }
     }
 }
@@ -115,7 +119,7 @@
     fn cancel(&self, upstream: SocketAddr, request: &str, timeout: Duration) -> Result<()> {
         let body = to_json("engine", &json!({ "request_id": request }))?;
         let exchange = post(upstream, "/v1/cancel", &body, timeout);
-        match self.client.call(&exchange)? {
+        match self.short.call(&exchange)? {
             (200, ..) => Ok(()),
             (status, ..) => Err(exchange.unexpected(status)),
         }
@@ -123,19 +127,19 @@
 
     fn load(&self, upstream: SocketAddr, timeout: Duration) -> Result<Load> {
         let exchange = get(upstream, "/v1/load", timeout);
-        self.client.json(&exchange, Category::Invalid)
+        self.short.json(&exchange, Category::Invalid)
     }
 
     fn weights(&self, upstream: SocketAddr, timeout: Duration) -> Result<Vec<Weights>> {
         let exchange = get(upstream, "/v1/weights", timeout);
-        let served: Served = self.client.json(&exchange, Category::Invalid)?;
+        let served: Served = self.short.json(&exchange, Category::Invalid)?;
         Ok(served.weights)
     }
 
     fn order(&self, upstream: SocketAddr, order: &Order, timeout: Duration) -> Result<()> {
         let body = to_json("engine", order)?;
         let exchange = post(upstream, "/v1/orders", &body, timeout);
-        match self.client.call(&exchange)? {
+        match self.short.call(&exchange)? {
             (200, ..) => Ok(()),
             (409, body, _) => Err(exchange.error(Category::Refused, order_refused(&body))),
             (status, ..) => Err(exchange.unexpected(status)),
--- a/crates/node/src/keeper.rs
+++ b/crates/node/src/keeper.rs
@@ -10,6 +10,9 @@
 /// How often a lease looks for something to do.
 const TICK: Duration = Duration::from_millis(50);
 
+/// How often the rank is computed; ranks are 500 ms apart and a lease lasts 6 s.
+const RANK_INTERVAL: Duration = Duration::from_secs(1);
+
 /// A call of the table service that takes longer has failed for the lease.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1000);
 
@@ -72,8 +75,13 @@
     /// Keeps the lease until it is released at the node's end or no longer wanted.
     pub(crate) fn run(&self, shared: &Arc<Shared>) {
         let mut was_held = None;
+        let mut rank_at = Instant::default();
         while !shared.is_stopped() {
-            self.set_rank(shared);
+            let now = shared.now();
+            if now >= rank_at {
+                rank_at = now + RANK_INTERVAL;
+                self.set_rank(shared);
+            }
             let busy = self.busy.load(Ordering::SeqCst);
             if (shared.is_releasing() && !busy) || !(self.wanted)() {
                 lock(&self.lease).release();
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -24,6 +24,10 @@
 /// Threads for short calls: orders, reads of engines, proposals, outcomes of keyed calls.
 const WORKERS: usize = 32;
 
+/// Short calls that may wait: a commit asks up to 320 nodes at once, and a swap reads up to
+/// 1,900 replicas. With fewer, the same ones were dropped in every turn.
+const CALLS: usize = 4096;
+
 const TICK: Duration = Duration::from_millis(50);
 const RECEIVE_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -60,8 +64,8 @@
         let parts = Parts {
             metrics: Metrics::new(settings.statsd).map_err(Inner::Metrics)?,
             rng: SmallRng::seed_from_u64(rng.next_u64()),
-            samplers: Pool::new("sample", SAMPLERS).map_err(Inner::Thread)?,
-            workers: Pool::new("worker", WORKERS).map_err(Inner::Thread)?,
+            samplers: Pool::new("sample", SAMPLERS, SAMPLERS).map_err(Inner::Thread)?,
+            workers: Pool::new("worker", WORKERS, CALLS).map_err(Inner::Thread)?,
             settings,
             platform,
         };
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -140,7 +140,10 @@
             .iter()
             .find(|one| one.model == settings.model);
         let first = model.map_or(id::Version(0), |model| model.version);
-        match crate::store::load(&self.shared, &self.keeper, guard, settings, first) {
+        let trainers = manifest.trainers.len();
+        let loaded =
+            crate::store::load(&self.shared, &self.keeper, guard, settings, first, trainers);
+        match loaded {
             Ok((ledger, contents)) => self.take_up(guard, settings.clone(), ledger, contents),
             Err(refusal) => {
                 tracing::warn!(trainer = %self.name, %refusal, "ledger_not_loaded");
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -237,7 +237,7 @@
 
 /// Answers proposals of committing nodes until the node stops.
 pub(crate) fn serve_proposals(shared: &Arc<Shared>, listener: &TcpListener) {
-    let Ok(pool) = crate::pool::Pool::new("proposal", PROPOSALS) else {
+    let Ok(pool) = crate::pool::Pool::new("proposal", PROPOSALS, PROPOSALS) else {
         tracing::error!("thread_failed");
         return;
     };
--- a/crates/node/src/pool.rs
+++ b/crates/node/src/pool.rs
@@ -15,8 +15,9 @@
 }
 
 impl Pool {
-    pub(crate) fn new(name: &str, threads: usize) -> io::Result<Self> {
-        let (jobs, queue) = sync_channel::<Job>(threads);
+    /// Starts the threads; `waiting` jobs may wait for them.
+    pub(crate) fn new(name: &str, threads: usize, waiting: usize) -> io::Result<Self> {
+        let (jobs, queue) = sync_channel::<Job>(waiting);
         let queue = Arc::new(Mutex::new(queue));
         for _ in 0..threads {
             let queue = queue.clone();
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -20,6 +20,7 @@
 /// A transaction without an outcome for this long is reported to its caller.
 const STALL: Duration = Duration::from_secs(2);
 
+/// Accepted samples that wait for the store, shared by all trainers of the manifest.
 const BUFFER_BYTES: usize = 64 << 20;
 
 /// The one transaction of a ledger that is under way.
@@ -136,6 +137,7 @@
     guard: Guard,
     trainer: &Trainer,
     first: id::Version,
+    trainers: usize,
 ) -> Result<(Ledger, HashMap<id::Step, Arc<Content>>), Refusal> {
     let prefix = Ledger::prefix(&trainer.trainer);
     let rows = shared.platform.table.scan(&prefix, CALL_TIMEOUT);
@@ -145,7 +147,7 @@
         trainer: trainer.trainer.clone(),
         staleness_bound: u64::from(trainer.staleness_bound),
         version: first,
-        buffer_bytes: BUFFER_BYTES,
+        buffer_bytes: BUFFER_BYTES / trainers.max(1),
     };
     let fence = Check {
         key: keeper.fence_key(),
--- a/crates/node/src/swapper.rs
+++ b/crates/node/src/swapper.rs
@@ -75,6 +75,8 @@
     addresses: HashMap<id::Upstream, SocketAddr>,
     reports: (Sender<Report>, Receiver<Report>),
     target_at: Instant,
+    /// The manifest that the replicas were taken from.
+    followed: Option<Arc<Manifest>>,
     excluded: HashSet<id::Upstream>,
 }
 
@@ -89,6 +91,7 @@
             addresses: HashMap::new(),
             reports: channel(),
             target_at: Instant::default(),
+            followed: None,
             excluded: HashSet::new(),
             shared,
             model,
@@ -139,7 +142,12 @@
     }
 
     /// Takes over the replicas of the manifest.
-    fn follow(&mut self, manifest: &Manifest) {
+    fn follow(&mut self, manifest: &Arc<Manifest>) {
+        let is_known = |known: &Arc<Manifest>| Arc::ptr_eq(known, manifest);
+        if self.followed.as_ref().is_some_and(is_known) {
+            return;
+        }
+        self.followed = Some(manifest.clone());
         let engines = manifest.engines.iter();
         let engines = engines.filter(|one| one.models.contains(&self.model) && !one.leaving);
         let engines: Vec<_> = engines.collect();
