Add the manifest commit, the lease and the swap to the fault matrix

Cause: three of the five paths were missing.

One earlier failure, "untrue `not run`" in the pair promise/StoreDown with write/Repeated, came from the fake, which answered "not sent" although it had kept a copy of the write; a copy is now kept only of a write that reached the store.

The swap path uses a simplified lease of the real lengths.

--- a/crates/dogwoodlb/tests/matrix.rs
+++ b/crates/dogwoodlb/tests/matrix.rs
@@ -3,14 +3,20 @@
 
 #[path = "matrix/fault.rs"]
 mod fault;
+#[path = "matrix/holder.rs"]
+mod holder;
 #[path = "matrix/keyed.rs"]
 mod keyed;
+#[path = "matrix/revision.rs"]
+mod revision;
 #[path = "matrix/sample.rs"]
 mod sample;
 #[path = "matrix/store.rs"]
 mod store;
 #[path = "../../lease/tests/fake/table.rs"]
 mod table;
+#[path = "matrix/weights.rs"]
+mod weights;
 
 use fault::{Path, FAULTS};
 use rstest::rstest;
@@ -20,6 +26,9 @@
 #[rstest]
 #[case::keyed(&keyed::PATH)]
 #[case::sample(&sample::PATH)]
+#[case::commit(&revision::PATH)]
+#[case::lease(&holder::PATH)]
+#[case::swap(&weights::PATH)]
 fn single_faults(#[case] path: &Path) {
     let (run, excused) = path.singles();
     println!("{}: {run} cells run, {excused} excused", path.name);
@@ -37,6 +46,9 @@
 #[rstest]
 #[case::keyed(&keyed::PATH)]
 #[case::sample(&sample::PATH)]
+#[case::commit(&revision::PATH)]
+#[case::lease(&holder::PATH)]
+#[case::swap(&weights::PATH)]
 fn fault_pairs(#[case] path: &Path) {
     let (run, both) = path.pairs();
     println!("{}: {run} pairs run, both faults met in {both}", path.name);
--- a/crates/dogwoodlb/tests/matrix/sample/flight.rs
+++ b/crates/dogwoodlb/tests/matrix/sample/flight.rs
@@ -138,16 +138,8 @@
         commit: &Commit,
         fault: Option<Fault>,
     ) -> Result<Outcome> {
-        match fault {
-            Some(Fault::PeerCut) => {
-                self.nodes[index].store_cut_until = self.now + PEER_CUT_MS;
-            }
-            // The trainer repeats its request, and a second copy reaches the table later.
-            Some(Fault::Repeated) => {
-                self.nodes[index].requests.extend(owner.asked.clone());
-                self.store.delay(self.now + 1_000, &commit.txn);
-            }
-            _ => {}
+        if fault == Some(Fault::PeerCut) {
+            self.nodes[index].store_cut_until = self.now + PEER_CUT_MS;
         }
         if self.is_cut(index) || !self.put(index, commit) {
             return Err(failure(Category::NotSent));
@@ -157,6 +149,11 @@
             return Err(failure(Category::Ambiguous));
         }
         let outcome = self.store.commit(self.now, &commit.txn);
+        // The trainer repeats its request, and a second copy reaches the table later.
+        if fault == Some(Fault::Repeated) && outcome.is_ok() {
+            self.nodes[index].requests.extend(owner.asked.clone());
+            self.store.delay(self.now + 1_000, &commit.txn);
+        }
         match fault {
             Some(Fault::ReplyLost) => Err(failure(Category::Ambiguous)),
             _ => outcome,
