Sharpen the fault matrix by its trials

Cause: three wrong changes passed the matrix: no fence precondition, a duplicate attempt accepted, and the promise of one node taken for a majority.

Change: a frozen owner wakes right after the next one took over, when only the fence row tells that its write is stale, and a write under another fence fails the cell; a repeated acceptance must not count twice; the cut region of the commit path holds a majority, and commits begin after the proposals that may be open at the start are closed.

--- a/crates/dogwoodlb/tests/matrix/revision.rs
+++ b/crates/dogwoodlb/tests/matrix/revision.rs
@@ -19,8 +19,12 @@
 use std::collections::BTreeMap;
 
 const NODES: usize = 5;
+/// The nodes from this one on, a majority, are in the region without the store.
+const FAR: usize = 2;
 const TICK_MS: u64 = 50;
-const COMMIT_AT_MS: u64 = 2_000;
+/// By then the proposals that might have been open at the start are closed, so that nodes
+/// without the store confirm each other.
+const COMMIT_AT_MS: u64 = 10_000;
 /// The bound of P9.
 const IN_FORCE_MS: u64 = 4_000;
 
@@ -57,6 +61,7 @@
     operators: Vec<Operator>,
     messages: BTreeMap<(u64, u64), (usize, Message)>,
     sequence: u64,
+    region_cut_until: u64,
     /// When each revision was seen in the table, and its content.
     history: Vec<(u64, Record, Manifest)>,
     /// The version of the row `manifest/current` that was seen last.
@@ -91,6 +96,7 @@
         operators: Vec::new(),
         messages: BTreeMap::new(),
         sequence: 0,
+        region_cut_until: 0,
         history: Vec::new(),
         seen: 0,
     };
@@ -168,7 +174,8 @@
             return;
         }
         let cut = |own: usize| self.now < self.nodes[own].peers_cut_until;
-        if from == to || !(cut(from) || cut(to)) {
+        let is_apart = (from < FAR) != (to < FAR) && self.now < self.region_cut_until;
+        if from == to || !(cut(from) || cut(to) || is_apart) {
             self.post(self.now, to, message);
         }
     }
--- a/crates/dogwoodlb/tests/matrix/revision/peer.rs
+++ b/crates/dogwoodlb/tests/matrix/revision/peer.rs
@@ -69,8 +69,9 @@
             }
             Some(Fault::PeerCut) => node.store_cut_until = now + PEER_CUT_MS,
             Some(Fault::RegionCut) => {
-                node.store_cut_until = now + REGION_CUT_MS;
-                node.peers_cut_until = now + REGION_CUT_MS;
+                self.region_cut_until = now + REGION_CUT_MS;
+                let far = self.nodes.iter_mut().skip(FAR);
+                far.for_each(|own| own.store_cut_until = now + REGION_CUT_MS);
             }
             Some(Fault::TwoOperators) => {
                 let number = self.operators.len();
--- a/crates/dogwoodlb/tests/matrix/sample/attempt.rs
+++ b/crates/dogwoodlb/tests/matrix/sample/attempt.rs
@@ -81,9 +81,10 @@
         let is_broken = matches!(fault, Some(Fault::PeerCut | Fault::RegionCut));
         match (job.stage, fault) {
             (Stage::Accept, _) => {
-                self.accept(owner, job);
+                let first = self.accept(owner, job);
                 if fault == Some(Fault::Repeated) {
-                    self.accept(owner, job);
+                    let again = self.accept(owner, job);
+                    assert!(!(first && again), "a duplicate was accepted");
                 }
                 return false;
             }
@@ -135,7 +136,8 @@
         self.produced.insert(job.body.clone(), truth);
     }
 
-    fn accept(&mut self, owner: &mut Owner, job: &Job) {
+    /// Returns whether the attempt is the one that counts.
+    fn accept(&mut self, owner: &mut Owner, job: &Job) -> bool {
         let accepted = owner.ledger.accept(Finished {
             sample: job.sample.clone(),
             attempt: job.attempt,
@@ -152,6 +154,7 @@
                 self.fail(owner, job);
             }
         }
+        matches!(accepted, Ok(Accepted::Buffered))
     }
 
     fn fail(&mut self, owner: &mut Owner, job: &Job) -> bool {
--- a/crates/dogwoodlb/tests/matrix/sample/flight.rs
+++ b/crates/dogwoodlb/tests/matrix/sample/flight.rs
@@ -149,6 +149,10 @@
             return Err(failure(Category::Ambiguous));
         }
         let outcome = self.store.commit(self.now, &commit.txn);
+        if matches!(outcome, Ok(Outcome::Applied { .. })) {
+            let current = node::fence(&self.store).version;
+            assert_eq!(owner.row_version, current, "a stale write took effect");
+        }
         // The trainer repeats its request, and a second copy reaches the table later.
         if fault == Some(Fault::Repeated) && outcome.is_ok() {
             self.nodes[index].requests.extend(owner.asked.clone());
--- a/crates/dogwoodlb/tests/matrix/sample/node.rs
+++ b/crates/dogwoodlb/tests/matrix/sample/node.rs
@@ -52,6 +52,7 @@
 
 pub(super) struct Owner {
     pub(super) fence: id::Fence,
+    pub(super) row_version: u64,
     pub(super) ledger: Ledger,
     pub(super) planner: Planner,
     pub(super) flight: Option<Flight>,
@@ -131,6 +132,7 @@
 impl World {
     pub(super) fn run_node(&mut self, index: usize, faults: &mut Faults) {
         let now = self.now;
+        self.wake(index);
         let node = &mut self.nodes[index];
         if node.restart_at.is_some_and(|at| at <= now) {
             node.restart();
@@ -155,6 +157,17 @@
         }
     }
 
+    /// Wakes a frozen node right after another one has taken the trainer over, before that one
+    /// has written anything: then only the fence row tells that a write is stale.
+    fn wake(&mut self, index: usize) {
+        let now = self.now;
+        let mut others = self.nodes.iter().filter(|own| own.index != index);
+        if others.any(|own| own.lease.held(at(now)).is_some()) {
+            let node = &mut self.nodes[index];
+            node.paused_until = node.paused_until.min(now);
+        }
+    }
+
     pub(super) fn is_cut(&self, index: usize) -> bool {
         self.now < self.nodes[index].store_cut_until
     }
@@ -322,6 +335,7 @@
     }
     Some(Owner {
         fence: guard.fence,
+        row_version: guard.row_version,
         ledger,
         planner,
         flight: None,
