Use the field's names in the node and plainer words in comments

Cause: a newcomer's read: `Desk`, `Ask`, `Need` and `Holding` need explaining, and some comments were figurative.

Change: `Mailbox`, `Command`, `Demand`, `Ownership`; comments reworded.

Conclusion: no behaviour changed.

--- a/crates/adapter/src/engine.rs
+++ b/crates/adapter/src/engine.rs
@@ -15,7 +15,7 @@
 
 /// A client of model engines.
 ///
-/// Events are handed on as they arrive, and the connection is closed as soon as the reader
+/// Events are forwarded as they arrive, and the connection is closed as soon as the reader
 /// stops, which cancels the request in the engine.
 #[derive(Debug)]
 pub struct Engine {
--- a/crates/adapter/tests/engine_streams.rs
+++ b/crates/adapter/tests/engine_streams.rs
@@ -63,7 +63,7 @@
     server.allow(Some(1));
     let error = generate(server.address(), &mut |_| ControlFlow::Break(())).unwrap_err();
     assert_eq!(error.classify(), Category::Cancelled, "{error}");
-    // The engine can only end this request, which may not generate, because the client is gone.
+    // The engine can only end this request, which may not generate, because the client has disconnected.
     let ended = std::time::Instant::now() + DEADLINE;
     while server.load().running > 0 {
         assert!(std::time::Instant::now() < ended, "the request still runs");
--- a/crates/dogwoodlb/examples/capacity/daemon.rs
+++ b/crates/dogwoodlb/examples/capacity/daemon.rs
@@ -133,7 +133,7 @@
     report.add(format!("daemon.{count}_streams.bytes"), resident()?);
     report.add(format!("daemon.{count}_streams.threads"), threads()?);
     drop(client);
-    // The node notices at the next event that the client has gone.
+    // The node notices at the next event that the client has disconnected.
     thread::sleep(PAUSE * 5);
     Ok(())
 }
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -83,7 +83,7 @@
     ///
     /// # Errors
     ///
-    /// [`Category::Closed`](crate::Category::Closed) if the client is gone or has not read
+    /// [`Category::Closed`](crate::Category::Closed) if the client has disconnected or has not read
     /// within the write time-out.
     pub fn write(&self, data: &[u8]) -> Result<()> {
         self.chunks
@@ -91,7 +91,7 @@
             .map_err(|_| Error::from(Inner::Closed))
     }
 
-    /// Returns whether the client is gone.
+    /// Returns whether the client has disconnected.
     pub fn is_closed(&self) -> bool {
         self.chunks.is_closed()
     }
@@ -100,7 +100,7 @@
     ///
     /// # Errors
     ///
-    /// [`Category::Closed`](crate::Category::Closed) if the client is gone.
+    /// [`Category::Closed`](crate::Category::Closed) if the client has disconnected.
     pub fn finish(mut self) -> Result<()> {
         self.finished = true;
         self.chunks
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -140,9 +140,9 @@
 
     /// Stops accepting, closes idle connections, and waits for requests in progress.
     ///
-    /// Returns whether all of them were answered in full within `patience`; the connections
+    /// Returns whether all of them were answered in full within `drain_timeout`; the connections
     /// of the others are broken.
-    pub fn shutdown(&self, patience: Duration) -> bool {
+    pub fn shutdown(&self, drain_timeout: Duration) -> bool {
         let runtime = self
             .runtime
             .lock()
@@ -155,7 +155,7 @@
         let all = u32::try_from(self.shared.limits.connections).unwrap_or(u32::MAX);
         let connections = self.shared.connections.clone();
         let drained =
-            runtime.block_on(async { timeout(patience, connections.acquire_many(all)).await });
+            runtime.block_on(async { timeout(drain_timeout, connections.acquire_many(all)).await });
         let complete = drained.is_ok();
         runtime.shutdown_background();
         complete
--- a/crates/lease/src/lease.rs
+++ b/crates/lease/src/lease.rs
@@ -128,7 +128,7 @@
             let prefix = self.name.prefix();
             return Some(Action::Read { ticket, prefix });
         }
-        if !self.write_due(now) || !self.outage.allows_write(now, self.patience(now), rng) {
+        if !self.write_due(now) || !self.outage.allows_write(now, self.max_jitter(now), rng) {
             return None;
         }
         let mut write = match self.write.take() {
@@ -231,7 +231,7 @@
     }
 
     /// Returns the longest jitter; a holder keeps half of its remaining time for the renewal.
-    fn patience(&self, now: Instant) -> Duration {
+    fn max_jitter(&self, now: Instant) -> Duration {
         match &self.held {
             Some(held) if now < held.guard.until => held.guard.until.saturating_since(now) / 2,
             _ => JITTER,
--- a/crates/ledger/tests/ledger/step_delivery.rs
+++ b/crates/ledger/tests/ledger/step_delivery.rs
@@ -172,7 +172,7 @@
     assert_eq!(other.unwrap_err().code, Code::Conflict);
 }
 
-/// Guards against rows that stay for ever, and against a sweep that removes live ones.
+/// Guards against rows that stay forever, and against a sweep that removes live ones.
 #[test]
 fn acknowledged_rows_are_deleted() {
     let mut table = Table::default();
--- a/crates/limit/src/gate.rs
+++ b/crates/limit/src/gate.rs
@@ -127,7 +127,7 @@
         Ok(())
     }
 
-    /// Removes a waiting request whose caller has gone.
+    /// Removes a waiting request whose caller has disconnected.
     ///
     /// # Errors
     ///
--- a/crates/limit/src/link.rs
+++ b/crates/limit/src/link.rs
@@ -62,7 +62,7 @@
     /// Asks whether `bytes` may be sent for a class.
     ///
     /// A trainer's message goes as soon as the share isn't overdrawn, whatever its size, so
-    /// that small messages can't hold up a large one for ever.
+    /// that small messages can't hold up a large one forever.
     pub fn ask(&mut self, class: Class, bytes: u64, now: Instant) -> Verdict {
         self.refill(now);
         let size = i64::try_from(bytes).unwrap_or(i64::MAX);
--- a/crates/limit/tests/adaptive_limit.rs
+++ b/crates/limit/tests/adaptive_limit.rs
@@ -57,7 +57,7 @@
     assert_eq!(limit.get(), 10);
 }
 
-/// A weight swap to a slower model that leaves the limit at its floor for ever.
+/// A weight swap to a slower model that leaves the limit at its floor forever.
 #[test]
 fn slower_baseline() {
     let mut limit = Adaptive::new(1, 100, 10);
--- a/crates/limit/tests/region_link.rs
+++ b/crates/limit/tests/region_link.rs
@@ -63,7 +63,7 @@
     assert_eq!(link.sent(Class::Customer), SHARE * 100);
 }
 
-/// Small samples that hold up a large one for ever.
+/// Small samples that hold up a large one forever.
 #[test]
 fn large_message() {
     let mut link = Link::new(SHARE, at(0));
--- a/crates/manifest/tests/commit_steps.rs
+++ b/crates/manifest/tests/commit_steps.rs
@@ -228,7 +228,7 @@
     assert!(refused.retry_after.is_some());
 }
 
-/// A proposal that other nodes closed starts again on the new row, but not for ever.
+/// A proposal that other nodes closed starts again on the new row, but not forever.
 #[test]
 fn closed_proposal() {
     let (mut commit, _) = writing();
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -26,7 +26,7 @@
 //! second.set_peers(&peers, &mut rng)?;
 //! assert_eq!(first.live().len(), 1);
 //!
-//! // The shell sends each frame and hands on what it receives.
+//! // The shell sends each frame and passes on what it receives.
 //! for action in first.tick(now, &status, &mut rng) {
 //!     let Action::Send { frame, .. } = action else { continue };
 //!     for action in second.on_frame(&frame, now, &status, &mut rng)? {
--- a/crates/node/src/api.rs
+++ b/crates/node/src/api.rs
@@ -205,7 +205,7 @@
             .count_request(job.class, head.began, result.as_ref().err());
         match (result, stream, responder) {
             (Ok(_), Some(stream), _) => {
-                // An error means that the client is gone.
+                // An error means that the client has disconnected.
                 let _ = stream.finish();
                 Ok(())
             }
--- a/crates/node/src/calls.rs
+++ b/crates/node/src/calls.rs
@@ -3,7 +3,7 @@
 use crate::keeper::Keeper;
 use crate::lock;
 use crate::owner::Owner;
-use crate::shared::{Desk, Shared};
+use crate::shared::{Mailbox, Shared};
 use dogwoodlb_lease::Name;
 use dogwoodlb_ledger::{Content, Delivery};
 use dogwoodlb_manifest::Manifest;
@@ -18,7 +18,7 @@
 
 /// What a trainer asks for.
 #[derive(Debug)]
-pub(crate) enum Ask {
+pub(crate) enum Command {
     Session,
     Submit {
         session: id::Session,
@@ -58,7 +58,7 @@
 /// A call of a trainer and where its reply goes.
 #[derive(Debug)]
 pub(crate) struct Call {
-    pub(crate) ask: Ask,
+    pub(crate) command: Command,
     pub(crate) reply: SyncSender<Result<Reply, Refusal>>,
 }
 
@@ -86,7 +86,7 @@
         let (calls, inbox) = sync_channel(CALLS);
         trainers.insert(
             name.clone(),
-            Desk {
+            Mailbox {
                 calls,
                 keeper: keeper.clone(),
             },
--- a/crates/node/src/generate.rs
+++ b/crates/node/src/generate.rs
@@ -1,7 +1,7 @@
 //! Model calls: choice of a replica, retries and continuation.
 
 use crate::completion::{Output, Prompt};
-use crate::group::{Group, Need, Slot};
+use crate::group::{Demand, Group, Slot};
 use crate::shared::Shared;
 use dogwoodlb_http::sse::DONE;
 use dogwoodlb_limit::Signal;
@@ -47,7 +47,7 @@
 }
 
 impl Shared {
-    /// Carries out a model call and hands on each event as it comes.
+    /// Carries out a model call and forwards each event as it comes.
     pub(crate) fn generate(
         &self,
         job: &Job<'_>,
@@ -93,14 +93,14 @@
         output: &mut Output,
         on_event: &mut dyn FnMut(&str) -> ControlFlow<()>,
     ) -> Result<Attempt, Refusal> {
-        let need = Need {
+        let demand = Demand {
             class: job.class,
             prefix: Some(job.prompt.prefix()),
             exclude: failed,
             deadline: job.deadline,
         };
         let mut slot = group
-            .enter(&need)
+            .enter(&demand)
             .map_err(|refusal| after_output(refusal, output))?;
         let Some(body) = job.prompt.body(job.priority, output) else {
             return Ok(finish(job, output, on_event));
--- a/crates/node/src/group.rs
+++ b/crates/node/src/group.rs
@@ -54,7 +54,7 @@
 
 /// What a request needs from its group.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Need<'a> {
+pub(crate) struct Demand<'a> {
     pub(crate) class: Class,
     pub(crate) prefix: Option<u64>,
     pub(crate) exclude: &'a [id::Upstream],
@@ -83,10 +83,10 @@
     }
 
     /// Waits for admission and picks a replica.
-    pub(crate) fn enter(&self, need: &Need<'_>) -> Result<Slot<'_>, Refusal> {
+    pub(crate) fn enter(&self, demand: &Demand<'_>) -> Result<Slot<'_>, Refusal> {
         let mut state = lock(&self.state);
         let now = self.clock.now();
-        let ticket = match state.gate.arrive(need.class, need.deadline, now)? {
+        let ticket = match state.gate.arrive(demand.class, demand.deadline, now)? {
             Admission::Start(ticket) => ticket,
             Admission::Wait(ticket) => {
                 state.settle(now);
@@ -96,7 +96,7 @@
         };
         loop {
             let now = self.clock.now();
-            match state.pick(need, now) {
+            match state.pick(demand, now) {
                 Ok((pick, address)) => {
                     drop(state);
                     return Ok(Slot {
@@ -108,7 +108,7 @@
                         address,
                     });
                 }
-                Err(refusal) if refusal.code != Code::Overloaded || now >= need.deadline => {
+                Err(refusal) if refusal.code != Code::Overloaded || now >= demand.deadline => {
                     state.end_gate(ticket, now);
                     self.changed.notify_all();
                     return Err(refusal);
@@ -208,14 +208,14 @@
 }
 
 impl State {
-    fn pick(&mut self, need: &Need<'_>, now: Instant) -> Result<(Pick, SocketAddr), Refusal> {
-        let mut request = Request::new(need.class);
-        if let Some(prefix) = need.prefix {
+    fn pick(&mut self, demand: &Demand<'_>, now: Instant) -> Result<(Pick, SocketAddr), Refusal> {
+        let mut request = Request::new(demand.class);
+        if let Some(prefix) = demand.prefix {
             request = request.prefix_hash(prefix);
         }
-        let others = request.exclude(need.exclude);
+        let others = request.exclude(demand.exclude);
         let mut pick = self.router.pick(&others, now, &mut self.rng);
-        if pick.is_err() && !need.exclude.is_empty() {
+        if pick.is_err() && !demand.exclude.is_empty() {
             // A replica that failed once is better than none.
             pick = self.router.pick(&request, now, &mut self.rng);
         }
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -1,9 +1,9 @@
 //! The owner of a trainer: the thread that drives its ledger and its planner.
 
 use crate::calls::Call;
-use crate::holding::Holding;
 use crate::keeper::Keeper;
 use crate::lock;
+use crate::ownership::Ownership;
 use crate::sampling::{Flags, News, Report};
 use crate::shared::Shared;
 use crate::store::{Driver, Progress};
@@ -40,7 +40,7 @@
     keeper: Arc<Keeper>,
     rng: SmallRng,
     reports: (SyncSender<Report>, Receiver<Report>),
-    holding: Option<Holding>,
+    ownership: Option<Ownership>,
     retry_at: Instant,
 }
 
@@ -53,7 +53,7 @@
             keeper,
             rng: SmallRng::seed_from_u64(seed),
             reports: sync_channel(2 * IN_FLIGHT),
-            holding: None,
+            ownership: None,
             retry_at: Instant::default(),
         }
     }
@@ -84,40 +84,44 @@
     fn check_lease(&mut self) {
         let now = self.shared.now();
         let held = self.keeper.held(now);
-        let same = |holding: &Holding| held.is_some_and(|held| held.fence == holding.guard.fence);
-        match &mut self.holding {
-            Some(holding) if same(holding) && !holding.ledger.is_lost() => {
-                holding.guard = held.unwrap_or(holding.guard);
+        let same =
+            |ownership: &Ownership| held.is_some_and(|held| held.fence == ownership.guard.fence);
+        match &mut self.ownership {
+            Some(ownership) if same(ownership) && !ownership.ledger.is_lost() => {
+                ownership.guard = held.unwrap_or(ownership.guard);
             }
             Some(_) => self.give_up(),
             None => {}
         }
-        if let (None, Some(guard), true) = (&self.holding, held, now >= self.retry_at) {
+        if let (None, Some(guard), true) = (&self.ownership, held, now >= self.retry_at) {
             self.load(guard);
         }
     }
 
     fn is_held(&self) -> bool {
         let held = self.keeper.held(self.shared.now());
-        let own = self.holding.as_ref().map(|holding| holding.guard.fence);
+        let own = self
+            .ownership
+            .as_ref()
+            .map(|ownership| ownership.guard.fence);
         held.map(|guard| guard.fence) == own
     }
 
     fn give_up(&mut self) {
         self.keeper.set_busy(false);
-        let Some(holding) = self.holding.take() else {
+        let Some(ownership) = self.ownership.take() else {
             return;
         };
-        holding.flags.cancel_all();
+        ownership.flags.cancel_all();
         let refusal = || {
             let message = "this node no longer owns the trainer";
             Refusal::may_have_run(Code::WrongNode, message).retry_after(Duration::from_secs(1))
         };
-        for reply in holding
+        for reply in ownership
             .fetches
             .into_iter()
             .map(|fetch| fetch.reply)
-            .chain(holding.current)
+            .chain(ownership.current)
         {
             let _ = reply.try_send(Err(refusal()));
         }
@@ -181,7 +185,7 @@
                     .with("fence", guard.fence)
                     .with("steps", ledger.steps().len())
             });
-        self.holding = Some(Holding {
+        self.ownership = Some(Ownership {
             guard,
             settings,
             ledger,
@@ -195,22 +199,22 @@
     }
 
     fn on_call(&mut self, call: Call) {
-        let Some(holding) = &mut self.holding else {
+        let Some(ownership) = &mut self.ownership else {
             let _ = call
                 .reply
                 .try_send(Err(self.shared.wrong_node(&self.keeper)));
             return;
         };
-        let start = holding.start(&self.shared, call.ask, &call.reply);
+        let start = ownership.start(&self.shared, call.command, &call.reply);
         match start {
             None => {}
             Some(Ok(Start::Done(completion))) => {
-                let reply = holding.apply(&self.shared, completion);
+                let reply = ownership.apply(&self.shared, completion);
                 let _ = call.reply.try_send(Ok(reply));
             }
             Some(Ok(Start::Commit(commit))) => {
-                holding.current = Some(call.reply);
-                holding.driver.start(commit);
+                ownership.current = Some(call.reply);
+                ownership.driver.start(commit);
             }
             Some(Ok(Start::Busy)) => {
                 let message = "a write of this trainer has no known outcome yet";
@@ -227,20 +231,20 @@
 
     fn on_report(&mut self, report: Report) {
         let now = self.shared.now();
-        let current = |holding: &&mut Holding| holding.guard.fence == report.fence;
-        let Some(holding) = self.holding.as_mut().filter(current) else {
+        let current = |ownership: &&mut Ownership| ownership.guard.fence == report.fence;
+        let Some(ownership) = self.ownership.as_mut().filter(current) else {
             return;
         };
         let (sample, attempt) = (report.sample, report.attempt);
         let result = match report.news {
-            News::Started => return holding.planner.on_started(&sample, attempt),
+            News::Started => return ownership.planner.on_started(&sample, attempt),
             News::Ended(result) => result,
         };
-        holding.flags.remove(&sample, attempt);
-        if result.is_ok_and(|finished| holding.accept(&self.shared, finished)) {
-            holding.planner.on_finished(now, &sample, attempt);
+        ownership.flags.remove(&sample, attempt);
+        if result.is_ok_and(|finished| ownership.accept(&self.shared, finished)) {
+            ownership.planner.on_finished(now, &sample, attempt);
         } else {
-            holding
+            ownership
                 .planner
                 .on_failed(now, &sample, attempt, &mut self.rng);
         }
@@ -253,38 +257,38 @@
         let Ok(manifest) = self.shared.manifest() else {
             return;
         };
-        let Some(holding) = &mut self.holding else {
+        let Some(ownership) = &mut self.ownership else {
             return;
         };
-        holding.follow(&manifest, &self.name);
-        holding.answer_fetches(&self.shared, now);
-        if !holding.ledger.is_busy() {
-            if let Some(commit) = holding.ledger.flush(now, self.shared.operation()) {
-                holding.driver.start(commit);
+        ownership.follow(&manifest, &self.name);
+        ownership.answer_fetches(&self.shared, now);
+        if !ownership.ledger.is_busy() {
+            if let Some(commit) = ownership.ledger.flush(now, self.shared.operation()) {
+                ownership.driver.start(commit);
             } else if let Some(Start::Commit(commit)) =
-                holding.ledger.sweep(self.shared.operation())
+                ownership.ledger.sweep(self.shared.operation())
             {
-                holding.driver.start(commit);
+                ownership.driver.start(commit);
             }
         }
         self.generate(&manifest, now);
         self.drive();
         self.keeper
-            .set_busy(self.holding.as_ref().is_some_and(Holding::is_busy));
+            .set_busy(self.ownership.as_ref().is_some_and(Ownership::is_busy));
     }
 
     fn generate(&mut self, manifest: &Arc<Manifest>, now: Instant) {
-        let Some(holding) = &mut self.holding else {
+        let Some(ownership) = &mut self.ownership else {
             return;
         };
-        let limit = if holding.driver.is_stalled() {
+        let limit = if ownership.driver.is_stalled() {
             0
         } else {
             IN_FLIGHT
         };
-        for action in holding.planner.poll(now, limit) {
+        for action in ownership.planner.poll(now, limit) {
             match action {
-                Action::Cancel { sample, attempt } => holding.flags.cancel(&sample, attempt),
+                Action::Cancel { sample, attempt } => ownership.flags.cancel(&sample, attempt),
                 Action::Generate {
                     sample,
                     attempt,
@@ -292,17 +296,17 @@
                 } => {
                     let job = crate::sampling::Job {
                         manifest: manifest.clone(),
-                        trainer: holding.settings.clone(),
-                        content: holding.contents.get(&sample.step).cloned(),
-                        cancelled: holding.flags.add(&sample, attempt),
-                        fence: holding.guard.fence,
+                        trainer: ownership.settings.clone(),
+                        content: ownership.contents.get(&sample.step).cloned(),
+                        cancelled: ownership.flags.add(&sample, attempt),
+                        fence: ownership.guard.fence,
                         sample: sample.clone(),
                         attempt,
                         priority,
                     };
                     if !crate::sampling::start(&self.shared, job, self.reports.0.clone()) {
-                        holding.flags.remove(&sample, attempt);
-                        holding
+                        ownership.flags.remove(&sample, attempt);
+                        ownership
                             .planner
                             .on_failed(now, &sample, attempt, &mut self.rng);
                     }
@@ -313,36 +317,36 @@
 
     /// Carries the transaction under way on, if there is one.
     fn drive(&mut self) {
-        let Some(holding) = &mut self.holding else {
+        let Some(ownership) = &mut self.ownership else {
             return;
         };
-        let progress = holding.driver.step(&self.shared, &mut holding.ledger);
+        let progress = ownership.driver.step(&self.shared, &mut ownership.ledger);
         if matches!(progress, Progress::Done(_)) && !self.is_held() {
             // A read-back that came after the end of the lease may show an older state.
             return self.give_up();
         }
-        let Some(holding) = &mut self.holding else {
+        let Some(ownership) = &mut self.ownership else {
             return;
         };
         match progress {
             Progress::Idle => {}
             Progress::Done(completion) => {
-                let current = holding.current.take();
-                let reply = holding.apply(&self.shared, completion);
+                let current = ownership.current.take();
+                let reply = ownership.apply(&self.shared, completion);
                 if let Some(current) = current {
                     let _ = current.try_send(Ok(reply));
                 }
             }
             Progress::Stalled => {
                 // The caller may repeat the call: the ledger recognises what took effect.
-                if let Some(current) = holding.current.take() {
+                if let Some(current) = ownership.current.take() {
                     let message = "the store doesn't answer; the outcome isn't known";
                     let refusal = Refusal::may_have_run(Code::StoreUnavailable, message);
                     let _ = current.try_send(Err(refusal.retry_after(Duration::from_secs(1))));
                 }
             }
             Progress::Lost(refusal) => {
-                if let Some(current) = holding.current.take() {
+                if let Some(current) = ownership.current.take() {
                     let _ = current.try_send(Err(refusal));
                 }
                 self.give_up();
--- a/crates/node/src/holding.rs
+++ b/crates/node/src/ownership.rs
@@ -1,6 +1,6 @@
 //! What a node has of a trainer while it holds the trainer's lease.
 
-use crate::calls::{Ask, Reply};
+use crate::calls::{Command, Reply};
 use crate::sampling::Flags;
 use crate::shared::Shared;
 use crate::store::Driver;
@@ -15,7 +15,7 @@
 use std::sync::Arc;
 
 /// The ledger and the planner of one trainer, and the calls that wait for them.
-pub(crate) struct Holding {
+pub(crate) struct Ownership {
     pub(crate) guard: Guard,
     pub(crate) settings: Trainer,
     pub(crate) ledger: Ledger,
@@ -35,18 +35,18 @@
     pub(crate) reply: SyncSender<Result<Reply, Refusal>>,
 }
 
-impl Holding {
+impl Ownership {
     /// Starts a call; a fetch is filed and answered later.
     pub(crate) fn start(
         &mut self,
         shared: &Shared,
-        ask: Ask,
+        command: Command,
         reply: &SyncSender<Result<Reply, Refusal>>,
     ) -> Option<Result<Start, Refusal>> {
         let operation = shared.operation();
-        Some(match ask {
-            Ask::Session => self.ledger.open_session(operation),
-            Ask::Submit {
+        Some(match command {
+            Command::Session => self.ledger.open_session(operation),
+            Command::Submit {
                 session,
                 step,
                 content,
@@ -62,7 +62,7 @@
                 }
                 start
             }
-            Ask::Fetch {
+            Command::Fetch {
                 session,
                 step,
                 deadline,
@@ -77,12 +77,12 @@
                 });
                 return None;
             }
-            Ask::Acknowledge {
+            Command::Acknowledge {
                 session,
                 step,
                 delivery,
             } => self.ledger.acknowledge(session, step, delivery, operation),
-            Ask::Publish {
+            Command::Publish {
                 session,
                 version,
                 object,
--- a/crates/node/src/plain.rs
+++ b/crates/node/src/plain.rs
@@ -1,6 +1,6 @@
 //! Calls of plain services.
 
-use crate::group::Need;
+use crate::group::Demand;
 use crate::shared::Shared;
 use dogwoodlb_limit::Signal;
 use dogwoodlb_manifest::Manifest;
@@ -54,13 +54,15 @@
         let mut failed: Vec<id::Upstream> = Vec::new();
         let mut sent = false;
         for number in 1.. {
-            let need = Need {
+            let demand = Demand {
                 class: job.class,
                 prefix: None,
                 exclude: &failed,
                 deadline: job.deadline,
             };
-            let mut slot = group.enter(&need).map_err(|refusal| after(refusal, sent))?;
+            let mut slot = group
+                .enter(&demand)
+                .map_err(|refusal| after(refusal, sent))?;
             self.spend(slot.level(), job.class, job.body.len(), job.deadline)
                 .map_err(|refusal| after(refusal, sent))?;
             let result = self.platform.service.call(&Call {
--- a/crates/node/src/sampling.rs
+++ b/crates/node/src/sampling.rs
@@ -115,7 +115,7 @@
             });
         };
         let run = || run(&one, &job, &mut || report(News::Started));
-        // Without a report the planner would wait for the attempt for ever.
+        // Without a report the planner would wait for the attempt forever.
         let result = catch_unwind(AssertUnwindSafe(run))
             .unwrap_or_else(|_| Err(one.violated("sampler", "an attempt panicked")));
         report(News::Ended(result));
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -45,7 +45,7 @@
     pub(crate) rng: Mutex<SmallRng>,
     pub(crate) samplers: Pool,
     pub(crate) workers: Pool,
-    pub(crate) trainers: Mutex<HashMap<id::Trainer, Desk>>,
+    pub(crate) trainers: Mutex<HashMap<id::Trainer, Mailbox>>,
     pub(crate) keepers: Mutex<Vec<Arc<Keeper>>>,
     pub(crate) releasing: AtomicBool,
     pub(crate) stopped: AtomicBool,
@@ -55,7 +55,7 @@
 
 /// Where the calls of one trainer go.
 #[derive(Clone)]
-pub(crate) struct Desk {
+pub(crate) struct Mailbox {
     pub(crate) calls: SyncSender<Call>,
     pub(crate) keeper: Arc<Keeper>,
 }
--- a/crates/node/src/trainers.rs
+++ b/crates/node/src/trainers.rs
@@ -1,7 +1,7 @@
 //! The endpoints of trainers.
 
 use crate::api::parse_name;
-use crate::calls::{Ask, Call, Reply};
+use crate::calls::{Call, Command, Reply};
 use crate::lock;
 use crate::sampling::Body;
 use crate::shared::Shared;
@@ -71,13 +71,13 @@
     rest: &[&str],
 ) -> Result<Response, Refusal> {
     let trainer: id::Trainer = parse_name("trainer", trainer)?;
-    let ask = match (request.method.as_str(), rest) {
-        ("POST", ["sessions"]) => Ask::Session,
+    let command = match (request.method.as_str(), rest) {
+        ("POST", ["sessions"]) => Command::Session,
         ("PUT", ["steps", step]) => submit(request, number(step)?)?,
         ("GET", ["steps", step]) => fetch(shared, request, number(step)?)?,
         ("POST", ["steps", step, "ack"]) => {
             let Acknowledge { session, delivery } = parse(request)?;
-            Ask::Acknowledge {
+            Command::Acknowledge {
                 session,
                 step: id::Step(number(step)?),
                 delivery,
@@ -89,7 +89,7 @@
                 version,
                 object,
             } = parse(request)?;
-            Ask::Publish {
+            Command::Publish {
                 session,
                 version,
                 object,
@@ -100,8 +100,8 @@
             return Err(Refusal::not_run(Code::NotFound, message));
         }
     };
-    let submits = matches!(ask, Ask::Submit { .. });
-    let mut response = answer(shared, ask_owner(shared, &trainer, ask)?)?;
+    let submits = matches!(command, Command::Submit { .. });
+    let mut response = answer(shared, call_owner(shared, &trainer, command)?)?;
     if submits {
         // The step is accepted, not done.
         response.status = 202;
@@ -109,7 +109,7 @@
     Ok(response)
 }
 
-fn submit(request: &Request, step: u64) -> Result<Ask, Refusal> {
+fn submit(request: &Request, step: u64) -> Result<Command, Refusal> {
     let Submit {
         session,
         groups,
@@ -120,14 +120,14 @@
         return Err(Refusal::not_run(Code::BadRequest, message));
     }
     let content = Content { groups, max_tokens };
-    Ok(Ask::Submit {
+    Ok(Command::Submit {
         session,
         step: id::Step(step),
         content,
     })
 }
 
-fn fetch(shared: &Shared, request: &Request, step: u64) -> Result<Ask, Refusal> {
+fn fetch(shared: &Shared, request: &Request, step: u64) -> Result<Command, Refusal> {
     let session = request
         .param("session")
         .ok_or_else(|| Refusal::not_run(Code::BadRequest, "the parameter `session` is missing"))?;
@@ -135,7 +135,7 @@
         Some(wait) => Duration::from_millis(number(wait)?).min(MAX_WAIT),
         None => Duration::ZERO,
     };
-    Ok(Ask::Fetch {
+    Ok(Command::Fetch {
         session: id::Session(number(session)?),
         step: id::Step(step),
         deadline: shared.now() + wait,
@@ -143,29 +143,29 @@
 }
 
 /// Hands a call to the trainer's owner on this node and waits for the reply.
-fn ask_owner(shared: &Shared, trainer: &id::Trainer, ask: Ask) -> Result<Reply, Refusal> {
+fn call_owner(shared: &Shared, trainer: &id::Trainer, command: Command) -> Result<Reply, Refusal> {
     let manifest = shared.manifest()?;
-    let desk = lock(&shared.trainers).get(trainer).cloned();
+    let mailbox = lock(&shared.trainers).get(trainer).cloned();
     let listed = manifest.trainers.iter().any(|one| one.trainer == *trainer);
-    let Some(desk) = desk.filter(|_| listed) else {
+    let Some(mailbox) = mailbox.filter(|_| listed) else {
         let message = format!("there is no trainer `{trainer}`");
         return Err(Refusal::not_run(Code::UnknownTrainer, message));
     };
-    if desk.keeper.held(shared.now()).is_none() {
-        return Err(shared.wrong_node(&desk.keeper));
+    if mailbox.keeper.held(shared.now()).is_none() {
+        return Err(shared.wrong_node(&mailbox.keeper));
     }
-    let wait = match &ask {
-        Ask::Fetch { deadline, .. } => deadline.saturating_since(shared.now()),
+    let wait = match &command {
+        Command::Fetch { deadline, .. } => deadline.saturating_since(shared.now()),
         _ => Duration::ZERO,
     };
     let (reply, replies) = sync_channel(1);
-    match desk.calls.try_send(Call { ask, reply }) {
+    match mailbox.calls.try_send(Call { command, reply }) {
         Ok(()) => {}
         Err(TrySendError::Full(_)) => {
             let refusal = Refusal::not_run(Code::Overloaded, "too many calls of this trainer");
             return Err(refusal.retry_after(Duration::from_secs(1)));
         }
-        Err(TrySendError::Disconnected(_)) => return Err(shared.wrong_node(&desk.keeper)),
+        Err(TrySendError::Disconnected(_)) => return Err(shared.wrong_node(&mailbox.keeper)),
     }
     match replies.recv_timeout(wait + OWNER_TIMEOUT) {
         Ok(result) => result,
--- a/crates/once/src/call.rs
+++ b/crates/once/src/call.rs
@@ -10,7 +10,7 @@
 /// How long one access to the table may take.
 const TABLE_TIMEOUT: Duration = Duration::from_secs(1);
 /// How long the outcome is tried to be written after the answer. Outages of the table last
-/// longer, but a call must not be kept for ever.
+/// longer, but a call must not be kept forever.
 pub(crate) const PATIENCE: Duration = Duration::from_secs(30);
 const FIRST_BACKOFF: Duration = Duration::from_millis(50);
 const LONGEST_BACKOFF: Duration = Duration::from_secs(1);
--- a/crates/once/tests/lost_reply.rs
+++ b/crates/once/tests/lost_reply.rs
@@ -82,7 +82,7 @@
     assert!(call.is_finished());
 }
 
-/// An outcome that is lost with one reply, or a call that is kept for ever.
+/// An outcome that is lost with one reply, or a call that is kept forever.
 #[test]
 fn outcome_retried() {
     let mut call = call(1, b"{}");
--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -102,9 +102,9 @@
 
 /// A model engine.
 pub trait Engine: Send + Sync {
-    /// Generates a completion and hands on each server-sent event's data as it comes.
+    /// Generates a completion and forwards each server-sent event's data as it comes.
     ///
-    /// Returns after the last event, `[DONE]`, was handed on. The stream is cancelled when
+    /// Returns after the last event, `[DONE]`, was forwarded. The stream is cancelled when
     /// `on_event` breaks.
     ///
     /// # Errors
--- a/crates/rollout/tests/attempt_retry.rs
+++ b/crates/rollout/tests/attempt_retry.rs
@@ -52,7 +52,7 @@
     planner
 }
 
-/// Guards against a failed sample that is lost, or retried at once and for ever.
+/// Guards against a failed sample that is lost, or retried at once and forever.
 #[test]
 fn failures_back_off() {
     let mut planner = planner(1);
--- a/crates/route/tests/load_choice.rs
+++ b/crates/route/tests/load_choice.rs
@@ -48,7 +48,7 @@
     assert_eq!(pick(Class::Customer), class != Class::Customer);
 }
 
-/// A late report that replaces a newer one, counts own requests twice, or counts for ever.
+/// A late report that replaces a newer one, counts own requests twice, or counts forever.
 #[test]
 fn lagged_reports() {
     let mut rng = StdRng::seed_from_u64(1);
--- a/crates/standin/src/engine/answer.rs
+++ b/crates/standin/src/engine/answer.rs
@@ -23,7 +23,7 @@
     Stop,
     Length,
     Cancelled,
-    /// The weights were lost, or the client is gone.
+    /// The weights were lost, or the client has disconnected.
     Broken,
 }
 
@@ -73,7 +73,7 @@
     last["dogwood"] = report(core, job, &done);
     last["usage"] = usage(&done);
     if send(&last.to_string()) && send(sse::DONE) {
-        // An error means that the client is gone.
+        // An error means that the client has disconnected.
         let _ = stream.finish();
     }
 }
--- a/crates/timeline/src/ring.rs
+++ b/crates/timeline/src/ring.rs
@@ -3,7 +3,7 @@
 
 /// The most recent events of a node.
 ///
-/// The ring holds a fixed number of events, each of bounded size, so it can run for ever in
+/// The ring holds a fixed number of events, each of bounded size, so it can run forever in
 /// the memory of an entry VM. Nothing but the display of events depends on it.
 #[derive(Clone, Debug)]
 pub struct Ring {
