Test the operators' commands against real nodes

Cause: only `commit` and `status` had run against a node.

Conclusion: every command of dogwoodctl runs in the tests.

--- a/crates/dogwoodlb/tests/processes/whole_path.rs
+++ b/crates/dogwoodlb/tests/processes/whole_path.rs
@@ -59,3 +59,30 @@
     assert_eq!(answer.status, 400);
     assert!(answer.text.contains("entry_vms"), "{}", answer.text);
 }
+
+/// Guards against a command that doesn't understand what a real node answers.
+#[test]
+fn operator_commands() {
+    let mut cluster = Cluster::start("operator-commands", 2);
+    let trainer = cluster.trainer(1, 0);
+    Cluster::check_trainer(trainer);
+    let file = cluster.write_manifest("same").display().to_string();
+    for args in [
+        &["check", &file][..],
+        &["diff", &file],
+        &["show"],
+        &["--json", "status"],
+    ] {
+        let (code, output) = cluster.ctl(args);
+        assert_eq!(code, Some(0), "{args:?} {output}");
+    }
+    let (code, events) = cluster.ctl(&["--json", "timeline", "--trainer", "weld"]);
+    assert_eq!(code, Some(0));
+    assert!(events.contains("ledger_loaded"), "{events}");
+    assert!(!events.contains("node_started"), "{events}");
+
+    let (code, output) = cluster.ctl(&["drain", "entry-2"]);
+    assert_eq!(code, Some(0), "{output}");
+    let node = cluster.nodes[1].process.take().unwrap();
+    assert!(node.wait().0.success());
+}
