Count a report only for the question that its VM was asked

Cause: found by reading. A report was matched to a question by its number alone, so a late answer of one VM could count as evidence of another.

Change: a question remembers whom it went to and has one answer.

No test shows the fault: frames aren't authenticated, so that a test could only forge what a real node can't send.

Conclusion: kept as a check; authentication between nodes remains to be built.

--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -33,17 +33,26 @@
 #[derive(Default)]
 pub(crate) struct Questions {
     next: u32,
-    open: HashMap<u32, Instant>,
+    /// Which VM was asked, and when.
+    open: HashMap<u32, (id::Vm, Instant)>,
 }
 
 impl Questions {
-    fn ask(&mut self, now: Instant) -> u32 {
+    fn ask(&mut self, vm: &id::Vm, now: Instant) -> u32 {
         self.open
-            .retain(|_, began| now.saturating_since(*began) < adopt::HOLD);
+            .retain(|_, (_, began)| now.saturating_since(*began) < adopt::HOLD);
         self.next = self.next.wrapping_add(1);
-        self.open.insert(self.next, now);
+        self.open.insert(self.next, (vm.clone(), now));
         self.next
     }
+
+    /// Returns when the question was sent that a VM answers; each question has one answer.
+    fn take(&mut self, sequence: u32, vm: &id::Vm) -> Option<Instant> {
+        let (asked, began) = self.open.get(&sequence)?;
+        let began = (asked == vm).then_some(*began)?;
+        self.open.remove(&sequence);
+        Some(began)
+    }
 }
 
 /// Receives datagrams until the node stops.
@@ -131,9 +140,10 @@
     report: &wire::Report,
     rng: &mut SmallRng,
 ) {
-    let began = lock(questions).open.get(&report.sequence).copied();
-    // A report to a question that is no longer open proves nothing.
-    let Some(began) = began else {
+    // A report to a question that is no longer open, or that another VM was asked, proves
+    // nothing.
+    let Some(began) = lock(questions).take(report.sequence, &report.vm) else {
+        shared.metrics.count("frame.refused");
         return;
     };
     let event = Event::Peer {
@@ -182,7 +192,7 @@
         if entry.vm == shared.settings.vm {
             continue;
         }
-        let sequence = lock(questions).ask(now);
+        let sequence = lock(questions).ask(&entry.vm, now);
         let vm = shared.settings.vm.clone();
         send(socket, &Frame::Ask { vm, sequence }, entry.peer);
     }
