Run eleven nodes and kill three of them

Cause: docs/proof.md lists the daemon on as many nodes as today as not run.

Change: a process test with 11 nodes, three killed in the middle of a step.

--- a/crates/dogwoodlb/tests/processes/killed_owner.rs
+++ b/crates/dogwoodlb/tests/processes/killed_owner.rs
@@ -49,3 +49,39 @@
     let report = Cluster::check_trainer(trainer);
     assert_eq!(report["delivered"], 64);
 }
+
+/// Guards against faults that show only with as many nodes as today's deployments have: of 11
+/// nodes in two regions, the owner and two others are killed in the middle of a step.
+#[test]
+fn eleven_nodes() {
+    let mut cluster = Cluster::start("eleven-nodes", 11);
+    let trainer = cluster.trainer(5, 200);
+    let owner = wait_for("an owner", || cluster.holder("trainer.weld"));
+    wait_for("an accepted sample", || {
+        let rows = cluster.get(
+            cluster.table,
+            "/rows?prefix=trainer%2Fweld%2Fstep%2F2%2Fbatch",
+        )?;
+        rows["rows"]
+            .as_array()
+            .filter(|rows| !rows.is_empty())
+            .map(|_| ())
+    });
+    for number in [owner, (owner + 1) % 11, (owner + 2) % 11] {
+        let process = cluster.nodes[number].process.take().unwrap();
+        process.signal(Signal::KILL);
+    }
+    let report = Cluster::check_trainer(trainer);
+    assert_eq!(report["delivered"], 80);
+
+    let address = cluster.nodes[(owner + 3) % 11].address;
+    assert_eq!(cluster.stream(address, "after").unwrap().status, 200);
+    let killed = [owner, (owner + 1) % 11, (owner + 2) % 11].map(|at| cluster.nodes[at].address);
+    wait_for("a list without the killed nodes", || {
+        let listed = cluster.get(address, "/v1/addresses")?;
+        let listed: Vec<std::net::SocketAddr> =
+            serde_json::from_value(listed["addresses"].clone()).ok()?;
+        let all_gone = killed.iter().all(|one| !listed.contains(one));
+        (all_gone && listed.len() == 8).then_some(())
+    });
+}
