--- a/crates/route/src/member.rs
+++ b/crates/route/src/member.rs
@@ -10,7 +10,7 @@
 pub(crate) const REPORT_LIFE: Duration = Duration::from_secs(5);
 
 /// The share of the slots that a class leaves free for higher ones, in thousandths.
-const RESERVE: [u64; 3] = [0, 300, 400];
+const RESERVE: [u64; 3] = [0, 100, 200];
 
 /// The estimated load at which customers are kept from a replica, as a multiple of its slots.
 /// A report that is 2 s old shows replicas as full that have emptied since; kept away from
