Say "may have run" after an earlier attempt that may have run

Cause: found by reading. A model call whose first attempt broke before any output, and whose last one was refused or never sent, was refused as "not run", though an engine may have executed the first.

Ruled out: plain calls, which already remember earlier attempts.

Change: a model call remembers whether any attempt may have run.

Conclusion: fixed, with a test that failed first.

--- a/crates/node/src/generate.rs
+++ b/crates/node/src/generate.rs
@@ -8,7 +8,7 @@
 use dogwoodlb_platform::engine::{Call, Report};
 use dogwoodlb_platform::{Category, Cause, Error};
 use dogwoodlb_route::Outcome;
-use dogwoodlb_types::{id, Class, Code, Instant, Refusal};
+use dogwoodlb_types::{id, Class, Code, Instant, Ran, Refusal};
 use std::ops::ControlFlow;
 use std::time::Duration;
 
@@ -18,6 +18,9 @@
 /// An engine that sends nothing for this long has failed; it covers its queue as well.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// When a caller should try again after no engine took its call.
+const RETRY: Duration = Duration::from_secs(1);
+
 /// A model call.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Job<'a> {
@@ -57,9 +60,13 @@
         let group = self.upstreams.model(&job.prompt.model)?;
         let mut output = Output::default();
         let mut failed = Vec::new();
+        // Whether an engine may have executed an attempt.
+        let mut ran = false;
         for number in 1.. {
             let before = output.tokens;
-            let attempt = self.attempt(&group, job, number, &failed, &mut output, on_event)?;
+            let attempt = self
+                .attempt(&group, job, number, &failed, &mut output, on_event)
+                .map_err(|refusal| after(refusal, ran))?;
             let error = match attempt.result {
                 Ok(report) => {
                     return Ok(Answer {
@@ -72,13 +79,14 @@
             };
             self.record_failure(job, attempt.upstream.as_ref(), &error);
             failed.extend(attempt.upstream);
+            ran |= !matches!(error.classify(), Category::NotSent | Category::Refused);
             let lost = output.tokens > 0 && !job.resume;
             let hopeless = lost
                 || number >= ATTEMPTS
                 || is_callers_fault(&error)
                 || error.classify() == Category::Cancelled;
             if hopeless || self.now() >= job.deadline || !self.try_retry() {
-                return Err(refusal(&error, &output));
+                return Err(refusal(&error, ran));
             }
         }
         Err(self.violated("attempts", "the attempts of a request are exhausted"))
@@ -99,15 +107,12 @@
             exclude: failed,
             deadline: job.deadline,
         };
-        let mut slot = group
-            .enter(&demand)
-            .map_err(|refusal| after_output(refusal, output))?;
+        let mut slot = group.enter(&demand)?;
         let Some(body) = job.prompt.body(job.priority, output) else {
             return Ok(finish(job, output, on_event));
         };
         let bytes = body.len() + job.prompt.answer_bytes();
-        self.spend(slot.level(), job.class, bytes, job.deadline)
-            .map_err(|refusal| after_output(refusal, output))?;
+        self.spend(slot.level(), job.class, bytes, job.deadline)?;
         // Each attempt has an id of its own, so that a late answer can't be taken for another.
         let request = format!("{}.{number}", job.request);
         let call = Call {
@@ -186,10 +191,10 @@
     }
 }
 
-/// A request that can't be admitted again may have run if an engine has sent output before.
-fn after_output(mut refusal: Refusal, output: &Output) -> Refusal {
-    if output.tokens > 0 {
-        refusal.ran = dogwoodlb_types::Ran::MayHaveRun;
+/// Marks a refusal that follows an attempt that may have run.
+fn after(mut refusal: Refusal, ran: bool) -> Refusal {
+    if ran {
+        refusal.ran = Ran::MayHaveRun;
     }
     refusal
 }
@@ -199,22 +204,14 @@
     matches!(error.cause(), Cause::Status(400 | 404 | 413 | 422))
 }
 
-fn refusal(error: &Error, output: &Output) -> Refusal {
-    match error.classify() {
-        _ if is_callers_fault(error) && output.tokens == 0 => {
-            Refusal::not_run(Code::BadRequest, error.to_string())
-        }
-        Category::NotSent if output.tokens == 0 => {
-            let refusal = Refusal::not_run(Code::NoUpstream, error.to_string());
-            refusal.retry_after(Duration::from_secs(1))
-        }
-        Category::Refused if output.tokens == 0 => {
-            let refusal = Refusal::not_run(Code::Overloaded, error.to_string());
-            refusal.retry_after(Duration::from_secs(1))
-        }
-        _ => match error.cause() {
-            Cause::Timeout(_) => Refusal::may_have_run(Code::DeadlineExceeded, error.to_string()),
-            _ => Refusal::may_have_run(Code::UpstreamFailed, error.to_string()),
-        },
-    }
+fn refusal(error: &Error, ran: bool) -> Refusal {
+    let message = error.to_string();
+    let refusal = match (error.classify(), error.cause()) {
+        _ if is_callers_fault(error) => Refusal::not_run(Code::BadRequest, message),
+        (Category::NotSent, _) => Refusal::not_run(Code::NoUpstream, message).retry_after(RETRY),
+        (Category::Refused, _) => Refusal::not_run(Code::Overloaded, message).retry_after(RETRY),
+        (_, Cause::Timeout(_)) => Refusal::may_have_run(Code::DeadlineExceeded, message),
+        _ => Refusal::may_have_run(Code::UpstreamFailed, message),
+    };
+    after(refusal, ran)
 }
--- /dev/null
+++ b/crates/node/tests/model_refusals.rs
@@ -0,0 +1,149 @@
+//! What a node says about a model call that failed on every attempt.
+
+use dogwoodlb_adapter as adapter;
+use dogwoodlb_manifest::settings::Settings;
+use dogwoodlb_node::{Node, Platform, System};
+use dogwoodlb_platform::engine::{Call, Load, Order, Report, Weights};
+use dogwoodlb_platform::service::{self, Service as _};
+use dogwoodlb_platform::{Category, Cause, Engine, Error, Result};
+use dogwoodlb_standin::{free_address, local, objects, table, vms};
+use std::net::SocketAddr;
+use std::ops::ControlFlow;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+const TIMEOUT: Duration = Duration::from_secs(60);
+
+/// An engine whose calls fail as a script says; calls beyond it are refused.
+struct Scripted(Mutex<Vec<Category>>);
+
+impl Engine for Scripted {
+    fn generate(
+        &self,
+        _call: &Call<'_>,
+        _on_event: &mut dyn FnMut(&str) -> ControlFlow<()>,
+    ) -> Result<Report> {
+        let mut script = self.0.lock().unwrap();
+        let category = if script.is_empty() {
+            Category::Refused
+        } else {
+            script.remove(0)
+        };
+        Err(Error::new(category, "engine", Cause::Truncated))
+    }
+
+    fn cancel(&self, _upstream: SocketAddr, _request: &str, _timeout: Duration) -> Result<()> {
+        Ok(())
+    }
+
+    fn load(&self, _upstream: SocketAddr, _timeout: Duration) -> Result<Load> {
+        Ok(Load::default())
+    }
+
+    fn weights(&self, _upstream: SocketAddr, _timeout: Duration) -> Result<Vec<Weights>> {
+        Ok(Vec::new())
+    }
+
+    fn order(&self, _upstream: SocketAddr, _order: &Order, _timeout: Duration) -> Result<()> {
+        Ok(())
+    }
+}
+
+fn call(address: SocketAddr, path: &str, body: &str) -> service::Reply {
+    let client = adapter::Service::new();
+    let call = service::Call {
+        upstream: address,
+        method: "POST",
+        path,
+        request: "one",
+        content_type: Some("application/json"),
+        body: body.as_bytes(),
+        timeout: TIMEOUT,
+    };
+    client.call(&call).unwrap()
+}
+
+/// Starts a node with one scripted engine and returns the refusal of a model call.
+fn refusal(script: &[Category]) -> String {
+    let table = table::Table::start(local().unwrap()).unwrap();
+    let objects = objects::Objects::start(local().unwrap()).unwrap();
+    let vms = vms::Vms::start(local().unwrap(), &[]).unwrap();
+    let settings = Settings {
+        vm: "entry-1".parse().unwrap(),
+        region: "ljubljana".parse().unwrap(),
+        centre: "lj-a".parse().unwrap(),
+        address: free_address(),
+        peer: free_address(),
+        table: table.address(),
+        objects: objects.address(),
+        vms: vms.address(),
+        statsd: None,
+        log: None,
+    };
+    let platform = Platform {
+        clock: Arc::new(System::new()),
+        engine: Arc::new(Scripted(Mutex::new(script.to_vec()))),
+        objects: Arc::new(adapter::Objects::new(settings.objects)),
+        service: Arc::new(adapter::Service::new()),
+        table: Arc::new(adapter::Table::new(settings.table)),
+        vms: Arc::new(adapter::Vms::new(settings.vms)),
+    };
+    let (address, peer) = (settings.address, settings.peer);
+    let node = Node::start(settings, platform, 1).unwrap();
+    let manifest = format!(
+        r#"{{"entry_vms":[{{"vm":"entry-1","region":"ljubljana","centre":"lj-a","address":"{address}","peer":"{peer}"}}],
+        "models":[{{"model":"scorer","version":1,"object":"weights/1"}}],
+        "callers":[{{"caller":"quotes","class":"customer","models":["scorer"],"services":[]}}],
+        "engines":[{{"upstream":"engine-1","vm":"gpu-1","region":"ljubljana","centre":"lj-a","address":"{}","models":["scorer"],"checks_fencing":true}}]}}"#,
+        free_address()
+    );
+    let order = serde_json::json!({ "base": 0, "operator": "ana", "text": manifest });
+    assert_eq!(
+        call(address, "/v1/manifest", &order.to_string()).status,
+        200
+    );
+    let text = loop {
+        let reply = call_model(address);
+        if !reply.contains("manifest_unknown") {
+            break reply;
+        }
+        std::thread::yield_now();
+    };
+    node.kill();
+    text
+}
+
+fn call_model(address: SocketAddr) -> String {
+    use std::io::{Read, Write};
+    let body = r#"{"model":"scorer","prompt":"a"}"#;
+    let mut stream = std::net::TcpStream::connect(address).unwrap();
+    let head = "POST /v1/completions HTTP/1.1\r\nhost: a\r\nconnection: close\r\nx-caller: quotes";
+    write!(
+        stream,
+        "{head}\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    )
+    .unwrap();
+    let mut text = String::new();
+    stream.read_to_string(&mut text).unwrap();
+    text
+}
+
+/// Guards against "not run" for a call whose first attempt may have run and whose last attempt
+/// certainly did not.
+#[test]
+fn earlier_attempt() {
+    let script = [Category::Ambiguous, Category::Refused, Category::Refused];
+    let text = refusal(&script);
+    assert!(text.contains(r#""ran":"may_have_run""#), "{text}");
+    let text = refusal(&[Category::Ambiguous, Category::NotSent, Category::NotSent]);
+    assert!(text.contains(r#""ran":"may_have_run""#), "{text}");
+}
+
+/// Guards against "may have run" where nothing can have run, which keeps callers from trying
+/// elsewhere.
+#[test]
+fn nothing_sent() {
+    let text = refusal(&[Category::NotSent, Category::Refused, Category::NotSent]);
+    assert!(text.contains(r#""ran":"not_run""#), "{text}");
+}
