Send the class with the count of requests

Cause: docs/metrics.md promises the tags `class` and `code`; the count had only `code`.

Conclusion: page and code agree.

--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -43,9 +43,13 @@
         let _ = self.0.incr(name);
     }
 
-    /// Counts one occurrence with a tag.
-    pub(crate) fn count_tag(&self, name: &str, tag: &str, value: &str) {
-        self.0.count_with_tags(name, 1).with_tag(tag, value).send();
+    /// Counts one occurrence with tags.
+    pub(crate) fn count_tags(&self, name: &str, tags: &[(&str, &str)]) {
+        let mut metric = self.0.count_with_tags(name, 1);
+        for (tag, value) in tags {
+            metric = metric.with_tag(tag, value);
+        }
+        metric.send();
     }
 
     /// Sets a gauge.
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -192,7 +192,8 @@
     /// Counts the end of a request.
     pub(crate) fn count_request(&self, class: Class, began: Instant, refusal: Option<&Refusal>) {
         let code = refusal.map_or_else(|| "ok".to_owned(), |refusal| code_name(refusal.code));
-        self.metrics.count_tag("request", "code", &code);
+        let tags = [("class", class.as_str()), ("code", &code)];
+        self.metrics.count_tags("request", &tags);
         self.metrics.time(
             "request.ms",
             class.as_str(),
@@ -203,7 +204,7 @@
     /// Reports a failed assertion; the caller refuses the action.
     #[cold]
     pub(crate) fn violated(&self, kind: &'static str, message: impl std::fmt::Display) -> Refusal {
-        self.metrics.count_tag("invariant", "kind", kind);
+        self.metrics.count_tags("invariant", &[("kind", kind)]);
         tracing::error!(kind, %message, "invariant");
         self.recorder
             .record(self.timestamp(), "invariant", |event| {
