Name the conditions that the process tests wait for

Cause: three files repeated the same two waits.

Change: `wait_accepted` and `wait_delivered` of the test cluster.

Conclusion: the conditions are unchanged.

--- a/crates/dogwoodlb/tests/processes/cluster.rs
+++ b/crates/dogwoodlb/tests/processes/cluster.rs
@@ -219,6 +219,25 @@
         })
     }
 
+    /// Waits until a sample of a step of the trainer is in the table.
+    pub(crate) fn wait_accepted(&self, step: u32) {
+        let path = format!("/rows?prefix=trainer%2Fweld%2Fstep%2F{step}%2Fbatch");
+        wait_for("an accepted sample", || {
+            let rows = self.get(self.table, &path)?;
+            let rows = rows["rows"].as_array()?;
+            (!rows.is_empty()).then_some(())
+        });
+    }
+
+    /// Waits until a step was delivered to the trainer.
+    pub(crate) fn wait_delivered(&self) {
+        wait_for("a delivered step", || {
+            let head = self.get(self.table, "/rows?key=trainer%2Fweld%2Fhead")?;
+            let value = head["rows"][0]["value"].as_str()?;
+            value.contains(r#""delivery":1"#).then_some(())
+        });
+    }
+
     /// Starts a trainer in a process of its own.
     pub(crate) fn trainer(&self, steps: u32, train_ms: u32) -> Process {
         let mut args = vec![
--- a/crates/dogwoodlb/tests/processes/frozen_owner.rs
+++ b/crates/dogwoodlb/tests/processes/frozen_owner.rs
@@ -11,13 +11,7 @@
     let cluster = Cluster::start("frozen-owner", 3);
     let trainer = cluster.trainer(6, 300);
     let owner = wait_for("an owner", || cluster.holder("trainer.weld"));
-    wait_for("a delivered step", || {
-        let head = cluster.get(cluster.table, "/rows?key=trainer%2Fweld%2Fhead")?;
-        head["rows"][0]["value"]
-            .as_str()?
-            .contains(r#""delivery":1"#)
-            .then_some(())
-    });
+    cluster.wait_delivered();
     let fence = |cluster: &Cluster| {
         let rows = cluster.get(cluster.table, "/rows?key=lease%2Ftrainer%2Fweld%2Ffence")?;
         let value: serde_json::Value =
--- a/crates/dogwoodlb/tests/processes/killed_owner.rs
+++ b/crates/dogwoodlb/tests/processes/killed_owner.rs
@@ -11,16 +11,7 @@
     let mut cluster = Cluster::start("killed-owner", 3);
     let trainer = cluster.trainer(5, 300);
     let owner = wait_for("an owner", || cluster.holder("trainer.weld"));
-    wait_for("an accepted sample", || {
-        let rows = cluster.get(
-            cluster.table,
-            "/rows?prefix=trainer%2Fweld%2Fstep%2F2%2Fbatch",
-        )?;
-        rows["rows"]
-            .as_array()
-            .filter(|rows| !rows.is_empty())
-            .map(|_| ())
-    });
+    cluster.wait_accepted(2);
     let process = cluster.nodes[owner].process.take().unwrap();
     process.signal(Signal::KILL);
     let report = Cluster::check_trainer(trainer);
@@ -33,13 +24,7 @@
 fn restart_all() {
     let mut cluster = Cluster::start("restart-all", 2);
     let trainer = cluster.trainer(4, 300);
-    wait_for("a delivered step", || {
-        let head = cluster.get(cluster.table, "/rows?key=trainer%2Fweld%2Fhead")?;
-        head["rows"][0]["value"]
-            .as_str()?
-            .contains(r#""delivery":1"#)
-            .then_some(())
-    });
+    cluster.wait_delivered();
     for number in 0..2 {
         drop(cluster.nodes[number].process.take());
     }
@@ -57,16 +42,7 @@
     let mut cluster = Cluster::start("eleven-nodes", 11);
     let trainer = cluster.trainer(5, 200);
     let owner = wait_for("an owner", || cluster.holder("trainer.weld"));
-    wait_for("an accepted sample", || {
-        let rows = cluster.get(
-            cluster.table,
-            "/rows?prefix=trainer%2Fweld%2Fstep%2F2%2Fbatch",
-        )?;
-        rows["rows"]
-            .as_array()
-            .filter(|rows| !rows.is_empty())
-            .map(|_| ())
-    });
+    cluster.wait_accepted(2);
     for number in [owner, (owner + 1) % 11, (owner + 2) % 11] {
         let process = cluster.nodes[number].process.take().unwrap();
         process.signal(Signal::KILL);
--- a/crates/dogwoodlb/tests/processes/store_outage.rs
+++ b/crates/dogwoodlb/tests/processes/store_outage.rs
@@ -11,13 +11,7 @@
 fn table_down() {
     let cluster = Cluster::start("store-outage", 3);
     let trainer = cluster.trainer(4, 200);
-    wait_for("a delivered step", || {
-        let head = cluster.get(cluster.table, "/rows?key=trainer%2Fweld%2Fhead")?;
-        head["rows"][0]["value"]
-            .as_str()?
-            .contains(r#""delivery":1"#)
-            .then_some(())
-    });
+    cluster.wait_delivered();
     cluster.order(
         cluster.table,
         &json!({ "path": "/", "effect": { "kind": "refuse" } }),
