Build the upstreams of a manifest before calls can see it

Cause: a node showed a manifest as known before its upstream groups were built from it.

Ruled out: a late adoption; the refused calls saw the new revision.

--- a/crates/node/src/adopting.rs
+++ b/crates/node/src/adopting.rs
@@ -85,11 +85,9 @@
         .record(shared.timestamp(), "manifest_adopted", |event| {
             event.with("revision", revision)
         });
-    let manifest = lock(&shared.adoption).manifest().cloned();
-    let Some(manifest) = manifest else {
+    let Some(manifest) = shared.build_upstreams() else {
         return;
     };
-    shared.upstreams.update(&manifest);
     shared.share_link(&manifest);
     let peers: Vec<Peer> = manifest
         .entry_vms
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -161,6 +161,10 @@
             }
             _ => {
                 let manifest = Arc::new(manifest.clone());
+                // A call must not find a manifest whose upstreams are still to be built.
+                if !joint {
+                    self.upstreams.update(&manifest);
+                }
                 *snapshot = Some(Snapshot {
                     joint,
                     report,
@@ -171,6 +175,17 @@
         }
     }
 
+    /// Builds the upstreams of the adopted manifest and returns it.
+    ///
+    /// The locks are held throughout, so that a later manifest can't be overwritten.
+    pub(crate) fn build_upstreams(&self) -> Option<Manifest> {
+        let adoption = lock(&self.adoption);
+        let manifest = adoption.manifest()?.clone();
+        let _snapshot = lock(&self.snapshot);
+        self.upstreams.update(&manifest);
+        Some(manifest)
+    }
+
     /// Returns the name of what the node knows about the manifest, as `status` shows it.
     pub(crate) fn authority(&self) -> &'static str {
         match lock(&self.adoption).authority(self.now()) {
