--- a/crates/adapter/src/client.rs
+++ b/crates/adapter/src/client.rs
@@ -1,4 +1,4 @@
-use dogwoodlb_platform::{Category, Cause, Error, Result};
+use dogwoodlb_external::{Category, Cause, Error, Result};
 use percent_encoding::{utf8_percent_encode, AsciiSet, NON_ALPHANUMERIC};
 use serde::de::DeserializeOwned;
 use serde::Serialize;
--- a/crates/adapter/src/engine.rs
+++ b/crates/adapter/src/engine.rs
@@ -1,7 +1,7 @@
 use crate::client::{to_json, Client, Exchange};
+use dogwoodlb_external::engine::{Call, Load, Order, Report, Weights};
+use dogwoodlb_external::{Category, Cause, Error, Result};
 use dogwoodlb_http::sse::{Events, DONE};
-use dogwoodlb_platform::engine::{Call, Load, Order, Report, Weights};
-use dogwoodlb_platform::{Category, Cause, Error, Result};
 use serde::Deserialize;
 use serde_json::json;
 use std::io::{self, ErrorKind, Read};
@@ -88,7 +88,7 @@
     }
 }
 
-impl dogwoodlb_platform::Engine for Engine {
+impl dogwoodlb_external::Engine for Engine {
     fn generate(
         &self,
         call: &Call<'_>,
--- a/crates/adapter/src/lib.rs
+++ b/crates/adapter/src/lib.rs
@@ -1,10 +1,10 @@
-//! HTTP clients for the platform traits of [`dogwoodlb_platform`].
+//! HTTP clients for the platform traits of [`dogwoodlb_external`].
 //!
 //! Each client makes exactly one attempt for each call: there are no retries and no redirects,
 //! because only the caller knows whether a repetition is safe. Every call has a timeout, and
 //! answers have a maximum size. A failure is classified by what it tells about the effect of
-//! the call: [`NotSent`](dogwoodlb_platform::Category::NotSent) only if no connection was
-//! opened, [`Refused`](dogwoodlb_platform::Category::Refused) only if the other side answered
+//! the call: [`NotSent`](dogwoodlb_external::Category::NotSent) only if no connection was
+//! opened, [`Refused`](dogwoodlb_external::Category::Refused) only if the other side answered
 //! so. See docs/design.md, sections 4.3 and 4.6.
 //!
 //! # Examples
@@ -13,8 +13,8 @@
 //!
 //! ```
 //! use dogwoodlb_adapter::Table;
-//! use dogwoodlb_platform::table::{Outcome, Txn};
-//! use dogwoodlb_platform::Table as _;
+//! use dogwoodlb_external::table::{Outcome, Txn};
+//! use dogwoodlb_external::Table as _;
 //! use dogwoodlb_standin::{local, table};
 //! use std::time::Duration;
 //!
--- a/crates/adapter/src/objects.rs
+++ b/crates/adapter/src/objects.rs
@@ -1,5 +1,5 @@
 use crate::client::{encode, Client, Exchange};
-use dogwoodlb_platform::Result;
+use dogwoodlb_external::Result;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -41,7 +41,7 @@
     }
 }
 
-impl dogwoodlb_platform::Objects for Objects {
+impl dogwoodlb_external::Objects for Objects {
     fn put(&self, name: &str, body: &[u8], timeout: Duration) -> Result<()> {
         let path = format!("/objects/{}", encode(name));
         let exchange = self.exchange("PUT", &path, Some(body), timeout);
--- a/crates/adapter/src/service.rs
+++ b/crates/adapter/src/service.rs
@@ -1,6 +1,6 @@
 use crate::client::{Client, Exchange};
-use dogwoodlb_platform::service::{Call, Reply};
-use dogwoodlb_platform::Result;
+use dogwoodlb_external::service::{Call, Reply};
+use dogwoodlb_external::Result;
 
 /// A client of plain services.
 ///
@@ -26,7 +26,7 @@
     }
 }
 
-impl dogwoodlb_platform::Service for Service {
+impl dogwoodlb_external::Service for Service {
     fn call(&self, call: &Call<'_>) -> Result<Reply> {
         let mut headers = vec![("x-request-id", call.request), ("connection", "close")];
         headers.extend(call.content_type.map(|value| ("content-type", value)));
--- a/crates/adapter/src/table.rs
+++ b/crates/adapter/src/table.rs
@@ -1,6 +1,6 @@
 use crate::client::{encode, to_json, Client, Exchange};
-use dogwoodlb_platform::table::{Outcome, Row, Txn};
-use dogwoodlb_platform::{Category, Result};
+use dogwoodlb_external::table::{Outcome, Row, Txn};
+use dogwoodlb_external::{Category, Result};
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -10,7 +10,7 @@
 /// A client of the table service.
 ///
 /// A write whose reply is missing or malformed is
-/// [`Ambiguous`](dogwoodlb_platform::Category::Ambiguous).
+/// [`Ambiguous`](dogwoodlb_external::Category::Ambiguous).
 #[derive(Debug)]
 pub struct Table {
     address: SocketAddr,
@@ -47,7 +47,7 @@
     }
 }
 
-impl dogwoodlb_platform::Table for Table {
+impl dogwoodlb_external::Table for Table {
     fn read(&self, key: &str, timeout: Duration) -> Result<Option<Row>> {
         let rows = self.rows(&format!("/rows?key={}", encode(key)), timeout)?;
         Ok(rows.into_iter().find(|row| row.key == key))
--- a/crates/adapter/src/vms.rs
+++ b/crates/adapter/src/vms.rs
@@ -1,6 +1,6 @@
 use crate::client::{Client, Exchange};
-use dogwoodlb_platform::vms::Vm;
-use dogwoodlb_platform::{Category, Result};
+use dogwoodlb_external::vms::Vm;
+use dogwoodlb_external::{Category, Result};
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -27,7 +27,7 @@
     }
 }
 
-impl dogwoodlb_platform::Vms for Vms {
+impl dogwoodlb_external::Vms for Vms {
     fn list(&self, timeout: Duration) -> Result<Vec<Vm>> {
         let exchange = Exchange {
             part: "vms",
--- a/crates/adapter/tests/engine_streams.rs
+++ b/crates/adapter/tests/engine_streams.rs
@@ -4,8 +4,8 @@
 mod script;
 
 use dogwoodlb_adapter::Engine;
-use dogwoodlb_platform::engine::{Call, Report};
-use dogwoodlb_platform::{Category, Cause, Engine as _, Result};
+use dogwoodlb_external::engine::{Call, Report};
+use dogwoodlb_external::{Category, Cause, Engine as _, Result};
 use dogwoodlb_standin::{engine, local, Effect, Fault};
 use dogwoodlb_types::{check_spans, id};
 use rstest::rstest;
--- a/crates/adapter/tests/service_calls.rs
+++ b/crates/adapter/tests/service_calls.rs
@@ -4,8 +4,8 @@
 mod script;
 
 use dogwoodlb_adapter::Service;
-use dogwoodlb_platform::service::{Call, Reply};
-use dogwoodlb_platform::{Category, Result, Service as _};
+use dogwoodlb_external::service::{Call, Reply};
+use dogwoodlb_external::{Category, Result, Service as _};
 use rstest::rstest;
 use script::{closed, start, DEADLINE};
 use std::net::SocketAddr;
--- a/crates/adapter/tests/store_failures.rs
+++ b/crates/adapter/tests/store_failures.rs
@@ -4,9 +4,9 @@
 mod script;
 
 use dogwoodlb_adapter::{Objects, Table, Vms};
-use dogwoodlb_platform::table::{Outcome, Txn};
-use dogwoodlb_platform::vms::{State, Vm};
-use dogwoodlb_platform::{Category, Objects as _, Table as _, Vms as _};
+use dogwoodlb_external::table::{Outcome, Txn};
+use dogwoodlb_external::vms::{State, Vm};
+use dogwoodlb_external::{Category, Objects as _, Table as _, Vms as _};
 use dogwoodlb_standin::{local, objects, table, vms, Effect, Fault};
 use rstest::rstest;
 use script::{closed, start, DEADLINE};
--- a/crates/dogwoodlb/examples/capacity/adoption.rs
+++ b/crates/dogwoodlb/examples/capacity/adoption.rs
@@ -2,9 +2,9 @@
 
 use crate::generated::{self, Size, TODAY};
 use crate::{Report, Result};
+use dogwoodlb_external::table::Row;
 use dogwoodlb_manifest::adopt::{Action, Adoption, Event, Proposal};
 use dogwoodlb_manifest::record::{self, Record, CURRENT};
-use dogwoodlb_platform::table::Row;
 use dogwoodlb_types::{id, Instant};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
--- a/crates/dogwoodlb/examples/capacity/bytes.rs
+++ b/crates/dogwoodlb/examples/capacity/bytes.rs
@@ -3,9 +3,9 @@
 use crate::generated::{self, HALF, TARGET, TODAY};
 use crate::{Report, Result};
 use dogwoodlb_adapter::{Engine, Table, Vms};
-use dogwoodlb_platform::table::Txn;
-use dogwoodlb_platform::vms::{State, Vm};
-use dogwoodlb_platform::{Engine as _, Table as _, Vms as _};
+use dogwoodlb_external::table::Txn;
+use dogwoodlb_external::vms::{State, Vm};
+use dogwoodlb_external::{Engine as _, Table as _, Vms as _};
 use dogwoodlb_standin::{engine, table, vms};
 use dogwoodlb_types::id;
 use dogwoodlb_wire::{to_vec, to_writer, Frame, Proposal};
--- a/crates/dogwoodlb/examples/capacity/leases.rs
+++ b/crates/dogwoodlb/examples/capacity/leases.rs
@@ -1,8 +1,8 @@
 //! The reads and writes of one lease by the number of candidates, in virtual time.
 
 use crate::{Report, Result};
+use dogwoodlb_external::table::{Outcome, Row, Txn};
 use dogwoodlb_lease::{Action, Lease, Name};
-use dogwoodlb_platform::table::{Outcome, Row, Txn};
 use dogwoodlb_types::{id, Instant};
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
--- a/crates/dogwoodlb/examples/capacity/memory.rs
+++ b/crates/dogwoodlb/examples/capacity/memory.rs
@@ -5,10 +5,10 @@
 
 use crate::generated::{self, TARGET, TODAY};
 use crate::{Report, Result};
+use dogwoodlb_external::table::{Check, Outcome};
 use dogwoodlb_ledger::{Content, Group, Ledger, Next, Settings, Start};
 use dogwoodlb_manifest::from_str;
 use dogwoodlb_member::{Members, Peer};
-use dogwoodlb_platform::table::{Check, Outcome};
 use dogwoodlb_rollout::Planner;
 use dogwoodlb_route::{Change, Event, Replica, Router};
 use dogwoodlb_swap::Swap;
--- a/crates/dogwoodlb/examples/capacity/swaps.rs
+++ b/crates/dogwoodlb/examples/capacity/swaps.rs
@@ -1,7 +1,7 @@
 //! How long a weight version takes to reach all replicas, in virtual time.
 
 use crate::{Report, Result};
-use dogwoodlb_platform::engine::Weights;
+use dogwoodlb_external::engine::Weights;
 use dogwoodlb_swap::{Action, Guard, Outcome, Replica, Settings, Swap, Target};
 use dogwoodlb_types::{id, Instant, Timestamp};
 use rand::rngs::SmallRng;
--- a/crates/dogwoodlb/examples/standin.rs
+++ b/crates/dogwoodlb/examples/standin.rs
@@ -5,7 +5,7 @@
 //! mislabelled or too stale.
 
 use argh::FromArgs;
-use dogwoodlb_platform::vms::{State, Vm};
+use dogwoodlb_external::vms::{State, Vm};
 use dogwoodlb_standin::{engine, objects, service, table, trainer, vms};
 use dogwoodlb_types::id;
 use std::error::Error;
--- a/crates/dogwoodlb/src/args.rs
+++ b/crates/dogwoodlb/src/args.rs
@@ -18,6 +18,7 @@
 pub(crate) enum Command {
     Check(Check),
     Demo(Demo),
+    Edge(Edge),
     Run(Run),
 }
 
@@ -53,3 +54,15 @@
     #[argh(option)]
     pub(crate) settings: PathBuf,
 }
+
+/// Run a node on the platform until SIGTERM or SIGINT, then drain it.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "edge")]
+pub(crate) struct Edge {
+    /// the settings file, JSON with comments; default: what DOGWOODLB_SETTINGS names
+    #[argh(option)]
+    pub(crate) settings: Option<PathBuf>,
+    /// check the settings, list all faults, and stop
+    #[argh(switch)]
+    pub(crate) check: bool,
+}
--- a/crates/dogwoodlb/src/demo/cluster.rs
+++ b/crates/dogwoodlb/src/demo/cluster.rs
@@ -1,8 +1,8 @@
 use crate::error::{Error, Inner};
 use crate::run::platform;
+use dogwoodlb_external::vms::{State, Vm};
 use dogwoodlb_manifest::settings::Settings;
 use dogwoodlb_node::Node;
-use dogwoodlb_platform::vms::{State, Vm};
 use dogwoodlb_standin::{engine, free_address, local, objects, service, table, vms};
 use dogwoodlb_types::id;
 use serde_json::{json, Value};
--- /dev/null
+++ b/crates/dogwoodlb/src/edge.rs
@@ -0,0 +1,61 @@
+//! The command `edge`: a node on the platform.
+
+use crate::args::Edge;
+use crate::error::{Error, Inner};
+use crate::logs;
+use dogwoodlb_client::{Client, Settings};
+use dogwoodlb_edge::{settings, Node, Parts};
+use dogwoodlb_platform::{Dialect, Store};
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::LocalSet;
+
+/// The variable that names the settings file.
+const SETTINGS: &str = "DOGWOODLB_SETTINGS";
+
+/// A call to the store that takes longer has failed; a slow store needs a quarter of this.
+const STORE_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Runs a node until a signal to stop.
+pub(crate) fn run(args: &Edge) -> Result<ExitCode, Error> {
+    let path = args
+        .settings
+        .clone()
+        .or_else(|| std::env::var_os(SETTINGS).map(PathBuf::from))
+        .ok_or(Inner::NoSettings)?;
+    let text = std::fs::read_to_string(&path).map_err(|cause| Inner::Read {
+        path: path.clone(),
+        cause,
+    })?;
+    let settings = settings::from_str(&text).map_err(|cause| Inner::EdgeSettings {
+        path: path.clone(),
+        cause,
+    })?;
+    if args.check {
+        println!("the settings at {} are valid", path.display());
+        return Ok(ExitCode::SUCCESS);
+    }
+    let _written = logs::start_bounded(&settings.log);
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(Inner::Runtime)?;
+    let store = Store::new(
+        Client::new(Settings::default()),
+        settings.store,
+        STORE_TIMEOUT,
+    );
+    let parts = Parts {
+        settings,
+        dialect: Rc::new(Dialect::default()),
+        store: Rc::new(store),
+        client: Client::new(Settings::default()),
+    };
+    LocalSet::new().block_on(&runtime, async {
+        let node = Node::start(parts).await?;
+        node.run().await
+    })?;
+    Ok(ExitCode::SUCCESS)
+}
--- a/crates/dogwoodlb/src/error.rs
+++ b/crates/dogwoodlb/src/error.rs
@@ -18,6 +18,17 @@
         path: PathBuf,
         cause: dogwoodlb_manifest::Error,
     },
+    #[error("no settings: use --settings or set DOGWOODLB_SETTINGS")]
+    NoSettings,
+    #[error("the settings at {} have faults: {cause}", .path.display())]
+    EdgeSettings {
+        path: PathBuf,
+        cause: dogwoodlb_edge::settings::Error,
+    },
+    #[error("the node can't start: {0}")]
+    Edge(#[from] dogwoodlb_edge::Error),
+    #[error("the runtime can't start: {0}")]
+    Runtime(io::Error),
     #[error("the node can't start: {0}")]
     Node(#[from] dogwoodlb_node::Error),
     #[error("signals can't be handled: {0}")]
@@ -34,7 +45,10 @@
     /// Returns the exit code of the command.
     pub(crate) fn exit_code(&self) -> ExitCode {
         match *self.0 {
-            Inner::Read { .. } | Inner::Settings { .. } => ExitCode::from(USAGE),
+            Inner::Read { .. }
+            | Inner::Settings { .. }
+            | Inner::NoSettings
+            | Inner::EdgeSettings { .. } => ExitCode::from(USAGE),
             _ => ExitCode::FAILURE,
         }
     }
--- a/crates/dogwoodlb/src/main.rs
+++ b/crates/dogwoodlb/src/main.rs
@@ -2,6 +2,7 @@
 
 mod args;
 mod demo;
+mod edge;
 mod error;
 mod logs;
 mod run;
@@ -18,9 +19,10 @@
     let result = match &args.command {
         Some(Command::Check(args)) => run::check(&args.settings),
         Some(Command::Demo(args)) => demo::run(args),
+        Some(Command::Edge(args)) => edge::run(args),
         Some(Command::Run(args)) => run::run(&args.settings),
         None => {
-            eprintln!("no command: use `run`, `check` or `demo`, or see --help");
+            eprintln!("no command: use `edge`, `run`, `check` or `demo`, or see --help");
             return ExitCode::from(error::USAGE);
         }
     };
--- a/crates/dogwoodlb/tests/matrix/holder.rs
+++ b/crates/dogwoodlb/tests/matrix/holder.rs
@@ -2,9 +2,9 @@
 
 use crate::fault::*;
 use crate::store::{failure, Store};
+use dogwoodlb_external::table::Txn;
+use dogwoodlb_external::Category;
 use dogwoodlb_lease::{Action, Guard, Lease, Name};
-use dogwoodlb_platform::table::Txn;
-use dogwoodlb_platform::Category;
 use dogwoodlb_types::prelude::*;
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
--- a/crates/dogwoodlb/tests/matrix/keyed.rs
+++ b/crates/dogwoodlb/tests/matrix/keyed.rs
@@ -2,9 +2,9 @@
 
 use crate::fault::*;
 use crate::store::{failure, Store};
+use dogwoodlb_external::service::Reply;
+use dogwoodlb_external::Category;
 use dogwoodlb_once::{Action, Answer, Call, Digest, Key, Request};
-use dogwoodlb_platform::service::Reply;
-use dogwoodlb_platform::Category;
 use dogwoodlb_types::prelude::*;
 use std::collections::VecDeque;
 
@@ -250,7 +250,7 @@
         self.feed(index, |call, now| call.on_read(&row, now));
     }
 
-    fn commit(&mut self, index: usize, txn: &dogwoodlb_platform::table::Txn, fault: Option<Fault>) {
+    fn commit(&mut self, index: usize, txn: &dogwoodlb_external::table::Txn, fault: Option<Fault>) {
         let result = if self.is_cut(index) {
             Err(failure(Category::NotSent))
         } else if fault == Some(Fault::Delay) {
--- a/crates/dogwoodlb/tests/matrix/revision.rs
+++ b/crates/dogwoodlb/tests/matrix/revision.rs
@@ -50,7 +50,7 @@
     Propose(usize, usize, Proposal),
     Answer(usize, usize, u64, dogwoodlb_manifest::adopt::Answer),
     /// A late reply to a read of the row `manifest/current`.
-    Pointer(Instant, Option<dogwoodlb_platform::table::Row>),
+    Pointer(Instant, Option<dogwoodlb_external::table::Row>),
 }
 
 struct World {
--- a/crates/dogwoodlb/tests/matrix/revision/operator.rs
+++ b/crates/dogwoodlb/tests/matrix/revision/operator.rs
@@ -2,9 +2,9 @@
 
 use super::*;
 use crate::store::failure;
+use dogwoodlb_external::{Category, Error};
 use dogwoodlb_manifest::adopt::Answer;
 use dogwoodlb_manifest::commit::{Action, Commit, Event};
-use dogwoodlb_platform::{Category, Error};
 use std::collections::VecDeque;
 
 /// How long the operator waits for a node that crashed or froze.
@@ -227,7 +227,7 @@
         &mut self,
         number: usize,
         index: usize,
-        txn: &dogwoodlb_platform::table::Txn,
+        txn: &dogwoodlb_external::table::Txn,
         fault: Option<Fault>,
     ) {
         let now = self.now;
--- a/crates/dogwoodlb/tests/matrix/revision/peer.rs
+++ b/crates/dogwoodlb/tests/matrix/revision/peer.rs
@@ -2,8 +2,8 @@
 
 use super::*;
 use crate::store::failure;
+use dogwoodlb_external::Category;
 use dogwoodlb_manifest::adopt::{Action, Adoption, Event};
-use dogwoodlb_platform::Category;
 
 /// How often nodes ping each other.
 const PING_MS: u64 = 500;
--- a/crates/dogwoodlb/tests/matrix/sample/flight.rs
+++ b/crates/dogwoodlb/tests/matrix/sample/flight.rs
@@ -3,9 +3,9 @@
 use super::node::{Flight, Owner, Request};
 use super::*;
 use crate::store::failure;
+use dogwoodlb_external::table::Outcome;
+use dogwoodlb_external::{Category, Result};
 use dogwoodlb_ledger::{Commit, Next};
-use dogwoodlb_platform::table::Outcome;
-use dogwoodlb_platform::{Category, Result};
 
 impl Owner {
     /// Returns the step of the transaction in flight; opening a session is none.
--- a/crates/dogwoodlb/tests/matrix/sample/node.rs
+++ b/crates/dogwoodlb/tests/matrix/sample/node.rs
@@ -3,10 +3,10 @@
 use super::trainer::content;
 use super::*;
 use crate::store::failure;
+use dogwoodlb_external::table::{Check, Row};
+use dogwoodlb_external::{Category, Result};
 use dogwoodlb_lease::{Action as LeaseAction, Lease, Name};
 use dogwoodlb_ledger::{Commit, Completion, Settings, Start};
-use dogwoodlb_platform::table::{Check, Row};
-use dogwoodlb_platform::{Category, Result};
 use dogwoodlb_rollout::Planner;
 use rand::RngExt;
 use std::collections::VecDeque;
--- a/crates/dogwoodlb/tests/matrix/store.rs
+++ b/crates/dogwoodlb/tests/matrix/store.rs
@@ -2,8 +2,8 @@
 //! that take effect late.
 
 use crate::table::Table;
-use dogwoodlb_platform::table::{Outcome, Row, Txn};
-use dogwoodlb_platform::{Category, Cause, Error, Result};
+use dogwoodlb_external::table::{Outcome, Row, Txn};
+use dogwoodlb_external::{Category, Cause, Error, Result};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
--- a/crates/dogwoodlb/tests/matrix/weights.rs
+++ b/crates/dogwoodlb/tests/matrix/weights.rs
@@ -5,7 +5,7 @@
 mod engine;
 
 use crate::fault::*;
-use dogwoodlb_platform::engine::{Order, Weights};
+use dogwoodlb_external::engine::{Order, Weights};
 use dogwoodlb_swap::{Action, Guard, Outcome, Replica, Settings, Swap, Target};
 use dogwoodlb_types::prelude::*;
 use engine::Engine;
--- a/crates/dogwoodlb/tests/matrix/weights/engine.rs
+++ b/crates/dogwoodlb/tests/matrix/weights/engine.rs
@@ -1,7 +1,7 @@
 //! An engine: which orders it takes, and the faults while it loads.
 
 use super::*;
-use dogwoodlb_platform::engine::Action as Kind;
+use dogwoodlb_external::engine::Action as Kind;
 use std::collections::BTreeSet;
 
 #[derive(Default)]
--- a/crates/platform/src/lib.rs
+++ b/crates/external/src/lib.rs
@@ -9,7 +9,7 @@
 //! A conditional write that creates a row only if nobody else has:
 //!
 //! ```
-//! use dogwoodlb_platform::table::Txn;
+//! use dogwoodlb_external::table::Txn;
 //!
 //! let txn = Txn::new().absent("lease/trainer/layout/fence").put("lease/trainer/layout/fence", "1");
 //! assert_eq!(txn.checks.len(), 1);
@@ -20,6 +20,7 @@
 mod error;
 pub mod objects;
 pub mod service;
+pub mod store;
 pub mod table;
 pub mod vms;
 
@@ -27,6 +28,7 @@
 pub use error::{Category, Cause, Error};
 pub use objects::Objects;
 pub use service::Service;
+pub use store::Store;
 pub use table::Table;
 pub use vms::Vms;
 
--- a/crates/lease/benches/capacity.rs
+++ b/crates/lease/benches/capacity.rs
@@ -1,8 +1,8 @@
 //! The cost of a lease by the number of candidates; docs/CAPACITY.md uses the slopes.
 
 use criterion::{BenchmarkId, Criterion};
+use dogwoodlb_external::table::Outcome;
 use dogwoodlb_lease::{rank, Action, Lease, Name};
-use dogwoodlb_platform::table::Outcome;
 use dogwoodlb_types::prelude::*;
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -13,7 +13,7 @@
 //!
 //! ```
 //! use dogwoodlb_lease::{Action, Lease, Name};
-//! use dogwoodlb_platform::table::Outcome;
+//! use dogwoodlb_external::table::Outcome;
 //! use dogwoodlb_types::prelude::*;
 //! use rand::{rngs::SmallRng, SeedableRng};
 //!
--- a/crates/lease/src/row.rs
+++ b/crates/lease/src/row.rs
@@ -1,6 +1,6 @@
 use crate::error::Inner;
 use crate::{Name, Result};
-use dogwoodlb_platform::table::Row;
+use dogwoodlb_external::table::Row;
 use dogwoodlb_types::id;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
--- a/crates/lease/src/view.rs
+++ b/crates/lease/src/view.rs
@@ -1,4 +1,4 @@
-use dogwoodlb_platform::table::Txn;
+use dogwoodlb_external::table::Txn;
 use dogwoodlb_types::{id, Instant};
 
 /// Identifies one request to the table service.
--- a/crates/lease/src/write.rs
+++ b/crates/lease/src/write.rs
@@ -1,6 +1,6 @@
 use crate::row::{to_json, Beat, Fence, Rows};
 use crate::Name;
-use dogwoodlb_platform::table::Txn;
+use dogwoodlb_external::table::Txn;
 use dogwoodlb_types::{id, Instant};
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/crates/lease/tests/fake/shell.rs
+++ b/crates/lease/tests/fake/shell.rs
@@ -1,8 +1,8 @@
 //! A shell for one candidate that performs each request at once, or loses its reply.
 
 use super::table::Table;
+use dogwoodlb_external::{Category, Cause, Error};
 use dogwoodlb_lease::{Action, Lease, Name};
-use dogwoodlb_platform::{Category, Cause, Error};
 use dogwoodlb_types::prelude::*;
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
--- a/crates/lease/tests/fake/table.rs
+++ b/crates/lease/tests/fake/table.rs
@@ -1,6 +1,6 @@
 //! A table in memory that carries out transactions at once.
 
-use dogwoodlb_platform::table::{Outcome, Row, Txn};
+use dogwoodlb_external::table::{Outcome, Row, Txn};
 use std::collections::BTreeMap;
 
 #[derive(Default)]
--- a/crates/lease/tests/single_holder.rs
+++ b/crates/lease/tests/single_holder.rs
@@ -3,9 +3,9 @@
 #[path = "fake/table.rs"]
 mod table;
 
+use dogwoodlb_external::table::{Outcome, Row, Txn};
+use dogwoodlb_external::{Category, Cause, Error, Result};
 use dogwoodlb_lease::{Action, Guard, Lease, Name, Ticket};
-use dogwoodlb_platform::table::{Outcome, Row, Txn};
-use dogwoodlb_platform::{Category, Cause, Error, Result};
 use dogwoodlb_types::prelude::*;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
--- a/crates/ledger/benches/capacity.rs
+++ b/crates/ledger/benches/capacity.rs
@@ -1,10 +1,10 @@
 //! The cost of the ledger by the samples of a step; docs/CAPACITY.md uses the slopes.
 
 use criterion::{BatchSize, BenchmarkId, Criterion};
+use dogwoodlb_external::table::{Check, Outcome, Row};
 use dogwoodlb_ledger::{
     Commit, Completion, Content, Finished, Group, Ledger, Next, Settings, Start,
 };
-use dogwoodlb_platform::table::{Check, Outcome, Row};
 use dogwoodlb_types::prelude::*;
 use std::collections::BTreeMap;
 use std::time::Duration;
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -6,7 +6,7 @@
 use crate::step::{Limit, Open};
 use crate::view::{Counts, Progress, Settings, StepView};
 use crate::{Answer, Result};
-use dogwoodlb_platform::table::{Check, Row, Txn};
+use dogwoodlb_external::table::{Check, Row, Txn};
 use dogwoodlb_types::{id, Code, Instant, Refusal};
 use std::collections::{BTreeMap, VecDeque};
 
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -13,7 +13,7 @@
 //!
 //! ```
 //! use dogwoodlb_ledger::*;
-//! use dogwoodlb_platform::table::{Check, Outcome};
+//! use dogwoodlb_external::table::{Check, Outcome};
 //! use dogwoodlb_types::prelude::*;
 //!
 //! let trainer: id::Trainer = "weld".parse()?;
--- a/crates/ledger/src/pending.rs
+++ b/crates/ledger/src/pending.rs
@@ -3,8 +3,8 @@
 use crate::row::{parse, Batch, Head, Step, Writer};
 use crate::step::{Limit, Open, Slot};
 use crate::view::{Commit, Completion, Next, Object, Start};
-use dogwoodlb_platform as platform;
-use dogwoodlb_platform::table::{Outcome, Row, Txn};
+use dogwoodlb_external as platform;
+use dogwoodlb_external::table::{Outcome, Row, Txn};
 use dogwoodlb_types::{id, Code, Refusal};
 use std::collections::BTreeMap;
 
--- a/crates/ledger/src/published.rs
+++ b/crates/ledger/src/published.rs
@@ -1,6 +1,6 @@
 use crate::row::{parse, Head, Keys};
 use crate::Result;
-use dogwoodlb_platform::table::Row;
+use dogwoodlb_external::table::Row;
 use dogwoodlb_types::id;
 
 /// The weights that a trainer published last.
--- a/crates/ledger/src/view.rs
+++ b/crates/ledger/src/view.rs
@@ -1,4 +1,4 @@
-use dogwoodlb_platform::table::Txn;
+use dogwoodlb_external::table::Txn;
 use dogwoodlb_types::{id, Refusal, Span};
 
 /// The settings of a trainer's ledger.
--- a/crates/ledger/tests/ledger/exactly_once.rs
+++ b/crates/ledger/tests/ledger/exactly_once.rs
@@ -5,9 +5,9 @@
 
 use crate::owner::{ambiguous, trainer, FENCE_KEY};
 use crate::table::Table;
+use dogwoodlb_external::table::{Check, Outcome, Txn};
+use dogwoodlb_external::{Category, Cause, Error};
 use dogwoodlb_ledger::*;
-use dogwoodlb_platform::table::{Check, Outcome, Txn};
-use dogwoodlb_platform::{Category, Cause, Error};
 use dogwoodlb_types::check_spans;
 use dogwoodlb_types::prelude::*;
 use rand::rngs::SmallRng;
@@ -223,7 +223,7 @@
         None
     }
 
-    fn send(&mut self, epoch: u64, commit: &Commit) -> dogwoodlb_platform::Result<Outcome> {
+    fn send(&mut self, epoch: u64, commit: &Commit) -> dogwoodlb_external::Result<Outcome> {
         for object in &commit.objects {
             let old = self
                 .objects
--- a/crates/ledger/tests/ledger/lost_reply.rs
+++ b/crates/ledger/tests/ledger/lost_reply.rs
@@ -2,8 +2,8 @@
 
 use crate::owner::{ambiguous, content, finished, owner, trainer, Owner};
 use crate::table::Table;
+use dogwoodlb_external::table::{Check, Outcome, Row};
 use dogwoodlb_ledger::*;
-use dogwoodlb_platform::table::{Check, Outcome, Row};
 use dogwoodlb_types::prelude::*;
 use rstest::rstest;
 
--- a/crates/ledger/tests/ledger/owner.rs
+++ b/crates/ledger/tests/ledger/owner.rs
@@ -1,9 +1,9 @@
 //! An owner of a trainer whose transactions take effect at once.
 
 use crate::table::Table;
+use dogwoodlb_external::table::{Check, Txn};
+use dogwoodlb_external::{Category, Cause, Error};
 use dogwoodlb_ledger::*;
-use dogwoodlb_platform::table::{Check, Txn};
-use dogwoodlb_platform::{Category, Cause, Error};
 use dogwoodlb_types::prelude::*;
 
 pub(crate) const FENCE_KEY: &str = "lease/trainer/weld/fence";
--- a/crates/manifest/benches/capacity.rs
+++ b/crates/manifest/benches/capacity.rs
@@ -4,10 +4,10 @@
 mod generated;
 
 use criterion::{BenchmarkId, Criterion};
+use dogwoodlb_external::table::Row;
 use dogwoodlb_manifest::adopt::{Action, Adoption, Event, Report};
 use dogwoodlb_manifest::record::{self, Record, CURRENT};
 use dogwoodlb_manifest::{diff, from_str, joint};
-use dogwoodlb_platform::table::Row;
 use dogwoodlb_types::{id, Instant};
 use generated::{Size, HALF, TARGET, TODAY};
 use rand::rngs::SmallRng;
--- a/crates/manifest/src/adopt.rs
+++ b/crates/manifest/src/adopt.rs
@@ -7,7 +7,7 @@
 pub use crate::proposal::{Answer, Proposal, Report};
 use crate::record::{Pointer, Record, CURRENT};
 use crate::Manifest;
-use dogwoodlb_platform::table::{Row, Txn};
+use dogwoodlb_external::table::{Row, Txn};
 use dogwoodlb_types::{id, Instant};
 use rand::{Rng, RngExt};
 use std::time::Duration;
--- a/crates/manifest/src/commit.rs
+++ b/crates/manifest/src/commit.rs
@@ -6,8 +6,8 @@
 use crate::proposal::{Answer, Proposal};
 use crate::record::{self, Pointer, Record, CURRENT};
 use crate::Manifest;
-use dogwoodlb_platform::table::{Outcome, Row, Txn};
-use dogwoodlb_platform::Category;
+use dogwoodlb_external::table::{Outcome, Row, Txn};
+use dogwoodlb_external::Category;
 use dogwoodlb_types::{id, Code, Instant, Refusal};
 use std::collections::BTreeSet;
 use std::time::Duration;
--- a/crates/manifest/src/record.rs
+++ b/crates/manifest/src/record.rs
@@ -4,7 +4,7 @@
 //! revision in force. Both carry the operation that wrote them, so that a committer whose reply
 //! was lost recognises its own write.
 
-use dogwoodlb_platform::table::{Row, Txn};
+use dogwoodlb_external::table::{Row, Txn};
 use dogwoodlb_types::id;
 use serde::{Deserialize, Serialize};
 
--- a/crates/manifest/tests/adopt_rules.rs
+++ b/crates/manifest/tests/adopt_rules.rs
@@ -1,9 +1,9 @@
 //! Guards against each single rule of adoption that is missing: evidence that is too old, not
 //! from a majority or not about the revision in force.
 
+use dogwoodlb_external::table::Row;
 use dogwoodlb_manifest::adopt::{Action, Adoption, Answer, Authority, Event, Proposal, Report};
 use dogwoodlb_manifest::record::{Record, CURRENT};
-use dogwoodlb_platform::table::Row;
 use dogwoodlb_types::{id, Instant};
 use rand::rngs::StdRng;
 use rand::SeedableRng;
--- a/crates/manifest/tests/commit_steps.rs
+++ b/crates/manifest/tests/commit_steps.rs
@@ -1,10 +1,10 @@
 //! Guards against a commit that skips a step, or tells an operator something that is not true.
 
+use dogwoodlb_external::table::{Outcome, Row, Txn};
+use dogwoodlb_external::Category;
 use dogwoodlb_manifest::adopt::Answer;
 use dogwoodlb_manifest::commit::{Action, Commit, Event};
 use dogwoodlb_manifest::record::{key, Record, CURRENT};
-use dogwoodlb_platform::table::{Outcome, Row, Txn};
-use dogwoodlb_platform::Category;
 use dogwoodlb_types::{id, Code, Instant, Ran, Refusal};
 use rstest::rstest;
 
--- a/crates/manifest/tests/races/store.rs
+++ b/crates/manifest/tests/races/store.rs
@@ -1,9 +1,9 @@
 //! The table of a run, and the requests to it.
 
+use dogwoodlb_external::table::{Outcome, Row, Txn};
+use dogwoodlb_external::Category;
 use dogwoodlb_manifest::record::Record;
 use dogwoodlb_manifest::{from_str, Manifest};
-use dogwoodlb_platform::table::{Outcome, Row, Txn};
-use dogwoodlb_platform::Category;
 use dogwoodlb_types::Instant;
 use std::collections::BTreeMap;
 
--- a/crates/manifest/tests/races/world.rs
+++ b/crates/manifest/tests/races/world.rs
@@ -1,10 +1,10 @@
 //! Eleven nodes, their clocks and their network in virtual time.
 
 use super::store::{Call, Reply, Request, Store, Who};
+use dogwoodlb_external::Category;
 use dogwoodlb_manifest::adopt::{self, Adoption};
 use dogwoodlb_manifest::commit::{self, Commit};
 use dogwoodlb_manifest::record::{self, CURRENT};
-use dogwoodlb_platform::Category;
 use dogwoodlb_types::{id, Instant, Refusal};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
--- a/crates/member/benches/capacity.rs
+++ b/crates/member/benches/capacity.rs
@@ -1,8 +1,8 @@
 //! The cost of the membership by the number of nodes; docs/CAPACITY.md uses the slopes.
 
 use criterion::{BenchmarkId, Criterion};
+use dogwoodlb_external::vms;
 use dogwoodlb_member::{Action, Members, Peer};
-use dogwoodlb_platform::vms;
 use dogwoodlb_types::{id, Instant};
 use dogwoodlb_wire::{Frame, Status};
 use rand::rngs::SmallRng;
--- a/crates/member/src/members.rs
+++ b/crates/member/src/members.rs
@@ -3,7 +3,7 @@
 use crate::probe::{Probe, Relay};
 use crate::record::{Record, MAX_INCARNATION};
 use crate::Result;
-use dogwoodlb_platform::vms;
+use dogwoodlb_external::vms;
 use dogwoodlb_types::{id, Instant};
 use dogwoodlb_wire::{Frame, State, Status, Update};
 use rand::seq::SliceRandom;
--- a/crates/member/tests/leaving_peers.rs
+++ b/crates/member/tests/leaving_peers.rs
@@ -6,8 +6,8 @@
 mod cluster;
 
 use cluster::{peer, vm, Cluster, Run};
+use dogwoodlb_external::vms;
 use dogwoodlb_member::Members;
-use dogwoodlb_platform::vms;
 use dogwoodlb_types::{id, Instant};
 use dogwoodlb_wire::{State, Status};
 use rand::rngs::SmallRng;
--- a/crates/node/src/cleaner.rs
+++ b/crates/node/src/cleaner.rs
@@ -2,9 +2,9 @@
 
 use crate::keeper::Keeper;
 use crate::shared::Shared;
+use dogwoodlb_external::table::{Row, Txn};
 use dogwoodlb_lease::Name;
 use dogwoodlb_once::{is_expired, PREFIX};
-use dogwoodlb_platform::table::{Row, Txn};
 use dogwoodlb_types::Instant;
 use std::sync::Arc;
 use std::thread;
--- a/crates/node/src/generate.rs
+++ b/crates/node/src/generate.rs
@@ -3,10 +3,10 @@
 use crate::completion::{Output, Prompt};
 use crate::group::{Demand, Group, Slot};
 use crate::shared::Shared;
+use dogwoodlb_external::engine::{Call, Report};
+use dogwoodlb_external::{Category, Cause, Error};
 use dogwoodlb_http::sse::DONE;
 use dogwoodlb_limit::Signal;
-use dogwoodlb_platform::engine::{Call, Report};
-use dogwoodlb_platform::{Category, Cause, Error};
 use dogwoodlb_route::Outcome;
 use dogwoodlb_types::{id, Class, Code, Instant, Ran, Refusal};
 use std::ops::ControlFlow;
--- a/crates/node/src/keeper.rs
+++ b/crates/node/src/keeper.rs
@@ -176,7 +176,7 @@
     }
 
     /// Counts a failed call of the table service or the object store.
-    pub(crate) fn count_store<T>(&self, result: &dogwoodlb_platform::Result<T>) {
+    pub(crate) fn count_store<T>(&self, result: &dogwoodlb_external::Result<T>) {
         if let Err(error) = result {
             self.metrics.count_tags("store.failed", &[("kind", "call")]);
             tracing::debug!(%error, "store_failed");
--- a/crates/node/src/once.rs
+++ b/crates/node/src/once.rs
@@ -2,9 +2,9 @@
 
 use crate::plain::Job;
 use crate::shared::Shared;
+use dogwoodlb_external::service::Reply;
+use dogwoodlb_external::{Category, Cause, Error};
 use dogwoodlb_once::{Action, Answer, Call, Digest, Key, Request};
-use dogwoodlb_platform::service::Reply;
-use dogwoodlb_platform::{Category, Cause, Error};
 use dogwoodlb_types::{id, Code, Ran, Refusal};
 use std::collections::VecDeque;
 use std::sync::Arc;
--- a/crates/node/src/plain.rs
+++ b/crates/node/src/plain.rs
@@ -2,10 +2,10 @@
 
 use crate::group::Demand;
 use crate::shared::Shared;
+use dogwoodlb_external::service::{Call, Reply};
+use dogwoodlb_external::{Category, Cause, Error};
 use dogwoodlb_limit::Signal;
 use dogwoodlb_manifest::Manifest;
-use dogwoodlb_platform::service::{Call, Reply};
-use dogwoodlb_platform::{Category, Cause, Error};
 use dogwoodlb_route::Outcome;
 use dogwoodlb_types::{id, Class, Code, Instant, Refusal};
 use std::time::Duration;
--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -1,4 +1,4 @@
-use dogwoodlb_platform::{Engine, Objects, Service, Table, Vms};
+use dogwoodlb_external::{Engine, Objects, Service, Table, Vms};
 use dogwoodlb_types::Clock;
 use std::sync::Arc;
 
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -2,10 +2,10 @@
 
 use crate::keeper::Keeper;
 use crate::shared::Shared;
+use dogwoodlb_external::table::Check;
 use dogwoodlb_lease::Guard;
 use dogwoodlb_ledger::{Commit, Completion, Content, Ledger, Next, Object, Settings};
 use dogwoodlb_manifest::section::Trainer;
-use dogwoodlb_platform::table::Check;
 use dogwoodlb_types::{id, Code, Instant, Refusal};
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -176,7 +176,7 @@
     }
 }
 
-fn unavailable(error: &dogwoodlb_platform::Error) -> Refusal {
+fn unavailable(error: &dogwoodlb_external::Error) -> Refusal {
     let refusal = Refusal::not_run(Code::StoreUnavailable, error.to_string());
     refusal.retry_after(Duration::from_secs(1))
 }
--- a/crates/node/src/swapper.rs
+++ b/crates/node/src/swapper.rs
@@ -3,11 +3,11 @@
 use crate::keeper::Keeper;
 use crate::lock;
 use crate::shared::Shared;
+use dogwoodlb_external::engine::{Order, Weights};
+use dogwoodlb_external::Cause;
 use dogwoodlb_lease::Name;
 use dogwoodlb_ledger::Published;
 use dogwoodlb_manifest::{quiet, Manifest};
-use dogwoodlb_platform::engine::{Order, Weights};
-use dogwoodlb_platform::Cause;
 use dogwoodlb_swap::{Action, Guard, Outcome, Replica, Settings, Swap, Target};
 use dogwoodlb_types::{id, Instant};
 use rand::rngs::SmallRng;
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -2,7 +2,7 @@
 
 use crate::lock;
 use crate::shared::Shared;
-use dogwoodlb_platform::vms::State;
+use dogwoodlb_external::vms::State;
 use dogwoodlb_types::{id, Instant};
 use std::collections::HashSet;
 use std::sync::atomic::Ordering;
--- a/crates/node/tests/model_refusals.rs
+++ b/crates/node/tests/model_refusals.rs
@@ -1,11 +1,11 @@
 //! What a node says about a model call that failed on every attempt.
 
 use dogwoodlb_adapter as adapter;
+use dogwoodlb_external::engine::{Call, Load, Order, Report, Weights};
+use dogwoodlb_external::service::{self, Service as _};
+use dogwoodlb_external::{Category, Cause, Engine, Error, Result};
 use dogwoodlb_manifest::settings::Settings;
 use dogwoodlb_node::{Node, Platform, System};
-use dogwoodlb_platform::engine::{Call, Load, Order, Report, Weights};
-use dogwoodlb_platform::service::{self, Service as _};
-use dogwoodlb_platform::{Category, Cause, Engine, Error, Result};
 use dogwoodlb_standin::{free_address, local, objects, table, vms};
 use std::net::SocketAddr;
 use std::ops::ControlFlow;
--- a/crates/once/src/action.rs
+++ b/crates/once/src/action.rs
@@ -1,5 +1,5 @@
-use dogwoodlb_platform::service::Reply;
-use dogwoodlb_platform::table::Txn;
+use dogwoodlb_external::service::Reply;
+use dogwoodlb_external::table::Txn;
 use dogwoodlb_types::{id, Refusal};
 use std::time::Duration;
 
--- a/crates/once/src/call.rs
+++ b/crates/once/src/call.rs
@@ -1,9 +1,9 @@
 use crate::error::Inner;
 use crate::row::{Row, State};
 use crate::{Action, Answer, Digest, Error, Key, Result};
-use dogwoodlb_platform::service::Reply;
-use dogwoodlb_platform::table::{self, Outcome, Txn};
-use dogwoodlb_platform::{self as platform, Category};
+use dogwoodlb_external::service::Reply;
+use dogwoodlb_external::table::{self, Outcome, Txn};
+use dogwoodlb_external::{self as platform, Category};
 use dogwoodlb_types::prelude::*;
 use std::time::Duration;
 
--- a/crates/once/src/claim.rs
+++ b/crates/once/src/claim.rs
@@ -1,9 +1,9 @@
 use crate::call::Call;
 use crate::row::{Row, State, Stored};
 use crate::{Action, Answer};
-use dogwoodlb_platform::service::Reply;
-use dogwoodlb_platform::table::{self, Outcome};
-use dogwoodlb_platform::Category;
+use dogwoodlb_external::service::Reply;
+use dogwoodlb_external::table::{self, Outcome};
+use dogwoodlb_external::Category;
 use dogwoodlb_types::prelude::*;
 use std::time::Duration;
 
--- a/crates/once/src/lib.rs
+++ b/crates/once/src/lib.rs
@@ -22,8 +22,8 @@
 //!
 //! ```
 //! use dogwoodlb_once::{Action, Answer, Call, Digest, Key, Request};
-//! use dogwoodlb_platform::service::Reply;
-//! use dogwoodlb_platform::table::Outcome;
+//! use dogwoodlb_external::service::Reply;
+//! use dogwoodlb_external::table::Outcome;
 //! use dogwoodlb_types::prelude::*;
 //!
 //! let now = Instant::from_millis(0);
--- a/crates/once/src/row.rs
+++ b/crates/once/src/row.rs
@@ -1,6 +1,6 @@
 use crate::error::Inner;
 use crate::{Digest, Error, Result};
-use dogwoodlb_platform::service::Reply;
+use dogwoodlb_external::service::Reply;
 use dogwoodlb_types::{id, Timestamp};
 use serde::{Deserialize, Serialize};
 use std::fmt::Write;
--- a/crates/once/src/settle.rs
+++ b/crates/once/src/settle.rs
@@ -1,7 +1,7 @@
 use crate::call::{Call, Phase, PATIENCE};
 use crate::row::{Row, State};
 use crate::{Action, Answer};
-use dogwoodlb_platform::table;
+use dogwoodlb_external::table;
 use dogwoodlb_types::Instant;
 
 /// The way from the answer to the final state of the row.
--- a/crates/once/tests/common/calls.rs
+++ b/crates/once/tests/common/calls.rs
@@ -1,9 +1,9 @@
 //! A call and the results that the tests feed to it.
 
+use dogwoodlb_external::service::Reply;
+use dogwoodlb_external::table::{Outcome, Row};
+use dogwoodlb_external::{Category, Cause, Error};
 use dogwoodlb_once::{Action, Answer, Call, Digest, Key, Request};
-use dogwoodlb_platform::service::Reply;
-use dogwoodlb_platform::table::{Outcome, Row};
-use dogwoodlb_platform::{Category, Cause, Error};
 use dogwoodlb_types::prelude::*;
 use std::time::Duration;
 
--- a/crates/once/tests/failed_dispatch.rs
+++ b/crates/once/tests/failed_dispatch.rs
@@ -4,8 +4,8 @@
 mod common;
 
 use common::{applied, at, call, done, failure, meet, refusal, reply, written, DEADLINE};
+use dogwoodlb_external::Category;
 use dogwoodlb_once::{is_expired, ran, KEY_LIFE};
-use dogwoodlb_platform::Category;
 use dogwoodlb_types::prelude::*;
 use rstest::rstest;
 
--- a/crates/once/tests/foreign_row.rs
+++ b/crates/once/tests/foreign_row.rs
@@ -4,8 +4,8 @@
 mod common;
 
 use common::{applied, at, call, done, meet, refusal, reply, written, DEADLINE};
+use dogwoodlb_external::table::Row;
 use dogwoodlb_once::{Action, Answer};
-use dogwoodlb_platform::table::Row;
 use dogwoodlb_types::prelude::*;
 
 fn started() -> Row {
@@ -51,7 +51,7 @@
     let mut first = call(1, b"{}");
     first.poll(at(0));
     first.on_commit(&applied(1), at(0)).unwrap();
-    let failed = common::failure(dogwoodlb_platform::Category::NotSent);
+    let failed = common::failure(dogwoodlb_external::Category::NotSent);
     let actions = first.on_dispatch(&failed, at(5)).unwrap();
     assert_eq!(refusal(&actions).ran, Ran::NotRun);
     let (open, check) = written(&actions, 2);
--- a/crates/once/tests/lost_reply.rs
+++ b/crates/once/tests/lost_reply.rs
@@ -5,8 +5,8 @@
 mod common;
 
 use common::{applied, at, call, conflict, failure, refusal, reply, written, DEADLINE};
+use dogwoodlb_external::Category;
 use dogwoodlb_once::{Action, Category as Kind};
-use dogwoodlb_platform::Category;
 use dogwoodlb_types::prelude::*;
 use std::time::Duration;
 
--- a/crates/once/tests/random_schedules.rs
+++ b/crates/once/tests/random_schedules.rs
@@ -1,9 +1,9 @@
 //! Seeded schedules of several nodes, caller retries, crashes, lost replies and late writes.
 
+use dogwoodlb_external::service::Reply;
+use dogwoodlb_external::table::{Outcome, Row, Txn};
+use dogwoodlb_external::{Category, Cause, Error};
 use dogwoodlb_once::{Action, Answer, Call, Digest, Key, Request};
-use dogwoodlb_platform::service::Reply;
-use dogwoodlb_platform::table::{Outcome, Row, Txn};
-use dogwoodlb_platform::{Category, Cause, Error};
 use dogwoodlb_types::prelude::*;
 use rand::{rngs::StdRng, RngExt, SeedableRng};
 use std::collections::{BTreeMap, HashMap};
--- a/crates/standin/src/engine/slots.rs
+++ b/crates/standin/src/engine/slots.rs
@@ -1,4 +1,4 @@
-use dogwoodlb_platform::engine::Load;
+use dogwoodlb_external::engine::Load;
 use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
--- a/crates/standin/src/engine/weights.rs
+++ b/crates/standin/src/engine/weights.rs
@@ -1,7 +1,7 @@
 use super::Config;
 use crate::host::failure;
+use dogwoodlb_external::engine::{Action, Order, Weights};
 use dogwoodlb_http::Response;
-use dogwoodlb_platform::engine::{Action, Order, Weights};
 use dogwoodlb_types::id;
 use serde_json::json;
 use std::collections::{BTreeMap, VecDeque};
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -11,8 +11,8 @@
 //!
 //! ```
 //! use dogwoodlb_adapter::Table;
-//! use dogwoodlb_platform::table::Txn;
-//! use dogwoodlb_platform::{Category, Table as _};
+//! use dogwoodlb_external::table::Txn;
+//! use dogwoodlb_external::{Category, Table as _};
 //! use dogwoodlb_standin::{local, table, Effect, Fault};
 //! use std::time::Duration;
 //!
--- a/crates/standin/src/table.rs
+++ b/crates/standin/src/table.rs
@@ -3,8 +3,8 @@
 use crate::fault::{Faults, Plan};
 use crate::host::{decode, not_found, parse, Host, Site};
 use crate::Result;
+use dogwoodlb_external::table::{Outcome, Row, Txn};
 use dogwoodlb_http::{Request, Response};
-use dogwoodlb_platform::table::{Outcome, Row, Txn};
 use serde_json::json;
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
--- a/crates/standin/src/trainer/client.rs
+++ b/crates/standin/src/trainer/client.rs
@@ -1,7 +1,7 @@
 use super::Config;
 use dogwoodlb_adapter::Service;
-use dogwoodlb_platform::service::Call;
-use dogwoodlb_platform::{Category, Service as _};
+use dogwoodlb_external::service::Call;
+use dogwoodlb_external::{Category, Service as _};
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 use std::net::SocketAddr;
--- a/crates/standin/src/vms.rs
+++ b/crates/standin/src/vms.rs
@@ -3,8 +3,8 @@
 use crate::fault::{Faults, Plan};
 use crate::host::{failure, not_found, parse, Host, Site};
 use crate::Result;
+use dogwoodlb_external::vms::{State, Vm};
 use dogwoodlb_http::{Request, Response};
-use dogwoodlb_platform::vms::{State, Vm};
 use dogwoodlb_types::id;
 use serde::Deserialize;
 use serde_json::json;
--- a/crates/standin/tests/ordered_faults.rs
+++ b/crates/standin/tests/ordered_faults.rs
@@ -1,8 +1,8 @@
 //! Stand-ins in processes of their own are controlled over HTTP.
 
 use dogwoodlb_adapter::Service;
-use dogwoodlb_platform::service::Call;
-use dogwoodlb_platform::{Category, Result, Service as _};
+use dogwoodlb_external::service::Call;
+use dogwoodlb_external::{Category, Result, Service as _};
 use dogwoodlb_standin::{local, service, vms};
 use rstest::rstest;
 use serde_json::{json, Value};
--- a/crates/standin/tests/request_queue.rs
+++ b/crates/standin/tests/request_queue.rs
@@ -1,8 +1,8 @@
 //! The engine's queue, cancellation, load reports and text.
 
 use dogwoodlb_adapter::{Engine, Service};
-use dogwoodlb_platform::engine::Call;
-use dogwoodlb_platform::{service, Category, Engine as _, Service as _};
+use dogwoodlb_external::engine::Call;
+use dogwoodlb_external::{service, Category, Engine as _, Service as _};
 use dogwoodlb_standin::engine::{self, Config};
 use dogwoodlb_standin::{local, Effect, Fault};
 use dogwoodlb_types::id;
--- a/crates/standin/tests/weight_swaps.rs
+++ b/crates/standin/tests/weight_swaps.rs
@@ -1,8 +1,8 @@
 //! The engine's labels are true and its orders are fenced.
 
 use dogwoodlb_adapter::Engine;
-use dogwoodlb_platform::engine::{Action, Call, Order, Report};
-use dogwoodlb_platform::{Category, Engine as _, Result};
+use dogwoodlb_external::engine::{Action, Call, Order, Report};
+use dogwoodlb_external::{Category, Engine as _, Result};
 use dogwoodlb_standin::engine::{self, Config};
 use dogwoodlb_standin::{local, Effect, Fault};
 use dogwoodlb_types::{check_spans, id, Timestamp};
--- a/crates/swap/benches/capacity.rs
+++ b/crates/swap/benches/capacity.rs
@@ -1,7 +1,7 @@
 //! The cost of a weight swap by the number of replicas; docs/CAPACITY.md uses the slopes.
 
 use criterion::{BenchmarkId, Criterion};
-use dogwoodlb_platform::engine::Weights;
+use dogwoodlb_external::engine::Weights;
 use dogwoodlb_swap::{Action, Guard, Replica, Settings, Swap, Target};
 use dogwoodlb_types::{id, Instant, Timestamp};
 use rand::rngs::SmallRng;
--- a/crates/swap/src/lib.rs
+++ b/crates/swap/src/lib.rs
@@ -8,7 +8,7 @@
 //! # Examples
 //!
 //! ```
-//! use dogwoodlb_platform::engine::Weights;
+//! use dogwoodlb_external::engine::Weights;
 //! use dogwoodlb_swap::{Action, Guard, Outcome, Replica, Settings, Swap, Target};
 //! use dogwoodlb_types::{id, Instant, Timestamp};
 //! use rand::SeedableRng;
--- a/crates/swap/src/order.rs
+++ b/crates/swap/src/order.rs
@@ -1,7 +1,7 @@
 use crate::replica::{Phase, State};
 use crate::swap::{Action, Swap};
 use crate::{Guard, Target};
-use dogwoodlb_platform::engine;
+use dogwoodlb_external::engine;
 use dogwoodlb_types::{id, Instant, Timestamp};
 use rand::{Rng, RngExt};
 use std::time::Duration;
--- a/crates/swap/src/report.rs
+++ b/crates/swap/src/report.rs
@@ -1,7 +1,7 @@
 use crate::replica::{Phase, Report, State, MAX_ATTEMPTS};
 use crate::swap::{Action, Swap};
-use dogwoodlb_platform::engine::Weights;
-use dogwoodlb_platform::{Category, Error};
+use dogwoodlb_external::engine::Weights;
+use dogwoodlb_external::{Category, Error};
 use dogwoodlb_types::{id, Instant};
 use rand::{Rng, RngExt};
 use std::time::Duration;
--- a/crates/swap/src/swap.rs
+++ b/crates/swap/src/swap.rs
@@ -2,7 +2,7 @@
 use crate::rate::Rate;
 use crate::replica::{Phase, State};
 use crate::{Guard, Replica, Result, Settings, Target};
-use dogwoodlb_platform::engine::Order;
+use dogwoodlb_external::engine::Order;
 use dogwoodlb_types::{id, Instant};
 use std::collections::BTreeMap;
 
--- a/crates/swap/tests/support/bench.rs
+++ b/crates/swap/tests/support/bench.rs
@@ -1,6 +1,6 @@
 //! A swap core with replicas that answer reads at once, driven step by step.
 
-use dogwoodlb_platform::engine::{Action as Kind, Order, Weights};
+use dogwoodlb_external::engine::{Action as Kind, Order, Weights};
 use dogwoodlb_swap::{Action, Guard, Outcome, Replica, Settings, Swap, Target};
 use dogwoodlb_types::{id, Instant, Timestamp};
 use rand::rngs::SmallRng;
