--- /dev/null
+++ b/crates/batch/src/lib.rs
@@ -0,0 +1,47 @@
+//! Batch submissions of trainers: what is stored of them, and the order in which they run.
+//!
+//! A [`Submission`] is kept in the table service from its acceptance on, as a [`Head`] and a
+//! body in parts. Each finished item becomes an [`Outcome`] at the next position; a position
+//! never changes once its transaction is committed. The [`Planner`] decides which item runs on
+//! which replica; it has no sockets and no clock.
+//!
+//! # Examples
+//!
+//! ```
+//! use dogwoodlb_batch::{parts, Item, Submission};
+//!
+//! let submission = Submission {
+//!     id: "b1".into(),
+//!     host: "lab.example".into(),
+//!     path: "/runs/1".into(),
+//!     items: vec![Item { id: "i1".into(), body: b"prompt".to_vec(), ..Item::default() }],
+//!     ..Submission::default()
+//! };
+//! let bytes = submission.to_vec()?;
+//! let stored = parts::split(&bytes);
+//! let joined = parts::join(stored.iter().map(|part| part.as_slice()));
+//! assert_eq!(Submission::from_slice(&joined)?, submission);
+//! # Ok::<(), dogwoodlb_batch::Error>(())
+//! ```
+
+mod error;
+mod head;
+mod outcome;
+pub mod parts;
+mod planner;
+mod progress;
+mod replica;
+mod submission;
+mod work;
+
+pub use error::Error;
+pub use head::Head;
+pub use outcome::{Outcome, State};
+pub use planner::{Action, Open, Planner, Stop};
+pub use progress::Progress;
+pub use replica::{Replica, View};
+pub use submission::{Item, Scorer, Submission};
+pub use work::WorkId;
+
+/// The result of an operation of this crate.
+pub type Result<T> = std::result::Result<T, Error>;
--- /dev/null
+++ b/crates/batch/tests/item_order.rs
@@ -0,0 +1,157 @@
+//! Guards against steps that wait for items which were started late or in the wrong place.
+
+use dogwoodlb_batch::{Action, Item, Open, Planner, Stop, View, WorkId};
+use dogwoodlb_types::Instant;
+use std::collections::BTreeSet;
+
+fn at(ms: u64) -> Instant {
+    Instant::from_millis(ms)
+}
+
+fn item(id: &str, group: &str, tokens: u64) -> Item {
+    Item {
+        id: id.into(),
+        group: group.into(),
+        prompt_tokens: 10,
+        expected_tokens: tokens,
+        ..Item::default()
+    }
+}
+
+fn open(planner: &mut Planner, id: &str, min_version: u64, items: &[Item]) {
+    planner.open(&Open {
+        id,
+        model: "m",
+        min_version,
+        single_version: false,
+        target_groups: 1,
+        max_attempts: 3,
+        event_tokens: 10,
+        items,
+        listed: &BTreeSet::new(),
+    });
+}
+
+fn view(slots: u32, version: u64) -> View {
+    View {
+        slots,
+        versions: [("m".to_owned(), version)].into(),
+        ..View::default()
+    }
+}
+
+fn starts(actions: &[Action]) -> Vec<(u64, &str)> {
+    let start = |action: &'_ Action| match action {
+        Action::Start { work, replica } => Some((work.0, replica.clone())),
+        Action::Stop { .. } => None,
+    };
+    let starts: Vec<(u64, String)> = actions.iter().filter_map(start).collect();
+    starts
+        .into_iter()
+        .map(|(work, replica)| (work, &*replica.leak()))
+        .collect()
+}
+
+#[test]
+fn longest_of_needed_first() {
+    let mut planner = Planner::default();
+    planner.set_replica("r", view(2, 1));
+    let items = [
+        item("a", "short", 100),
+        item("b", "short", 300),
+        item("c", "long", 900),
+    ];
+    open(&mut planner, "b1", 1, &items);
+    assert_eq!(starts(&planner.plan(at(0))), [(2, "r"), (1, "r")]);
+}
+
+#[test]
+fn old_weights() {
+    let mut planner = Planner::default();
+    planner.set_replica("old", view(4, 1));
+    open(&mut planner, "b1", 2, &[item("a", "g", 100)]);
+    assert!(planner.plan(at(0)).is_empty());
+    planner.set_replica("new", view(4, 2));
+    assert_eq!(starts(&planner.plan(at(10))), [(1, "new")]);
+}
+
+#[test]
+fn resume_after_break() {
+    let mut planner = Planner::default();
+    planner.set_replica("first", view(4, 1));
+    open(&mut planner, "b1", 1, &[item("a", "g", 100)]);
+    planner.plan(at(0));
+    assert!(planner.on_event(WorkId(1), 1, "x", 1, at(30)));
+    planner.set_replica("second", view(4, 1));
+    assert!(!planner.on_stop(WorkId(1), Stop::Broken, at(40)));
+    // The broken replica is paused, and the text so far is kept.
+    assert_eq!(starts(&planner.plan(at(40))), [(1, "second")]);
+    assert_eq!(planner.progress(WorkId(1)).unwrap().last_event, 1);
+    assert!(
+        !planner.on_event(WorkId(1), 3, "z", 1, at(50)),
+        "event 2 is missing"
+    );
+}
+
+#[test]
+fn failures_end() {
+    let mut planner = Planner::default();
+    planner.set_replica("r", view(4, 1));
+    open(&mut planner, "b1", 1, &[item("a", "g", 100)]);
+    for (round, last) in [(0, false), (1, false), (2, true)] {
+        let now = at(round * 10_000);
+        assert_eq!(planner.plan(now).len(), 1);
+        assert_eq!(planner.on_stop(WorkId(1), Stop::Failed, now), last);
+    }
+}
+
+#[test]
+fn carried_text() {
+    let mut planner = Planner::default();
+    planner.set_replica("r", view(4, 2));
+    let items = [item("a", "g", 100)];
+    open(&mut planner, "b1", 1, &items);
+    planner.plan(at(0));
+    planner.on_event(WorkId(1), 1, "x", 2, at(30));
+    planner.close("b1", at(50));
+    assert!(planner.place(WorkId(1)).is_none());
+    open(&mut planner, "b2", 2, &items);
+    assert_eq!(planner.place(WorkId(1)), Some(("b2", 0)));
+    // Text of too old a version is not used.
+    planner.close("b2", at(60));
+    open(&mut planner, "b3", 3, &items);
+    assert!(planner.place(WorkId(1)).is_none());
+    assert_eq!(planner.progress(WorkId(2)).unwrap().last_event, 0);
+}
+
+#[test]
+fn closed_replica() {
+    let mut planner = Planner::default();
+    planner.set_replica("r", view(4, 1));
+    open(&mut planner, "b1", 1, &[item("a", "g", 100)]);
+    planner.plan(at(0));
+    planner.set_replica("other", view(4, 1));
+    let mut closed = view(4, 1);
+    closed.closed.push("m".into());
+    planner.set_replica("r", closed);
+    let actions = planner.plan(at(200));
+    assert!(matches!(
+        actions[..],
+        [Action::Stop {
+            work: WorkId(1),
+            ..
+        }]
+    ));
+    planner.on_stop(WorkId(1), Stop::Moved, at(200));
+    assert_eq!(starts(&planner.plan(at(200))), [(1, "other")]);
+}
+
+#[test]
+fn stalled_run() {
+    let mut planner = Planner::default();
+    planner.set_replica("r", view(4, 1));
+    open(&mut planner, "b1", 1, &[item("a", "g", 100)]);
+    planner.plan(at(0));
+    assert!(planner.plan(at(1_000)).is_empty());
+    assert!(matches!(planner.plan(at(3_000))[..], [Action::Stop { .. }]));
+}
--- /dev/null
+++ b/crates/config/tests/route_choice.rs
@@ -0,0 +1,32 @@
+//! Guards against requests that take a route or a service that the configuration rules out.
+
+use dogwoodlb_config::{Kind, Limits, Route, Snapshot};
+
+fn route(name: &str, prefix: &str) -> Route {
+    Route::new(name, "h", prefix, Kind::Safe)
+}
+
+#[test]
+fn longest_prefix() {
+    let routes = vec![route("short", "/a/"), route("long", "/a/b/")];
+    let snapshot = Snapshot::new(1, routes, Vec::new(), Limits::default());
+    assert_eq!(snapshot.route("h", "/a/b/c").unwrap().name, "long");
+    assert_eq!(snapshot.route("h", "/a/c").unwrap().name, "short");
+    assert!(snapshot.route("other", "/a/c").is_none());
+}
+
+#[test]
+fn weights_decide() {
+    let mut route = route("split", "/");
+    route.split = vec![("none".into(), 0), ("most".into(), 9), ("few".into(), 1)];
+    assert_eq!(route.service(0.0), Some("most"));
+    assert_eq!(route.service(0.89), Some("most"));
+    assert_eq!(route.service(0.91), Some("few"));
+    assert_eq!(route.service(0.999_999), Some("few"));
+    assert!(!route.allows("none"));
+}
+
+#[test]
+fn no_service() {
+    assert_eq!(route("empty", "/").service(0.5), None);
+}
--- /dev/null
+++ b/crates/directory/src/lib.rs
@@ -0,0 +1,35 @@
+//! The replicas of all services, as their entries in the store announce them.
+//!
+//! The [`Directory`] takes in entries with the version of their row and never goes back to an
+//! older one. A replica whose entry lapsed while the store was away is kept for
+//! [`RETURN_TIME`] after the store's return, since a live replica registers again by then.
+//!
+//! # Examples
+//!
+//! ```
+//! use dogwoodlb_directory::{Directory, Entry, Stage};
+//! use dogwoodlb_types::Instant;
+//!
+//! let mut directory = Directory::default();
+//! let now = Instant::from_millis(0);
+//! let entry = Entry {
+//!     service: "portal".into(),
+//!     address: "10.0.0.9:80".parse()?,
+//!     centre: "lj-a".into(),
+//!     slots: 6,
+//!     stage: Stage::Ready,
+//!     models: Vec::new(),
+//!     born_ms: 1,
+//! };
+//! directory.put("replica-1", 4, entry, now);
+//! assert_eq!(directory.usable("portal").count(), 1);
+//! directory.remove("replica-1", 5, now);
+//! assert_eq!(directory.usable("portal").count(), 0);
+//! # Ok::<(), std::net::AddrParseError>(())
+//! ```
+
+mod directory;
+mod entry;
+
+pub use directory::{Directory, RETURN_TIME};
+pub use entry::{Entry, Stage, Weights};
--- /dev/null
+++ b/crates/directory/tests/lapsed_entries.rs
@@ -0,0 +1,59 @@
+//! Guards against losing live replicas after an outage of the store, and against keeping
+//! replicas that are gone.
+
+use dogwoodlb_directory::{Directory, Entry, Stage, RETURN_TIME};
+use dogwoodlb_types::Instant;
+use std::time::Duration;
+
+fn entry(stage: Stage) -> Entry {
+    Entry {
+        service: "s".into(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        centre: "a".into(),
+        slots: 4,
+        stage,
+        models: Vec::new(),
+        born_ms: 1,
+    }
+}
+
+fn at(ms: u64) -> Instant {
+    Instant::from_millis(ms)
+}
+
+#[test]
+fn removal_in_calm() {
+    let mut directory = Directory::default();
+    directory.on_contact(at(0));
+    directory.put("r", 1, entry(Stage::Ready), at(0));
+    directory.on_contact(at(500));
+    assert!(directory.remove("r", 2, at(500)));
+    assert_eq!(directory.usable("s").count(), 0);
+}
+
+#[test]
+fn lapse_in_outage() {
+    let mut directory = Directory::default();
+    directory.on_contact(at(0));
+    directory.put("back", 1, entry(Stage::Ready), at(0));
+    directory.put("gone", 2, entry(Stage::Ready), at(0));
+    directory.put("left", 3, entry(Stage::Draining), at(0));
+    let returned = at(5_000);
+    directory.on_contact(returned);
+    assert_eq!(directory.replace(Vec::new(), 10, returned), ["left"]);
+    assert_eq!(directory.usable("s").count(), 2);
+    directory.put("back", 11, entry(Stage::Ready), at(6_000));
+    let late = returned + RETURN_TIME + Duration::from_millis(1);
+    assert_eq!(directory.expire(late), ["gone"]);
+    assert_eq!(directory.usable("s").count(), 1);
+}
+
+#[test]
+fn older_row() {
+    let mut directory = Directory::default();
+    directory.put("r", 5, entry(Stage::Draining), at(0));
+    assert!(!directory.put("r", 4, entry(Stage::Ready), at(0)));
+    assert_eq!(directory.usable("s").count(), 0);
+    assert!(!directory.remove("r", 3, at(0)));
+    assert_eq!(directory.listed("s").count(), 1);
+}
--- /dev/null
+++ b/crates/edge/src/archive.rs
@@ -0,0 +1,119 @@
+//! Reads what the store holds of batches.
+
+use crate::cache::Cache;
+use crate::known::{Known, Stored};
+use crate::storage::{self, Storage, BODIES, OUTCOMES, SHARED, TEXTS};
+use dogwoodlb_batch::{parts, Head, Outcome, Progress, Submission};
+use dogwoodlb_external::store::Range;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+/// Why something could not be read.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum Error {
+    #[error(transparent)]
+    Store(#[from] dogwoodlb_external::Error),
+    #[error(transparent)]
+    Batch(#[from] dogwoodlb_batch::Error),
+    #[error("part {part} of batch {batch} is missing")]
+    Missing { batch: String, part: u32 },
+}
+
+/// The batches in the store, with a cache.
+pub(crate) struct Archive {
+    pub(crate) storage: Rc<Storage>,
+    pub(crate) known: Rc<Known>,
+    pub(crate) cache: Cache,
+}
+
+impl Archive {
+    /// Reads the head of a batch, which becomes known.
+    pub(crate) async fn head(&self, batch: &str) -> Result<Option<Stored<Head>>, Error> {
+        let row = self.storage.get(SHARED, &storage::head_key(batch)).await?;
+        let Some(row) = row else {
+            return Ok(None);
+        };
+        let head = Head::from_slice(&row.value)?;
+        self.known.put_head(batch, row.version, head);
+        Ok(self.known.head(batch))
+    }
+
+    /// Returns the head of a batch, from the store if it isn't known.
+    pub(crate) async fn known_head(&self, batch: &str) -> Result<Option<Stored<Head>>, Error> {
+        match self.known.head(batch) {
+            Some(head) => Ok(Some(head)),
+            None => self.head(batch).await,
+        }
+    }
+
+    /// Returns a submission.
+    pub(crate) async fn submission(
+        &self,
+        batch: &str,
+        head: &Head,
+    ) -> Result<Rc<Submission>, Error> {
+        if let Some(submission) = self.cache.submission(batch) {
+            return Ok(submission);
+        }
+        let rows = self.storage.list(BODIES, &format!("{batch}/")).await?;
+        for part in 0..head.parts {
+            let key = storage::numbered_key(batch, part);
+            if rows.get(part as usize).is_none_or(|row| row.key != key) {
+                let batch = batch.to_owned();
+                return Err(Error::Missing { batch, part });
+            }
+        }
+        let whole = parts::join(rows.iter().map(|row| row.value.as_slice()));
+        let submission = Rc::new(Submission::from_slice(&whole)?);
+        self.cache.put_submission(batch, submission.clone());
+        Ok(submission)
+    }
+
+    /// Returns the outcomes from a position on, up to `until`.
+    pub(crate) async fn outcomes(
+        &self,
+        batch: &str,
+        from: u32,
+        until: u32,
+    ) -> Result<Vec<Rc<Outcome>>, Error> {
+        let cached = self.cache.outcomes(batch, from);
+        let next = from + u32::try_from(cached.len()).unwrap_or(u32::MAX);
+        if next >= until || from >= until {
+            return Ok(cached);
+        }
+        let range = Range {
+            table: OUTCOMES.to_owned(),
+            from: storage::numbered_key(batch, next),
+            to: format!("{batch}0"),
+        };
+        let page = self.storage.read(&range).await?;
+        let mut values: BTreeMap<&str, Vec<&[u8]>> = BTreeMap::new();
+        for row in &page.rows {
+            // An outcome over the size of a row has its further parts under longer keys.
+            let key = row.key.get(..batch.len() + 7).unwrap_or(&row.key);
+            values.entry(key).or_default().push(&row.value);
+        }
+        for (key, stored) in values {
+            let position = key
+                .rsplit('/')
+                .next()
+                .and_then(|number| number.parse().ok());
+            let Some(position) = position else { continue };
+            let value = parts::join(stored.into_iter());
+            let outcome = Rc::new(Outcome::from_slice(&value)?);
+            self.cache.put_outcome(batch, position, outcome);
+        }
+        Ok(self.cache.outcomes(batch, from))
+    }
+
+    /// Returns the texts that an earlier owner left of unfinished items.
+    pub(crate) async fn texts(&self, batch: &str) -> Result<BTreeMap<u32, Progress>, Error> {
+        let rows = self.storage.list(TEXTS, &format!("{batch}/")).await?;
+        let text = |row: &dogwoodlb_external::store::Row| {
+            let index = row.key.rsplit('/').next()?.parse().ok()?;
+            let progress = postcard::from_bytes(&row.value).ok()?;
+            Some((index, progress))
+        };
+        Ok(rows.iter().filter_map(text).collect())
+    }
+}
--- /dev/null
+++ b/crates/edge/src/cache.rs
@@ -0,0 +1,75 @@
+//! Submissions and outcomes that the node has in memory; what the store holds never changes,
+//! so that a cached value is always right.
+
+use dogwoodlb_batch::{Outcome, Submission};
+use std::cell::RefCell;
+use std::collections::{BTreeMap, VecDeque};
+use std::rc::Rc;
+
+/// The batches whose submissions and outcomes are kept.
+const BATCHES: usize = 12;
+/// The bytes that they may take together.
+const BYTES: usize = 24 * 1024 * 1024;
+
+#[derive(Default)]
+struct Entry {
+    submission: Option<Rc<Submission>>,
+    outcomes: BTreeMap<u32, Rc<Outcome>>,
+    bytes: usize,
+}
+
+/// A cache of batches, of which the oldest goes first.
+#[derive(Default)]
+pub(crate) struct Cache {
+    entries: RefCell<BTreeMap<String, Entry>>,
+    order: RefCell<VecDeque<String>>,
+}
+
+impl Cache {
+    pub(crate) fn submission(&self, batch: &str) -> Option<Rc<Submission>> {
+        self.entries.borrow().get(batch)?.submission.clone()
+    }
+
+    pub(crate) fn put_submission(&self, batch: &str, submission: Rc<Submission>) {
+        let items = submission.items.iter();
+        let bytes = items.map(|item| 512 + 2 * item.body.len()).sum();
+        self.change(batch, bytes, |entry| entry.submission = Some(submission));
+    }
+
+    /// Returns the outcomes from a position on, up to the first one that is not here.
+    pub(crate) fn outcomes(&self, batch: &str, from: u32) -> Vec<Rc<Outcome>> {
+        let entries = self.entries.borrow();
+        let Some(entry) = entries.get(batch) else {
+            return Vec::new();
+        };
+        let known = entry.outcomes.range(from..).zip(from..);
+        let known = known.take_while(|((position, _), expected)| *position == expected);
+        known.map(|((_, outcome), _)| outcome.clone()).collect()
+    }
+
+    pub(crate) fn put_outcome(&self, batch: &str, position: u32, outcome: Rc<Outcome>) {
+        let bytes = 256 + outcome.text.len();
+        self.change(batch, bytes, |entry| {
+            entry.outcomes.insert(position, outcome);
+        });
+    }
+
+    fn change(&self, batch: &str, bytes: usize, change: impl FnOnce(&mut Entry)) {
+        let mut entries = self.entries.borrow_mut();
+        let mut order = self.order.borrow_mut();
+        if !entries.contains_key(batch) {
+            order.push_back(batch.to_owned());
+        }
+        let entry = entries.entry(batch.to_owned()).or_default();
+        entry.bytes += bytes;
+        change(entry);
+        let total = |entries: &BTreeMap<String, Entry>| -> usize {
+            entries.values().map(|entry| entry.bytes).sum()
+        };
+        while order.len() > 1 && (order.len() > BATCHES || total(&entries) > BYTES) {
+            if let Some(oldest) = order.pop_front() {
+                entries.remove(&oldest);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/leader.rs
@@ -0,0 +1,164 @@
+//! Decides which services this node leads.
+//!
+//! The leader of a service runs its batches and orders its replicas. The store names it; nobody
+//! holds a lease, because whatever a leader does is conditional on rows in the store or may be
+//! done twice. So another node takes over as soon as the leader's heartbeats stop.
+
+use crate::clock;
+use crate::conductor::Conductor;
+use crate::storage::{self, SHARED};
+use crate::tools::Tools;
+use dogwoodlb_external::store::{Outcome, Txn};
+use dogwoodlb_types::Instant;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::AbortHandle;
+use tokio::time::{sleep, timeout};
+
+const TICK: Duration = Duration::from_millis(100);
+/// How long a leader has to be unfit before another node takes over.
+const UNFIT: Duration = Duration::from_millis(100);
+/// The time between the claims of two candidates, so that they do not all write.
+const RANK_STEP: Duration = Duration::from_millis(250);
+/// The time after the start in which nodes hear of each other before they claim.
+const FIRST_WAIT: Duration = Duration::from_millis(700);
+
+/// The services that a node leads.
+pub(crate) struct Leader {
+    tools: Rc<Tools>,
+    led: BTreeMap<String, (Rc<Conductor>, AbortHandle)>,
+    /// Since when each service has had no fit leader.
+    unfit: BTreeMap<String, Instant>,
+    started: Instant,
+}
+
+impl Leader {
+    pub(crate) fn new(tools: Rc<Tools>) -> Self {
+        Self {
+            tools,
+            led: BTreeMap::new(),
+            unfit: BTreeMap::new(),
+            started: clock::now(),
+        }
+    }
+
+    /// Leads services until the node leaves, then hands them over.
+    pub(crate) async fn run(mut self) {
+        while !self.tools.peers.is_leaving() {
+            self.step().await;
+            self.tools.peers.set_duty(!self.led.is_empty());
+            sleep(TICK).await;
+        }
+        for (service, (conductor, task)) in std::mem::take(&mut self.led) {
+            task.abort();
+            conductor.hand_over().await;
+            self.resign(&service).await;
+            conductor.abort();
+        }
+    }
+
+    async fn step(&mut self) {
+        let Some(config) = self.tools.known.config() else {
+            return;
+        };
+        let services: Vec<String> = config.engines().map(|one| one.name.clone()).collect();
+        for service in &services {
+            let leader = self.tools.known.leader(service);
+            let name = leader.as_ref().map_or("", |leader| leader.value.as_str());
+            if name == self.tools.settings.node {
+                self.lead(service);
+                continue;
+            }
+            self.follow(service);
+            let row = leader.as_ref().map_or(0, |leader| leader.row);
+            if self.is_due(service, name) {
+                self.claim(service, name, row).await;
+            }
+        }
+        let gone: Vec<String> = self
+            .led
+            .keys()
+            .filter(|led| !services.contains(led))
+            .cloned()
+            .collect();
+        for service in gone {
+            self.follow(&service);
+        }
+    }
+
+    fn lead(&mut self, service: &str) {
+        if self.led.contains_key(service) {
+            return;
+        }
+        tracing::info!(service, "leading");
+        let conductor = Rc::new(Conductor::new(service, self.tools.clone()));
+        let task = tokio::task::spawn_local(conductor.clone().run());
+        let entry = (conductor, task.abort_handle());
+        self.led.insert(service.to_owned(), entry);
+    }
+
+    fn follow(&mut self, service: &str) {
+        if let Some((conductor, task)) = self.led.remove(service) {
+            tracing::info!(service, "following");
+            task.abort();
+            conductor.abort();
+        }
+    }
+
+    /// Returns whether it is this node's turn to replace the leader of a service.
+    fn is_due(&mut self, service: &str, leader: &str) -> bool {
+        let now = clock::now();
+        let peers = &self.tools.peers;
+        if peers.is_fit(leader) || !peers.can_lead() {
+            self.unfit.remove(service);
+            return false;
+        }
+        let since = *self.unfit.entry(service.to_owned()).or_insert(now);
+        let rank = u32::try_from(peers.rank(service)).unwrap_or(u32::MAX);
+        let wait = UNFIT.saturating_add(RANK_STEP.saturating_mul(rank));
+        now.saturating_since(since) >= wait && now.saturating_since(self.started) >= FIRST_WAIT
+    }
+
+    async fn claim(&mut self, service: &str, before: &str, row: u64) {
+        let node = &self.tools.settings.node;
+        let key = storage::leader_key(service);
+        let txn = Txn::default().check(SHARED, &key, row);
+        let txn = txn.put(SHARED, &key, node.clone().into_bytes());
+        match self.tools.storage.commit(&txn).await {
+            Ok(Outcome::Done { version, .. }) => {
+                tracing::info!(
+                    service,
+                    before,
+                    row = version,
+                    outcome = "won",
+                    "leader_claimed"
+                );
+                self.tools.known.put_leader(service, version, node);
+                self.unfit.remove(service);
+            }
+            Ok(Outcome::Conflict { rows }) => {
+                tracing::info!(service, before, outcome = "lost", "leader_claimed");
+                for row in rows {
+                    let name = String::from_utf8_lossy(&row.value);
+                    self.tools.known.put_leader(service, row.version, &name);
+                }
+            }
+            Err(error) => {
+                tracing::info!(service, before, %error, outcome = "unknown", "leader_claimed");
+            }
+        }
+    }
+
+    /// Leaves the place of a leader empty, so that the next one need not wait.
+    async fn resign(&self, service: &str) {
+        let Some(leader) = self.tools.known.leader(service) else {
+            return;
+        };
+        let key = storage::leader_key(service);
+        let txn = Txn::default().check(SHARED, &key, leader.row);
+        let txn = txn.put(SHARED, &key, Vec::new());
+        let written = timeout(TICK * 5, self.tools.storage.commit(&txn)).await;
+        tracing::info!(service, is_written = written.is_ok(), "resigned");
+    }
+}
--- /dev/null
+++ b/crates/edge/src/lister.rs
@@ -0,0 +1,218 @@
+//! Lists the outcomes of one batch: a result is shown only once it is in the store.
+
+use crate::archive::Archive;
+use crate::clock;
+use crate::known::Known;
+use crate::metrics::Metrics;
+use crate::storage::{self, Storage, OUTCOMES, SHARED};
+use dogwoodlb_batch::{parts, Head, Outcome, State};
+use dogwoodlb_external::store::{self, Row, Txn};
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::sleep;
+
+/// The results of one transaction; it holds at most 100 entries and 1 MB.
+const AT_ONCE: usize = 60;
+const AT_ONCE_BYTES: usize = 600_000;
+/// The pause before a transaction, in which more results gather.
+const GATHER: Duration = Duration::from_millis(30);
+const RETRY: Duration = Duration::from_millis(60);
+
+/// Why a lister stopped.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Ended {
+    /// Every item has a result, or the trainer ended the batch.
+    Done,
+    /// Another node owns the batch.
+    Lost,
+}
+
+/// The lister of one batch, which this node owns.
+pub(crate) struct Lister {
+    pub(crate) batch: String,
+    node: String,
+    head: RefCell<(u64, Head)>,
+    queue: RefCell<VecDeque<Outcome>>,
+    wake: Notify,
+    writing: Cell<bool>,
+}
+
+/// What listers write with.
+#[derive(Clone)]
+pub(crate) struct Desk {
+    pub(crate) archive: Rc<Archive>,
+    pub(crate) known: Rc<Known>,
+    pub(crate) metrics: Rc<Metrics>,
+    pub(crate) storage: Rc<Storage>,
+}
+
+impl Lister {
+    /// Creates the lister of a batch whose head names this node.
+    pub(crate) fn new(batch: &str, node: &str, row: u64, head: Head) -> Self {
+        Self {
+            batch: batch.to_owned(),
+            node: node.to_owned(),
+            head: RefCell::new((row, head)),
+            queue: RefCell::default(),
+            wake: Notify::new(),
+            writing: Cell::new(false),
+        }
+    }
+
+    /// Adds an outcome.
+    pub(crate) fn push(&self, outcome: Outcome) {
+        self.queue.borrow_mut().push_back(outcome);
+        self.wake.notify_one();
+    }
+
+    /// Returns whether outcomes wait to be listed.
+    pub(crate) fn is_busy(&self) -> bool {
+        self.writing.get() || !self.queue.borrow().is_empty()
+    }
+
+    /// Lists outcomes until the batch is done or lost.
+    pub(crate) async fn run(&self, desk: &Desk) -> Ended {
+        loop {
+            {
+                let head = &self.head.borrow().1;
+                if head.owner != self.node {
+                    return Ended::Lost;
+                }
+                if !head.is_open() {
+                    return Ended::Done;
+                }
+            }
+            if self.queue.borrow().is_empty() {
+                self.wake.notified().await;
+            }
+            sleep(GATHER).await;
+            let outcomes = self.take();
+            if outcomes.is_empty() {
+                continue;
+            }
+            self.writing.set(true);
+            let listed = self.list(desk, &outcomes).await;
+            self.writing.set(false);
+            if let Some(ended) = listed {
+                return ended;
+            }
+        }
+    }
+
+    fn take(&self) -> Vec<Outcome> {
+        let mut queue = self.queue.borrow_mut();
+        let mut bytes = 0;
+        let fits = |outcome: &&Outcome| {
+            bytes += outcome.text.len() + 300;
+            bytes <= AT_ONCE_BYTES
+        };
+        let count = queue.iter().take(AT_ONCE).take_while(fits).count();
+        let count = count.max(1).min(queue.len());
+        queue.drain(..count).collect()
+    }
+
+    /// Lists outcomes at the next positions, whatever it takes.
+    async fn list(&self, desk: &Desk, outcomes: &[Outcome]) -> Option<Ended> {
+        let count = u32::try_from(outcomes.len()).unwrap_or(u32::MAX);
+        let (first, before) = {
+            let head = self.head.borrow();
+            (head.1.listed, head.1.clone())
+        };
+        let wanted = Head {
+            listed: first + count,
+            ..before
+        };
+        loop {
+            let (row, head) = self.head.borrow().clone();
+            // An earlier try whose answer was lost has listed them, since only the owner lists.
+            if head.listed == wanted.listed && head.owner == self.node {
+                self.show(desk, first, outcomes);
+                return None;
+            }
+            if head.owner != self.node || head.listed != first {
+                return Some(Ended::Lost);
+            }
+            if head.ended {
+                return Some(Ended::Done);
+            }
+            let txn = match self.txn(row, &wanted, first, outcomes) {
+                Ok(txn) => txn,
+                Err(error) => {
+                    tracing::error!(batch = self.batch, %error, "outcomes_not_encoded");
+                    return Some(Ended::Lost);
+                }
+            };
+            match desk.storage.commit(&txn).await {
+                Ok(store::Outcome::Done { version, .. }) => {
+                    *self.head.borrow_mut() = (version, wanted.clone());
+                }
+                Ok(store::Outcome::Conflict { rows }) => self.learn(&rows),
+                Err(error) => {
+                    tracing::info!(batch = self.batch, %error, count, "list_not_written");
+                    sleep(RETRY).await;
+                }
+            }
+        }
+    }
+
+    fn txn(
+        &self,
+        row: u64,
+        head: &Head,
+        first: u32,
+        outcomes: &[Outcome],
+    ) -> dogwoodlb_batch::Result<Txn> {
+        let key = storage::head_key(&self.batch);
+        let txn = Txn::default().check(SHARED, &key, row);
+        let mut txn = txn.put(SHARED, &key, head.to_vec()?);
+        for (position, outcome) in (first..).zip(outcomes) {
+            let key = storage::numbered_key(&self.batch, position);
+            for (number, part) in parts::split(&outcome.to_vec()?).into_iter().enumerate() {
+                let key = match number {
+                    0 => key.clone(),
+                    number => format!("{key}/{number:02}"),
+                };
+                txn = txn.put(OUTCOMES, &key, part);
+            }
+        }
+        Ok(txn)
+    }
+
+    fn learn(&self, rows: &[Row]) {
+        for row in rows {
+            match Head::from_slice(&row.value) {
+                Ok(head) => *self.head.borrow_mut() = (row.version, head),
+                Err(error) => tracing::error!(batch = self.batch, %error, "row_refused"),
+            }
+        }
+    }
+
+    fn show(&self, desk: &Desk, first: u32, outcomes: &[Outcome]) {
+        let (row, head) = self.head.borrow().clone();
+        for (position, outcome) in (first..).zip(outcomes) {
+            let outcome = Rc::new(outcome.clone());
+            desk.archive
+                .cache
+                .put_outcome(&self.batch, position, outcome);
+        }
+        let is_complete = |outcome: &&Outcome| outcome.state == State::Complete;
+        let complete = outcomes.iter().filter(is_complete).count();
+        let abandoned = outcomes.len() - complete;
+        desk.metrics.listed("complete", complete as u64);
+        desk.metrics.listed("abandoned", abandoned as u64);
+        tracing::info!(
+            batch = self.batch,
+            first,
+            complete,
+            abandoned,
+            row,
+            at_ms = clock::now().as_millis(),
+            "results_listed"
+        );
+        desk.known.put_head(&self.batch, row, head);
+        desk.known.announce();
+    }
+}
--- /dev/null
+++ b/crates/edge/src/metrics.rs
@@ -0,0 +1,93 @@
+//! Counters and histograms, served as text.
+
+use crate::clock;
+use dogwoodlb_types::Instant;
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
+};
+
+/// The bounds of latency histograms, in seconds.
+const BUCKETS: [f64; 10] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4];
+
+/// The metrics of a node; docs/metrics.md lists them.
+pub(crate) struct Metrics {
+    registry: Registry,
+    requests: Histogram,
+    refusals: IntCounterVec,
+    items: IntCounterVec,
+    pub(crate) runs: IntCounterVec,
+    pub(crate) orders: IntCounterVec,
+    pub(crate) batches: IntCounterVec,
+    pub(crate) connections: IntGauge,
+    pub(crate) store_calls: IntGauge,
+    pub(crate) store_failures: IntGauge,
+    pub(crate) lines_left_out: IntCounter,
+}
+
+impl Metrics {
+    /// Creates the metrics.
+    ///
+    /// # Errors
+    ///
+    /// If a name is not valid or used twice.
+    pub(crate) fn new() -> prometheus::Result<Self> {
+        let registry = Registry::new();
+        let histogram = HistogramOpts::new("request_seconds", "Served requests by latency.");
+        let requests = Histogram::with_opts(histogram.buckets(BUCKETS.to_vec()))?;
+        registry.register(Box::new(requests.clone()))?;
+        let counters = |name: &str, help: &str| {
+            let counters = IntCounterVec::new(Opts::new(name, help), &["outcome"])?;
+            registry.register(Box::new(counters.clone()))?;
+            prometheus::Result::Ok(counters)
+        };
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            prometheus::Result::Ok(gauge)
+        };
+        let lines_left_out = IntCounter::new("log_lines_left_out", "Log lines over the rate.")?;
+        registry.register(Box::new(lines_left_out.clone()))?;
+        Ok(Self {
+            refusals: counters("requests_refused", "Requests that ended without an answer.")?,
+            items: counters("items", "Items of batches that were listed.")?,
+            runs: counters("runs", "Runs of items on replicas by their end.")?,
+            orders: counters("orders", "Orders to replicas by their outcome.")?,
+            batches: counters("batches", "Batches by what became of their submission.")?,
+            connections: gauge(
+                "replica_connections_opened",
+                "Connections opened to replicas.",
+            )?,
+            store_calls: gauge("store_calls", "Calls to the metadata store.")?,
+            store_failures: gauge("store_failures", "Failed calls to the metadata store.")?,
+            lines_left_out,
+            requests,
+            registry,
+        })
+    }
+
+    /// Counts a served request.
+    pub(crate) fn served(&self, began: Instant) {
+        let took = clock::now().saturating_since(began);
+        self.requests.observe(took.as_secs_f64());
+    }
+
+    /// Counts a request that ended without an answer of a replica.
+    pub(crate) fn refused(&self, outcome: &str) {
+        self.refusals.with_label_values(&[outcome]).inc();
+    }
+
+    /// Counts listed items.
+    pub(crate) fn listed(&self, outcome: &str, count: u64) {
+        self.items.with_label_values(&[outcome]).inc_by(count);
+    }
+
+    /// Returns all metrics as text.
+    pub(crate) fn text(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            tracing::error!(%error, "metrics_not_encoded");
+        }
+        text
+    }
+}
--- /dev/null
+++ b/crates/edge/src/node.rs
@@ -0,0 +1,327 @@
+//! Puts the parts of a node together.
+
+use crate::archive::Archive;
+use crate::cache::Cache;
+use crate::clock;
+use crate::dialect::Dialect;
+use crate::error::Error;
+use crate::fleet::Fleet;
+use crate::follow::{Follower, Mirrors, Table};
+use crate::forward::Forwarder;
+use crate::front::{self, Answer, Directory, Front, Ready, Scrape};
+use crate::known::Known;
+use crate::leader::Leader;
+use crate::lister::Desk;
+use crate::metrics::Metrics;
+use crate::peers::{self, Peers};
+use crate::reader::Reader;
+use crate::score::ScoreCaller;
+use crate::settings::Settings;
+use crate::storage::{self, Storage, SHARED};
+use crate::submit::Submitter;
+use crate::tools::Tools;
+use dogwoodlb_client::Client;
+use dogwoodlb_external::store::Txn;
+use dogwoodlb_external::Store;
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+/// Callers may keep an answer with addresses for this many times the stated time.
+const KEPT_TTLS: u32 = 3;
+/// Kept free of the grace time, so that the node has ended before it is killed.
+const LAST_MARGIN: Duration = Duration::from_millis(700);
+/// The time in which open connections finish at the end.
+const FINISH: Duration = Duration::from_millis(500);
+const REGISTER_RETRY: Duration = Duration::from_millis(400);
+const HOUSEKEEPING: Duration = Duration::from_millis(200);
+
+/// What a node is made of that differs between platforms.
+pub struct Parts {
+    /// The settings.
+    pub settings: Settings,
+    /// The platform's manner of speaking.
+    pub dialect: Rc<dyn Dialect>,
+    /// The metadata store.
+    pub store: Rc<dyn Store>,
+    /// The client for replicas.
+    pub client: Client,
+}
+
+/// A node that listens and is about to serve.
+pub struct Node {
+    tools: Rc<Tools>,
+    follower: Rc<Follower>,
+    fleet: Rc<Fleet>,
+    front: Rc<Front>,
+    listeners: Listeners,
+}
+
+struct Listeners {
+    front: TcpListener,
+    ready: TcpListener,
+    directory: TcpListener,
+    metrics: TcpListener,
+    peers: TcpListener,
+    beats: UdpSocket,
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
+    let listener = TcpListener::bind(address).await;
+    listener.map_err(|cause| Error::Listen { address, cause })
+}
+
+impl Listeners {
+    async fn bind(settings: &Settings) -> Result<Self, Error> {
+        let address = settings.peer;
+        let beats = UdpSocket::bind(address).await;
+        Ok(Self {
+            front: listen(settings.front).await?,
+            ready: listen(settings.ready).await?,
+            directory: listen(settings.directory).await?,
+            metrics: listen(settings.metrics).await?,
+            peers: listen(address).await?,
+            beats: beats.map_err(|cause| Error::Listen { address, cause })?,
+        })
+    }
+}
+
+impl Node {
+    /// Opens the listeners and puts the parts together. Call it inside a
+    /// [`LocalSet`](tokio::task::LocalSet).
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] if an address is in use or a name in the settings is not usable.
+    pub async fn start(parts: Parts) -> Result<Self, Error> {
+        let listeners = Listeners::bind(&parts.settings).await?;
+        let settings = Rc::new(parts.settings);
+        let boot = clock::civil_ms();
+        tracing::info!(node = settings.node, boot, front = %settings.front, "started");
+        let known = Rc::new(Known::new());
+        let metrics = Rc::new(Metrics::new()?);
+        let storage = Rc::new(Storage::new(parts.store));
+        let peers = Rc::new(Peers::new(&settings, boot));
+        let fleet = Rc::new(Fleet::new(&settings, known.clone())?);
+        let archive = Rc::new(Archive {
+            storage: storage.clone(),
+            known: known.clone(),
+            cache: Cache::default(),
+        });
+        let follower = Rc::new(Follower {
+            storage: storage.clone(),
+            dialect: parts.dialect.clone(),
+            known: known.clone(),
+            mirrors: Rc::new(Mirrors::default()),
+            peers: peers.clone(),
+        });
+        let tools = Rc::new(Tools {
+            archive: archive.clone(),
+            client: parts.client.clone(),
+            desk: Desk {
+                archive,
+                known: known.clone(),
+                metrics: metrics.clone(),
+                storage: storage.clone(),
+            },
+            dialect: parts.dialect.clone(),
+            known: known.clone(),
+            metrics,
+            peers,
+            scores: ScoreCaller {
+                client: parts.client,
+                dialect: parts.dialect,
+                fleet: fleet.clone(),
+                known,
+            },
+            settings,
+            storage,
+        });
+        let front = Rc::new(front(&tools, &fleet));
+        Ok(Self {
+            tools,
+            follower,
+            fleet,
+            front,
+            listeners,
+        })
+    }
+
+    /// Serves until a signal to stop, then drains.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Signal`] if signals can't be handled.
+    pub async fn run(self) -> Result<(), Error> {
+        let mut terminate = signal(SignalKind::terminate()).map_err(Error::Signal)?;
+        let mut interrupt = signal(SignalKind::interrupt()).map_err(Error::Signal)?;
+        let (end, _) = watch::channel(false);
+        let Self {
+            tools,
+            follower,
+            fleet,
+            front,
+            listeners,
+        } = self;
+        serve_all(&tools, front.clone(), listeners, &end, &follower);
+        spawn(follow_all(follower));
+        spawn(register(tools.clone()));
+        spawn(keep_house(tools.clone(), fleet));
+        spawn(Leader::new(tools.clone()).run());
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        drain(&tools, &front, &end).await;
+        Ok(())
+    }
+}
+
+fn spawn(task: impl std::future::Future<Output = ()> + 'static) {
+    tokio::task::spawn_local(task);
+}
+
+fn front(tools: &Rc<Tools>, fleet: &Rc<Fleet>) -> Front {
+    let (dialect, known) = (tools.dialect.clone(), tools.known.clone());
+    Front {
+        forwarder: Forwarder {
+            client: tools.client.clone(),
+            dialect: dialect.clone(),
+            fleet: fleet.clone(),
+            metrics: tools.metrics.clone(),
+        },
+        reader: Reader {
+            archive: tools.archive.clone(),
+            dialect: dialect.clone(),
+            known: known.clone(),
+        },
+        submitter: Submitter {
+            archive: tools.archive.clone(),
+            dialect: dialect.clone(),
+            known: known.clone(),
+            metrics: tools.metrics.clone(),
+            node: tools.settings.node.clone(),
+            storage: tools.storage.clone(),
+        },
+        dialect,
+        known,
+        in_flight: Cell::new(0),
+    }
+}
+
+fn serve_all(
+    tools: &Rc<Tools>,
+    front: Rc<Front>,
+    listeners: Listeners,
+    end: &watch::Sender<bool>,
+    follower: &Rc<Follower>,
+) {
+    let (dialect, known) = (tools.dialect.clone(), tools.known.clone());
+    let ready = Ready {
+        dialect: dialect.clone(),
+        known: known.clone(),
+        peers: tools.peers.clone(),
+    };
+    let directory = Directory {
+        dialect,
+        peers: tools.peers.clone(),
+        settings: tools.settings.clone(),
+    };
+    let scrape = Scrape {
+        metrics: tools.metrics.clone(),
+    };
+    serve(listeners.front, front, &known, end);
+    serve(listeners.ready, Rc::new(ready), &known, end);
+    serve(listeners.directory, Rc::new(directory), &known, end);
+    serve(listeners.metrics, Rc::new(scrape), &known, end);
+    spawn(peers::serve(listeners.peers, follower.mirrors.clone()));
+    let beats = Rc::new(listeners.beats);
+    let (tools, socket) = (tools.clone(), beats.clone());
+    spawn(async move {
+        tools
+            .peers
+            .beat(&socket, &tools.storage, &tools.known)
+            .await
+    });
+    let peers = follower.peers.clone();
+    spawn(async move { peers.listen(&beats).await });
+}
+
+fn serve<A: Answer + 'static>(
+    listener: TcpListener,
+    handler: Rc<A>,
+    known: &Rc<Known>,
+    end: &watch::Sender<bool>,
+) {
+    spawn(front::serve(
+        listener,
+        handler,
+        known.clone(),
+        end.subscribe(),
+    ));
+}
+
+async fn follow_all(follower: Rc<Follower>) {
+    for table in [Table::Operator, Table::Replicas, Table::Shared] {
+        spawn(follower.clone().run(table));
+    }
+    peers::ask(&follower).await;
+}
+
+/// Registers the node in the store, so that others find it.
+async fn register(tools: Rc<Tools>) {
+    let key = storage::node_key(&tools.settings.node);
+    let value = tools.settings.peer.to_string().into_bytes();
+    let txn = Txn::default().put(SHARED, &key, value);
+    while let Err(error) = tools.storage.commit(&txn).await {
+        tracing::debug!(%error, "not_registered");
+        sleep(REGISTER_RETRY).await;
+    }
+    tracing::info!(node = tools.settings.node, "registered");
+}
+
+/// Keeps the routers and the gauges up to date.
+async fn keep_house(tools: Rc<Tools>, fleet: Rc<Fleet>) {
+    let mut changes = tools.known.changes();
+    loop {
+        tokio::select! {
+            _ = changes.changed() => {}
+            () = sleep(HOUSEKEEPING) => {}
+        }
+        let gone = tools.known.directory.borrow_mut().expire(clock::now());
+        for replica in gone {
+            tracing::info!(replica, "replica_lapsed");
+        }
+        fleet.update();
+        let metrics = &tools.metrics;
+        let gauge = |count: u64| i64::try_from(count).unwrap_or(i64::MAX);
+        metrics.connections.set(gauge(tools.client.opened()));
+        metrics.store_calls.set(gauge(tools.storage.calls.get()));
+        metrics
+            .store_failures
+            .set(gauge(tools.storage.failures.get()));
+    }
+}
+
+/// Leaves the service: callers learn of it first, requests under way are finished.
+async fn drain(tools: &Tools, front: &Front, end: &watch::Sender<bool>) {
+    let began = clock::now();
+    tools.peers.set_leaving();
+    tracing::info!(in_flight = front.in_flight.get(), "draining");
+    let kept = tools.settings.address_ttl() * KEPT_TTLS;
+    let grace = tools.settings.grace().saturating_sub(LAST_MARGIN + FINISH);
+    sleep(kept.min(grace)).await;
+    end.send_replace(true);
+    let until = clock::now() + FINISH;
+    while front.in_flight.get() > 0 && clock::now() < until {
+        sleep(FINISH / 10).await;
+    }
+    let took = clock::now().saturating_since(began);
+    let in_flight = front.in_flight.get();
+    tracing::info!(in_flight, took_ms = took.as_millis(), "stopped");
+}
--- /dev/null
+++ b/crates/edge/src/peers.rs
@@ -0,0 +1,309 @@
+//! Heartbeats between the nodes, and copies of tables for nodes that the store turns away.
+
+use crate::clock;
+use crate::follow::{Follower, Mirrors, Table};
+use crate::known::Known;
+use crate::settings::Settings;
+use crate::storage::Storage;
+use dogwoodlb_external::store::Row;
+use dogwoodlb_liveness::{interval, Beat, FAST_INTERVAL};
+use rand::seq::IteratorRandom;
+use serde::{Deserialize, Serialize};
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::time::{sleep, timeout};
+
+/// The largest heartbeat.
+const BEAT_BYTES: usize = 1_200;
+/// The largest copy of the tables.
+const COPY_BYTES: u32 = 8 * 1024 * 1024;
+/// The time between two questions to other nodes while the store is away.
+const ASK_INTERVAL: Duration = Duration::from_millis(300);
+const ASK_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// The other nodes.
+pub(crate) struct Peers {
+    own: RefCell<Beat>,
+    peers: RefCell<dogwoodlb_liveness::Peers>,
+    has_duty: Cell<bool>,
+}
+
+/// A question of a node that has no newer copies.
+#[derive(Deserialize, Serialize)]
+struct Ask {
+    operator: u64,
+    replicas: u64,
+}
+
+/// The copies that are newer than the question says.
+#[derive(Default, Deserialize, Serialize)]
+struct Copies {
+    operator: Option<Copy>,
+    replicas: Option<Copy>,
+}
+
+#[derive(Deserialize, Serialize)]
+struct Copy {
+    version: u64,
+    rows: Vec<(String, u64, Vec<u8>)>,
+}
+
+impl From<&dogwoodlb_mirror::Mirror> for Copy {
+    fn from(mirror: &dogwoodlb_mirror::Mirror) -> Self {
+        let rows = mirror.rows();
+        Self {
+            version: mirror.version(),
+            rows: rows
+                .map(|row| (row.key.clone(), row.version, row.value.clone()))
+                .collect(),
+        }
+    }
+}
+
+impl From<Copy> for Vec<Row> {
+    fn from(copy: Copy) -> Self {
+        let row = |(key, version, value)| Row {
+            key,
+            version,
+            value,
+            ..Row::default()
+        };
+        copy.rows.into_iter().map(row).collect()
+    }
+}
+
+impl Peers {
+    pub(crate) fn new(settings: &Settings, boot: u64) -> Self {
+        let mut own = Beat::new(&settings.node, settings.peer, settings.front);
+        own.boot = boot;
+        own.region.clone_from(&settings.region);
+        own.centre.clone_from(&settings.centre);
+        own.power = settings.power();
+        own.serving = false;
+        let mut peers = dogwoodlb_liveness::Peers::new(&settings.node);
+        for contact in settings.contacts() {
+            peers.add_contact(contact, clock::now());
+        }
+        Self {
+            own: RefCell::new(own),
+            peers: RefCell::new(peers),
+            has_duty: Cell::new(false),
+        }
+    }
+
+    pub(crate) fn add_contact(&self, peer: SocketAddr) {
+        if peer != self.own.borrow().peer {
+            self.peers.borrow_mut().add_contact(peer, clock::now());
+        }
+    }
+
+    /// Notes whether the node leads a service, so that it beats fast.
+    pub(crate) fn set_duty(&self, has_duty: bool) {
+        self.has_duty.set(has_duty);
+    }
+
+    pub(crate) fn set_leaving(&self) {
+        self.own.borrow_mut().leaving = true;
+    }
+
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.own.borrow().leaving
+    }
+
+    /// Returns whether another node can keep a duty.
+    pub(crate) fn is_fit(&self, node: &str) -> bool {
+        self.peers.borrow().is_fit(node, clock::now())
+    }
+
+    /// Returns how many other nodes come before this one for a duty.
+    pub(crate) fn rank(&self, duty: &str) -> usize {
+        let own = self.own.borrow();
+        self.peers.borrow().rank(duty, &own, clock::now())
+    }
+
+    /// Returns whether this node can take a duty.
+    pub(crate) fn can_lead(&self) -> bool {
+        let own = self.own.borrow();
+        own.serving && own.has_store && !own.leaving
+    }
+
+    /// Returns the addresses at which callers of a region are served, this node included.
+    pub(crate) fn fronts(&self, region: &str) -> Vec<SocketAddr> {
+        let peers = self.peers.borrow();
+        let own = self.own.borrow();
+        let live = peers.live(clock::now()).chain([&*own]);
+        let serving: Vec<&Beat> = live.filter(|beat| beat.serving && !beat.leaving).collect();
+        let near = serving.iter().filter(|beat| beat.region == region);
+        let near: Vec<SocketAddr> = near.map(|beat| beat.front).collect();
+        if near.is_empty() {
+            serving.iter().map(|beat| beat.front).collect()
+        } else {
+            near
+        }
+    }
+
+    /// Sends heartbeats for ever.
+    pub(crate) async fn beat(&self, socket: &UdpSocket, storage: &Storage, known: &Known) {
+        loop {
+            let now = clock::now();
+            self.peers.borrow_mut().tick(now);
+            let (frame, targets, pause) = {
+                let peers = self.peers.borrow();
+                let targets: Vec<SocketAddr> = peers.targets().collect();
+                let slow = interval(targets.len() + 1);
+                let pause = if self.has_duty.get() {
+                    FAST_INTERVAL
+                } else {
+                    slow
+                };
+                let mut own = self.own.borrow_mut();
+                own.sequence += 1;
+                own.interval_ms = u64::try_from(pause.as_millis()).unwrap_or(u64::MAX);
+                own.has_store = storage.is_reached(now);
+                own.near_store = storage.is_near();
+                own.serving = known.config().is_some();
+                (postcard::to_stdvec(&*own), targets, pause)
+            };
+            match frame {
+                Ok(frame) => {
+                    for target in targets {
+                        // A lost heartbeat is followed by another one.
+                        let _ = socket.try_send_to(&frame, target);
+                    }
+                }
+                Err(error) => tracing::error!(%error, "beat_not_encoded"),
+            }
+            sleep(pause).await;
+        }
+    }
+
+    /// Receives heartbeats for ever.
+    pub(crate) async fn listen(&self, socket: &UdpSocket) {
+        let mut buffer = [0; BEAT_BYTES];
+        loop {
+            let length = match socket.recv_from(&mut buffer).await {
+                Ok((length, _)) => length,
+                Err(error) => {
+                    tracing::debug!(%error, "beat_not_received");
+                    sleep(FAST_INTERVAL).await;
+                    continue;
+                }
+            };
+            match postcard::from_bytes::<Beat>(&buffer[..length]) {
+                Ok(beat) => {
+                    let (node, boot) = (beat.node.clone(), beat.boot);
+                    if self.peers.borrow_mut().on_beat(beat, clock::now()) {
+                        tracing::info!(node, boot, "peer_heard");
+                    }
+                }
+                Err(error) => tracing::debug!(%error, "beat_refused"),
+            }
+        }
+    }
+
+    fn any_live(&self) -> Option<SocketAddr> {
+        let peers = self.peers.borrow();
+        let live = peers.live(clock::now());
+        let with_store = live.filter(|beat| beat.has_store).map(|beat| beat.peer);
+        with_store
+            .choose(&mut rand::rng())
+            .or_else(|| peers.targets().choose(&mut rand::rng()))
+    }
+}
+
+/// Answers other nodes that ask for copies of the tables.
+pub(crate) async fn serve(listener: TcpListener, mirrors: Rc<Mirrors>) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                tracing::warn!(%error, "peer_not_accepted");
+                sleep(ASK_INTERVAL).await;
+                continue;
+            }
+        };
+        let mirrors = mirrors.clone();
+        tokio::task::spawn_local(async move {
+            let answered = timeout(ASK_TIMEOUT, answer(stream, &mirrors)).await;
+            if let Ok(Err(error)) = answered {
+                tracing::debug!(%error, "peer_not_answered");
+            }
+        });
+    }
+}
+
+async fn answer(mut stream: TcpStream, mirrors: &Mirrors) -> io::Result<()> {
+    let ask: Ask = receive(&mut stream).await?;
+    let newer = |table, version| {
+        let mirror = mirrors.of(table).borrow();
+        (mirror.version() > version).then(|| Copy::from(&*mirror))
+    };
+    let copies = Copies {
+        operator: newer(Table::Operator, ask.operator),
+        replicas: newer(Table::Replicas, ask.replicas),
+    };
+    send(&mut stream, &copies).await
+}
+
+/// Asks other nodes for their copies while the store does not answer this one.
+pub(crate) async fn ask(follower: &Follower) {
+    loop {
+        sleep(ASK_INTERVAL).await;
+        if follower.storage.is_reached(clock::now()) {
+            continue;
+        }
+        let Some(peer) = follower.peers.any_live() else {
+            continue;
+        };
+        match timeout(ASK_TIMEOUT, question(peer, &follower.mirrors)).await {
+            Ok(Ok(copies)) => take_over(follower, peer, copies),
+            Ok(Err(error)) => tracing::debug!(%peer, %error, "peer_not_asked"),
+            Err(_) => tracing::debug!(%peer, "peer_silent"),
+        }
+    }
+}
+
+async fn question(peer: SocketAddr, mirrors: &Mirrors) -> io::Result<Copies> {
+    let ask = Ask {
+        operator: mirrors.of(Table::Operator).borrow().version(),
+        replicas: mirrors.of(Table::Replicas).borrow().version(),
+    };
+    let mut stream = TcpStream::connect(peer).await?;
+    send(&mut stream, &ask).await?;
+    receive(&mut stream).await
+}
+
+fn take_over(follower: &Follower, peer: SocketAddr, copies: Copies) {
+    let tables = [
+        (Table::Operator, copies.operator),
+        (Table::Replicas, copies.replicas),
+    ];
+    for (table, copy) in tables {
+        let Some(copy) = copy else { continue };
+        let version = copy.version;
+        tracing::info!(%peer, table = ?table, version, "copy_taken");
+        follower.on_whole(table, copy.into(), version);
+    }
+}
+
+async fn send<T: Serialize>(stream: &mut TcpStream, value: &T) -> io::Result<()> {
+    let bytes = postcard::to_stdvec(value).map_err(io::Error::other)?;
+    let length = u32::try_from(bytes.len()).map_err(io::Error::other)?;
+    stream.write_u32(length).await?;
+    stream.write_all(&bytes).await
+}
+
+async fn receive<T: for<'de> Deserialize<'de>>(stream: &mut TcpStream) -> io::Result<T> {
+    let length = stream.read_u32().await?;
+    if length > COPY_BYTES {
+        return Err(io::ErrorKind::InvalidData.into());
+    }
+    let mut bytes = vec![0; length as usize];
+    stream.read_exact(&mut bytes).await?;
+    postcard::from_bytes(&bytes).map_err(io::Error::other)
+}
--- /dev/null
+++ b/crates/edge/src/reply.rs
@@ -0,0 +1,47 @@
+//! The answers that the node gives itself.
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::header::{HeaderValue, CONTENT_TYPE, RETRY_AFTER};
+use hyper::{Response, StatusCode};
+use std::convert::Infallible;
+use std::pin::Pin;
+use std::time::Duration;
+
+/// The body of an answer; its error breaks the connection, so that the caller can't take a
+/// part for the whole.
+pub(crate) type Body =
+    Pin<Box<dyn hyper::body::Body<Data = Bytes, Error = dogwoodlb_client::Error>>>;
+
+/// Turns bytes into a body.
+pub(crate) fn whole(bytes: Bytes) -> Body {
+    let never = |never: Infallible| match never {};
+    Box::pin(Full::new(bytes).map_err(never))
+}
+
+/// Answers with a status and a reason in plain text.
+pub(crate) fn status(status: StatusCode, reason: &'static str) -> Response<Body> {
+    let mut response = Response::new(whole(Bytes::from_static(reason.as_bytes())));
+    *response.status_mut() = status;
+    let plain = HeaderValue::from_static("text/plain");
+    response.headers_mut().insert(CONTENT_TYPE, plain);
+    response
+}
+
+/// Refuses a request that has not run, and says when to come back.
+pub(crate) fn refusal(reason: &'static str, after: Duration) -> Response<Body> {
+    let mut response = status(StatusCode::SERVICE_UNAVAILABLE, reason);
+    let after = format!("{:.2}", after.as_secs_f64());
+    if let Ok(after) = HeaderValue::from_str(&after) {
+        response.headers_mut().insert(RETRY_AFTER, after);
+    }
+    response
+}
+
+/// Answers with JSON.
+pub(crate) fn json(bytes: Bytes) -> Response<Body> {
+    let mut response = Response::new(whole(bytes));
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(CONTENT_TYPE, json);
+    response
+}
--- /dev/null
+++ b/crates/edge/src/submit.rs
@@ -0,0 +1,309 @@
+//! Accepts batches and their ends.
+
+use crate::archive::{Archive, Error};
+use crate::clock;
+use crate::dialect::Dialect;
+use crate::forward::{millis, text};
+use crate::known::{Known, Stored};
+use crate::metrics::Metrics;
+use crate::reply::{self, Body};
+use crate::storage::{self, Storage, BODIES, SHARED};
+use bytes::Bytes;
+use dogwoodlb_batch::{parts, Head, Submission};
+use dogwoodlb_config::{Route, Snapshot};
+use dogwoodlb_external::store::{Outcome, Row, Txn};
+use dogwoodlb_types::Instant;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{sleep, timeout};
+
+/// How long a caller waits who does not say.
+const DEFAULT_WAIT: Duration = Duration::from_secs(5);
+/// How long a write is repeated that certainly did not happen; after that another node may
+/// have more luck.
+const REFUSED_WAIT: Duration = Duration::from_millis(900);
+/// How long the end of a batch is tried; the caller gives up after the time to acknowledge.
+const END_WAIT: Duration = Duration::from_millis(3_500);
+const RETRY: Duration = Duration::from_millis(80);
+/// When a refused caller should come back.
+const COME_BACK: Duration = Duration::from_millis(300);
+/// The longest id, which becomes part of a key.
+const MAX_ID_BYTES: usize = 120;
+/// The parts in one transaction; encoded they stay under 1 MB.
+const PARTS_AT_ONCE: usize = 10;
+
+/// Accepts batches.
+pub(crate) struct Submitter {
+    pub(crate) archive: Rc<Archive>,
+    pub(crate) dialect: Rc<dyn Dialect>,
+    pub(crate) known: Rc<Known>,
+    pub(crate) metrics: Rc<Metrics>,
+    pub(crate) node: String,
+    pub(crate) storage: Rc<Storage>,
+}
+
+/// What became of a write.
+enum Written {
+    /// The batch is in the store.
+    Accepted { is_new: bool },
+    /// The batch is not in the store and won't be.
+    Refused,
+    /// Nobody can tell.
+    Unknown,
+}
+
+fn is_key(id: &str) -> bool {
+    let is_safe = |byte: u8| byte.is_ascii_graphic() && byte != b'/';
+    !id.is_empty() && id.len() <= MAX_ID_BYTES && id.bytes().all(is_safe)
+}
+
+fn accepted() -> Response<Body> {
+    let mut response = reply::json(Bytes::from_static(b"{}"));
+    *response.status_mut() = StatusCode::ACCEPTED;
+    response
+}
+
+impl Submitter {
+    /// Accepts a batch: it is in the store before the caller is told so.
+    pub(crate) async fn submit(
+        &self,
+        request: Request<Incoming>,
+        host: &str,
+        config: &Snapshot,
+        route: &Route,
+    ) -> Response<Body> {
+        let began = clock::now();
+        let headers = self.dialect.headers();
+        let (head, body) = request.into_parts();
+        let id = text(&head.headers, &headers.request_id).unwrap_or_default();
+        if !is_key(id) {
+            return reply::status(StatusCode::BAD_REQUEST, "the id of the batch is not usable");
+        }
+        let wait = millis(&head.headers, &headers.deadline_ms).unwrap_or(DEFAULT_WAIT);
+        if self.known.head(id).is_some() {
+            return accepted();
+        }
+        let limit = config.limits().body_bytes;
+        let body = match timeout(wait, Limited::new(body, limit).collect()).await {
+            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+                return reply::status(StatusCode::PAYLOAD_TOO_LARGE, "the batch is too large");
+            }
+            _ => return reply::refusal("the batch did not arrive", COME_BACK),
+        };
+        let path = head.uri.path();
+        let submission = match self.dialect.submission(id, host, path, &body) {
+            Ok(submission) => submission,
+            Err(error) => {
+                tracing::warn!(batch = id, %error, outcome = "malformed", "batch_refused");
+                return reply::status(StatusCode::BAD_REQUEST, "the batch can't be read");
+            }
+        };
+        let written = self.store(&submission, route, began, began + wait).await;
+        self.answer(&submission, began, &written)
+    }
+
+    fn answer(&self, submission: &Submission, began: Instant, written: &Written) -> Response<Body> {
+        let outcome = match written {
+            Written::Accepted { is_new: true } => "accepted",
+            Written::Accepted { is_new: false } => "repeated",
+            Written::Refused => "refused",
+            Written::Unknown => "unknown",
+        };
+        self.metrics.batches.with_label_values(&[outcome]).inc();
+        tracing::info!(
+            batch = submission.id,
+            step = submission.step,
+            model = submission.model,
+            items = submission.items.len(),
+            min_version = submission.min_version,
+            took_ms = clock::now().saturating_since(began).as_millis(),
+            outcome,
+            "batch_submitted"
+        );
+        match written {
+            Written::Accepted { .. } => accepted(),
+            Written::Refused => reply::refusal("the batch is not stored", COME_BACK),
+            Written::Unknown => {
+                let reason = "the store does not say whether the batch is stored";
+                reply::status(StatusCode::GATEWAY_TIMEOUT, reason)
+            }
+        }
+    }
+
+    async fn store(
+        &self,
+        submission: &Submission,
+        route: &Route,
+        began: Instant,
+        deadline: Instant,
+    ) -> Written {
+        let Some(service) = route.service(rand::random()) else {
+            return Written::Refused;
+        };
+        let bytes = match submission.to_vec() {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                tracing::error!(batch = submission.id, %error, "batch_not_encoded");
+                return Written::Refused;
+            }
+        };
+        let stored = parts::split(&bytes);
+        let leader = self.known.leader(service).map(|leader| leader.value);
+        let head = Head {
+            owner: leader.unwrap_or_else(|| self.node.clone()),
+            host: submission.host.clone(),
+            path: submission.path.clone(),
+            service: service.to_owned(),
+            items: u32::try_from(submission.items.len()).unwrap_or(u32::MAX),
+            parts: u32::try_from(stored.len()).unwrap_or(u32::MAX),
+            listed: 0,
+            ended: false,
+            submitted_ms: self.storage.earliest_ms().unwrap_or_default(),
+        };
+        let txns = transactions(&submission.id, &head, stored);
+        let mut is_certain = true;
+        for (number, txn) in (1..).zip(&txns) {
+            let is_last = number == txns.len();
+            let patience = began + REFUSED_WAIT;
+            match self.write(txn, patience, deadline, &mut is_certain).await {
+                Some(Outcome::Done { version, .. }) => {
+                    if !is_last {
+                        continue;
+                    }
+                    self.known.put_head(&submission.id, version, head.clone());
+                    let submission = Rc::new(submission.clone());
+                    self.archive
+                        .cache
+                        .put_submission(&submission.id, submission.clone());
+                    self.known.announce();
+                }
+                Some(Outcome::Conflict { rows }) => {
+                    self.learn(&submission.id, &rows);
+                    return Written::Accepted { is_new: false };
+                }
+                None if is_certain || !is_last => return Written::Refused,
+                None => return Written::Unknown,
+            }
+        }
+        Written::Accepted { is_new: true }
+    }
+
+    /// Writes until the store says what happened. `is_certain` becomes false when a write may
+    /// have happened unseen.
+    async fn write(
+        &self,
+        txn: &Txn,
+        patience: Instant,
+        deadline: Instant,
+        is_certain: &mut bool,
+    ) -> Option<Outcome> {
+        loop {
+            match self.storage.commit(txn).await {
+                Ok(outcome) => return Some(outcome),
+                Err(error) => {
+                    *is_certain &= storage::is_undone(&error);
+                    let until = if *is_certain { patience } else { deadline };
+                    if clock::now() + RETRY >= until {
+                        tracing::info!(%error, "write_given_up");
+                        return None;
+                    }
+                }
+            }
+            sleep(RETRY).await;
+        }
+    }
+
+    fn learn(&self, batch: &str, rows: &[Row]) {
+        let key = storage::head_key(batch);
+        for row in rows.iter().filter(|row| row.key == key && row.version > 0) {
+            match Head::from_slice(&row.value) {
+                Ok(head) => self.known.put_head(batch, row.version, head),
+                Err(error) => tracing::error!(batch, %error, "row_refused"),
+            }
+        }
+    }
+
+    /// Ends a batch.
+    pub(crate) async fn end(&self, batch: &str) -> Response<Body> {
+        let until = clock::now() + END_WAIT;
+        let mut outcome = "ended";
+        loop {
+            match self.try_end(batch).await {
+                Ok(Some(true)) => break,
+                Ok(Some(false)) => {}
+                Ok(None) => {
+                    tracing::info!(batch, outcome = "not_found", "batch_ended");
+                    return reply::status(StatusCode::NOT_FOUND, "there is no such batch");
+                }
+                Err(error) => {
+                    tracing::debug!(batch, %error, "end_not_written");
+                    outcome = "unknown";
+                }
+            }
+            if clock::now() + RETRY >= until {
+                tracing::warn!(batch, outcome, "batch_ended");
+                return reply::status(StatusCode::GATEWAY_TIMEOUT, "the end is not stored yet");
+            }
+            sleep(RETRY).await;
+        }
+        tracing::info!(batch, outcome = "ended", "batch_ended");
+        self.known.announce();
+        reply::json(Bytes::from_static(b"{}"))
+    }
+
+    /// Tries once to end a batch; returns whether it is ended, or `None` if there is none.
+    async fn try_end(&self, batch: &str) -> Result<Option<bool>, Error> {
+        let Some(Stored { row, value: head }) = self.archive.known_head(batch).await? else {
+            return Ok(None);
+        };
+        if head.ended {
+            return Ok(Some(true));
+        }
+        let ended = Head {
+            ended: true,
+            ..head
+        };
+        let key = storage::head_key(batch);
+        let txn = Txn::default().check(SHARED, &key, row);
+        let txn = txn.put(SHARED, &key, ended.to_vec()?);
+        match self.storage.commit(&txn).await? {
+            Outcome::Done { version, .. } => {
+                self.known.put_head(batch, version, ended);
+                Ok(Some(true))
+            }
+            Outcome::Conflict { rows } => {
+                self.learn(batch, &rows);
+                Ok(Some(false))
+            }
+        }
+    }
+}
+
+/// Returns the transactions that store a batch; the last one, with the head, accepts it.
+fn transactions(batch: &str, head: &Head, stored: Vec<Vec<u8>>) -> Vec<Txn> {
+    let head_key = storage::head_key(batch);
+    // Every transaction requires that the batch is new, so that a repeated id changes nothing.
+    let new = || Txn::default().check(SHARED, &head_key, 0);
+    let mut txns = vec![new()];
+    for (number, part) in (0..).zip(stored) {
+        let is_full = txns
+            .last()
+            .is_none_or(|txn| txn.puts.len() >= PARTS_AT_ONCE);
+        if is_full {
+            txns.push(new());
+        }
+        if let Some(txn) = txns.pop() {
+            let key = storage::numbered_key(batch, number);
+            txns.push(txn.put(BODIES, &key, part));
+        }
+    }
+    match (txns.pop(), head.to_vec()) {
+        (Some(txn), Ok(head)) => txns.push(txn.put(SHARED, &head_key, head)),
+        (_, head) => tracing::error!(batch, error = ?head.err(), "head_not_encoded"),
+    }
+    txns
+}
--- /dev/null
+++ b/crates/mirror/tests/late_rows.rs
@@ -0,0 +1,59 @@
+//! Guards against a copy that goes back to older rows, or misses the removal of one.
+
+use dogwoodlb_external::store::Row;
+use dogwoodlb_mirror::{Mirror, Next};
+
+fn row(key: &str, version: u64) -> Row {
+    Row {
+        key: key.into(),
+        version,
+        ..Row::default()
+    }
+}
+
+fn keys(mirror: &Mirror) -> Vec<&str> {
+    mirror.rows().map(|row| row.key.as_str()).collect()
+}
+
+#[test]
+fn missing_row() {
+    let mut mirror = Mirror::default();
+    mirror.replace(vec![row("a", 1), row("b", 2)], 5);
+    let changed = mirror.replace(vec![row("b", 2)], 9);
+    assert_eq!(changed.len(), 1);
+    assert!(changed[0].removed && changed[0].key == "a");
+    assert_eq!(keys(&mirror), ["b"]);
+}
+
+#[test]
+fn older_copy() {
+    let mut mirror = Mirror::default();
+    mirror.replace(vec![row("a", 7)], 8);
+    assert!(mirror
+        .replace(vec![row("a", 3), row("gone", 2)], 6)
+        .is_empty());
+    assert_eq!(keys(&mirror), ["a"]);
+    assert_eq!(mirror.version(), 8);
+}
+
+#[test]
+fn removal_in_feed() {
+    let mut mirror = Mirror::default();
+    mirror.replace(vec![row("a", 7)], 8);
+    let removal = Row {
+        removed: true,
+        ..row("a", 9)
+    };
+    assert_eq!(mirror.apply(vec![removal.clone()], 9), [removal]);
+    assert!(keys(&mirror).is_empty());
+    assert_eq!(mirror.next(), Next::Watch(9));
+}
+
+#[test]
+fn lost_history() {
+    let mut mirror = Mirror::default();
+    mirror.replace(vec![row("a", 7)], 8);
+    mirror.lose();
+    assert_eq!(mirror.next(), Next::Read);
+    assert_eq!(keys(&mirror), ["a"], "what is known stays in use");
+}
--- /dev/null
+++ b/crates/weights/src/lib.rs
@@ -0,0 +1,26 @@
+//! Weight versions on replicas: which replica loads which version and when, and which node may
+//! order it.
+//!
+//! [`plan`] chooses the loads. [`Claim`] is the right to send one order to one replica: it is
+//! written to the store before the order, it is short, and another node waits until it is over.
+//! So no node holds a lease between orders, and a node that takes over can order at once
+//! unless the earlier one has just done so.
+//!
+//! # Examples
+//!
+//! ```
+//! use dogwoodlb_weights::Claim;
+//! use std::time::Duration;
+//!
+//! let lease = Duration::from_secs(3);
+//! let claim = Claim { node: "edge-1".into(), at_ms: 10_000 };
+//! assert_eq!(claim.free_for("edge-1", 10_001, lease), Ok(()));
+//! assert!(claim.free_for("edge-2", 10_001, lease).is_err());
+//! assert_eq!(claim.free_for("edge-2", 15_000, lease), Ok(()));
+//! ```
+
+mod claim;
+mod plan;
+
+pub use claim::{Claim, Error, WINDOW};
+pub use plan::{plan, Holding, Wish};
--- /dev/null
+++ b/crates/weights/tests/order_claims.rs
@@ -0,0 +1,28 @@
+//! Guards against two nodes that order at one replica within the lease time.
+
+use dogwoodlb_weights::{Claim, WINDOW};
+use std::time::Duration;
+
+const LEASE: Duration = Duration::from_secs(3);
+
+#[test]
+fn other_node_waits() {
+    let claim = Claim {
+        node: "a".into(),
+        at_ms: 1_000,
+    };
+    let over = 1_000 + (WINDOW + LEASE).as_millis() as u64;
+    assert!(claim.free_for("b", over - 1, LEASE).is_err());
+    assert!(claim.free_for("b", over, LEASE).is_ok());
+    assert!(claim.free_for("a", 1_001, LEASE).is_ok());
+}
+
+#[test]
+fn clock_behind() {
+    let claim = Claim {
+        node: "a".into(),
+        at_ms: 9_000,
+    };
+    let error = claim.free_for("b", 2_000, LEASE).unwrap_err();
+    assert_eq!(error.wait, WINDOW + LEASE);
+}
