--- a/crates/dogwoodlb/src/edge.rs
+++ b/crates/dogwoodlb/src/edge.rs
@@ -6,7 +6,7 @@
 use dogwoodlb_client::{Client, Settings};
 use dogwoodlb_edge::{settings, Node, Parts};
 use dogwoodlb_platform::{Dialect, Store};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
@@ -25,14 +25,7 @@
         .clone()
         .or_else(|| std::env::var_os(SETTINGS).map(PathBuf::from))
         .ok_or(Inner::NoSettings)?;
-    let text = std::fs::read_to_string(&path).map_err(|cause| Inner::Read {
-        path: path.clone(),
-        cause,
-    })?;
-    let settings = settings::from_str(&text).map_err(|cause| Inner::EdgeSettings {
-        path: path.clone(),
-        cause,
-    })?;
+    let settings = read(&path)?;
     if args.check {
         println!("the settings at {} are valid", path.display());
         return Ok(ExitCode::SUCCESS);
@@ -55,7 +48,19 @@
     };
     LocalSet::new().block_on(&runtime, async {
         let node = Node::start(parts).await?;
-        node.run().await
+        node.run(&|| Ok(read(&path)?)).await
     })?;
     Ok(ExitCode::SUCCESS)
 }
+
+fn read(path: &Path) -> Result<settings::Settings, Error> {
+    let text = std::fs::read_to_string(path).map_err(|cause| Inner::Read {
+        path: path.to_owned(),
+        cause,
+    })?;
+    let settings = settings::from_str(&text).map_err(|cause| Inner::EdgeSettings {
+        path: path.to_owned(),
+        cause,
+    })?;
+    Ok(settings)
+}
--- a/crates/dogwoodlb/src/error.rs
+++ b/crates/dogwoodlb/src/error.rs
@@ -72,3 +72,5 @@
         fmt::Display::fmt(&self.0, f)
     }
 }
+
+impl std::error::Error for Error {}
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -40,5 +40,5 @@
 
 pub use dialect::Dialect;
 pub use error::Error;
-pub use node::{Node, Parts};
+pub use node::{Node, Parts, Reread};
 pub use settings::Settings;
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -41,6 +41,9 @@
 const REGISTER_RETRY: Duration = Duration::from_millis(400);
 const HOUSEKEEPING: Duration = Duration::from_millis(200);
 
+/// The settings as they are now, or why they can't be used.
+pub type Reread = Result<Settings, Box<dyn std::error::Error>>;
+
 /// What a node is made of that differs between platforms.
 pub struct Parts {
     /// The settings.
@@ -152,12 +155,13 @@
         })
     }
 
-    /// Serves until a signal to stop, then drains.
+    /// Serves until a signal to stop, then drains. `reread` returns the settings as they are
+    /// now; it is called on a hangup signal.
     ///
     /// # Errors
     ///
     /// [`Error::Signal`] if signals can't be handled.
-    pub async fn run(self) -> Result<(), Error> {
+    pub async fn run(self, reread: &dyn Fn() -> Reread) -> Result<(), Error> {
         let mut terminate = signal(SignalKind::terminate()).map_err(Error::Signal)?;
         let mut interrupt = signal(SignalKind::interrupt()).map_err(Error::Signal)?;
         let (end, _) = watch::channel(false);
@@ -173,9 +177,13 @@
         spawn(register(tools.clone()));
         spawn(keep_house(tools.clone(), fleet));
         spawn(Leader::new(tools.clone()).run());
-        tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
+        let mut hangup = signal(SignalKind::hangup()).map_err(Error::Signal)?;
+        loop {
+            tokio::select! {
+                _ = terminate.recv() => break,
+                _ = interrupt.recv() => break,
+                _ = hangup.recv() => reload(&tools, reread),
+            }
         }
         drain(&tools, &front, &end).await;
         Ok(())
@@ -308,6 +316,23 @@
     }
 }
 
+/// Takes over changed settings. New seeds are used at once; all else needs a new start.
+fn reload(tools: &Tools, reread: &dyn Fn() -> Reread) {
+    match reread() {
+        Ok(settings) => {
+            for contact in settings.contacts() {
+                tools.peers.add_contact(contact);
+            }
+            let needs_start = Settings {
+                seeds: tools.settings.seeds.clone(),
+                ..settings
+            } != *tools.settings;
+            tracing::info!(needs_start, outcome = "taken", "settings_reloaded");
+        }
+        Err(error) => tracing::error!(%error, outcome = "kept", "settings_reloaded"),
+    }
+}
+
 /// Leaves the service: callers learn of it first, requests under way are finished.
 async fn drain(tools: &Tools, front: &Front, end: &watch::Sender<bool>) {
     let began = clock::now();
