Read the planner once before restoring texts

Ruled out: the hand-over itself; 58 texts were written.

Change: the list is taken out of the borrow before the loop, in three places.

--- a/crates/edge/src/conductor.rs
+++ b/crates/edge/src/conductor.rs
@@ -212,7 +212,8 @@
             items: &submission.items,
             listed,
         });
-        for work in self.planner.borrow().unfinished(id) {
+        let unfinished = self.planner.borrow().unfinished(id);
+        for work in unfinished {
             let index = self.planner.borrow().place(work).map(|(_, index)| index);
             let text = index.and_then(|index| texts.get(&index));
             if let Some(text) = text {
@@ -247,7 +248,8 @@
         self.batches
             .borrow_mut()
             .insert(id.to_owned(), Rc::new(running));
-        for work in self.planner.borrow().generated(id) {
+        let generated = self.planner.borrow().generated(id);
+        for work in generated {
             self.score(work);
         }
     }
@@ -267,7 +269,8 @@
         if is_own {
             self.planner.borrow_mut().close(id, clock::now());
         } else {
-            for work in self.planner.borrow_mut().forget(id) {
+            let running = self.planner.borrow_mut().forget(id);
+            for work in running {
                 self.guards.borrow_mut().remove(&work);
             }
         }
