--- a/crates/dogwoodlb/src/edge.rs
+++ b/crates/dogwoodlb/src/edge.rs
@@ -4,12 +4,14 @@
 use crate::error::{Error, Inner};
 use crate::logs;
 use dogwoodlb_client::{Client, Settings};
-use dogwoodlb_edge::{settings, Node, Parts};
+use dogwoodlb_edge::{settings, Command, Node, Parts};
 use dogwoodlb_platform::{Dialect, Store};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::signal::unix::{signal, Signal, SignalKind};
+use tokio::sync::mpsc;
 use tokio::task::LocalSet;
 
 /// The variable that names the settings file.
@@ -47,10 +49,50 @@
         client: Client::new(Settings::default()),
     };
     LocalSet::new().block_on(&runtime, async {
+        let (sender, commands) = mpsc::channel(1);
         let node = Node::start(parts).await?;
-        node.run(&|| Ok(read(&path)?)).await
-    })?;
-    Ok(ExitCode::SUCCESS)
+        let signals = Signals::new()?;
+        tokio::task::spawn_local(signals.pass_on(path, sender));
+        node.run(commands).await;
+        Ok::<_, Error>(ExitCode::SUCCESS)
+    })
+}
+
+/// The signals that a node obeys.
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    hangup: Signal,
+}
+
+impl Signals {
+    fn new() -> Result<Self, Error> {
+        let signal = |kind| signal(kind).map_err(Inner::Signal);
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            hangup: signal(SignalKind::hangup())?,
+        })
+    }
+
+    /// Turns signals into commands until one says stop.
+    async fn pass_on(mut self, path: PathBuf, commands: mpsc::Sender<Command>) {
+        loop {
+            tokio::select! {
+                _ = self.terminate.recv() => break,
+                _ = self.interrupt.recv() => break,
+                _ = self.hangup.recv() => {}
+            }
+            match read(&path) {
+                Ok(settings) => {
+                    // Fails only if the node has ended.
+                    let _ = commands.send(Command::Reload(Box::new(settings))).await;
+                }
+                Err(error) => tracing::error!(%error, outcome = "kept", "settings_reloaded"),
+            }
+        }
+        let _ = commands.send(Command::Stop).await;
+    }
 }
 
 fn read(path: &Path) -> Result<settings::Settings, Error> {
--- a/crates/dogwoodlb/src/error.rs
+++ b/crates/dogwoodlb/src/error.rs
@@ -72,5 +72,3 @@
         fmt::Display::fmt(&self.0, f)
     }
 }
-
-impl std::error::Error for Error {}
--- a/crates/edge/src/error.rs
+++ b/crates/edge/src/error.rs
@@ -18,7 +18,4 @@
     /// The metrics can't be set up.
     #[error("the metrics can't be set up: {0}")]
     Metrics(#[from] prometheus::Error),
-    /// Signals can't be handled.
-    #[error("signals can't be handled: {0}")]
-    Signal(io::Error),
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -40,5 +40,5 @@
 
 pub use dialect::Dialect;
 pub use error::Error;
-pub use node::{Node, Parts, Reread};
+pub use node::{Command, Node, Parts};
 pub use settings::Settings;
--- a/crates/edge/src/lister.rs
+++ b/crates/edge/src/lister.rs
@@ -7,7 +7,7 @@
 use crate::storage::{self, Storage, OUTCOMES, SHARED};
 use dogwoodlb_batch::{parts, Head, Outcome, State};
 use dogwoodlb_external::store::{self, Row, Txn};
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Duration;
@@ -37,7 +37,6 @@
     head: RefCell<(u64, Head)>,
     queue: RefCell<VecDeque<Outcome>>,
     wake: Notify,
-    writing: Cell<bool>,
 }
 
 /// What listers write with.
@@ -58,7 +57,6 @@
             head: RefCell::new((row, head)),
             queue: RefCell::default(),
             wake: Notify::new(),
-            writing: Cell::new(false),
         }
     }
 
@@ -68,11 +66,6 @@
         self.wake.notify_one();
     }
 
-    /// Returns whether outcomes wait to be listed.
-    pub(crate) fn is_busy(&self) -> bool {
-        self.writing.get() || !self.queue.borrow().is_empty()
-    }
-
     /// Lists outcomes until the batch is done or lost.
     pub(crate) async fn run(&self, desk: &Desk) -> Ended {
         loop {
@@ -93,10 +86,7 @@
             if outcomes.is_empty() {
                 continue;
             }
-            self.writing.set(true);
-            let listed = self.list(desk, &outcomes).await;
-            self.writing.set(false);
-            if let Some(ended) = listed {
+            if let Some(ended) = self.list(desk, &outcomes).await {
                 return ended;
             }
         }
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -3,8 +3,7 @@
 use crate::clock;
 use dogwoodlb_types::Instant;
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
 };
 
 /// The bounds of latency histograms, in seconds.
@@ -22,7 +21,6 @@
     pub(crate) connections: IntGauge,
     pub(crate) store_calls: IntGauge,
     pub(crate) store_failures: IntGauge,
-    pub(crate) lines_left_out: IntCounter,
 }
 
 impl Metrics {
@@ -46,8 +44,6 @@
             registry.register(Box::new(gauge.clone()))?;
             prometheus::Result::Ok(gauge)
         };
-        let lines_left_out = IntCounter::new("log_lines_left_out", "Log lines over the rate.")?;
-        registry.register(Box::new(lines_left_out.clone()))?;
         Ok(Self {
             refusals: counters("requests_refused", "Requests that ended without an answer.")?,
             items: counters("items", "Items of batches that were listed.")?,
@@ -60,7 +56,6 @@
             )?,
             store_calls: gauge("store_calls", "Calls to the metadata store.")?,
             store_failures: gauge("store_failures", "Failed calls to the metadata store.")?,
-            lines_left_out,
             requests,
             registry,
         })
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -28,8 +28,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::signal::unix::{signal, SignalKind};
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tokio::time::sleep;
 
 /// Callers may keep an answer with addresses for this many times the stated time.
@@ -41,8 +40,14 @@
 const REGISTER_RETRY: Duration = Duration::from_millis(400);
 const HOUSEKEEPING: Duration = Duration::from_millis(200);
 
-/// The settings as they are now, or why they can't be used.
-pub type Reread = Result<Settings, Box<dyn std::error::Error>>;
+/// What a running node is told.
+#[derive(Clone, Debug)]
+pub enum Command {
+    /// The settings have changed.
+    Reload(Box<Settings>),
+    /// Drain and stop.
+    Stop,
+}
 
 /// What a node is made of that differs between platforms.
 pub struct Parts {
@@ -155,15 +160,8 @@
         })
     }
 
-    /// Serves until a signal to stop, then drains. `reread` returns the settings as they are
-    /// now; it is called on a hangup signal.
-    ///
-    /// # Errors
-    ///
-    /// [`Error::Signal`] if signals can't be handled.
-    pub async fn run(self, reread: &dyn Fn() -> Reread) -> Result<(), Error> {
-        let mut terminate = signal(SignalKind::terminate()).map_err(Error::Signal)?;
-        let mut interrupt = signal(SignalKind::interrupt()).map_err(Error::Signal)?;
+    /// Serves until a command to stop, or until nobody can send one, then drains.
+    pub async fn run(self, mut commands: mpsc::Receiver<Command>) {
         let (end, _) = watch::channel(false);
         let Self {
             tools,
@@ -177,16 +175,10 @@
         spawn(register(tools.clone()));
         spawn(keep_house(tools.clone(), fleet));
         spawn(Leader::new(tools.clone()).run());
-        let mut hangup = signal(SignalKind::hangup()).map_err(Error::Signal)?;
-        loop {
-            tokio::select! {
-                _ = terminate.recv() => break,
-                _ = interrupt.recv() => break,
-                _ = hangup.recv() => reload(&tools, reread),
-            }
+        while let Some(Command::Reload(settings)) = commands.recv().await {
+            reload(&tools, &settings);
         }
         drain(&tools, &front, &end).await;
-        Ok(())
     }
 }
 
@@ -317,20 +309,15 @@
 }
 
 /// Takes over changed settings. New seeds are used at once; all else needs a new start.
-fn reload(tools: &Tools, reread: &dyn Fn() -> Reread) {
-    match reread() {
-        Ok(settings) => {
-            for contact in settings.contacts() {
-                tools.peers.add_contact(contact);
-            }
-            let needs_start = Settings {
-                seeds: tools.settings.seeds.clone(),
-                ..settings
-            } != *tools.settings;
-            tracing::info!(needs_start, outcome = "taken", "settings_reloaded");
-        }
-        Err(error) => tracing::error!(%error, outcome = "kept", "settings_reloaded"),
+fn reload(tools: &Tools, settings: &Settings) {
+    for contact in settings.contacts() {
+        tools.peers.add_contact(contact);
     }
+    let needs_start = Settings {
+        seeds: tools.settings.seeds.clone(),
+        ..settings.clone()
+    } != *tools.settings;
+    tracing::info!(needs_start, outcome = "taken", "settings_reloaded");
 }
 
 /// Leaves the service: callers learn of it first, requests under way are finished.
