Hand over texts that are whole but not yet listed

Ruled out: the listing; the outcomes waited in the lister's queue.

Change: texts of finished items are handed over until they are listed; a leader gives up only after others have had the store for 1.4 s; a candidate claims only after 1.3 s with the store; a text that doesn't fit its next batch is stopped at once.

--- a/crates/batch/src/planner.rs
+++ b/crates/batch/src/planner.rs
@@ -146,8 +146,10 @@
         };
         let id = match known {
             Some(id) if self.works.get(&id).is_some_and(fits) => id,
-            // A run whose text can't be used goes on without a batch until it expires.
-            _ => {
+            unusable => {
+                if let Some(work) = unusable.and_then(|id| self.works.get_mut(&id)) {
+                    work.expires = Some(Instant::default());
+                }
                 self.next += 1;
                 WorkId(self.next)
             }
@@ -184,7 +186,8 @@
                 continue;
             };
             let useful = work.progress.last_event > 0 || work.run().is_some();
-            if work.phase == Phase::Done || !useful {
+            let is_over = matches!(work.phase, Phase::Done | Phase::GivenUp);
+            if is_over || !useful {
                 self.works.remove(&id);
                 continue;
             }
@@ -366,28 +369,36 @@
         }
     }
 
-    /// Returns the texts of a batch that have at least `least` events and no outcome yet.
+    /// Returns the texts of a batch that have at least `least` events.
     pub fn texts(&self, batch: &str, least: u64) -> Vec<Text> {
         let works = self.batches.get(batch).map(|batch| batch.works.as_slice());
         let works = works.unwrap_or_default().iter().map(|id| &self.works[id]);
-        let open = works
-            .filter(|work| work.phase != Phase::Done && work.progress.last_event >= least.max(1));
+        let open = works.filter(|work| {
+            work.phase != Phase::GivenUp && work.progress.last_event >= least.max(1)
+        });
         open.map(|work| Text {
             batch: batch.to_owned(),
             index: work.index,
-            is_whole: work.phase == Phase::Generated,
+            is_whole: matches!(work.phase, Phase::Generated | Phase::Done),
             progress: work.progress.clone(),
         })
         .collect()
     }
 
-    /// Notes that the outcome of a work is known.
+    /// Notes that a work has its outcome.
     pub fn finish(&mut self, id: WorkId) {
         if let Some(work) = self.works.get_mut(&id) {
             work.phase = Phase::Done;
         }
     }
 
+    /// Notes that a work is given up.
+    pub fn give_up(&mut self, id: WorkId) {
+        if let Some(work) = self.works.get_mut(&id) {
+            work.phase = Phase::GivenUp;
+        }
+    }
+
     /// Decides what is started and stopped now.
     pub fn plan(&mut self, now: Instant) -> Vec<Action> {
         let mut actions = Vec::new();
--- a/crates/batch/src/work.rs
+++ b/crates/batch/src/work.rs
@@ -33,8 +33,10 @@
     Running(Run),
     /// The text is whole.
     Generated,
-    /// The outcome is known.
+    /// The outcome is known: the text is whole and scored.
     Done,
+    /// The outcome is known: the item is given up.
+    GivenUp,
 }
 
 #[derive(Clone, Debug, Eq, PartialEq)]
--- a/crates/batch/tests/item_order.rs
+++ b/crates/batch/tests/item_order.rs
@@ -122,6 +122,19 @@
     open(&mut planner, "b3", 3, &items);
     assert!(planner.place(WorkId(1)).is_none());
     assert_eq!(planner.progress(WorkId(2)).unwrap().last_event, 0);
+    let stop = |action: &Action| {
+        matches!(
+            action,
+            Action::Stop {
+                work: WorkId(1),
+                ..
+            }
+        )
+    };
+    assert!(
+        planner.plan(at(70)).iter().any(stop),
+        "the useless run goes on"
+    );
 }
 
 #[test]
--- a/crates/edge/src/conductor.rs
+++ b/crates/edge/src/conductor.rs
@@ -32,8 +32,10 @@
 /// The time between two writings of texts, and the events that make one worth its bytes.
 const CHECKPOINT: Duration = Duration::from_millis(500);
 const CHECKPOINT_EVENTS: u64 = 4;
-/// A leader that can't reach the store for this long stops its runs if others can.
-const CUT_OFF: Duration = Duration::from_millis(2_500);
+/// A leader without the store stops its runs after others have had it for this long. When the
+/// store returns to all, some see it a second earlier than others.
+const CUT_OFF: Duration = Duration::from_millis(1_400);
+const CUT_OFF_AWAY: Duration = Duration::from_millis(1_100);
 
 /// A batch that this node runs.
 struct Running {
@@ -65,6 +67,8 @@
     /// What the former leader told of unfinished items.
     inherited: Vec<Text>,
     surrendered: Cell<bool>,
+    /// Since when others have had the store, but not this node.
+    alone: Cell<Option<Instant>>,
     /// The events of each text that is written down.
     saved: RefCell<BTreeMap<(String, u32), u64>>,
     next_checkpoint: Cell<Instant>,
@@ -84,6 +88,7 @@
             kick: Notify::new(),
             inherited,
             surrendered: Cell::new(false),
+            alone: Cell::new(None),
             saved: RefCell::default(),
             next_checkpoint: Cell::default(),
             checkpointing: Cell::new(false),
@@ -202,7 +207,7 @@
         let inherited = self.inherited.iter().filter(|text| text.batch == id);
         texts.extend(inherited.cloned());
         if !self.surrendered.get() {
-            self.open(id, row, head, submission, &listed, &texts);
+            self.open(id, row, head, submission, listed, &texts);
         }
         Ok(())
     }
@@ -213,7 +218,7 @@
         row: u64,
         head: Head,
         submission: Rc<Submission>,
-        listed: &BTreeSet<u32>,
+        listed: BTreeSet<u32>,
         texts: &[Text],
     ) {
         let route = self.route(&submission);
@@ -235,7 +240,7 @@
             max_attempts: route.map_or(1, |route| route.max_attempts),
             event_tokens: engine,
             items: &submission.items,
-            listed,
+            listed: &listed,
         });
         let unfinished = self.planner.borrow().unfinished(id);
         for work in unfinished {
@@ -254,7 +259,13 @@
             row,
             "batch_adopted"
         );
-        let lister = Rc::new(Lister::new(id, &self.tools.settings.node, row, head));
+        let lister = Rc::new(Lister::new(
+            id,
+            &self.tools.settings.node,
+            row,
+            head,
+            listed,
+        ));
         let task = tokio::task::spawn_local({
             let (lister, own) = (lister.clone(), self.clone());
             async move {
@@ -437,7 +448,7 @@
             reason,
             "item_abandoned"
         );
-        self.planner.borrow_mut().finish(work);
+        self.planner.borrow_mut().give_up(work);
         running.lister.push(Outcome {
             index,
             item,
@@ -503,7 +514,10 @@
     fn texts(&self, least: u64) -> Vec<Text> {
         let planner = self.planner.borrow();
         let batches = self.batches.borrow();
-        let texts = batches.keys().flat_map(|id| planner.texts(id, least));
+        let texts = batches.iter().flat_map(|(id, running)| {
+            let texts = planner.texts(id, least).into_iter();
+            texts.filter(|text| !running.lister.is_listed(text.index))
+        });
         texts.collect()
     }
 
@@ -544,7 +558,15 @@
 
     /// Returns whether another node is likely to lead by now, although this one can't read it.
     fn is_cut_off(&self) -> bool {
-        let storage = &self.tools.storage;
-        storage.away_for(clock::now()) > CUT_OFF && !self.tools.peers.is_store_down()
+        let now = clock::now();
+        let is_alone =
+            self.tools.storage.away_for(now) > CUT_OFF_AWAY && !self.tools.peers.is_store_down();
+        if !is_alone {
+            self.alone.set(None);
+            return false;
+        }
+        let since = self.alone.get().unwrap_or(now);
+        self.alone.set(Some(since));
+        now.saturating_since(since) > CUT_OFF
     }
 }
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -18,7 +18,7 @@
 /// The pause after an answer, so that a burst of changes costs few calls.
 const PAUSE: Duration = Duration::from_millis(15);
 const FIRST_RETRY: Duration = Duration::from_millis(60);
-const LAST_RETRY: Duration = Duration::from_millis(500);
+const LAST_RETRY: Duration = Duration::from_millis(200);
 /// The number of quiet answers after which a table is read whole, in case the feed is deaf.
 const READ_EVERY: u32 = 10;
 
--- a/crates/edge/src/leader.rs
+++ b/crates/edge/src/leader.rs
@@ -21,10 +21,10 @@
 const TICK: Duration = Duration::from_millis(100);
 /// How long a leader has to be unfit before another node takes over.
 const UNFIT: Duration = Duration::from_millis(100);
+/// How long a candidate must have had the store.
+const SETTLE: Duration = Duration::from_millis(1_300);
 /// The time between the claims of two candidates, so that they do not all write.
 const RANK_STEP: Duration = Duration::from_millis(250);
-/// The time after the start in which nodes hear of each other before they claim.
-const FIRST_WAIT: Duration = Duration::from_millis(700);
 
 /// The services that a node leads, with what runs them.
 #[derive(Default)]
@@ -47,7 +47,6 @@
     inherited: BTreeMap<String, Vec<Text>>,
     /// Since when each service has had no fit leader.
     unfit: BTreeMap<String, Instant>,
-    started: Instant,
 }
 
 impl Leader {
@@ -58,7 +57,6 @@
             tasks: BTreeMap::new(),
             inherited: BTreeMap::new(),
             unfit: BTreeMap::new(),
-            started: clock::now(),
         }
     }
 
@@ -137,14 +135,16 @@
     fn is_due(&mut self, service: &str, leader: &str) -> bool {
         let now = clock::now();
         let peers = &self.tools.peers;
-        if peers.is_fit(leader) || !peers.can_lead() {
+        // A store that has just returned may not have reached the leader yet.
+        let is_settled = self.tools.storage.reached_for(now) >= SETTLE;
+        if peers.is_fit(leader) || !peers.can_lead() || !is_settled {
             self.unfit.remove(service);
             return false;
         }
         let since = *self.unfit.entry(service.to_owned()).or_insert(now);
         let rank = u32::try_from(peers.rank(service)).unwrap_or(u32::MAX);
         let wait = UNFIT.saturating_add(RANK_STEP.saturating_mul(rank));
-        now.saturating_since(since) >= wait && now.saturating_since(self.started) >= FIRST_WAIT
+        now.saturating_since(since) >= wait
     }
 
     async fn claim(&mut self, service: &str, before: &str, row: u64) {
--- a/crates/edge/src/lister.rs
+++ b/crates/edge/src/lister.rs
@@ -8,7 +8,7 @@
 use dogwoodlb_batch::{parts, Head, Outcome, State};
 use dogwoodlb_external::store::{self, Row, Txn};
 use std::cell::RefCell;
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -37,6 +37,8 @@
     head: RefCell<(u64, Head)>,
     queue: RefCell<VecDeque<Outcome>>,
     wake: Notify,
+    /// The indices of the items that are listed.
+    listed: RefCell<BTreeSet<u32>>,
 }
 
 /// What listers write with.
@@ -50,16 +52,28 @@
 
 impl Lister {
     /// Creates the lister of a batch whose head names this node.
-    pub(crate) fn new(batch: &str, node: &str, row: u64, head: Head) -> Self {
+    pub(crate) fn new(
+        batch: &str,
+        node: &str,
+        row: u64,
+        head: Head,
+        listed: BTreeSet<u32>,
+    ) -> Self {
         Self {
             batch: batch.to_owned(),
             node: node.to_owned(),
             head: RefCell::new((row, head)),
             queue: RefCell::default(),
             wake: Notify::new(),
+            listed: RefCell::new(listed),
         }
     }
 
+    /// Returns whether the outcome of an item is listed.
+    pub(crate) fn is_listed(&self, index: u32) -> bool {
+        self.listed.borrow().contains(&index)
+    }
+
     /// Adds an outcome.
     pub(crate) fn push(&self, outcome: Outcome) {
         self.queue.borrow_mut().push_back(outcome);
@@ -183,6 +197,7 @@
     fn show(&self, desk: &Desk, first: u32, outcomes: &[Outcome]) {
         let (row, head) = self.head.borrow().clone();
         for (position, outcome) in (first..).zip(outcomes) {
+            self.listed.borrow_mut().insert(outcome.index);
             let outcome = Rc::new(outcome.clone());
             desk.archive
                 .cache
--- a/crates/edge/src/storage.rs
+++ b/crates/edge/src/storage.rs
@@ -51,6 +51,8 @@
 pub(crate) struct Storage {
     store: Rc<dyn Store>,
     contact: Cell<Option<Instant>>,
+    /// Since when the store has answered without a gap.
+    reached: Cell<Option<Instant>>,
     /// The store's clock minus the node's, at the least and at the most.
     clock: Cell<Option<(i64, i64)>>,
     fastest: Cell<Duration>,
@@ -63,6 +65,7 @@
         Self {
             store,
             contact: Cell::new(None),
+            reached: Cell::new(None),
             clock: Cell::new(None),
             fastest: Cell::new(Duration::MAX),
             calls: Cell::new(0),
@@ -82,6 +85,12 @@
         contact.map_or(Duration::ZERO, |at| now.saturating_since(at))
     }
 
+    /// Returns how long the store has answered without a gap.
+    pub(crate) fn reached_for(&self, now: Instant) -> Duration {
+        let since = self.reached.get().filter(|_| self.is_reached(now));
+        since.map_or(Duration::ZERO, |since| now.saturating_since(since))
+    }
+
     /// Returns whether the store stands in the same region.
     pub(crate) fn is_near(&self) -> bool {
         self.fastest.get() <= NEAR
@@ -180,6 +189,7 @@
         if !self.is_reached(now) {
             let away = self.contact.get().map(|at| now.saturating_since(at));
             tracing::info!(away_ms = away.map(|away| away.as_millis()), "store_reached");
+            self.reached.set(Some(now));
         }
         self.contact.set(Some(now));
         if let Some(store_ms) = now_ms {
