--- /dev/null
+++ b/crates/batch/src/planner/choose.rs
@@ -0,0 +1,246 @@
+//! Which items start, move and stop now.
+
+use super::{Action, Planner};
+use crate::replica::Replica;
+use crate::work::{Phase, Run, Work, WorkId};
+use dogwoodlb_types::Instant;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// A run without an event for this long is taken to another replica. A change of weights
+/// stops all runs of a replica for about a second.
+const STALL: Duration = Duration::from_millis(2_200);
+/// The time that a move has to save, so that the repeated reading of the prompt pays.
+const MOVE_GAIN: Duration = Duration::from_millis(300);
+/// A run is not moved before it has run this long, so that its speed is known.
+const MOVE_AFTER: Duration = Duration::from_millis(400);
+/// The moves of one round; the speeds are estimated anew before the next one.
+const MOVES: usize = 4;
+const MOVE_INTERVAL: Duration = Duration::from_millis(100);
+/// The time of one event before any was seen, in milliseconds.
+const FIRST_EVENT_MS: f64 = 32.0;
+
+impl Planner {
+    /// Decides what is started and stopped now.
+    pub fn plan(&mut self, now: Instant) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.expire(now, &mut actions);
+        self.stop_stalled(now, &mut actions);
+        if self.next_move <= now {
+            self.next_move = now + MOVE_INTERVAL;
+            let batches: Vec<String> = self.batches.keys().cloned().collect();
+            for batch in batches {
+                self.rank_groups(&batch);
+            }
+            self.plan_moves(now, &mut actions);
+        }
+        self.plan_starts(now, &mut actions);
+        actions
+    }
+
+    fn expire(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let is_expired = |work: &Work| work.expires.is_some_and(|at| at <= now);
+        let expired = self.works.iter().filter(|(_, work)| is_expired(work));
+        let expired: Vec<WorkId> = expired.map(|(id, _)| *id).collect();
+        for id in expired {
+            let Some(work) = self.works.get_mut(&id) else {
+                continue;
+            };
+            if self.carried.get(&work.item) == Some(&id) {
+                self.carried.remove(&work.item);
+            }
+            match &mut work.phase {
+                Phase::Running(run) if !run.stopping => {
+                    run.stopping = true;
+                    actions.push(Action::Stop {
+                        work: id,
+                        reason: "expired",
+                    });
+                }
+                Phase::Running(_) => {}
+                _ => {
+                    self.works.remove(&id);
+                }
+            }
+        }
+    }
+
+    fn stop_stalled(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        for (id, work) in &mut self.works {
+            let Phase::Running(run) = &mut work.phase else {
+                continue;
+            };
+            if run.stopping || now.saturating_since(run.heard) < STALL {
+                continue;
+            }
+            run.stopping = true;
+            if let Some(replica) = self.replicas.get_mut(&run.replica) {
+                replica.on_failure(now);
+            }
+            actions.push(Action::Stop {
+                work: *id,
+                reason: "stalled",
+            });
+        }
+    }
+
+    /// Chooses the groups of a batch that are likely to be complete first.
+    pub(super) fn rank_groups(&mut self, batch: &str) {
+        let Some(batch) = self.batches.get_mut(batch) else {
+            return;
+        };
+        let mut longest = vec![0; batch.groups];
+        for id in &batch.works {
+            let work = &self.works[id];
+            if matches!(work.phase, Phase::Waiting | Phase::Running(_)) {
+                longest[work.group] = longest[work.group].max(work.remaining());
+            }
+        }
+        let mut order: Vec<usize> = (0..batch.groups).collect();
+        order.sort_by_key(|group| (!batch.carried[*group], longest[*group]));
+        batch.needed = vec![false; batch.groups];
+        for group in order.into_iter().take(batch.target.max(1)) {
+            batch.needed[group] = true;
+        }
+    }
+
+    fn is_needed(&self, work: &Work) -> bool {
+        let batch = work.batch.as_ref().and_then(|id| self.batches.get(id));
+        batch.is_some_and(|batch| batch.needed[work.group])
+    }
+
+    fn plan_starts(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let is_waiting = |work: &Work| work.batch.is_some() && work.phase == Phase::Waiting;
+        let waiting = self.works.iter().filter(|(_, work)| is_waiting(work));
+        let mut waiting: Vec<(bool, u64, WorkId)> = waiting
+            .map(|(id, work)| (self.is_needed(work), work.remaining(), *id))
+            .collect();
+        // The longest ones start first, because the last one to end decides.
+        waiting.sort_by(|a, b| (b.0, b.1, a.2).cmp(&(a.0, a.1, b.2)));
+        let usual = self.usual_ms();
+        for (needed, _, id) in waiting {
+            let work = &self.works[&id];
+            let Some(replica) = self.choose(work, needed, usual, now) else {
+                continue;
+            };
+            self.start(id, &replica, now);
+            actions.push(Action::Start { work: id, replica });
+        }
+    }
+
+    fn choose(&self, work: &Work, needed: bool, usual: f64, now: Instant) -> Option<String> {
+        let tokens = work.prompt_tokens;
+        let fits = |replica: &Replica| {
+            replica.has_room(&work.model, tokens, now) && accepts(work, replica)
+        };
+        let usable = self.replicas.iter().filter(|(_, replica)| fits(replica));
+        let cost = |replica: &Replica| {
+            let ms = replica.event_ms(replica.running + 1, usual, now);
+            // The text of a group that will come again has to be new enough for its next batch.
+            let is_old = replica.version(&work.model) <= Some(work.min_version);
+            if !needed && is_old {
+                ms * 10.0
+            } else {
+                ms
+            }
+        };
+        let best = usable.min_by(|(_, a), (_, b)| cost(a).total_cmp(&cost(b)));
+        best.map(|(id, _)| id.clone())
+    }
+
+    fn start(&mut self, id: WorkId, name: &str, now: Instant) {
+        let Some(work) = self.works.get_mut(&id) else {
+            return;
+        };
+        let tokens = work.prompt_tokens;
+        work.phase = Phase::Running(Run {
+            replica: name.to_owned(),
+            since: now,
+            heard: now,
+            events: 0,
+            tokens,
+            stopping: false,
+        });
+        if let Some(replica) = self.replicas.get_mut(name) {
+            replica.running += 1;
+            replica.tokens += tokens;
+        }
+    }
+
+    /// Moves runs away from replicas that are about to change weights, and from slow ones.
+    fn plan_moves(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let usual = self.usual_ms();
+        let mut extra: BTreeMap<String, u32> = BTreeMap::new();
+        let mut moves = Vec::new();
+        let mut runs: Vec<(u64, WorkId)> = self
+            .works
+            .iter()
+            .filter(|(_, work)| work.run().is_some_and(|run| !run.stopping))
+            .map(|(id, work)| (work.remaining(), *id))
+            .collect();
+        runs.sort_unstable_by(|a, b| b.cmp(a));
+        for (remaining, id) in runs {
+            let work = &self.works[&id];
+            let Some(run) = work.run() else { continue };
+            let Some(from) = self.replicas.get(&run.replica) else {
+                continue;
+            };
+            let closed = from.is_closed(&work.model);
+            if !closed && (moves.len() >= MOVES || now.saturating_since(run.since) < MOVE_AFTER) {
+                continue;
+            }
+            let here = from.event_ms(from.running, usual, now);
+            let target = self
+                .replicas
+                .iter()
+                .filter(|(name, _)| **name != run.replica)
+                .filter(|(name, replica)| {
+                    let added = extra.get(*name).copied().unwrap_or_default();
+                    replica.running + added < replica.view.slots
+                        && replica.has_room(&work.model, work.prompt_tokens, now)
+                        && accepts(work, replica)
+                })
+                .map(|(name, replica)| {
+                    let added = extra.get(name).copied().unwrap_or_default();
+                    let ms = replica.event_ms(replica.running + added + 1, usual, now);
+                    (ms, name)
+                })
+                .min_by(|a, b| a.0.total_cmp(&b.0));
+            let Some((there, name)) = target else {
+                continue;
+            };
+            let gain = (here - there) * remaining as f64;
+            if closed || gain > MOVE_GAIN.as_secs_f64() * 1e3 {
+                *extra.entry(name.clone()).or_default() += 1;
+                moves.push((id, if closed { "closed" } else { "slow" }));
+            }
+        }
+        for (id, reason) in moves {
+            if let Some(Phase::Running(run)) = self.works.get_mut(&id).map(|work| &mut work.phase) {
+                run.stopping = true;
+            }
+            actions.push(Action::Stop { work: id, reason });
+        }
+    }
+
+    /// Returns the usual time of one event of a request that runs alone.
+    fn usual_ms(&self) -> f64 {
+        let units = self.replicas.values().filter_map(Replica::unit_ms);
+        let mut units: Vec<f64> = units.collect();
+        units.sort_by(f64::total_cmp);
+        units
+            .get(units.len() / 2)
+            .copied()
+            .unwrap_or(FIRST_EVENT_MS)
+    }
+}
+
+/// Returns whether the weights of a replica may go on with a work.
+fn accepts(work: &Work, replica: &Replica) -> bool {
+    let Some(version) = replica.version(&work.model) else {
+        return false;
+    };
+    let begun = work.progress.versions.first();
+    let same = !work.single_version || begun.is_none_or(|begun| *begun == version);
+    version >= work.min_version && same
+}
--- a/crates/edge/src/conductor.rs
+++ b/crates/edge/src/conductor.rs
@@ -5,13 +5,10 @@
 use crate::known::Stored;
 use crate::lister::Lister;
 use crate::orders::Loads;
-use crate::run::{self, End, Guard, Guards, Target};
-use crate::score::Scored;
+use crate::run::Guards;
 use crate::storage::{self, SHARED};
 use crate::tools::Tools;
-use dogwoodlb_batch::{
-    Action, Head, Open, Outcome, Planner, State, Stop, Submission, Text, View, WorkId,
-};
+use dogwoodlb_batch::{Action, Head, Open, Planner, Submission, Text, View};
 use dogwoodlb_config::{Engine, Route};
 use dogwoodlb_external::store::{self, Txn};
 use dogwoodlb_types::Instant;
@@ -21,21 +18,15 @@
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::task::AbortHandle;
-use tokio::time::timeout;
+use tokio::time::sleep;
+
+mod items;
+mod texts;
 
 /// The time between two looks at what is due.
 const TICK: Duration = Duration::from_millis(40);
 /// How long an item may take of which the route says nothing.
 const DEFAULT_LIFE: Duration = Duration::from_secs(30);
-/// How long a node that leaves writes down what it has.
-const HAND_OVER: Duration = Duration::from_millis(900);
-/// The time between two writings of texts, and the events that make one worth its bytes.
-const CHECKPOINT: Duration = Duration::from_millis(500);
-const CHECKPOINT_EVENTS: u64 = 4;
-/// A leader without the store stops its runs after others have had it for this long. When the
-/// store returns to all, some see it a second earlier than others.
-const CUT_OFF: Duration = Duration::from_millis(1_400);
-const CUT_OFF_AWAY: Duration = Duration::from_millis(1_100);
 
 /// A batch that this node runs.
 struct Running {
@@ -102,7 +93,7 @@
             tokio::select! {
                 () = self.kick.notified() => {}
                 _ = changes.changed() => {}
-                () = tokio::time::sleep(TICK) => {}
+                () = sleep(TICK) => {}
             }
             if self.is_cut_off() && !self.surrendered.get() {
                 self.surrender();
@@ -168,7 +159,7 @@
                 tokio::task::spawn_local(async move {
                     if let Err(error) = own.adopt(&id, row, head).await {
                         tracing::info!(batch = id, %error, "batch_not_adopted");
-                        tokio::time::sleep(TICK).await;
+                        sleep(TICK).await;
                     }
                     own.adopting.borrow_mut().remove(&id);
                     own.kick.notify_one();
@@ -342,231 +333,4 @@
         };
         planner.retain_replicas(is_usable);
     }
-
-    /// Gives up the items whose time is over.
-    fn give_up(self: &Rc<Self>) {
-        let now = clock::now();
-        let late: Vec<String> = {
-            let batches = self.batches.borrow();
-            let late = batches.iter().filter(|(_, running)| running.until <= now);
-            late.map(|(id, _)| id.clone()).collect()
-        };
-        for id in late {
-            let works = self.planner.borrow().unfinished(&id);
-            for work in works {
-                self.stop(work, "late");
-                self.abandon(work, "late");
-            }
-        }
-    }
-
-    fn running(&self, work: WorkId) -> Option<(Rc<Running>, u32)> {
-        let planner = self.planner.borrow();
-        let (batch, index) = planner.place(work)?;
-        let running = self.batches.borrow().get(batch).cloned()?;
-        Some((running, index))
-    }
-
-    fn start(self: &Rc<Self>, work: WorkId, replica: String) {
-        let address = {
-            let directory = self.tools.known.directory();
-            directory.get(&replica).map(|entry| entry.address)
-        };
-        let (Some((running, index)), Some(address)) = (self.running(work), address) else {
-            self.planner
-                .borrow_mut()
-                .on_stop(work, Stop::Refused, clock::now());
-            return;
-        };
-        let own = self.clone();
-        let task = tokio::task::spawn_local(async move {
-            let target = Target {
-                replica,
-                address,
-                host: running.submission.host.clone(),
-            };
-            let item = &running.submission.items[index as usize];
-            let tools = &own.tools;
-            let end = run::run(
-                &tools.client,
-                &*tools.dialect,
-                &own.planner,
-                work,
-                item,
-                &target,
-            );
-            let end = end.await;
-            own.on_end(work, end, &target.replica, &running.submission);
-        });
-        let guard = Guard(task.abort_handle());
-        self.guards.borrow_mut().insert(work, guard);
-    }
-
-    fn stop(&self, work: WorkId, reason: &str) {
-        self.tools.metrics.runs.with_label_values(&[reason]).inc();
-        tracing::debug!(work = work.0, reason, "run_stopped");
-        self.guards.borrow_mut().remove(&work);
-        self.planner
-            .borrow_mut()
-            .on_stop(work, Stop::Moved, clock::now());
-    }
-
-    fn on_end(self: &Rc<Self>, work: WorkId, end: End, replica: &str, submission: &Submission) {
-        self.guards.borrow_mut().remove(&work);
-        let now = clock::now();
-        let stop = match end {
-            End::Stop(stop) => stop,
-            End::Impossible => Stop::Failed,
-            End::Version(version) => {
-                self.loads.observe(replica, &submission.model, version);
-                if version < submission.min_version {
-                    Stop::Refused
-                } else {
-                    Stop::Broken
-                }
-            }
-        };
-        let label = format!("{stop:?}").to_lowercase();
-        self.tools.metrics.runs.with_label_values(&[&label]).inc();
-        let has_failed = self.planner.borrow_mut().on_stop(work, stop, now);
-        if has_failed || end == End::Impossible {
-            self.abandon(work, "failed");
-        } else if stop == Stop::Whole {
-            self.score(work);
-        }
-        self.kick.notify_one();
-    }
-
-    fn abandon(&self, work: WorkId, reason: &str) {
-        let Some((running, index)) = self.running(work) else {
-            return;
-        };
-        let item = running.submission.items[index as usize].id.clone();
-        tracing::info!(
-            batch = running.submission.id,
-            item,
-            reason,
-            "item_abandoned"
-        );
-        self.planner.borrow_mut().give_up(work);
-        running.lister.push(Outcome {
-            index,
-            item,
-            state: State::Abandoned,
-            ..Outcome::default()
-        });
-    }
-
-    /// Has a whole text scored and listed.
-    fn score(self: &Rc<Self>, work: WorkId) {
-        let Some((running, index)) = self.running(work) else {
-            return;
-        };
-        let Some(progress) = self.planner.borrow().progress(work).cloned() else {
-            return;
-        };
-        let own = self.clone();
-        tokio::task::spawn_local(async move {
-            let item = &running.submission.items[index as usize];
-            let score = match &item.scorer {
-                Some(scorer) => match own.tools.scores.score(scorer, running.until).await {
-                    Scored::Signed(score) => Some(score),
-                    Scored::Failed => return own.abandon(work, "score_failed"),
-                    Scored::Late => return own.abandon(work, "score_late"),
-                },
-                None => None,
-            };
-            // The batch may have ended meanwhile, and the work be part of the next one.
-            let place = own.running(work);
-            if place.is_none_or(|(now, _)| !Rc::ptr_eq(&now, &running)) {
-                return;
-            }
-            own.planner.borrow_mut().finish(work);
-            running.lister.push(Outcome {
-                index,
-                item: item.id.clone(),
-                state: State::Complete,
-                text: progress.text,
-                versions: progress.versions,
-                score,
-            });
-        });
-    }
-
-    /// Stops all runs and returns what is known of unfinished items; nothing is run after this.
-    pub(crate) fn surrender(&self) -> Vec<Text> {
-        let texts = self.texts(1);
-        self.surrendered.set(true);
-        self.guards.borrow_mut().clear();
-        self.batches.borrow_mut().clear();
-        tracing::info!(service = self.service, texts = texts.len(), "surrendered");
-        texts
-    }
-
-    /// Stops all runs and writes down what is known, so that the next leader goes on with it.
-    pub(crate) async fn hand_over(&self) {
-        let texts = self.surrender();
-        let written = timeout(HAND_OVER, self.tools.archive.put_texts(&texts)).await;
-        let is_written = matches!(written, Ok(Ok(())));
-        tracing::info!(service = self.service, is_written, "handed_over");
-    }
-
-    fn texts(&self, least: u64) -> Vec<Text> {
-        let planner = self.planner.borrow();
-        let batches = self.batches.borrow();
-        let texts = batches.iter().flat_map(|(id, running)| {
-            let texts = planner.texts(id, least).into_iter();
-            texts.filter(|text| !running.lister.is_listed(text.index))
-        });
-        texts.collect()
-    }
-
-    /// Writes down the texts that grew, for the case that this node dies.
-    fn checkpoint(self: &Rc<Self>) {
-        let now = clock::now();
-        if now < self.next_checkpoint.get() || self.checkpointing.get() {
-            return;
-        }
-        self.next_checkpoint.set(now + CHECKPOINT);
-        let mut texts = self.texts(CHECKPOINT_EVENTS);
-        {
-            let mut saved = self.saved.borrow_mut();
-            texts.retain(|text| {
-                let key = (text.batch.clone(), text.index);
-                let last = saved.get(&key).copied().unwrap_or(0);
-                let grown = text.progress.last_event >= last + CHECKPOINT_EVENTS;
-                if grown {
-                    saved.insert(key, text.progress.last_event);
-                }
-                grown
-            });
-            let batches = self.batches.borrow();
-            saved.retain(|(batch, _), _| batches.contains_key(batch));
-        }
-        if texts.is_empty() {
-            return;
-        }
-        self.checkpointing.set(true);
-        let own = self.clone();
-        tokio::task::spawn_local(async move {
-            if let Err(error) = own.tools.archive.put_texts(&texts).await {
-                tracing::debug!(service = own.service, %error, "checkpoint_not_written");
-            }
-            own.checkpointing.set(false);
-        });
-    }
-
-    /// Returns whether another node is likely to lead by now, although this one can't read it.
-    fn is_cut_off(&self) -> bool {
-        let now = clock::now();
-        let is_alone =
-            self.tools.storage.away_for(now) > CUT_OFF_AWAY && !self.tools.peers.is_store_down();
-        if !is_alone {
-            self.alone.set(None);
-            return false;
-        }
-        let since = self.alone.get().unwrap_or(now);
-        self.alone.set(Some(since));
-        now.saturating_since(since) > CUT_OFF
-    }
 }
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -1,8 +1,9 @@
 //! Sends a caller's request to a replica and its answer back.
 
 use crate::clock;
-use crate::dialect::{Dialect, Headers};
+use crate::dialect::Dialect;
 use crate::fleet::{Fleet, Picked};
+use crate::headers::{is_not_run, millis, number, strip, text};
 use crate::metrics::Metrics;
 use crate::reply::{self, Body};
 use bytes::Bytes;
@@ -12,7 +13,7 @@
 use dogwoodlb_types::{id, Instant};
 use http_body_util::{BodyExt, Limited, StreamBody};
 use hyper::body::{Body as _, Frame, Incoming};
-use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, HOST};
+use hyper::header::{HeaderValue, CONTENT_LENGTH, HOST};
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
 use std::rc::Rc;
@@ -38,19 +39,6 @@
 /// otherwise never end.
 const IMPATIENT_ATTEMPTS: u32 = 1;
 
-/// Headers that concern one connection only.
-const HOP_HEADERS: [&str; 9] = [
-    "connection",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-];
-
 /// The parts that forwarding needs.
 pub(crate) struct Forwarder {
     pub(crate) client: Client,
@@ -80,41 +68,6 @@
     Failed(Option<Response<Body>>),
 }
 
-/// Removes the headers that concern one connection only.
-fn strip(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    for name in named {
-        headers.remove(name);
-    }
-    for name in HOP_HEADERS {
-        headers.remove(name);
-    }
-}
-
-/// Returns a header as a number of milliseconds.
-pub(crate) fn millis(headers: &HeaderMap, name: &HeaderName) -> Option<Duration> {
-    let value = headers.get(name)?.to_str().ok()?;
-    value.trim().parse().ok().map(Duration::from_millis)
-}
-
-/// Returns a header as text.
-pub(crate) fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
-    headers.get(name)?.to_str().ok()
-}
-
-/// Returns whether a replica states that it did not run a request.
-pub(crate) fn is_not_run(headers: &Headers, answer: &hyper::http::response::Parts) -> bool {
-    answer.headers.contains_key(&headers.not_run)
-        || (answer.status == StatusCode::MISDIRECTED_REQUEST
-            && !answer.headers.contains_key(&headers.signature))
-}
-
 impl Forwarder {
     /// Serves one request.
     pub(crate) async fn serve(
@@ -385,11 +338,6 @@
     }
 }
 
-/// Returns a header value with a number.
-pub(crate) fn number(number: u128) -> HeaderValue {
-    HeaderValue::from(u64::try_from(number).unwrap_or(u64::MAX))
-}
-
 fn answer_of(head: hyper::http::response::Parts, body: Body) -> Response<Body> {
     let mut response = Response::new(body);
     *response.status_mut() = head.status;
--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -2,7 +2,8 @@
 
 use crate::clock;
 use crate::dialect::{Call, Dialect};
-use crate::forward::{text, Forwarder};
+use crate::forward::Forwarder;
+use crate::headers::text;
 use crate::known::Known;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
--- /dev/null
+++ b/crates/edge/src/headers.rs
@@ -0,0 +1,60 @@
+//! Reading and writing of headers.
+
+use crate::dialect::Headers;
+use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONNECTION};
+use hyper::http::response::Parts;
+use hyper::StatusCode;
+use std::time::Duration;
+
+/// Headers that concern one connection only.
+const HOP_HEADERS: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Removes the headers that concern one connection only.
+pub(crate) fn strip(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named {
+        headers.remove(name);
+    }
+    for name in HOP_HEADERS {
+        headers.remove(name);
+    }
+}
+
+/// Returns a header as a number of milliseconds.
+pub(crate) fn millis(headers: &HeaderMap, name: &HeaderName) -> Option<Duration> {
+    let value = headers.get(name)?.to_str().ok()?;
+    value.trim().parse().ok().map(Duration::from_millis)
+}
+
+/// Returns a header as text.
+pub(crate) fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+/// Returns whether a replica states that it did not run a request.
+pub(crate) fn is_not_run(headers: &Headers, answer: &Parts) -> bool {
+    answer.headers.contains_key(&headers.not_run)
+        || (answer.status == StatusCode::MISDIRECTED_REQUEST
+            && !answer.headers.contains_key(&headers.signature))
+}
+
+/// Returns a header value with a number.
+pub(crate) fn number(number: u128) -> HeaderValue {
+    HeaderValue::from(u64::try_from(number).unwrap_or(u64::MAX))
+}
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -22,6 +22,7 @@
 mod follow;
 mod forward;
 mod front;
+mod headers;
 mod known;
 mod leader;
 mod lister;
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -2,7 +2,7 @@
 
 use crate::clock;
 use crate::dialect::{Dialect, Headers};
-use crate::forward::{is_not_run, text};
+use crate::headers::{is_not_run, text};
 use bytes::Bytes;
 use dogwoodlb_batch::{Item, Planner, Stop, WorkId};
 use dogwoodlb_client::{Answer, Client};
--- a/crates/edge/src/score.rs
+++ b/crates/edge/src/score.rs
@@ -3,7 +3,7 @@
 use crate::clock;
 use crate::dialect::Dialect;
 use crate::fleet::Fleet;
-use crate::forward::{is_not_run, number, text};
+use crate::headers::{is_not_run, number, text};
 use crate::known::Known;
 use bytes::Bytes;
 use dogwoodlb_batch::Scorer;
--- a/crates/edge/src/submit.rs
+++ b/crates/edge/src/submit.rs
@@ -3,7 +3,7 @@
 use crate::archive::{Archive, Error};
 use crate::clock;
 use crate::dialect::Dialect;
-use crate::forward::{millis, text};
+use crate::headers::{millis, text};
 use crate::known::{Known, Stored};
 use crate::metrics::Metrics;
 use crate::reply::{self, Body};
