Keep each replica fresh for one model and let models take turns

Loads take turns (one replica in five at a time), so that 44 replicas can't follow three models.

Change: cores Homes (which replica is kept fresh for which model) and share (the most urgent load first, then one of each model in turn).

--- a/crates/edge/src/orders.rs
+++ b/crates/edge/src/orders.rs
@@ -7,9 +7,10 @@
 use bytes::Bytes;
 use dogwoodlb_batch::Planner;
 use dogwoodlb_config::Engine;
+use dogwoodlb_directory::Entry;
 use dogwoodlb_external::store::{Outcome, Txn};
 use dogwoodlb_types::Instant;
-use dogwoodlb_weights::{plan, Claim, Holding, Wish, WINDOW};
+use dogwoodlb_weights::{plan, share, Candidate, Choice, Claim, Holding, Homes, Wish, WINDOW};
 use hyper::header::{HeaderName, HeaderValue, CONTENT_TYPE, HOST};
 use hyper::{Method, Request, StatusCode};
 use std::cell::RefCell;
@@ -46,6 +47,8 @@
     closed: RefCell<BTreeSet<(String, String)>>,
     /// The loads of each model's newest version.
     counts: RefCell<BTreeMap<String, (u64, usize)>>,
+    /// Which replica is kept fresh for which model.
+    homes: RefCell<Homes>,
     /// When a replica is tried again.
     not_before: RefCell<BTreeMap<String, Instant>>,
 }
@@ -100,78 +103,139 @@
     pub(crate) fn advance(
         self: &Rc<Self>,
         tools: &Rc<Tools>,
-        planner: &Rc<RefCell<Planner>>,
+        planner: &RefCell<Planner>,
         service: &str,
         engine: &Engine,
         single_version: bool,
     ) {
-        for model in &engine.models {
-            let Some(newest) = tools.known.version(model) else {
+        let replicas = self.replicas(tools, planner, service);
+        self.assign(tools, engine, &replicas);
+        let choices: Vec<Vec<Choice>> = engine
+            .models
+            .iter()
+            .enumerate()
+            .map(|(index, model)| {
+                let newest = tools.known.version(model);
+                newest.map_or_else(Vec::new, |newest| {
+                    let wish = self.wish(planner, model, newest, replicas.len(), engine);
+                    plan(&self.holdings(&replicas, index, model, newest), &wish)
+                })
+            })
+            .collect();
+        let at_once = (replicas.len() / AT_ONCE_SHARE).max(AT_ONCE);
+        let busy = replicas.iter().filter(|replica| replica.busy).count();
+        for (index, replica) in share(&choices, at_once.saturating_sub(busy)) {
+            let model = &engine.models[index];
+            let known = replicas.iter().find(|known| known.name == replica);
+            let (Some(known), Some(version)) = (known, tools.known.version(model)) else {
                 continue;
             };
-            let holdings = self.holdings(tools, planner, service, model);
-            let mut counts = self.counts.borrow_mut();
-            let count = counts.entry(model.clone()).or_insert((newest, 0));
-            if count.0 != newest {
-                *count = (newest, 0);
-            }
-            let wish = Wish {
-                newest,
-                min_version: planner.borrow().min_version(model).unwrap_or(0),
-                waiting: planner.borrow().has_waiting(model),
-                at_once: (holdings.len() / AT_ONCE_SHARE).max(AT_ONCE),
-                free_loads: holdings.len() / engine.models.len().max(1),
-                loads: count.1,
-            };
-            for replica in plan(&holdings, &wish) {
-                let address = tools
-                    .known
-                    .directory()
-                    .get(&replica)
-                    .map(|entry| entry.address);
-                let Some(address) = address else { continue };
+            if let Some(count) = self.counts.borrow_mut().get_mut(model) {
                 count.1 += 1;
-                self.closed
-                    .borrow_mut()
-                    .insert((replica.clone(), model.clone()));
-                let load = Load {
-                    loads: self.clone(),
-                    tools: tools.clone(),
-                    replica,
-                    address,
-                    model: model.clone(),
-                    version: newest,
-                    finish_runs: single_version,
-                };
-                tokio::task::spawn_local(load.run());
             }
+            let key = (replica.clone(), model.clone());
+            self.closed.borrow_mut().insert(key);
+            let load = Load {
+                loads: self.clone(),
+                tools: tools.clone(),
+                address: known.entry.address,
+                replica,
+                model: model.clone(),
+                version,
+                finish_runs: single_version,
+            };
+            tokio::task::spawn_local(load.run());
         }
     }
 
-    fn holdings(
+    /// Gives the replicas their home models.
+    fn assign(&self, tools: &Tools, engine: &Engine, replicas: &[Known]) {
+        let lag = |replica: &Known, model: &String| {
+            let version = self.version(&replica.name, model, replica.entry.version(model));
+            let newest = tools.known.version(model).unwrap_or(0);
+            version.map_or(u64::MAX, |version| newest.saturating_sub(version))
+        };
+        let candidates: Vec<Candidate> = replicas
+            .iter()
+            .map(|replica| Candidate {
+                replica: replica.name.clone(),
+                lags: engine
+                    .models
+                    .iter()
+                    .map(|model| lag(replica, model))
+                    .collect(),
+            })
+            .collect();
+        let shares = vec![1.0; engine.models.len()];
+        self.homes.borrow_mut().assign(&candidates, &shares);
+    }
+
+    fn wish(
         &self,
-        tools: &Tools,
         planner: &RefCell<Planner>,
-        service: &str,
         model: &str,
-    ) -> Vec<Holding> {
+        newest: u64,
+        replicas: usize,
+        engine: &Engine,
+    ) -> Wish {
+        let mut counts = self.counts.borrow_mut();
+        let count = counts.entry(model.to_owned()).or_insert((newest, 0));
+        if count.0 != newest {
+            *count = (newest, 0);
+        }
+        Wish {
+            newest,
+            min_version: planner.borrow().min_version(model).unwrap_or(0),
+            waiting: planner.borrow().has_waiting(model),
+            free_loads: replicas / engine.models.len().max(1),
+            loads: count.1,
+        }
+    }
+
+    fn replicas(&self, tools: &Tools, planner: &RefCell<Planner>, service: &str) -> Vec<Known> {
         let now = clock::now();
         let directory = tools.known.directory();
         let not_before = self.not_before.borrow();
-        let holding = |(replica, entry): (&str, &dogwoodlb_directory::Entry)| {
-            let version = self.version(replica, model, entry.version(model))?;
-            let is_paused = not_before.get(replica).is_some_and(|at| now < *at);
+        let known = |(name, entry): (&str, &Entry)| Known {
+            name: name.to_owned(),
+            entry: entry.clone(),
+            busy: !self.closed(name).is_empty(),
+            paused: not_before.get(name).is_some_and(|at| now < *at),
+            running: planner.borrow().running(name, None),
+        };
+        directory.usable(service).map(known).collect()
+    }
+
+    /// Returns what the replicas at home with a model hold of it.
+    fn holdings(&self, replicas: &[Known], index: usize, model: &str, newest: u64) -> Vec<Holding> {
+        let homes = self.homes.borrow();
+        let home = replicas.iter();
+        let home = home.filter(|replica| homes.home(&replica.name) == Some(index));
+        let holding = |replica: &Known| {
+            let version = self.version(&replica.name, model, replica.entry.version(model));
             Some(Holding {
-                replica: replica.to_owned(),
-                version,
-                busy: is_paused || !self.closed(replica).is_empty(),
-                running: planner.borrow().running(replica, None),
+                replica: replica.name.clone(),
+                version: version?,
+                // A replica that only loads for another model is still to load for this one.
+                busy: replica.busy || (replica.paused && version? < newest),
+                running: replica.running,
             })
         };
-        directory.usable(service).filter_map(holding).collect()
+        home.filter_map(holding).collect()
     }
 }
 
+/// A replica as the loads see it.
+struct Known {
+    name: String,
+    entry: Entry,
+    /// Whether an order to it is under way.
+    busy: bool,
+    /// Whether an order failed lately.
+    paused: bool,
+    running: usize,
+}
+
 /// One change of weights on one replica.
 struct Load {
     loads: Rc<Loads>,
--- a/crates/weights/src/lib.rs
+++ b/crates/weights/src/lib.rs
@@ -1,7 +1,8 @@
 //! Weight versions on replicas: which replica loads which version and when, and which node may
 //! order it.
 //!
-//! [`plan`] chooses the loads. [`Claim`] is the right to send one order to one replica: it is
+//! [`Homes`] keeps each replica fresh for one model, [`plan`] chooses the loads, and [`share`]
+//! lets the models take turns. [`Claim`] is the right to send one order to one replica: it is
 //! written to the store before the order, it is short, and another node waits until it is over.
 //! So no node holds a lease between orders, and a node that takes over can order at once
 //! unless the earlier one has just done so.
@@ -20,7 +21,9 @@
 //! ```
 
 mod claim;
+mod homes;
 mod plan;
 
 pub use claim::{Claim, Error, WINDOW};
-pub use plan::{plan, Holding, Wish};
+pub use homes::{Candidate, Homes};
+pub use plan::{plan, share, Choice, Holding, Need, Wish};
--- a/crates/weights/src/plan.rs
+++ b/crates/weights/src/plan.rs
@@ -20,51 +20,82 @@
     pub min_version: u64,
     /// Whether work waits for a replica.
     pub waiting: bool,
-    /// The replicas that may change weights at a time.
-    pub at_once: usize,
     /// The loads of the newest version that cost nothing.
     pub free_loads: usize,
     /// The loads of the newest version so far.
     pub loads: usize,
 }
 
-/// Returns the replicas that are to load the newest version now, in this order.
+/// Why a replica is to load, the most urgent reason first.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Need {
+    /// It can't serve the work at hand.
+    Useless,
+    /// Half of the replicas are kept at the newest version.
+    Half,
+    /// It has nothing else to do, and the load costs nothing.
+    Spare,
+}
+
+/// A load that is due.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Choice {
+    /// The replica.
+    pub replica: String,
+    /// Why.
+    pub need: Need,
+}
+
+/// Returns the replicas that are to load the newest version of a model, in this order.
 ///
 /// A replica that is one version behind serves the current step but not the next one. So those
 /// that are further behind load at once, half of all are kept at the newest version, and the
 /// rest loads while no work waits.
-pub fn plan(holdings: &[Holding], wish: &Wish) -> Vec<String> {
-    let busy = holdings.iter().filter(|one| one.busy).count();
-    let mut room = wish.at_once.saturating_sub(busy);
-    let mut behind: Vec<&Holding> = holdings
-        .iter()
-        .filter(|one| !one.busy && one.version < wish.newest)
-        .collect();
+pub fn plan(holdings: &[Holding], wish: &Wish) -> Vec<Choice> {
+    let is_behind = |one: &&Holding| one.version < wish.newest;
+    let mut behind: Vec<&Holding> = holdings.iter().filter(is_behind).collect();
+    behind.retain(|one| !one.busy);
     behind.sort_by_key(|one| (one.version, one.running, one.replica.clone()));
-    let mut newest = holdings.len()
-        - holdings
-            .iter()
-            .filter(|one| one.version < wish.newest)
-            .count();
-    newest += holdings
-        .iter()
-        .filter(|one| one.busy && one.version < wish.newest)
-        .count();
+    // Those that are loading count as done.
+    let mut newest = holdings.len() - behind.len();
     let mut loads = wish.loads;
-    let mut chosen = Vec::new();
+    let mut choices = Vec::new();
     for holding in behind {
-        if room == 0 {
+        let useless = holding.version < wish.min_version || holding.version + 1 < wish.newest;
+        let need = if useless {
+            Need::Useless
+        } else if newest * 2 < holdings.len() {
+            Need::Half
+        } else if !wish.waiting && loads < wish.free_loads {
+            Need::Spare
+        } else {
             break;
+        };
+        let replica = holding.replica.clone();
+        choices.push(Choice { replica, need });
+        newest += 1;
+        loads += 1;
+    }
+    choices
+}
+
+/// Shares out the loads that may begin now among the models: the most urgent first, and among
+/// equals one of each model in turn. Returns the index of the model and the replica.
+pub fn share(choices: &[Vec<Choice>], room: usize) -> Vec<(usize, String)> {
+    let mut all: Vec<(Need, usize, usize)> = Vec::new();
+    for (model, choices) in choices.iter().enumerate() {
+        for (turn, choice) in choices.iter().enumerate() {
+            all.push((choice.need, turn, model));
         }
-        let useless = holding.version < wish.min_version || holding.version + 1 < wish.newest;
-        let first_half = newest * 2 < holdings.len();
-        let spare = !wish.waiting && loads < wish.free_loads;
-        if useless || first_half || spare {
-            chosen.push(holding.replica.clone());
-            room -= 1;
-            newest += 1;
-            loads += 1;
+    }
+    all.sort_unstable();
+    let mut begun: Vec<(usize, String)> = Vec::new();
+    for (_, turn, model) in all {
+        let replica = &choices[model][turn].replica;
+        // A replica changes the weights of one model at a time.
+        if begun.len() < room && begun.iter().all(|(_, taken)| taken != replica) {
+            begun.push((model, replica.clone()));
         }
     }
-    chosen
+    begun
 }
