Keep leading through an outage when told to stop; list nodes sooner as dead

Change: texts are written before the runs stop; without the store the runs go on until it returns or the grace time is over. Addresses leave out a node after 2.5 intervals.

--- a/crates/edge/src/conductor/texts.rs
+++ b/crates/edge/src/conductor/texts.rs
@@ -28,12 +28,22 @@
         texts
     }
 
-    /// Stops all runs and writes down what is known, so that the next leader goes on with it.
-    pub(crate) async fn hand_over(&self) {
-        let texts = self.surrender();
+    /// Writes down what is known and stops all runs, so that the next leader goes on with it.
+    /// Without the store the runs go on, since nobody else can lead; returns whether it is done.
+    pub(crate) async fn hand_over(&self) -> bool {
+        let texts = self.texts(1);
         let written = timeout(HAND_OVER, self.tools.archive.put_texts(&texts)).await;
         let is_written = matches!(written, Ok(Ok(())));
-        tracing::info!(service = self.service, is_written, "handed_over");
+        if is_written {
+            self.surrender();
+        }
+        tracing::info!(
+            service = self.service,
+            texts = texts.len(),
+            is_written,
+            "handed_over"
+        );
+        is_written
     }
 
     fn texts(&self, least: u64) -> Vec<Text> {
--- a/crates/edge/src/leader.rs
+++ b/crates/edge/src/leader.rs
@@ -21,6 +21,8 @@
 const TICK: Duration = Duration::from_millis(100);
 /// How long a leader has to be unfit before another node takes over.
 const UNFIT: Duration = Duration::from_millis(100);
+/// The time between two tries to hand over without the store.
+const HAND_OVER_RETRY: Duration = Duration::from_millis(300);
 /// How long a candidate must have had the store.
 const SETTLE: Duration = Duration::from_millis(1_300);
 /// The time between the claims of two candidates, so that they do not all write.
@@ -31,6 +33,11 @@
 pub(crate) struct Duties(RefCell<BTreeMap<String, Rc<Conductor>>>);
 
 impl Duties {
+    /// Returns whether the node leads nothing.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.0.borrow().is_empty()
+    }
+
     /// Gives up a service that another node leads by now, and returns its unfinished texts.
     pub(crate) fn surrender(&self, service: &str) -> Vec<Text> {
         let conductor = self.0.borrow().get(service).cloned();
@@ -67,13 +74,28 @@
             self.tools.peers.set_duty(!self.tasks.is_empty());
             sleep(TICK).await;
         }
-        for (service, task) in std::mem::take(&mut self.tasks) {
-            task.abort();
-            let conductor = self.duties.0.borrow_mut().remove(&service);
+        while !self.tasks.is_empty() {
+            self.leave().await;
+            sleep(HAND_OVER_RETRY).await;
+        }
+    }
+
+    /// Hands over what can be handed over now.
+    async fn leave(&mut self) {
+        let services: Vec<String> = self.tasks.keys().cloned().collect();
+        for service in services {
+            let leader = self.tools.known.leader(&service);
+            if leader.is_some_and(|leader| leader.value != self.tools.settings.node) {
+                self.follow(&service);
+                continue;
+            }
+            let conductor = self.duties.0.borrow().get(&service).cloned();
             if let Some(conductor) = conductor {
-                conductor.hand_over().await;
+                if conductor.hand_over().await {
+                    self.resign(&service).await;
+                    self.follow(&service);
+                }
             }
-            self.resign(&service).await;
         }
     }
 
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -175,11 +175,11 @@
         spawn(follow_all(follower));
         spawn(register(tools.clone()));
         spawn(keep_house(tools.clone(), fleet));
-        spawn(Leader::new(tools.clone(), duties).run());
+        spawn(Leader::new(tools.clone(), duties.clone()).run());
         while let Some(Command::Reload(settings)) = commands.recv().await {
             reload(&tools, &settings);
         }
-        drain(&tools, &front, &end).await;
+        drain(&tools, &front, &duties, &end).await;
     }
 }
 
@@ -324,13 +324,17 @@
 }
 
 /// Leaves the service: callers learn of it first, requests under way are finished.
-async fn drain(tools: &Tools, front: &Front, end: &watch::Sender<bool>) {
+async fn drain(tools: &Tools, front: &Front, duties: &Duties, end: &watch::Sender<bool>) {
     let began = clock::now();
     tools.peers.set_leaving();
     tracing::info!(in_flight = front.in_flight.get(), "draining");
     let kept = tools.settings.address_ttl() * KEPT_TTLS;
     let grace = tools.settings.grace().saturating_sub(LAST_MARGIN + FINISH);
     sleep(kept.min(grace)).await;
+    // Without the store a duty can't be handed over yet.
+    while !duties.is_empty() && clock::now().saturating_since(began) < grace {
+        sleep(FINISH / 10).await;
+    }
     end.send_replace(true);
     let until = clock::now() + FINISH;
     while front.in_flight.get() > 0 && clock::now() < until {
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -142,8 +142,8 @@
     pub(crate) fn fronts(&self, region: &str) -> Vec<SocketAddr> {
         let peers = self.peers.borrow();
         let own = self.own.borrow();
-        let live = peers.live(clock::now()).chain([&*own]);
-        let serving: Vec<&Beat> = live.filter(|beat| beat.serving && !beat.leaving).collect();
+        let own = Some(&*own).filter(|own| own.serving && !own.leaving);
+        let serving: Vec<&Beat> = peers.listed(clock::now()).chain(own).collect();
         let near = serving.iter().filter(|beat| beat.region == region);
         let near: Vec<SocketAddr> = near.map(|beat| beat.front).collect();
         if near.is_empty() {
--- a/crates/liveness/src/peers.rs
+++ b/crates/liveness/src/peers.rs
@@ -7,6 +7,10 @@
 
 /// A node without this many beats in a row counts as dead, in quarters of an interval.
 const DEAD_QUARTERS: u32 = 18;
+/// A node without this many beats in a row is not told to callers, in quarters of an interval.
+/// Leaving a live node out for a moment costs less than sending callers to a dead one.
+const UNLISTED_QUARTERS: u32 = 10;
+const UNLISTED: Duration = Duration::from_millis(1_100);
 /// A pause of the process after which its own clock says nothing about its peers.
 const PAUSE: Duration = Duration::from_millis(600);
 /// The number of nodes up to which all beat fast; beyond it the interval grows, so that a node
@@ -42,6 +46,13 @@
         let interval = Duration::from_millis(self.beat.interval_ms);
         now.saturating_since(self.heard) < interval * DEAD_QUARTERS / 4
     }
+
+    fn is_listed(&self, now: Instant) -> bool {
+        let interval = Duration::from_millis(self.beat.interval_ms);
+        let limit = UNLISTED.max(interval * UNLISTED_QUARTERS / 4);
+        let serves = self.beat.serving && !self.beat.leaving;
+        serves && now.saturating_since(self.heard) < limit
+    }
 }
 
 impl Peers {
@@ -119,6 +130,14 @@
             .map(|record| &record.beat)
     }
 
+    /// Returns the other nodes that callers may be sent to.
+    pub fn listed(&self, now: Instant) -> impl Iterator<Item = &Beat> {
+        let records = self.records.values();
+        records
+            .filter(move |record| record.is_listed(now))
+            .map(|record| &record.beat)
+    }
+
     /// Returns whether a node can take or keep a duty.
     pub fn is_fit(&self, node: &str, now: Instant) -> bool {
         let record = self.records.get(node);
--- a/crates/liveness/tests/dead_nodes.rs
+++ b/crates/liveness/tests/dead_nodes.rs
@@ -72,3 +72,15 @@
     assert_eq!(interval(11), FAST_INTERVAL);
     assert_eq!(interval(320), Duration::from_secs(5));
 }
+
+/// Among many nodes, callers were sent to a machine for 7 s after it was gone.
+#[test]
+fn unlisted_early() {
+    let mut peers = Peers::new("me");
+    let mut slow = beat("a", 1, 1);
+    slow.interval_ms = 1_000;
+    peers.on_beat(slow, at(0));
+    assert_eq!(peers.listed(at(2_400)).count(), 1);
+    assert_eq!(peers.listed(at(2_600)).count(), 0);
+    assert!(peers.is_live("a", at(2_600)));
+}
