--- /dev/null
+++ b/crates/client/tests/kept_connections.rs
@@ -0,0 +1,126 @@
+//! Guards against answers of another request, and against connections that are used after
+//! their server closed them.
+
+use bytes::Bytes;
+use dogwoodlb_client::{Client, Error, Settings};
+use hyper::Request;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::thread;
+use std::time::Duration;
+use tokio::task::LocalSet;
+
+/// Runs a server that treats each connection as the script says, one after the other.
+fn server(scripts: Vec<fn(TcpStream)>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for script in scripts {
+            let (stream, _) = listener.accept().unwrap();
+            thread::spawn(move || script(stream));
+        }
+    });
+    address
+}
+
+fn answer(stream: &mut TcpStream, text: &str) -> bool {
+    let mut buffer = [0; 4_096];
+    let read = stream.read(&mut buffer).unwrap_or(0);
+    read > 0 && stream.write_all(text.as_bytes()).is_ok()
+}
+
+fn request() -> Request<Bytes> {
+    Request::builder()
+        .uri("/")
+        .header("host", "h")
+        .body(Bytes::new())
+        .unwrap()
+}
+
+async fn call(client: &Client, address: SocketAddr) -> Result<Bytes, Error> {
+    let answer = client.call(address, request(), Duration::from_secs(10), 1_000);
+    Ok(answer.await?.into_body())
+}
+
+fn block_on<T>(future: impl std::future::Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    LocalSet::new().block_on(&runtime, future)
+}
+
+const ONE: &str = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none";
+
+#[test]
+fn used_again() {
+    let address = server(vec![|mut stream| while answer(&mut stream, ONE) {}]);
+    block_on(async {
+        let client = Client::new(Settings::default());
+        for _ in 0..3 {
+            assert_eq!(call(&client, address).await.unwrap(), "one");
+        }
+        assert_eq!(client.opened(), 1);
+    });
+}
+
+#[test]
+fn stated_time() {
+    let keep: fn(TcpStream) = |mut stream| {
+        let text = "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\nContent-Length: 3\r\n\r\none";
+        while answer(&mut stream, text) {}
+    };
+    let address = server(vec![keep, keep]);
+    block_on(async {
+        let client = Client::new(Settings::default());
+        call(&client, address).await.unwrap();
+        call(&client, address).await.unwrap();
+        assert_eq!(
+            client.opened(),
+            2,
+            "the server is about to close the first one"
+        );
+    });
+}
+
+/// Bytes after a whole answer belong to no request.
+#[test]
+fn extra_bytes() {
+    let extra: fn(TcpStream) = |mut stream| {
+        let text = format!("{ONE}HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\ntwo");
+        while answer(&mut stream, &text) {}
+    };
+    let address = server(vec![extra, extra, extra]);
+    block_on(async {
+        let client = Client::new(Settings::default());
+        for _ in 0..3 {
+            assert_eq!(call(&client, address).await.unwrap(), "one");
+        }
+    });
+}
+
+#[test]
+fn broken_answer() {
+    let address = server(vec![|mut stream| {
+        answer(
+            &mut stream,
+            "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\none",
+        );
+    }]);
+    let outcome = block_on(async { call(&Client::new(Settings::default()), address).await });
+    assert!(matches!(outcome, Err(Error::Broken { .. })), "{outcome:?}");
+    assert!(
+        !outcome.unwrap_err().is_unsent(),
+        "the server has seen the request"
+    );
+}
+
+#[test]
+fn nobody_listens() {
+    let address = TcpListener::bind("127.0.0.1:0")
+        .unwrap()
+        .local_addr()
+        .unwrap();
+    let outcome = block_on(async { call(&Client::new(Settings::default()), address).await });
+    assert!(outcome.unwrap_err().is_unsent());
+}
--- a/crates/edge/src/leader.rs
+++ b/crates/edge/src/leader.rs
@@ -7,6 +7,7 @@
 use crate::clock;
 use crate::conductor::Conductor;
 use crate::storage::{self, SHARED};
+use crate::sweep;
 use crate::tools::Tools;
 use dogwoodlb_batch::Text;
 use dogwoodlb_external::store::{Outcome, Txn};
@@ -135,7 +136,11 @@
         let inherited = self.inherited.remove(service).unwrap_or_default();
         tracing::info!(service, inherited = inherited.len(), "leading");
         let conductor = Rc::new(Conductor::new(service, self.tools.clone(), inherited));
-        let task = tokio::task::spawn_local(conductor.clone().run());
+        let sweep = sweep::run(self.tools.clone(), service.to_owned());
+        let run = conductor.clone().run();
+        let task = tokio::task::spawn_local(async move {
+            tokio::join!(run, sweep);
+        });
         self.tasks.insert(service.to_owned(), task.abort_handle());
         let mut duties = self.duties.0.borrow_mut();
         duties.insert(service.to_owned(), conductor);
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod settings;
 mod storage;
 mod submit;
+mod sweep;
 mod tools;
 
 pub use dialect::Dialect;
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -133,6 +133,11 @@
         Duration::from_millis(self.order_lease_ms)
     }
 
+    /// Returns how long results are kept after the submission.
+    pub(crate) fn results(&self) -> Duration {
+        Duration::from_secs_f64(self.results_s)
+    }
+
     /// Returns the share of a processor core in thousandths.
     pub(crate) fn power(&self) -> u32 {
         (self.cpu_share * 1e3) as u32
