Count a pause of the process from the expected tick

Cause: a node takes a gap of 0.6 s between its own ticks for a pause, and credits it to its peers. Change: the gap counts from the time at which the next tick was due. Measured: dead_nodes::slow_ticks fails before (1 listed, 0 expected), passes after.

--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -157,7 +157,6 @@
     pub(crate) async fn beat(&self, socket: &UdpSocket, storage: &Storage, known: &Known) {
         loop {
             let now = clock::now();
-            self.peers.borrow_mut().tick(now);
             let (frame, targets, pause) = {
                 let peers = self.peers.borrow();
                 let targets: Vec<SocketAddr> = peers.targets().collect();
@@ -175,6 +174,7 @@
                 own.serving = known.config().is_some();
                 (postcard::to_stdvec(&*own), targets, pause)
             };
+            self.peers.borrow_mut().tick(now, pause);
             match frame {
                 Ok(frame) => {
                     for target in targets {
--- a/crates/liveness/src/peers.rs
+++ b/crates/liveness/src/peers.rs
@@ -32,7 +32,7 @@
     /// Where unheard nodes may listen.
     contacts: BTreeMap<SocketAddr, Instant>,
     records: BTreeMap<String, Record>,
-    last_tick: Option<Instant>,
+    next_tick: Option<Instant>,
 }
 
 #[derive(Clone, Debug)]
@@ -62,7 +62,7 @@
             me: me.to_owned(),
             contacts: BTreeMap::new(),
             records: BTreeMap::new(),
-            last_tick: None,
+            next_tick: None,
         }
     }
 
@@ -91,10 +91,11 @@
         is_new
     }
 
-    /// Advances the time, so that a pause of this process is not counted against its peers.
-    pub fn tick(&mut self, now: Instant) {
-        let gap = now.saturating_since(self.last_tick.unwrap_or(now));
-        self.last_tick = Some(now);
+    /// Advances the time; the next call is expected after `interval`. A pause of this process
+    /// is not counted against its peers.
+    pub fn tick(&mut self, now: Instant, interval: Duration) {
+        let gap = now.saturating_since(self.next_tick.unwrap_or(now));
+        self.next_tick = Some(now + interval);
         if gap > PAUSE {
             for record in self.records.values_mut() {
                 record.heard = record.heard + gap;
--- a/crates/liveness/tests/dead_nodes.rs
+++ b/crates/liveness/tests/dead_nodes.rs
@@ -49,8 +49,8 @@
 fn own_pause() {
     let mut peers = Peers::new("me");
     peers.on_beat(beat("a", 1, 1), at(0));
-    peers.tick(at(100));
-    peers.tick(at(5_000));
+    peers.tick(at(100), FAST_INTERVAL);
+    peers.tick(at(5_000), FAST_INTERVAL);
     assert!(
         peers.is_live("a", at(5_000)),
         "nothing could be heard during the pause"
@@ -84,3 +84,16 @@
     assert_eq!(peers.listed(at(2_600)).count(), 0);
     assert!(peers.is_live("a", at(2_600)));
 }
+
+/// With an interval over the length of a pause, every tick counted as a pause, and no node ever
+/// died.
+#[test]
+fn slow_ticks() {
+    let mut peers = Peers::new("me");
+    peers.on_beat(beat("a", 1, 1), at(0));
+    for second in 0..10 {
+        peers.tick(at(second * 1_000), Duration::from_secs(1));
+    }
+    assert_eq!(peers.listed(at(9_000)).count(), 0);
+    assert!(!peers.is_live("a", at(9_000)));
+}
