--- a/crates/batch/src/head.rs
+++ b/crates/batch/src/head.rs
@@ -1,4 +1,4 @@
-use crate::{Error, Result};
+use crate::Record;
 use serde::{Deserialize, Serialize};
 
 /// The row that says how far a batch is; every write about the batch is conditional on it.
@@ -29,24 +29,8 @@
     pub fn is_open(&self) -> bool {
         !self.ended && self.listed < self.items
     }
+}
 
-    /// Encodes the head for the store.
-    ///
-    /// # Errors
-    ///
-    /// [`Error::Encode`] if the codec refuses.
-    pub fn to_vec(&self) -> Result<Vec<u8>> {
-        let what = "head of a batch";
-        postcard::to_stdvec(self).map_err(|cause| Error::Encode { what, cause })
-    }
-
-    /// Decodes a stored head.
-    ///
-    /// # Errors
-    ///
-    /// [`Error::Decode`] if the bytes are not a head.
-    pub fn from_slice(bytes: &[u8]) -> Result<Self> {
-        let what = "head of a batch";
-        postcard::from_bytes(bytes).map_err(|cause| Error::Decode { what, cause })
-    }
+impl Record for Head {
+    const WHAT: &'static str = "head of a batch";
 }
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -8,7 +8,7 @@
 //! # Examples
 //!
 //! ```
-//! use dogwoodlb_batch::{parts, Item, Submission};
+//! use dogwoodlb_batch::{parts, Item, Record, Submission};
 //!
 //! let submission = Submission {
 //!     id: "b1".into(),
@@ -30,6 +30,7 @@
 pub mod parts;
 mod planner;
 mod progress;
+mod record;
 mod replica;
 mod submission;
 mod work;
@@ -39,6 +40,7 @@
 pub use outcome::{Outcome, State};
 pub use planner::{Action, Open, Planner, Stop};
 pub use progress::{Progress, Text};
+pub use record::Record;
 pub use replica::{Replica, View};
 pub use submission::{Item, Scorer, Submission};
 pub use work::WorkId;
--- a/crates/batch/src/outcome.rs
+++ b/crates/batch/src/outcome.rs
@@ -1,4 +1,4 @@
-use crate::{Error, Result};
+use crate::Record;
 use serde::{Deserialize, Serialize};
 
 /// The result of an item, as it is listed at its position.
@@ -28,24 +28,6 @@
     Abandoned,
 }
 
-impl Outcome {
-    /// Encodes the outcome for the store.
-    ///
-    /// # Errors
-    ///
-    /// [`Error::Encode`] if the codec refuses.
-    pub fn to_vec(&self) -> Result<Vec<u8>> {
-        let what = "outcome";
-        postcard::to_stdvec(self).map_err(|cause| Error::Encode { what, cause })
-    }
-
-    /// Decodes a stored outcome.
-    ///
-    /// # Errors
-    ///
-    /// [`Error::Decode`] if the bytes are not an outcome.
-    pub fn from_slice(bytes: &[u8]) -> Result<Self> {
-        let what = "outcome";
-        postcard::from_bytes(bytes).map_err(|cause| Error::Decode { what, cause })
-    }
+impl Record for Outcome {
+    const WHAT: &'static str = "outcome";
 }
--- a/crates/batch/src/progress.rs
+++ b/crates/batch/src/progress.rs
@@ -1,3 +1,4 @@
+use crate::Record;
 use serde::{Deserialize, Serialize};
 
 /// What has been generated of an item.
@@ -50,3 +51,7 @@
     /// The text so far.
     pub progress: Progress,
 }
+
+impl Record for Text {
+    const WHAT: &'static str = "text";
+}
--- /dev/null
+++ b/crates/batch/src/record.rs
@@ -0,0 +1,29 @@
+use crate::{Error, Result};
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+
+/// A value that the store keeps.
+pub trait Record: DeserializeOwned + Serialize {
+    /// What the value is called in errors.
+    const WHAT: &'static str;
+
+    /// Encodes the value for the store.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Encode`] if the codec refuses.
+    fn to_vec(&self) -> Result<Vec<u8>> {
+        let what = Self::WHAT;
+        postcard::to_stdvec(self).map_err(|cause| Error::Encode { what, cause })
+    }
+
+    /// Decodes a stored value.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Decode`] if the bytes are no such value.
+    fn from_slice(bytes: &[u8]) -> Result<Self> {
+        let what = Self::WHAT;
+        postcard::from_bytes(bytes).map_err(|cause| Error::Decode { what, cause })
+    }
+}
--- a/crates/batch/src/submission.rs
+++ b/crates/batch/src/submission.rs
@@ -1,4 +1,4 @@
-use crate::{Error, Result};
+use crate::Record;
 use serde::{Deserialize, Serialize};
 
 /// A batch as its trainer submitted it.
@@ -56,24 +56,6 @@
     pub body: Vec<u8>,
 }
 
-impl Submission {
-    /// Encodes the submission for the store.
-    ///
-    /// # Errors
-    ///
-    /// [`Error::Encode`] if the codec refuses.
-    pub fn to_vec(&self) -> Result<Vec<u8>> {
-        let what = "submission";
-        postcard::to_stdvec(self).map_err(|cause| Error::Encode { what, cause })
-    }
-
-    /// Decodes a stored submission.
-    ///
-    /// # Errors
-    ///
-    /// [`Error::Decode`] if the bytes are not a submission.
-    pub fn from_slice(bytes: &[u8]) -> Result<Self> {
-        let what = "submission";
-        postcard::from_bytes(bytes).map_err(|cause| Error::Decode { what, cause })
-    }
+impl Record for Submission {
+    const WHAT: &'static str = "submission";
 }
--- a/crates/edge/src/archive.rs
+++ b/crates/edge/src/archive.rs
@@ -3,7 +3,7 @@
 use crate::cache::Cache;
 use crate::known::{Known, Stored};
 use crate::storage::{self, Storage, BODIES, OUTCOMES, SHARED, TEXTS};
-use dogwoodlb_batch::{parts, Head, Outcome, Submission, Text};
+use dogwoodlb_batch::{parts, Head, Outcome, Record, Submission, Text};
 use dogwoodlb_external::store::{Range, Row, Txn};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -19,8 +19,6 @@
     Store(#[from] dogwoodlb_external::Error),
     #[error(transparent)]
     Batch(#[from] dogwoodlb_batch::Error),
-    #[error("a text can't be encoded: {0}")]
-    Codec(#[from] postcard::Error),
     #[error("part {part} of batch {batch} is missing")]
     Missing { batch: String, part: u32 },
 }
@@ -115,7 +113,7 @@
     /// Returns the texts that an earlier owner left of unfinished items.
     pub(crate) async fn texts(&self, batch: &str) -> Result<Vec<Text>, Error> {
         let rows = self.storage.list(TEXTS, &format!("{batch}/")).await?;
-        let decode = |row: &Row| match postcard::from_bytes(&row.value) {
+        let decode = |row: &Row| match Text::from_slice(&row.value) {
             Ok(text) => Some(text),
             Err(error) => {
                 tracing::error!(key = row.key, %error, "text_refused");
@@ -130,7 +128,7 @@
         let mut txn = Txn::default();
         let mut bytes = 0;
         for text in texts {
-            let value = postcard::to_stdvec(text)?;
+            let value = text.to_vec()?;
             if value.len() > parts::PART_BYTES {
                 continue;
             }
--- a/crates/edge/src/conductor.rs
+++ b/crates/edge/src/conductor.rs
@@ -8,7 +8,7 @@
 use crate::run::Guards;
 use crate::storage::{self, SHARED};
 use crate::tools::Tools;
-use dogwoodlb_batch::{Action, Head, Open, Planner, Submission, Text, View};
+use dogwoodlb_batch::{Action, Head, Open, Planner, Record, Submission, Text, View};
 use dogwoodlb_config::{Engine, Route};
 use dogwoodlb_external::store::{self, Txn};
 use dogwoodlb_types::Instant;
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -5,7 +5,7 @@
 use crate::known::{Known, Named};
 use crate::peers::Peers;
 use crate::storage::{Storage, SHARED};
-use dogwoodlb_batch::Head;
+use dogwoodlb_batch::{Head, Record};
 use dogwoodlb_external::store::{Change, Range, Row};
 use dogwoodlb_mirror::{Mirror, Next};
 use std::cell::RefCell;
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -11,7 +11,7 @@
 use dogwoodlb_config::{Kind, Route, Snapshot};
 use dogwoodlb_route::Outcome;
 use dogwoodlb_types::{id, Instant};
-use http_body_util::{BodyExt, Limited, StreamBody};
+use http_body_util::StreamBody;
 use hyper::body::{Body as _, Frame, Incoming};
 use hyper::header::{HeaderValue, CONTENT_LENGTH, HOST};
 use hyper::http::request::Parts;
@@ -99,13 +99,10 @@
             return self.pass(&job, body).await;
         }
         let limit = config.limits().body_bytes;
-        match timeout(wait, Limited::new(body, limit).collect()).await {
-            Ok(Ok(body)) => job.body = body.to_bytes(),
-            Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-                return reply::status(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
-            }
-            _ => return reply::refusal("the body did not arrive", COME_BACK),
-        }
+        job.body = match reply::read_body(body, limit, wait).await {
+            Ok(body) => body,
+            Err(refusal) => return refusal,
+        };
         let served = timeout(wait, self.attempts(&job)).await;
         served.unwrap_or_else(|_| {
             self.log(&job, "timeout", 0);
--- a/crates/edge/src/lister.rs
+++ b/crates/edge/src/lister.rs
@@ -5,7 +5,7 @@
 use crate::known::Known;
 use crate::metrics::Metrics;
 use crate::storage::{self, Storage, OUTCOMES, SHARED};
-use dogwoodlb_batch::{parts, Head, Outcome, State};
+use dogwoodlb_batch::{parts, Head, Outcome, Record, State};
 use dogwoodlb_external::store::{self, Row, Txn};
 use std::cell::RefCell;
 use std::collections::{BTreeSet, VecDeque};
--- a/crates/edge/src/reply.rs
+++ b/crates/edge/src/reply.rs
@@ -1,12 +1,17 @@
 //! The answers that the node gives itself.
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
 use hyper::header::{HeaderValue, CONTENT_TYPE, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 use std::convert::Infallible;
 use std::pin::Pin;
 use std::time::Duration;
+use tokio::time::timeout;
+
+/// When a caller whose body did not arrive should come back.
+const COME_BACK: Duration = Duration::from_millis(100);
 
 /// The body of an answer; its error breaks the connection, so that the caller can't take a
 /// part for the whole.
@@ -45,3 +50,19 @@
     response.headers_mut().insert(CONTENT_TYPE, json);
     response
 }
+
+/// Reads the body of a request, or returns the refusal: nothing was executed.
+pub(crate) async fn read_body(
+    body: Incoming,
+    limit: usize,
+    wait: Duration,
+) -> Result<Bytes, Response<Body>> {
+    match timeout(wait, Limited::new(body, limit).collect()).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(status(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "the body is too large",
+        )),
+        _ => Err(refusal("the body did not arrive", COME_BACK)),
+    }
+}
--- a/crates/edge/src/submit.rs
+++ b/crates/edge/src/submit.rs
@@ -9,16 +9,15 @@
 use crate::reply::{self, Body};
 use crate::storage::{self, Storage, BODIES, SHARED};
 use bytes::Bytes;
-use dogwoodlb_batch::{parts, Head, Submission};
+use dogwoodlb_batch::{parts, Head, Record, Submission};
 use dogwoodlb_config::{Route, Snapshot};
 use dogwoodlb_external::store::{Outcome, Row, Txn};
 use dogwoodlb_types::Instant;
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 /// How long a caller waits who does not say.
 const DEFAULT_WAIT: Duration = Duration::from_secs(5);
@@ -87,12 +86,9 @@
             return accepted();
         }
         let limit = config.limits().body_bytes;
-        let body = match timeout(wait, Limited::new(body, limit).collect()).await {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-                return reply::status(StatusCode::PAYLOAD_TOO_LARGE, "the batch is too large");
-            }
-            _ => return reply::refusal("the batch did not arrive", COME_BACK),
+        let body = match reply::read_body(body, limit, wait).await {
+            Ok(body) => body,
+            Err(refusal) => return refusal,
         };
         let path = head.uri.path();
         let submission = match self.dialect.submission(id, host, path, &body) {
--- a/crates/weights/src/plan.rs
+++ b/crates/weights/src/plan.rs
@@ -57,24 +57,21 @@
     behind.retain(|one| !one.busy);
     behind.sort_by_key(|one| (one.version, one.running, one.replica.clone()));
     // Those that are loading count as done.
-    let mut newest = holdings.len() - behind.len();
-    let mut loads = wish.loads;
+    let done = holdings.len() - behind.len();
     let mut choices = Vec::new();
-    for holding in behind {
+    for (turn, holding) in behind.into_iter().enumerate() {
         let useless = holding.version < wish.min_version || holding.version + 1 < wish.newest;
         let need = if useless {
             Need::Useless
-        } else if newest * 2 < holdings.len() {
+        } else if (done + turn) * 2 < holdings.len() {
             Need::Half
-        } else if !wish.waiting && loads < wish.free_loads {
+        } else if !wish.waiting && wish.loads + turn < wish.free_loads {
             Need::Spare
         } else {
             break;
         };
         let replica = holding.replica.clone();
         choices.push(Choice { replica, need });
-        newest += 1;
-        loads += 1;
     }
     choices
 }
