Go on refusing for a second after the last request of a drain

Cause: in the phase Refusing the node released its leases and exited as soon as no request was in flight. A caller between an answer and its next request then met a closed port instead of the code leaving. The test passed as long as the four customers' answers overlapped; a slow machine ends all of them before one sends its next request.

Ruled out: a cut answer (the request was never admitted), the 30 s time limit of the client (the test ended within seconds).

Change: Drain keeps refusing for 1 s after the last request in flight ended, also when the leases are released earlier. The core's new test callers_between_requests guards against the early exit without processes.

--- a/crates/dogwoodlb/tests/processes/graceful_drain.rs
+++ b/crates/dogwoodlb/tests/processes/graceful_drain.rs
@@ -3,10 +3,20 @@
 use crate::cluster::Cluster;
 use rustix::process::Signal;
 use std::thread;
+use std::time::Duration;
 
-/// Guards against requests that are cut by a shutdown, and against callers with a cached
-/// address that are refused too early: customers call the node without a pause from before
-/// the signal until it refuses them, and a trainer runs meanwhile.
+/// How long each customer waits between an answer and its next request. A customer that is
+/// between two requests when the last one in flight ends must still get a refusal.
+const PAUSES: [Duration; 4] = [
+    Duration::ZERO,
+    Duration::ZERO,
+    Duration::from_millis(100),
+    Duration::from_millis(400),
+];
+
+/// Guards against requests that are cut by a shutdown, against callers with a cached address
+/// that are refused too early, and against an exit before a caller was refused: customers call
+/// the node from before the signal until it refuses them, and a trainer runs meanwhile.
 #[test]
 fn nothing_cut() {
     let mut cluster = Cluster::start("graceful-drain", 2);
@@ -15,7 +25,7 @@
     let address = cluster.nodes[0].address;
     node.signal(Signal::TERM);
     thread::scope(|scope| {
-        for customer in 0..4 {
+        for (customer, pause) in (0..).zip(PAUSES) {
             let cluster = &cluster;
             scope.spawn(move || {
                 for number in 0.. {
@@ -30,6 +40,7 @@
                         break;
                     }
                     assert!(answer.text.ends_with("data: [DONE]\n\n"), "{}", answer.text);
+                    thread::sleep(pause);
                 }
             });
         }
--- a/crates/member/src/drain.rs
+++ b/crates/member/src/drain.rs
@@ -7,6 +7,10 @@
 /// Longer than the longest deadline of a request, 110 s, so that no request is interrupted.
 const MAX_WAIT: Duration = Duration::from_secs(120);
 
+/// A caller that was between two requests when the last one in flight ended still reaches the
+/// node within this time, and learns from the refusal that it must use another address.
+const REFUSAL_TIME: Duration = Duration::from_secs(1);
+
 /// A lease that can't be released, as during a store outage, expires on its own.
 const RELEASE_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -19,7 +23,7 @@
     Unlisted,
     /// New requests are refused, and requests in flight are finished.
     Refusing,
-    /// No request is in flight, and leases are being released.
+    /// No request is in flight, leases are being released, and new requests are refused.
     Draining,
     /// The process may exit.
     Stopped,
@@ -56,7 +60,9 @@
 /// assert_eq!(drain.tick(at(5_999), 3), []);
 /// assert_eq!(drain.tick(at(6_000), 3), [Step::Refuse]);
 /// assert_eq!(drain.tick(at(9_000), 0), [Step::ReleaseLeases]);
-/// assert_eq!(drain.on_released(), [Step::Exit { interrupted: 0 }]);
+/// drain.on_released();
+/// assert_eq!(drain.tick(at(9_999), 0), []);
+/// assert_eq!(drain.tick(at(10_000), 0), [Step::Exit { interrupted: 0 }]);
 /// assert_eq!(drain.phase(), Phase::Stopped);
 /// ```
 #[derive(Clone, Debug)]
@@ -65,6 +71,7 @@
     phase: Phase,
     since: Instant,
     interrupted: usize,
+    released: bool,
 }
 
 impl Drain {
@@ -75,6 +82,7 @@
             phase: Phase::Serving,
             since: Instant::from_millis(0),
             interrupted: 0,
+            released: false,
         }
     }
 
@@ -102,17 +110,23 @@
                 self.enter(Phase::Draining, now);
                 vec![Step::ReleaseLeases]
             }
-            Phase::Draining if now.saturating_since(self.since) >= RELEASE_TIMEOUT => self.stop(),
+            Phase::Draining => {
+                let limit = match self.released {
+                    true => REFUSAL_TIME,
+                    false => RELEASE_TIMEOUT,
+                };
+                match now.saturating_since(self.since) >= limit {
+                    true => self.stop(),
+                    false => Vec::new(),
+                }
+            }
             _ => Vec::new(),
         }
     }
 
-    /// Reports that all leases were released.
-    pub fn on_released(&mut self) -> Vec<Step> {
-        match self.phase {
-            Phase::Draining => self.stop(),
-            _ => Vec::new(),
-        }
+    /// Reports that all leases were released; without effect before [`Step::ReleaseLeases`].
+    pub fn on_released(&mut self) {
+        self.released |= self.phase == Phase::Draining;
     }
 
     /// Returns how far the shutdown has come.
--- a/crates/member/tests/drain_phases.rs
+++ b/crates/member/tests/drain_phases.rs
@@ -30,14 +30,27 @@
     let mut drain = refusing();
     assert_eq!(drain.phase(), Phase::Refusing);
     assert_eq!(drain.tick(at(6_050), 1), []);
-    assert_eq!(drain.on_released(), []);
+    drain.on_released();
     assert_eq!(drain.tick(at(6_000 + 110_000), 1), []);
-    assert_eq!(drain.tick(at(6_000 + 110_001), 0), [Step::ReleaseLeases]);
-    assert_eq!(drain.on_released(), [Step::Exit { interrupted: 0 }]);
-    assert_eq!(drain.on_released(), []);
+    assert_eq!(drain.tick(at(116_001), 0), [Step::ReleaseLeases]);
+    drain.on_released();
+    assert_eq!(drain.tick(at(117_001), 0), [Step::Exit { interrupted: 0 }]);
+    drain.on_released();
     assert_eq!(drain.tick(at(500_000), 0), []);
 }
 
+/// An exit as soon as the last request in flight ends gives a caller that is between two
+/// requests a refused connection instead of the code `leaving`.
+#[test]
+fn callers_between_requests() {
+    let mut drain = refusing();
+    assert_eq!(drain.tick(at(7_000), 0), [Step::ReleaseLeases]);
+    drain.on_released();
+    assert_eq!(drain.tick(at(7_999), 0), []);
+    assert!(drain.is_refusing());
+    assert_eq!(drain.tick(at(8_000), 0), [Step::Exit { interrupted: 0 }]);
+}
+
 /// Neither a stuck request nor an unavailable store keeps the process from exiting.
 #[test]
 fn bounded_waits() {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -111,14 +111,14 @@
                 .requests
                 .load(Ordering::SeqCst)
                 .max(self.server.in_flight());
-            let mut steps = std::mem::take(&mut *lock(&self.shared.begun));
-            steps.extend(lock(&self.shared.drain).tick(now, in_flight));
             let released = lock(&self.shared.keepers)
                 .iter()
                 .all(|one| Keeper::is_released(one));
             if released && self.shared.releasing.load(Ordering::SeqCst) {
-                steps.extend(lock(&self.shared.drain).on_released());
+                lock(&self.shared.drain).on_released();
             }
+            let mut steps = std::mem::take(&mut *lock(&self.shared.begun));
+            steps.extend(lock(&self.shared.drain).tick(now, in_flight));
             for step in steps {
                 if let Some(interrupted) = self.carry_out(step) {
                     return interrupted;
