--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -94,20 +94,62 @@
 #[argh(subcommand, name = "status")]
 pub(crate) struct Status {}
 
-/// Writes the events of all listed nodes in causal order.
+/// Writes the events of all listed nodes in causal order, or merges log files by time.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "timeline")]
 pub(crate) struct Timeline {
+    /// a file with the log of one process, instead of asking nodes; may be repeated
+    #[argh(option)]
+    pub(crate) log: Vec<String>,
     /// only events of this request
     #[argh(option)]
     pub(crate) request: Option<String>,
-    /// only events of this sample, as `trainer/step/group/index`
+    /// only events of this sample, as `trainer/step/group/index`; not with --log
     #[argh(option)]
     pub(crate) sample: Option<String>,
-    /// only events of this trainer
+    /// only events of this trainer; not with --log
     #[argh(option)]
     pub(crate) trainer: Option<String>,
-    /// only events of this lease
+    /// only events of this lease; not with --log
     #[argh(option)]
     pub(crate) lease: Option<String>,
+    /// only lines of this batch; with --log
+    #[argh(option)]
+    pub(crate) batch: Option<String>,
+    /// only lines of this item; with --log
+    #[argh(option)]
+    pub(crate) item: Option<String>,
+    /// only lines of this replica; with --log
+    #[argh(option)]
+    pub(crate) replica: Option<String>,
+    /// only lines of this service; with --log
+    #[argh(option)]
+    pub(crate) service: Option<String>,
+    /// only lines of this process, or about it as a holder; with --log
+    #[argh(option)]
+    pub(crate) holder: Option<String>,
+}
+
+impl Timeline {
+    /// Returns the first filter that the source of the events doesn't have.
+    pub(crate) fn misplaced(&self) -> Option<&'static str> {
+        let events = [
+            ("--sample", &self.sample),
+            ("--trainer", &self.trainer),
+            ("--lease", &self.lease),
+        ];
+        let lines = [
+            ("--batch", &self.batch),
+            ("--item", &self.item),
+            ("--replica", &self.replica),
+            ("--service", &self.service),
+            ("--holder", &self.holder),
+        ];
+        let unknown = match self.log.is_empty() {
+            true => &lines[..],
+            false => &events[..],
+        };
+        let given = unknown.iter().find(|(_, value)| value.is_some());
+        given.map(|(name, _)| *name)
+    }
 }
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -19,6 +19,7 @@
 mod drain;
 mod error;
 mod file;
+mod lines;
 mod node;
 mod output;
 mod remote;
--- /dev/null
+++ b/crates/ctl/src/lines.rs
@@ -0,0 +1,177 @@
+//! Log lines of several processes: `key=value` pairs, merged by time.
+
+use crate::error::{Category, Error};
+use crate::output::Output;
+use crate::{args, Result};
+use serde_json::{json, Map, Value};
+use std::fs::File;
+use std::io::{BufRead, BufReader};
+use std::path::Path;
+
+/// The key of the line that a process writes first, which has its name.
+const STARTED: &str = "started";
+
+/// One log line of one process.
+struct Line {
+    time: String,
+    process: String,
+    fields: Vec<(String, String)>,
+}
+
+/// Merges the files' lines that match the filters.
+pub(crate) fn run(args: &args::Timeline, output: &mut Output<'_>) -> Result<()> {
+    let mut lines = Vec::new();
+    for path in &args.log {
+        let others = read(path, args, &mut lines)?;
+        if others > 0 {
+            output.note(&format!("{others} lines of {path} are no log lines"));
+        }
+    }
+    // The sort is stable, so that lines of one time keep the order of their process.
+    lines.sort_by(|a, b| a.moment().cmp(b.moment()));
+    let events: Vec<_> = lines.iter().map(Line::to_json).collect();
+    output.write(&json!({ "events": events }), || {
+        let lines = lines.iter().map(Line::to_text);
+        lines.collect::<Vec<_>>().join("\n")
+    });
+    Ok(())
+}
+
+/// Adds the matching lines of a file and returns how many of its lines are no log lines.
+fn read(path: &str, args: &args::Timeline, lines: &mut Vec<Line>) -> Result<usize> {
+    let failed = |error| {
+        let advice = "Name a file with the standard output of one process.";
+        Error::new(Category::Usage, "cannot read the log", path, error, advice)
+    };
+    let stem = Path::new(path).file_stem().unwrap_or_default();
+    let mut process = stem.to_string_lossy().into_owned();
+    let mut time = String::new();
+    let mut others = 0;
+    let mut reader = BufReader::new(File::open(path).map_err(failed)?);
+    let mut bytes = Vec::new();
+    while reader.read_until(b'\n', &mut bytes).map_err(failed)? > 0 {
+        // A killed process may leave half a character behind.
+        let fields = fields(String::from_utf8_lossy(&bytes).trim_end());
+        bytes.clear();
+        let Some(fields) = fields else {
+            others += 1;
+            continue;
+        };
+        let get = |wanted| fields.iter().find(|(key, _)| key == wanted);
+        // The count of left out lines has no time of its own.
+        if let Some((_, stamp)) = get("ts") {
+            time.clone_from(stamp);
+        }
+        let is_start = get("message").is_some_and(|(_, value)| value == STARTED);
+        if let (true, Some((_, name))) = (is_start, get("node")) {
+            process.clone_from(name);
+        }
+        let line = Line {
+            time: time.clone(),
+            process: process.clone(),
+            fields,
+        };
+        if line.matches(args) {
+            lines.push(line);
+        }
+    }
+    Ok(others)
+}
+
+impl Line {
+    fn get(&self, wanted: &str) -> Option<&str> {
+        let field = self.fields.iter().find(|(key, _)| key == wanted);
+        field.map(|(_, value)| value.as_str())
+    }
+
+    /// The time in an order of text: all times are UTC, and their fractions differ in length.
+    fn moment(&self) -> &str {
+        self.time.trim_end_matches('Z')
+    }
+
+    fn matches(&self, args: &args::Timeline) -> bool {
+        let filters = [
+            ("request", &args.request),
+            ("batch", &args.batch),
+            ("item", &args.item),
+            ("replica", &args.replica),
+            ("service", &args.service),
+        ];
+        let holds = |key, wanted: &Option<String>| match wanted {
+            Some(wanted) => self.get(key) == Some(wanted),
+            None => true,
+        };
+        // What others say of a process counts as well as what it says itself.
+        let is_holder = match &args.holder {
+            Some(holder) => self.process == *holder || self.get("node") == Some(holder),
+            None => true,
+        };
+        is_holder && filters.iter().all(|(key, wanted)| holds(key, wanted))
+    }
+
+    fn shown(&self) -> impl Iterator<Item = &(String, String)> {
+        self.fields.iter().filter(|(key, _)| key != "ts")
+    }
+
+    fn to_json(&self) -> Value {
+        let mut object = Map::new();
+        object.insert("ts".to_owned(), json!(self.time));
+        object.insert("process".to_owned(), json!(self.process));
+        for (key, value) in self.shown() {
+            object.insert(key.clone(), json!(value));
+        }
+        Value::Object(object)
+    }
+
+    fn to_text(&self) -> String {
+        let mut text = format!("{} {}", self.time, self.process);
+        for (key, value) in self.shown() {
+            match value.contains([' ', '"', '=']) {
+                true => text.push_str(&format!(" {key}={value:?}")),
+                false => text.push_str(&format!(" {key}={value}")),
+            }
+        }
+        text
+    }
+}
+
+/// Splits a line into its pairs; returns nothing if it has none or one is malformed.
+fn fields(line: &str) -> Option<Vec<(String, String)>> {
+    let mut fields = Vec::new();
+    let mut rest = line;
+    while !rest.is_empty() {
+        let (key, after) = rest.split_once('=')?;
+        if key.is_empty() || key.contains([' ', '"']) {
+            return None;
+        }
+        let (value, after) = match after.strip_prefix('"') {
+            Some(quoted) => unquote(quoted)?,
+            None => {
+                let (value, after) = after.split_once(' ').unwrap_or((after, ""));
+                (value.to_owned(), after)
+            }
+        };
+        fields.push((key.to_owned(), value));
+        rest = after.trim_start_matches(' ');
+    }
+    (!fields.is_empty()).then_some(fields)
+}
+
+/// Returns the text up to the closing quote, and what follows it.
+fn unquote(quoted: &str) -> Option<(String, &str)> {
+    let mut text = String::new();
+    let mut letters = quoted.char_indices();
+    while let Some((at, letter)) = letters.next() {
+        match letter {
+            '"' => return Some((text, &quoted[at + 1..])),
+            '\\' => match letters.next()?.1 {
+                'n' => text.push('\n'),
+                't' => text.push('\t'),
+                'r' => text.push('\r'),
+                other => text.push(other),
+            },
+            _ => text.push(letter),
+        }
+    }
+    None
+}
--- a/crates/ctl/src/timeline.rs
+++ b/crates/ctl/src/timeline.rs
@@ -1,4 +1,6 @@
 use crate::args;
+use crate::error::{Category, Error};
+use crate::lines;
 use crate::node;
 use crate::output::Output;
 use crate::remote::Remote;
@@ -39,6 +41,19 @@
     remote: &dyn Remote,
     output: &mut Output<'_>,
 ) -> Result<()> {
+    if let Some(filter) = args.misplaced() {
+        let advice = "Events of nodes have trainers, samples and leases; log lines the rest.";
+        return Err(Error::new(
+            Category::Usage,
+            "filter refused",
+            "timeline",
+            format!("{filter} doesn't fit the source of the events"),
+            advice,
+        ));
+    }
+    if !args.log.is_empty() {
+        return lines::run(args, output);
+    }
     let targets = node::targets(remote, nodes)?;
     let answers = node::ask::<Answer>(remote, &targets, "/v1/timeline");
     need_answer(&targets, &answers)?;
