--- a/crates/batch/src/planner.rs
+++ b/crates/batch/src/planner.rs
@@ -337,13 +337,6 @@
         batch.is_some_and(|batch| work.failures >= batch.max_attempts)
     }
 
-    /// Throws away the text of a work, because it turned out not to be usable.
-    pub fn reset(&mut self, id: WorkId) {
-        if let Some(work) = self.works.get_mut(&id) {
-            work.progress = Progress::default();
-        }
-    }
-
     /// Uses a text that another node had, if it is longer than what is known.
     pub fn restore(&mut self, id: WorkId, text: &Text) {
         let Some(work) = self.works.get_mut(&id) else {
--- a/crates/config/src/route.rs
+++ b/crates/config/src/route.rs
@@ -72,10 +72,4 @@
         let usable = self.split.iter().rev().find(|(_, weight)| *weight > 0);
         usable.map(|(service, _)| service.as_str())
     }
-
-    /// Returns whether a request may be sent to a service.
-    pub fn allows(&self, service: &str) -> bool {
-        let mut services = self.split.iter();
-        services.any(|(name, weight)| name == service && *weight > 0)
-    }
 }
--- a/crates/config/src/snapshot.rs
+++ b/crates/config/src/snapshot.rs
@@ -43,11 +43,6 @@
         routes.find(|route| route.host == host && path.starts_with(&route.prefix))
     }
 
-    /// Returns whether a host has any route.
-    pub fn has_host(&self, host: &str) -> bool {
-        self.routes.iter().any(|route| route.host == host)
-    }
-
     /// Returns a service.
     pub fn service(&self, name: &str) -> Option<&Service> {
         self.services.iter().find(|service| service.name == name)
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -32,8 +32,6 @@
     pub centres: BTreeMap<String, String>,
     /// The share of a processor core.
     pub cpu_share: f64,
-    /// The memory of the process, in MB.
-    pub memory_mb: u64,
     /// The longest time that callers may keep an answer with addresses, in seconds.
     pub address_ttl_s: f64,
     /// The time between a request to stop and the kill, in seconds.
