Let a node that the store turns away ask another node about batches

Cause: the leader's machine is cut off from the store for 6.5 s. A trainer with a connection to it asks there for results. The node waits for a change that it can't notice, then asks the store in vain and answers 503 after up to two seconds, several times over, although the results were listed by the new leader long before; then the submission of the next step waits there for 0.9 s and is refused.

The store's conditions are the same, whoever writes.

--- a/crates/edge/src/archive.rs
+++ b/crates/edge/src/archive.rs
@@ -7,6 +7,7 @@
 use dogwoodlb_external::store::{Range, Row, Txn};
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::time::Duration;
 
 /// The texts of one transaction; it holds at most 100 entries and 1 MB.
 const TEXTS_AT_ONCE: usize = 90;
@@ -19,6 +20,8 @@
     Store(#[from] dogwoodlb_external::Error),
     #[error(transparent)]
     Batch(#[from] dogwoodlb_batch::Error),
+    #[error("the store has not answered this node for {} ms", .0.as_millis())]
+    Away(Duration),
     #[error("part {part} of batch {batch} is missing")]
     Missing { batch: String, part: u32 },
 }
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -200,6 +200,8 @@
             archive: tools.archive.clone(),
             dialect: dialect.clone(),
             known: known.clone(),
+            peers: tools.peers.clone(),
+            storage: tools.storage.clone(),
         },
         submitter: Submitter {
             archive: tools.archive.clone(),
@@ -207,6 +209,7 @@
             known: known.clone(),
             metrics: tools.metrics.clone(),
             node: tools.settings.node.clone(),
+            peers: tools.peers.clone(),
             storage: tools.storage.clone(),
         },
         dialect,
@@ -237,12 +240,17 @@
     let scrape = Scrape {
         metrics: tools.metrics.clone(),
     };
-    serve(listeners.front, front, &known, end);
+    serve(listeners.front, front.clone(), &known, end);
     serve(listeners.ready, Rc::new(ready), &known, end);
     serve(listeners.directory, Rc::new(directory), &known, end);
     serve(listeners.metrics, Rc::new(scrape), &known, end);
     let mirrors = follower.mirrors.clone();
-    spawn(peers::serve(listeners.peers, mirrors, duties.clone()));
+    spawn(peers::serve(
+        listeners.peers,
+        mirrors,
+        duties.clone(),
+        front,
+    ));
     let beats = Rc::new(listeners.beats);
     let (tools, socket) = (tools.clone(), beats.clone());
     spawn(async move {
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -2,10 +2,13 @@
 
 use crate::clock;
 use crate::follow::{Follower, Mirrors, Table};
+use crate::front::Front;
 use crate::known::Known;
 use crate::leader::Duties;
+use crate::reader::Found;
 use crate::settings::Settings;
 use crate::storage::Storage;
+use crate::submit::{Relayed, Written};
 use dogwoodlb_batch::Text;
 use dogwoodlb_external::store::Row;
 use dogwoodlb_liveness::{interval, Beat, FAST_INTERVAL};
@@ -27,6 +30,10 @@
 /// The time between two questions to other nodes while the store is away.
 const ASK_INTERVAL: Duration = Duration::from_millis(300);
 const ASK_TIMEOUT: Duration = Duration::from_millis(800);
+/// The longest time that another node's question for results may wait for one.
+const MAX_WAIT: Duration = Duration::from_secs(30);
+/// A longer body is not passed to another node.
+pub(crate) const RELAY_BYTES: usize = 4 * 1024 * 1024;
 /// How long a new leader waits for its predecessor, which may be dead.
 const TEXTS_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -44,6 +51,14 @@
     Copies { operator: u64, replicas: u64 },
     /// The unfinished texts of a service that the sender leads by now.
     Texts { service: String },
+    /// Results of a batch, for a caller of a node that the store does not answer.
+    Results {
+        batch: String,
+        after: u32,
+        wait_ms: u64,
+    },
+    /// A batch to accept, from a caller of such a node.
+    Batch(Relayed),
 }
 
 /// The copies that are newer than a question says.
@@ -240,18 +255,81 @@
         }
     }
 
-    fn any_live(&self) -> Option<SocketAddr> {
+    /// Asks a node that reaches the store for results; `None` if no such node answers.
+    pub(crate) async fn ask_results(
+        &self,
+        batch: &str,
+        after: u32,
+        wait: Duration,
+    ) -> Option<Found> {
+        let peer = self.any_with_store()?;
+        let question = Question::Results {
+            batch: batch.to_owned(),
+            after,
+            wait_ms: u64::try_from(wait.as_millis()).unwrap_or(u64::MAX),
+        };
+        let asked = ask::<Option<Found>>(peer, &question);
+        match timeout(wait + ASK_TIMEOUT, asked).await {
+            Ok(Ok(found)) => found,
+            Ok(Err(error)) => {
+                tracing::info!(batch, %peer, %error, "results_not_told");
+                None
+            }
+            Err(_) => {
+                tracing::info!(batch, %peer, "results_not_told");
+                None
+            }
+        }
+    }
+
+    /// Lets a node that reaches the store accept a batch.
+    pub(crate) async fn ask_batch(&self, relayed: Relayed, wait: Duration) -> Written {
+        let Some(peer) = self.any_with_store() else {
+            return Written::Refused;
+        };
+        let batch = relayed.id.clone();
+        let asked = async {
+            // Without a connection the batch can't have been stored.
+            let Ok(mut stream) = TcpStream::connect(peer).await else {
+                return Ok(Written::Refused);
+            };
+            send(&mut stream, &Question::Batch(relayed)).await?;
+            receive::<Written>(&mut stream).await
+        };
+        let written = match timeout(wait, asked).await {
+            Ok(Ok(written)) => written,
+            Ok(Err(error)) => {
+                tracing::info!(batch, %peer, %error, "batch_not_relayed");
+                Written::Unknown
+            }
+            Err(_) => Written::Unknown,
+        };
+        tracing::info!(batch, %peer, outcome = written.name(), "batch_relayed");
+        written
+    }
+
+    fn any_with_store(&self) -> Option<SocketAddr> {
         let peers = self.peers.borrow();
         let live = peers.live(clock::now());
         let with_store = live.filter(|beat| beat.has_store).map(|beat| beat.peer);
-        with_store
-            .choose(&mut rand::rng())
-            .or_else(|| peers.targets().choose(&mut rand::rng()))
+        with_store.choose(&mut rand::rng())
+    }
+
+    fn any_live(&self) -> Option<SocketAddr> {
+        self.any_with_store().or_else(|| {
+            let peers = self.peers.borrow();
+            peers.targets().choose(&mut rand::rng())
+        })
     }
 }
 
 /// Answers other nodes.
-pub(crate) async fn serve(listener: TcpListener, mirrors: Rc<Mirrors>, duties: Rc<Duties>) {
+pub(crate) async fn serve(
+    listener: TcpListener,
+    mirrors: Rc<Mirrors>,
+    duties: Rc<Duties>,
+    front: Rc<Front>,
+) {
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -261,22 +339,27 @@
                 continue;
             }
         };
-        let (mirrors, duties) = (mirrors.clone(), duties.clone());
+        let (mirrors, duties, front) = (mirrors.clone(), duties.clone(), front.clone());
         tokio::task::spawn_local(async move {
-            let answered = timeout(ASK_TIMEOUT, answer(stream, &mirrors, &duties)).await;
-            if let Ok(Err(error)) = answered {
+            if let Err(error) = answer(stream, &mirrors, &duties, &front).await {
                 tracing::debug!(%error, "peer_not_answered");
             }
         });
     }
 }
 
-async fn answer(mut stream: TcpStream, mirrors: &Mirrors, duties: &Duties) -> io::Result<()> {
+async fn answer(
+    mut stream: TcpStream,
+    mirrors: &Mirrors,
+    duties: &Duties,
+    front: &Front,
+) -> io::Result<()> {
     let newer = |table, version| {
         let mirror = mirrors.of(table).borrow();
         (mirror.version() > version).then(|| Copy::from(&*mirror))
     };
-    match receive(&mut stream).await? {
+    let question = timeout(ASK_TIMEOUT, receive(&mut stream)).await??;
+    match question {
         Question::Copies { operator, replicas } => {
             let copies = Copies {
                 operator: newer(Table::Operator, operator),
@@ -288,6 +371,19 @@
             let texts = duties.surrender(&service);
             send(&mut stream, &texts).await
         }
+        Question::Results {
+            batch,
+            after,
+            wait_ms,
+        } => {
+            let wait = Duration::from_millis(wait_ms).min(MAX_WAIT);
+            let found = front.reader.find(&batch, after, wait).await;
+            send(&mut stream, &found).await
+        }
+        Question::Batch(relayed) => {
+            let written = front.submitter.accept(&relayed).await;
+            send(&mut stream, &written).await
+        }
     }
 }
 
@@ -335,8 +431,11 @@
 async fn send<T: Serialize>(stream: &mut TcpStream, value: &T) -> io::Result<()> {
     let bytes = postcard::to_stdvec(value).map_err(io::Error::other)?;
     let length = u32::try_from(bytes.len()).map_err(io::Error::other)?;
-    stream.write_u32(length).await?;
-    stream.write_all(&bytes).await
+    let written = async {
+        stream.write_u32(length).await?;
+        stream.write_all(&bytes).await
+    };
+    timeout(ASK_TIMEOUT, written).await?
 }
 
 async fn receive<T: for<'de> Deserialize<'de>>(stream: &mut TcpStream) -> io::Result<T> {
--- a/crates/edge/src/submit.rs
+++ b/crates/edge/src/submit.rs
@@ -6,6 +6,7 @@
 use crate::headers::{millis, text};
 use crate::known::{Known, Stored};
 use crate::metrics::Metrics;
+use crate::peers::{Peers, RELAY_BYTES};
 use crate::reply::{self, Body};
 use crate::storage::{self, Storage, BODIES, SHARED};
 use bytes::Bytes;
@@ -15,6 +16,7 @@
 use dogwoodlb_types::Instant;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
+use serde::{Deserialize, Serialize};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::sleep;
@@ -41,11 +43,13 @@
     pub(crate) known: Rc<Known>,
     pub(crate) metrics: Rc<Metrics>,
     pub(crate) node: String,
+    pub(crate) peers: Rc<Peers>,
     pub(crate) storage: Rc<Storage>,
 }
 
 /// What became of a write.
-enum Written {
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+pub(crate) enum Written {
     /// The batch is in the store.
     Accepted { is_new: bool },
     /// The batch is not in the store and won't be.
@@ -54,6 +58,36 @@
     Unknown,
 }
 
+impl Written {
+    /// Returns what holds after two tries, of which the second one came later.
+    fn or(self, later: Self) -> Self {
+        match (self, later) {
+            (Self::Unknown, Self::Refused) => Self::Unknown,
+            (_, later) => later,
+        }
+    }
+
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::Accepted { is_new: true } => "accepted",
+            Self::Accepted { is_new: false } => "repeated",
+            Self::Refused => "refused",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+/// A batch that a node can't store itself.
+#[derive(Debug, Deserialize, Serialize)]
+pub(crate) struct Relayed {
+    /// The id of the batch.
+    pub(crate) id: String,
+    host: String,
+    path: String,
+    body: Vec<u8>,
+    wait_ms: u64,
+}
+
 fn is_key(id: &str) -> bool {
     let is_safe = |byte: u8| byte.is_ascii_graphic() && byte != b'/';
     !id.is_empty() && id.len() <= MAX_ID_BYTES && id.bytes().all(is_safe)
@@ -98,17 +132,56 @@
                 return reply::status(StatusCode::BAD_REQUEST, "the batch can't be read");
             }
         };
-        let written = self.store(&submission, route, began, began + wait).await;
-        self.answer(&submission, began, &written)
+        let deadline = began + wait;
+        let mut written = Written::Refused;
+        if self.storage.is_reached(began) {
+            written = self.store(&submission, route, began, deadline).await;
+        }
+        let left = deadline.saturating_since(clock::now());
+        // A batch that may be stored is not stored twice by another node: its head is in the
+        // way of a second one.
+        if !matches!(written, Written::Accepted { .. }) && body.len() <= RELAY_BYTES {
+            let relayed = Relayed {
+                id: id.to_owned(),
+                host: host.to_owned(),
+                path: path.to_owned(),
+                body: body.to_vec(),
+                wait_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
+            };
+            written = written.or(self.peers.ask_batch(relayed, left).await);
+        }
+        if matches!(written, Written::Refused) && !self.storage.is_reached(began) {
+            written = self.store(&submission, route, clock::now(), deadline).await;
+        }
+        self.answer(&submission, began, written)
     }
 
-    fn answer(&self, submission: &Submission, began: Instant, written: &Written) -> Response<Body> {
-        let outcome = match written {
-            Written::Accepted { is_new: true } => "accepted",
-            Written::Accepted { is_new: false } => "repeated",
-            Written::Refused => "refused",
-            Written::Unknown => "unknown",
+    /// Accepts a batch for another node.
+    pub(crate) async fn accept(&self, relayed: &Relayed) -> Written {
+        let began = clock::now();
+        let Some(config) = self.known.config() else {
+            return Written::Refused;
+        };
+        let (id, host, path) = (&relayed.id, &relayed.host, &relayed.path);
+        let Some(route) = config.route(host, path) else {
+            return Written::Refused;
         };
+        if self.known.head(id).is_some() {
+            return Written::Accepted { is_new: false };
+        }
+        let submission = match self.dialect.submission(id, host, path, &relayed.body) {
+            Ok(submission) => submission,
+            Err(error) => {
+                tracing::warn!(batch = id, %error, outcome = "malformed", "batch_refused");
+                return Written::Refused;
+            }
+        };
+        let deadline = began + Duration::from_millis(relayed.wait_ms);
+        self.store(&submission, route, began, deadline).await
+    }
+
+    fn answer(&self, submission: &Submission, began: Instant, written: Written) -> Response<Body> {
+        let outcome = written.name();
         self.metrics.batches.with_label_values(&[outcome]).inc();
         tracing::info!(
             batch = submission.id,
