--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -1,5 +1,6 @@
 //! Heartbeats between the nodes, and copies of tables for nodes that the store turns away.
 
+use crate::archive::Error;
 use crate::clock;
 use crate::follow::{Follower, Mirrors, Table};
 use crate::front::Front;
@@ -59,6 +60,8 @@
     },
     /// A batch to accept, from a caller of such a node.
     Batch(Relayed),
+    /// A batch to end, for a caller of such a node.
+    End { batch: String },
 }
 
 /// The copies that are newer than a question says.
@@ -308,6 +311,20 @@
         written
     }
 
+    /// Lets a node that reaches the store try to end a batch; `None` if it can't tell.
+    pub(crate) async fn ask_end(&self, batch: &str) -> Option<Option<bool>> {
+        let peer = self.any_with_store()?;
+        let question = Question::End {
+            batch: batch.to_owned(),
+        };
+        let asked = timeout(ASK_TIMEOUT, ask::<Option<Option<bool>>>(peer, &question));
+        let told = asked.await.ok().and_then(Result::ok).flatten();
+        if told.is_none() {
+            tracing::info!(batch, %peer, "end_not_relayed");
+        }
+        told
+    }
+
     fn any_with_store(&self) -> Option<SocketAddr> {
         let peers = self.peers.borrow();
         let live = peers.live(clock::now());
@@ -384,6 +401,11 @@
             let written = front.submitter.accept(&relayed).await;
             send(&mut stream, &written).await
         }
+        Question::End { batch } => {
+            let tried = front.submitter.try_end(&batch).await;
+            let log = |error: &Error| tracing::info!(batch, %error, "end_not_written");
+            send(&mut stream, &tried.inspect_err(log).ok()).await
+        }
     }
 }
 
--- a/crates/edge/src/submit.rs
+++ b/crates/edge/src/submit.rs
@@ -317,7 +317,7 @@
         let until = clock::now() + END_WAIT;
         let mut outcome = "ended";
         loop {
-            match self.try_end(batch).await {
+            match self.end_anywhere(batch).await {
                 Ok(Some(true)) => break,
                 Ok(Some(false)) => {}
                 Ok(None) => {
@@ -340,8 +340,18 @@
         reply::json(Bytes::from_static(b"{}"))
     }
 
+    /// Tries once to end a batch, with the help of another node while the store is away.
+    async fn end_anywhere(&self, batch: &str) -> Result<Option<bool>, Error> {
+        if !self.storage.is_reached(clock::now()) {
+            if let Some(tried) = self.peers.ask_end(batch).await {
+                return Ok(tried);
+            }
+        }
+        self.try_end(batch).await
+    }
+
     /// Tries once to end a batch; returns whether it is ended, or `None` if there is none.
-    async fn try_end(&self, batch: &str) -> Result<Option<bool>, Error> {
+    pub(crate) async fn try_end(&self, batch: &str) -> Result<Option<bool>, Error> {
         let Some(Stored { row, value: head }) = self.archive.known_head(batch).await? else {
             return Ok(None);
         };
