Adopt all open batches before a new leader starts items

Cause: after the kill of all processes the new leader adopts the newest batch, which has no results and so takes the fewest reads, 170 ms before the older one, and its items fill all slots.

Ruled out: the time of the takeover (0.1 s after the start in both), loads of weights.

Change: until the batches that were open at the start of its leadership are adopted, 0.8 s at most, a leader starts nothing.

--- a/crates/edge/src/conductor.rs
+++ b/crates/edge/src/conductor.rs
@@ -25,6 +25,9 @@
 
 /// The time between two looks at what is due.
 const TICK: Duration = Duration::from_millis(40);
+/// How long a new leader waits for the adoption of all open batches before it starts items; an
+/// adoption takes a few reads, each up to a quarter of this with a slow store.
+const GATHER: Duration = Duration::from_millis(800);
 /// How long an item may take of which the route says nothing.
 const DEFAULT_LIFE: Duration = Duration::from_secs(30);
 
@@ -64,6 +67,8 @@
     saved: RefCell<BTreeMap<(String, u32), u64>>,
     next_checkpoint: Cell<Instant>,
     checkpointing: Cell<bool>,
+    /// Until when no run starts because batches that were open at the start are being adopted.
+    gathering: Cell<Option<Instant>>,
 }
 
 impl Conductor {
@@ -83,6 +88,7 @@
             saved: RefCell::default(),
             next_checkpoint: Cell::default(),
             checkpointing: Cell::new(false),
+            gathering: Cell::new(Some(clock::now() + GATHER)),
         }
     }
 
@@ -126,6 +132,9 @@
             engine,
             single_version,
         );
+        if self.is_gathering() {
+            return;
+        }
         let actions = self.planner.borrow_mut().plan(clock::now());
         for action in actions {
             match action {
@@ -136,6 +145,15 @@
         self.checkpoint();
     }
 
+    /// Returns whether batches that were open at the start are still being adopted. Their items
+    /// compete for the slots, and those of a batch that is almost whole must not come last
+    /// because it takes more reads.
+    fn is_gathering(&self) -> bool {
+        let waits = |until: &Instant| clock::now() < *until && !self.adopting.borrow().is_empty();
+        self.gathering.set(self.gathering.get().filter(waits));
+        self.gathering.get().is_some()
+    }
+
     fn route(&self, submission: &Submission) -> Option<Route> {
         let config = self.tools.known.config()?;
         config.route(&submission.host, &submission.path).cloned()
