Start the last items of an almost whole batch first

Two more causes: an adoption that lost a race ended the wait, and the planner orders waiting items by length alone, so that the short remains of a step that is almost whole come after all items of a step that has just begun.

The planner puts the items first that a batch still needs if they take no more than a quarter of the slots.

--- a/crates/batch/src/planner/choose.rs
+++ b/crates/batch/src/planner/choose.rs
@@ -4,7 +4,7 @@
 use crate::replica::Replica;
 use crate::work::{Phase, Run, Work, WorkId};
 use dogwoodlb_types::Instant;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// A run without an event for this long is taken to another replica. A change of weights
@@ -17,9 +17,22 @@
 /// The moves of one round; the speeds are estimated anew before the next one.
 const MOVES: usize = 4;
 const MOVE_INTERVAL: Duration = Duration::from_millis(100);
+/// A batch is almost whole when the items that it still needs take one in this many slots.
+const CLOSING_SHARE: usize = 4;
 /// The time of one event before any was seen, in milliseconds.
 const FIRST_EVENT_MS: f64 = 32.0;
 
+/// How soon an item is to start.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Urgency {
+    /// Its batch can do without its group.
+    Spare,
+    /// Its group is likely to be among the first.
+    Needed,
+    /// It is one of the last that its batch needs.
+    Closing,
+}
+
 impl Planner {
     /// Decides what is started and stopped now.
     pub fn plan(&mut self, now: Instant) -> Vec<Action> {
@@ -112,13 +125,20 @@
     fn plan_starts(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let is_waiting = |work: &Work| work.batch.is_some() && work.phase == Phase::Waiting;
         let waiting = self.works.iter().filter(|(_, work)| is_waiting(work));
-        let mut waiting: Vec<(bool, u64, WorkId)> = waiting
-            .map(|(id, work)| (self.is_needed(work), work.remaining(), *id))
+        let closing = self.closing();
+        let urgency = |work: &Work| match self.is_needed(work) {
+            true if work.batch.as_ref().is_some_and(|id| closing.contains(id)) => Urgency::Closing,
+            true => Urgency::Needed,
+            false => Urgency::Spare,
+        };
+        let mut waiting: Vec<(Urgency, u64, WorkId)> = waiting
+            .map(|(id, work)| (urgency(work), work.remaining(), *id))
             .collect();
         // The longest ones start first, because the last one to end decides.
         waiting.sort_by(|a, b| (b.0, b.1, a.2).cmp(&(a.0, a.1, b.2)));
         let usual = self.usual_ms();
-        for (needed, _, id) in waiting {
+        for (urgency, _, id) in waiting {
+            let needed = urgency > Urgency::Spare;
             let work = &self.works[&id];
             let Some(replica) = self.choose(work, needed, usual, now) else {
                 continue;
@@ -128,6 +148,25 @@
         }
     }
 
+    /// Returns the batches that are almost whole. Their last items take few slots, and by length
+    /// alone they would wait behind those of a batch that has just begun.
+    fn closing(&self) -> BTreeSet<String> {
+        let slots: usize = self
+            .replicas
+            .values()
+            .map(|one| one.view.slots as usize)
+            .sum();
+        let most = slots / CLOSING_SHARE;
+        let open = |work: &&WorkId| {
+            let work = &self.works[*work];
+            let is_open = matches!(work.phase, Phase::Waiting | Phase::Running(_));
+            is_open && self.is_needed(work)
+        };
+        let batches = self.batches.iter();
+        let closing = batches.filter(|(_, batch)| batch.works.iter().filter(open).count() <= most);
+        closing.map(|(id, _)| id.clone()).collect()
+    }
+
     fn choose(&self, work: &Work, needed: bool, usual: f64, now: Instant) -> Option<String> {
         let tokens = work.prompt_tokens;
         let fits = |replica: &Replica| {
--- a/crates/batch/tests/item_order.rs
+++ b/crates/batch/tests/item_order.rs
@@ -65,6 +65,19 @@
     assert_eq!(starts(&planner.plan(at(0))), [(2, "r"), (1, "r")]);
 }
 
+/// The last items of a step that is almost whole waited behind the longer ones of a step that
+/// had just begun, which held the trainer up.
+#[test]
+fn almost_whole_first() {
+    let mut planner = Planner::default();
+    planner.set_replica("r", view(4, 1));
+    let long: Vec<Item> = (0..6).map(|n| item(&format!("n{n}"), "g", 900)).collect();
+    open(&mut planner, "new", 1, &long);
+    open(&mut planner, "old", 1, &[item("a", "g", 100)]);
+    let actions = planner.plan(at(0));
+    assert_eq!(starts(&actions), [(7, "r"), (1, "r"), (2, "r"), (3, "r")]);
+}
+
 #[test]
 fn old_weights() {
     let mut planner = Planner::default();
--- a/crates/edge/src/conductor.rs
+++ b/crates/edge/src/conductor.rs
@@ -149,9 +149,20 @@
     /// compete for the slots, and those of a batch that is almost whole must not come last
     /// because it takes more reads.
     fn is_gathering(&self) -> bool {
-        let waits = |until: &Instant| clock::now() < *until && !self.adopting.borrow().is_empty();
-        self.gathering.set(self.gathering.get().filter(waits));
-        self.gathering.get().is_some()
+        let Some(until) = self.gathering.get() else {
+            return false;
+        };
+        let heads = self.tools.known.heads.borrow();
+        let batches = self.batches.borrow();
+        let is_left = |(id, head): (&String, &Stored<Head>)| {
+            let head = &head.value;
+            head.service == self.service && head.is_open() && !batches.contains_key(id)
+        };
+        if clock::now() >= until || !heads.iter().any(is_left) {
+            self.gathering.set(None);
+            return false;
+        }
+        true
     }
 
     fn route(&self, submission: &Submission) -> Option<Route> {
