Finish requests within the whole grace time when a node stops

Cause: after the time for callers with its address (0.6 s here) the node waited 0.5 s more for requests under way, though its grace time was 3 s; the replica's answer was held up until the route's time-out of 2 s. Change: it waits until 0.7 s before the end of the grace time; callers that wait for results are answered at once.

--- a/crates/edge/src/fleet.rs
+++ b/crates/edge/src/fleet.rs
@@ -7,7 +7,7 @@
 use dogwoodlb_route::{Outcome, Replica, Request, Router, Ticket};
 use dogwoodlb_types::{id, Class};
 use std::cell::RefCell;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -47,6 +47,8 @@
     centres: BTreeMap<String, String>,
     known: Rc<Known>,
     routers: RefCell<HashMap<String, Router>>,
+    /// The replicas that can't be used, which are logged once.
+    misplaced: RefCell<BTreeSet<String>>,
 }
 
 impl Fleet {
@@ -69,6 +71,7 @@
             centres: settings.centres.clone(),
             known,
             routers: RefCell::default(),
+            misplaced: RefCell::default(),
         })
     }
 
@@ -78,6 +81,8 @@
             return;
         };
         let directory = self.known.directory();
+        let is_known = |id: &String| directory.get(id).is_some();
+        self.misplaced.borrow_mut().retain(is_known);
         let mut routers = self.routers.borrow_mut();
         for service in config.services() {
             let listed = directory.usable(&service.name);
@@ -99,7 +104,9 @@
         let region = self.centres.get(&entry.centre);
         let region = region.and_then(|region| region.parse().ok());
         let (Some(upstream), Some(centre), Some(region)) = (upstream, centre, region) else {
-            tracing::warn!(replica = id, centre = entry.centre, "replica_misplaced");
+            if self.misplaced.borrow_mut().insert(id.to_owned()) {
+                tracing::warn!(replica = id, centre = entry.centre, "replica_misplaced");
+            }
             return None;
         };
         Some(Replica {
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -35,7 +35,7 @@
 const KEPT_TTLS: u32 = 3;
 /// Kept free of the grace time, so that the node has ended before it is killed.
 const LAST_MARGIN: Duration = Duration::from_millis(700);
-/// The time in which open connections finish at the end.
+/// Kept free of the grace time after the duties are handed over, so that requests can finish.
 const FINISH: Duration = Duration::from_millis(500);
 const REGISTER_RETRY: Duration = Duration::from_millis(400);
 const HOUSEKEEPING: Duration = Duration::from_millis(200);
@@ -343,8 +343,11 @@
     while !duties.is_empty() && clock::now().saturating_since(began) < grace {
         sleep(FINISH / 10).await;
     }
+    tools.peers.set_closing();
+    tools.known.announce();
     end.send_replace(true);
-    let until = clock::now() + FINISH;
+    // A request that was passed on to a replica may take as long as its route allows.
+    let until = began + tools.settings.grace().saturating_sub(LAST_MARGIN);
     while front.in_flight.get() > 0 && clock::now() < until {
         sleep(FINISH / 10).await;
     }
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -43,6 +43,7 @@
     own: RefCell<Beat>,
     peers: RefCell<dogwoodlb_liveness::Peers>,
     has_duty: Cell<bool>,
+    is_closing: Cell<bool>,
 }
 
 /// What one node asks another.
@@ -117,6 +118,7 @@
             own: RefCell::new(own),
             peers: RefCell::new(peers),
             has_duty: Cell::new(false),
+            is_closing: Cell::new(false),
         }
     }
 
@@ -135,6 +137,16 @@
         self.own.borrow_mut().leaving = true;
     }
 
+    /// Notes that the node only finishes what it has begun.
+    pub(crate) fn set_closing(&self) {
+        self.is_closing.set(true);
+    }
+
+    /// Returns whether the node only finishes what it has begun.
+    pub(crate) fn is_closing(&self) -> bool {
+        self.is_closing.get()
+    }
+
     pub(crate) fn is_leaving(&self) -> bool {
         self.own.borrow().leaving
     }
--- a/crates/edge/src/reader.rs
+++ b/crates/edge/src/reader.rs
@@ -106,7 +106,7 @@
                 return Err(Error::Away(self.storage.away_for(now)));
             }
             let left = until.saturating_since(now);
-            if left.is_zero() {
+            if left.is_zero() || self.peers.is_closing() {
                 return Ok(self.archive.head(batch).await?.unwrap_or(head));
             }
             // Its end, too, only means to look again.
