Answer every request before a stopping node ends

Change: the node waits for its callers' connections to end; 0.2 s before the end it answers what is left with 504, which promises nothing.

--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -66,6 +66,8 @@
     NotRun,
     /// The request may have run; the answer, if there is one, is the replica's failure.
     Failed(Option<Response<Body>>),
+    /// The time of the request is over; it may have run.
+    Late,
 }
 
 impl Forwarder {
@@ -104,13 +106,12 @@
             Err(refusal) => return refusal,
         };
         let served = timeout(wait, self.attempts(&job)).await;
-        served.unwrap_or_else(|_| {
-            self.log(&job, "timeout", 0);
-            reply::status(
-                StatusCode::GATEWAY_TIMEOUT,
-                "no answer in time; it may have run",
-            )
-        })
+        served.unwrap_or_else(|_| self.late(&job, 0))
+    }
+
+    fn late(&self, job: &Job<'_>, attempts: usize) -> Response<Body> {
+        self.log(job, "timeout", attempts);
+        late()
     }
 
     async fn attempts(&self, job: &Job<'_>) -> Response<Body> {
@@ -127,6 +128,7 @@
             match self.attempt(job, picked, tried.len(), is_last).await {
                 Attempt::Answered(response) => return response,
                 Attempt::NotRun => {}
+                Attempt::Late => return self.late(job, tried.len()),
                 Attempt::Failed(response) => {
                     may_have_run = true;
                     failure = response;
@@ -188,7 +190,10 @@
                     wait_ms = wait.as_millis(),
                     "attempt_slow"
                 );
-                Attempt::Failed(None)
+                match wait < left {
+                    true => Attempt::Failed(None),
+                    false => Attempt::Late,
+                }
             }
         }
     }
@@ -279,7 +284,7 @@
                 match self.judge(job, answer, &mut picked).await {
                     Attempt::Answered(response) | Attempt::Failed(Some(response)) => response,
                     Attempt::NotRun => reply::refusal("the replica did not run it", COME_BACK),
-                    Attempt::Failed(None) => reply::status(
+                    Attempt::Failed(None) | Attempt::Late => reply::status(
                         StatusCode::BAD_GATEWAY,
                         "the replica failed; it may have run",
                     ),
@@ -292,10 +297,7 @@
                 StatusCode::BAD_GATEWAY,
                 "the replica failed; it may have run",
             ),
-            Err(_) => reply::status(
-                StatusCode::GATEWAY_TIMEOUT,
-                "no answer in time; it may have run",
-            ),
+            Err(_) => late(),
         }
     }
 
@@ -344,6 +346,12 @@
 }
 
 /// Passes a long answer on as it arrives.
+/// Answers a request whose time is over.
+pub(crate) fn late() -> Response<Body> {
+    let reason = "no answer in time; it may have run";
+    reply::status(StatusCode::GATEWAY_TIMEOUT, reason)
+}
+
 fn stream(answer: Answer) -> Response<Body> {
     let frames = futures_util::stream::unfold(Some(answer.body), |body| async move {
         let mut body = body?;
--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -2,7 +2,7 @@
 
 use crate::clock;
 use crate::dialect::{Call, Dialect};
-use crate::forward::Forwarder;
+use crate::forward::{self, Forwarder};
 use crate::headers::text;
 use crate::known::Known;
 use crate::metrics::Metrics;
@@ -56,6 +56,10 @@
     pub(crate) submitter: Submitter,
     /// The requests being answered.
     pub(crate) in_flight: Cell<usize>,
+    /// The open connections.
+    pub(crate) open: Rc<Cell<usize>>,
+    /// Whether requests are answered as late at once, since the process is about to end.
+    pub(crate) ending: watch::Sender<bool>,
 }
 
 /// Counts a request until its answer begins.
@@ -77,6 +81,17 @@
 impl Answer for Front {
     async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Response<Body> {
         let _counted = InFlight::new(&self.in_flight);
+        let mut ending = self.ending.subscribe();
+        tokio::select! {
+            response = self.call(request) => response,
+            // Fails only without a sender, and this node has one.
+            _ = ending.wait_for(|is_ending| *is_ending) => forward::late(),
+        }
+    }
+}
+
+impl Front {
+    async fn call(&self, request: Request<Incoming>) -> Response<Body> {
         let (head, body) = request.into_parts();
         match self.dialect.call(&head) {
             Call::Results { batch, after, wait } => self.reader.results(&batch, after, wait).await,
@@ -85,9 +100,7 @@
             Call::Route => self.route(Request::from_parts(head, body)).await,
         }
     }
-}
 
-impl Front {
     async fn route(&self, request: Request<Incoming>) -> Response<Body> {
         let Some(config) = self.known.config() else {
             return reply::refusal("no configuration is known yet", UNKNOWN_COME_BACK);
@@ -194,8 +207,8 @@
     handler: Rc<A>,
     known: Rc<Known>,
     end: watch::Receiver<bool>,
+    open: Rc<Cell<usize>>,
 ) {
-    let open = Rc::new(Cell::new(0_usize));
     loop {
         if open.get() >= MAX_CONNECTIONS {
             sleep(ACCEPT_RETRY).await;
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -23,6 +23,7 @@
 use dogwoodlb_client::Client;
 use dogwoodlb_external::store::Txn;
 use dogwoodlb_external::Store;
+use dogwoodlb_types::Instant;
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -35,8 +36,11 @@
 const KEPT_TTLS: u32 = 3;
 /// Kept free of the grace time, so that the node has ended before it is killed.
 const LAST_MARGIN: Duration = Duration::from_millis(700);
-/// Kept free of the grace time after the duties are handed over, so that requests can finish.
+/// Kept for requests under way when duties can't be handed over before.
 const FINISH: Duration = Duration::from_millis(500);
+/// The time in which requests that are not answered at the end are answered as late.
+const ANSWER_MARGIN: Duration = Duration::from_millis(200);
+const DRAIN_POLL: Duration = Duration::from_millis(50);
 const REGISTER_RETRY: Duration = Duration::from_millis(400);
 const HOUSEKEEPING: Duration = Duration::from_millis(200);
 
@@ -215,6 +219,8 @@
         dialect,
         known,
         in_flight: Cell::new(0),
+        open: Rc::default(),
+        ending: watch::channel(false).0,
     }
 }
 
@@ -240,10 +246,23 @@
     let scrape = Scrape {
         metrics: tools.metrics.clone(),
     };
-    serve(listeners.front, front.clone(), &known, end);
-    serve(listeners.ready, Rc::new(ready), &known, end);
-    serve(listeners.directory, Rc::new(directory), &known, end);
-    serve(listeners.metrics, Rc::new(scrape), &known, end);
+    let open = front.open.clone();
+    serve(listeners.front, front.clone(), &known, end, open);
+    serve(listeners.ready, Rc::new(ready), &known, end, Rc::default());
+    serve(
+        listeners.directory,
+        Rc::new(directory),
+        &known,
+        end,
+        Rc::default(),
+    );
+    serve(
+        listeners.metrics,
+        Rc::new(scrape),
+        &known,
+        end,
+        Rc::default(),
+    );
     let mirrors = follower.mirrors.clone();
     spawn(peers::serve(
         listeners.peers,
@@ -268,12 +287,14 @@
     handler: Rc<A>,
     known: &Rc<Known>,
     end: &watch::Sender<bool>,
+    open: Rc<Cell<usize>>,
 ) {
     spawn(front::serve(
         listener,
         handler,
         known.clone(),
         end.subscribe(),
+        open,
     ));
 }
 
@@ -337,21 +358,30 @@
     tools.peers.set_leaving();
     tracing::info!(in_flight = front.in_flight.get(), "draining");
     let kept = tools.settings.address_ttl() * KEPT_TTLS;
-    let grace = tools.settings.grace().saturating_sub(LAST_MARGIN + FINISH);
-    sleep(kept.min(grace)).await;
+    let grace = tools.settings.grace().saturating_sub(LAST_MARGIN);
+    let until = began + grace;
+    sleep(kept.min(grace.saturating_sub(FINISH))).await;
     // Without the store a duty can't be handed over yet.
-    while !duties.is_empty() && clock::now().saturating_since(began) < grace {
-        sleep(FINISH / 10).await;
-    }
+    wait_until(until - FINISH, || duties.is_empty()).await;
     tools.peers.set_closing();
     tools.known.announce();
     end.send_replace(true);
-    // A request that was passed on to a replica may take as long as its route allows.
-    let until = began + tools.settings.grace().saturating_sub(LAST_MARGIN);
-    while front.in_flight.get() > 0 && clock::now() < until {
-        sleep(FINISH / 10).await;
+    // A request that was passed on to a replica may take as long as its route allows, and its
+    // caller may read slowly.
+    wait_until(until - ANSWER_MARGIN, || front.open.get() == 0).await;
+    front.ending.send_replace(true);
+    wait_until(until, || front.open.get() == 0).await;
+    tracing::info!(
+        in_flight = front.in_flight.get(),
+        connections = front.open.get(),
+        took_ms = clock::now().saturating_since(began).as_millis(),
+        "stopped"
+    );
+}
+
+/// Waits until something is over, or until a moment.
+async fn wait_until(until: Instant, is_over: impl Fn() -> bool) {
+    while !is_over() && clock::now() < until {
+        sleep(DRAIN_POLL).await;
     }
-    let took = clock::now().saturating_since(began);
-    let in_flight = front.in_flight.get();
-    tracing::info!(in_flight, took_ms = took.as_millis(), "stopped");
 }
