--- a/crates/batch/src/parts.rs
+++ b/crates/batch/src/parts.rs
@@ -1,6 +1,6 @@
 //! Splitting of large values over several rows.
 
-/// The size of one part in bytes; a row of the table service holds 64 KiB.
+/// The size of one part in bytes, which fits into a row.
 pub const PART_BYTES: usize = 60_000;
 
 /// Splits a value into parts, at least one.
--- a/crates/dogwoodlb/src/edge.rs
+++ b/crates/dogwoodlb/src/edge.rs
@@ -17,7 +17,7 @@
 /// The variable that names the settings file.
 const SETTINGS: &str = "DOGWOODLB_SETTINGS";
 
-/// A call to the store that takes longer has failed; a slow store needs a quarter of this.
+/// A call to the store that takes longer has failed.
 const STORE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// Runs a node until a signal to stop.
--- a/crates/dogwoodlb/tests/processes/graceful_drain.rs
+++ b/crates/dogwoodlb/tests/processes/graceful_drain.rs
@@ -1,18 +1,17 @@
 //! A node shuts down while it serves.
 
-use crate::cluster::Cluster;
+use crate::cluster::{Answer, Cluster};
 use rustix::process::Signal;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-/// How long each customer waits between an answer and its next request. A customer that is
-/// between two requests when the last one in flight ends must still get a refusal.
-const PAUSES: [Duration; 4] = [
-    Duration::ZERO,
-    Duration::ZERO,
-    Duration::from_millis(100),
-    Duration::from_millis(400),
-];
+const CUSTOMERS: usize = 4;
+/// How long a caller goes on after all others were refused; the node promises 1 s.
+const LATE: Duration = Duration::from_millis(400);
+
+fn check_refusal(answer: &Answer) {
+    assert_eq!(answer.json()["error"]["code"], "leaving", "{}", answer.text);
+}
 
 /// Guards against requests that are cut by a shutdown, against callers with a cached address
 /// that are refused too early, and against an exit before a caller was refused: customers call
@@ -25,7 +24,7 @@
     let address = cluster.nodes[0].address;
     node.signal(Signal::TERM);
     thread::scope(|scope| {
-        for (customer, pause) in (0..).zip(PAUSES) {
+        for customer in 0..CUSTOMERS {
             let cluster = &cluster;
             scope.spawn(move || {
                 for number in 0.. {
@@ -35,16 +34,23 @@
                         panic!("a request was cut before the node refused any");
                     };
                     if answer.status != 200 {
-                        assert_eq!(answer.json()["error"]["code"], "leaving", "{}", answer.text);
+                        check_refusal(&answer);
                         assert!(number > 0);
                         break;
                     }
                     assert!(answer.text.ends_with("data: [DONE]\n\n"), "{}", answer.text);
-                    thread::sleep(pause);
                 }
             });
         }
     });
+    let refused = Instant::now();
+    for number in 0.. {
+        if refused.elapsed() > LATE {
+            break;
+        }
+        let answer = cluster.stream(address, &format!("late-{number}"));
+        check_refusal(&answer.expect("a caller between two requests met a closed port"));
+    }
     let (status, _) = node.wait();
     assert!(status.success());
     let report = Cluster::check_trainer(trainer);
--- a/crates/edge/src/archive.rs
+++ b/crates/edge/src/archive.rs
@@ -2,17 +2,13 @@
 
 use crate::cache::Cache;
 use crate::known::{Known, Stored};
-use crate::storage::{self, Storage, BODIES, OUTCOMES, SHARED, TEXTS};
+use crate::storage::{self, Storage, BODIES, OUTCOMES, SHARED, TEXTS, TXN_BYTES, TXN_ROWS};
 use dogwoodlb_batch::{parts, Head, Outcome, Record, Submission, Text};
 use dogwoodlb_external::store::{Range, Row, Txn};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
-/// The texts of one transaction; it holds at most 100 entries and 1 MB.
-const TEXTS_AT_ONCE: usize = 90;
-const TEXTS_BYTES: usize = 600_000;
-
 /// Why something could not be read or written.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum Error {
@@ -135,7 +131,7 @@
             if value.len() > parts::PART_BYTES {
                 continue;
             }
-            if txn.puts.len() >= TEXTS_AT_ONCE || bytes + value.len() > TEXTS_BYTES {
+            if txn.puts.len() >= TXN_ROWS || bytes + value.len() > TXN_BYTES {
                 self.storage.commit(&std::mem::take(&mut txn)).await?;
                 bytes = 0;
             }
--- a/crates/edge/src/conductor.rs
+++ b/crates/edge/src/conductor.rs
@@ -25,8 +25,7 @@
 
 /// The time between two looks at what is due.
 const TICK: Duration = Duration::from_millis(40);
-/// How long a new leader waits for the adoption of all open batches before it starts items; an
-/// adoption takes a few reads, each up to a quarter of this with a slow store.
+/// How long a new leader waits for the adoption of all open batches before it starts items.
 const GATHER: Duration = Duration::from_millis(800);
 /// How long an item may take of which the route says nothing.
 const DEFAULT_LIFE: Duration = Duration::from_secs(30);
--- a/crates/edge/src/lister.rs
+++ b/crates/edge/src/lister.rs
@@ -4,7 +4,7 @@
 use crate::clock;
 use crate::known::Known;
 use crate::metrics::Metrics;
-use crate::storage::{self, Storage, OUTCOMES, SHARED};
+use crate::storage::{self, Storage, OUTCOMES, SHARED, TXN_BYTES, TXN_ROWS};
 use dogwoodlb_batch::{parts, Head, Outcome, Record, State};
 use dogwoodlb_external::store::{self, Row, Txn};
 use std::cell::RefCell;
@@ -14,9 +14,8 @@
 use tokio::sync::Notify;
 use tokio::time::sleep;
 
-/// The results of one transaction; it holds at most 100 entries and 1 MB.
-const AT_ONCE: usize = 60;
-const AT_ONCE_BYTES: usize = 600_000;
+/// The results of one transaction; a long one takes several rows.
+const AT_ONCE: usize = TXN_ROWS * 2 / 3;
 /// The pause before a transaction, in which more results gather.
 const GATHER: Duration = Duration::from_millis(30);
 const RETRY: Duration = Duration::from_millis(60);
@@ -111,7 +110,7 @@
         let mut bytes = 0;
         let fits = |outcome: &&Outcome| {
             bytes += outcome.text.len() + 300;
-            bytes <= AT_ONCE_BYTES
+            bytes <= TXN_BYTES
         };
         let count = queue.iter().take(AT_ONCE).take_while(fits).count();
         let count = count.max(1).min(queue.len());
--- a/crates/edge/src/reader.rs
+++ b/crates/edge/src/reader.rs
@@ -15,7 +15,7 @@
 use std::time::Duration;
 use tokio::time::timeout;
 
-/// The text in one answer; the limit is 1 MB with all else.
+/// The text in one answer.
 const PAGE_BYTES: usize = 800_000;
 /// When a caller should come back whose question can't be answered now.
 const COME_BACK: Duration = Duration::from_millis(200);
--- a/crates/edge/src/storage.rs
+++ b/crates/edge/src/storage.rs
@@ -17,6 +17,10 @@
 /// Texts of unfinished items, left by a node that gave up a batch.
 pub(crate) const TEXTS: &str = "dogwoodlb-text";
 
+/// The rows of one transaction, less a few that callers add.
+pub(crate) const TXN_ROWS: usize = 90;
+/// The bytes of one transaction before their encoding.
+pub(crate) const TXN_BYTES: usize = 600_000;
 /// The node counts as cut off after this long without an answer.
 const AWAY_AFTER: Duration = Duration::from_millis(1_100);
 /// A store that answers within this time stands in the same region.
--- a/crates/edge/src/submit.rs
+++ b/crates/edge/src/submit.rs
@@ -8,7 +8,7 @@
 use crate::metrics::Metrics;
 use crate::peers::{Peers, RELAY_BYTES};
 use crate::reply::{self, Body};
-use crate::storage::{self, Storage, BODIES, SHARED};
+use crate::storage::{self, Storage, BODIES, SHARED, TXN_BYTES};
 use bytes::Bytes;
 use dogwoodlb_batch::{parts, Head, Record, Submission};
 use dogwoodlb_config::{Route, Snapshot};
@@ -33,8 +33,8 @@
 const COME_BACK: Duration = Duration::from_millis(300);
 /// The longest id, which becomes part of a key.
 const MAX_ID_BYTES: usize = 120;
-/// The parts in one transaction; encoded they stay under 1 MB.
-const PARTS_AT_ONCE: usize = 10;
+/// The parts in one transaction.
+const PARTS_AT_ONCE: usize = TXN_BYTES / parts::PART_BYTES;
 
 /// Accepts batches.
 pub(crate) struct Submitter {
--- a/crates/edge/src/sweep.rs
+++ b/crates/edge/src/sweep.rs
@@ -12,8 +12,6 @@
 pub(crate) const INTERVAL: Duration = Duration::from_secs(5);
 /// Batches are removed after this many times the time for which results have to be kept.
 const KEPT: u32 = 2;
-/// The rows removed in one transaction; it holds at most 100 entries.
-const ROWS_AT_ONCE: usize = 90;
 
 /// Removes old batches of a service for ever.
 pub(crate) async fn run(tools: Rc<Tools>, service: String) {
@@ -55,7 +53,7 @@
         let rows = tools.storage.list(table, &format!("{batch}/")).await?;
         keys.extend(rows.into_iter().map(|row| (table, row.key)));
     }
-    for some in keys.chunks(ROWS_AT_ONCE) {
+    for some in keys.chunks(storage::TXN_ROWS) {
         let mut txn = Txn::default();
         for (table, key) in some {
             txn = txn.remove(table, key);
--- a/crates/member/src/drain.rs
+++ b/crates/member/src/drain.rs
@@ -4,7 +4,7 @@
 /// Covers a caller that read its answer just before this node stopped being listed.
 const CACHE_MARGIN: Duration = Duration::from_secs(1);
 
-/// Longer than the longest deadline of a request, 110 s, so that no request is interrupted.
+/// Longer than the longest deadline of a request, so that no request is interrupted.
 const MAX_WAIT: Duration = Duration::from_secs(120);
 
 /// A caller that was between two requests when the last one in flight ended still reaches the
