Give questions between nodes one way to fail, and the end of a batch a type

A time-out of a question is logged like any other error, an unreached peer too. The result of ending a batch was an Option of an Option of a bool.

--- a/crates/batch/src/planner/choose.rs
+++ b/crates/batch/src/planner/choose.rs
@@ -7,8 +7,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-/// A run without an event for this long is taken to another replica; longer than a change of
-/// weights stops the runs of a replica.
+/// A run without an event for this long is taken to another replica. A change of weights stops
+/// runs for less time.
 const STALL: Duration = Duration::from_millis(2_200);
 /// The time that a move has to save, so that the repeated reading of the prompt pays.
 const MOVE_GAIN: Duration = Duration::from_millis(300);
--- a/crates/edge/src/peers/questions.rs
+++ b/crates/edge/src/peers/questions.rs
@@ -8,10 +8,11 @@
 use crate::front::Front;
 use crate::leader::Duties;
 use crate::reader::Found;
-use crate::submit::{Relayed, Written};
+use crate::submit::{Ended, Relayed, Written};
 use dogwoodlb_batch::Text;
 use dogwoodlb_external::store::Row;
 use serde::{Deserialize, Serialize};
+use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -97,17 +98,11 @@
         };
         let service = service.to_owned();
         let question = Question::Texts { service };
-        match timeout(TEXTS_TIMEOUT, ask::<Vec<Text>>(peer, &question)).await {
-            Ok(Ok(texts)) => texts,
-            Ok(Err(error)) => {
-                tracing::info!(node, %error, "texts_not_told");
-                Vec::new()
-            }
-            Err(_) => {
-                tracing::info!(node, "texts_not_told");
-                Vec::new()
-            }
-        }
+        let asked: io::Result<Vec<Text>> = ask(peer, &question, TEXTS_TIMEOUT).await;
+        asked.unwrap_or_else(|error| {
+            tracing::info!(node, %error, "texts_not_told");
+            Vec::new()
+        })
     }
 
     /// Asks a node that reaches the store for results; `None` if no such node answers.
@@ -123,18 +118,9 @@
             after,
             wait_ms: u64::try_from(wait.as_millis()).unwrap_or(u64::MAX),
         };
-        let asked = ask::<Option<Found>>(peer, &question);
-        match timeout(wait + ASK_TIMEOUT, asked).await {
-            Ok(Ok(found)) => found,
-            Ok(Err(error)) => {
-                tracing::info!(batch, %peer, %error, "results_not_told");
-                None
-            }
-            Err(_) => {
-                tracing::info!(batch, %peer, "results_not_told");
-                None
-            }
-        }
+        let asked: io::Result<Option<Found>> = ask(peer, &question, wait + ASK_TIMEOUT).await;
+        let log = |error: &io::Error| tracing::info!(batch, %peer, %error, "results_not_told");
+        asked.inspect_err(log).ok().flatten()
     }
 
     /// Lets a node that reaches the store accept a batch.
@@ -143,38 +129,30 @@
             return Written::Refused;
         };
         let batch = relayed.id.clone();
+        let log = |error: &io::Error| tracing::info!(batch, %peer, %error, "batch_not_relayed");
         let asked = async {
             // Without a connection the batch can't have been stored.
-            let Ok(mut stream) = TcpStream::connect(peer).await else {
+            let Ok(mut stream) = TcpStream::connect(peer).await.inspect_err(log) else {
                 return Ok(Written::Refused);
             };
             send(&mut stream, &Question::Batch(relayed)).await?;
-            receive::<Written>(&mut stream).await
-        };
-        let written = match timeout(wait, asked).await {
-            Ok(Ok(written)) => written,
-            Ok(Err(error)) => {
-                tracing::info!(batch, %peer, %error, "batch_not_relayed");
-                Written::Unknown
-            }
-            Err(_) => Written::Unknown,
+            receive(&mut stream).await
         };
+        let asked: io::Result<Written> = within(wait, asked).await;
+        let written = asked.inspect_err(log).unwrap_or(Written::Unknown);
         tracing::info!(batch, %peer, outcome = written.name(), "batch_relayed");
         written
     }
 
     /// Lets a node that reaches the store try to end a batch; `None` if it can't tell.
-    pub(crate) async fn ask_end(&self, batch: &str) -> Option<Option<bool>> {
+    pub(crate) async fn ask_end(&self, batch: &str) -> Option<Ended> {
         let peer = self.any_with_store()?;
         let question = Question::End {
             batch: batch.to_owned(),
         };
-        let asked = timeout(ASK_TIMEOUT, ask::<Option<Option<bool>>>(peer, &question));
-        let told = asked.await.ok().and_then(Result::ok).flatten();
-        if told.is_none() {
-            tracing::info!(batch, %peer, "end_not_relayed");
-        }
-        told
+        let asked: io::Result<Option<Ended>> = ask(peer, &question, ASK_TIMEOUT).await;
+        let log = |error: &io::Error| tracing::info!(batch, %peer, %error, "end_not_relayed");
+        asked.inspect_err(log).ok().flatten()
     }
 }
 
@@ -213,7 +191,7 @@
         let mirror = mirrors.of(table).borrow();
         (mirror.version() > version).then(|| Copy::from(&*mirror))
     };
-    let question = timeout(ASK_TIMEOUT, receive(&mut stream)).await??;
+    let question = within(ASK_TIMEOUT, receive(&mut stream)).await?;
     match question {
         Question::Copies { operator, replicas } => {
             let copies = Copies {
@@ -261,18 +239,29 @@
             operator: follower.mirrors.of(Table::Operator).borrow().version(),
             replicas: follower.mirrors.of(Table::Replicas).borrow().version(),
         };
-        match timeout(ASK_TIMEOUT, ask(peer, &question)).await {
-            Ok(Ok(copies)) => take_over(follower, peer, copies),
-            Ok(Err(error)) => tracing::debug!(%peer, %error, "peer_not_asked"),
-            Err(_) => tracing::debug!(%peer, "peer_silent"),
+        match ask(peer, &question, ASK_TIMEOUT).await {
+            Ok(copies) => take_over(follower, peer, copies),
+            Err(error) => tracing::debug!(%peer, %error, "peer_not_asked"),
         }
     }
 }
 
-async fn ask<T: for<'de> Deserialize<'de>>(peer: SocketAddr, question: &Question) -> io::Result<T> {
-    let mut stream = TcpStream::connect(peer).await?;
-    send(&mut stream, question).await?;
-    receive(&mut stream).await
+/// Asks another node; a time-out is an error like any other.
+async fn ask<T: for<'de> Deserialize<'de>>(
+    peer: SocketAddr,
+    question: &Question,
+    limit: Duration,
+) -> io::Result<T> {
+    let asked = async {
+        let mut stream = TcpStream::connect(peer).await?;
+        send(&mut stream, question).await?;
+        receive(&mut stream).await
+    };
+    within(limit, asked).await
+}
+
+async fn within<T>(limit: Duration, asked: impl Future<Output = io::Result<T>>) -> io::Result<T> {
+    timeout(limit, asked).await?
 }
 
 fn take_over(follower: &Follower, peer: SocketAddr, copies: Copies) {
@@ -295,7 +284,7 @@
         stream.write_u32(length).await?;
         stream.write_all(&bytes).await
     };
-    timeout(ASK_TIMEOUT, written).await?
+    within(ASK_TIMEOUT, written).await
 }
 
 async fn receive<T: for<'de> Deserialize<'de>>(stream: &mut TcpStream) -> io::Result<T> {
--- a/crates/edge/src/submit.rs
+++ b/crates/edge/src/submit.rs
@@ -77,6 +77,17 @@
     }
 }
 
+/// What became of one try to end a batch.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub(crate) enum Ended {
+    /// The batch is ended.
+    Yes,
+    /// Another write came first.
+    NotYet,
+    /// There is no such batch.
+    NoBatch,
+}
+
 /// A batch that a node can't store itself.
 #[derive(Debug, Deserialize, Serialize)]
 pub(crate) struct Relayed {
@@ -318,9 +329,9 @@
         let mut outcome = "ended";
         loop {
             match self.end_anywhere(batch).await {
-                Ok(Some(true)) => break,
-                Ok(Some(false)) => {}
-                Ok(None) => {
+                Ok(Ended::Yes) => break,
+                Ok(Ended::NotYet) => {}
+                Ok(Ended::NoBatch) => {
                     tracing::info!(batch, outcome = "not_found", "batch_ended");
                     return reply::status(StatusCode::NOT_FOUND, "there is no such batch");
                 }
@@ -341,7 +352,7 @@
     }
 
     /// Tries once to end a batch, with the help of another node while the store is away.
-    async fn end_anywhere(&self, batch: &str) -> Result<Option<bool>, Error> {
+    async fn end_anywhere(&self, batch: &str) -> Result<Ended, Error> {
         if !self.storage.is_reached(clock::now()) {
             if let Some(tried) = self.peers.ask_end(batch).await {
                 return Ok(tried);
@@ -350,13 +361,13 @@
         self.try_end(batch).await
     }
 
-    /// Tries once to end a batch; returns whether it is ended, or `None` if there is none.
-    pub(crate) async fn try_end(&self, batch: &str) -> Result<Option<bool>, Error> {
+    /// Tries once to end a batch.
+    pub(crate) async fn try_end(&self, batch: &str) -> Result<Ended, Error> {
         let Some(Stored { row, value: head }) = self.archive.known_head(batch).await? else {
-            return Ok(None);
+            return Ok(Ended::NoBatch);
         };
         if head.ended {
-            return Ok(Some(true));
+            return Ok(Ended::Yes);
         }
         let ended = Head {
             ended: true,
@@ -368,11 +379,11 @@
         match self.storage.commit(&txn).await? {
             Outcome::Done { version, .. } => {
                 self.known.put_head(batch, version, ended);
-                Ok(Some(true))
+                Ok(Ended::Yes)
             }
             Outcome::Conflict { rows } => {
                 self.learn(batch, &rows);
-                Ok(Some(false))
+                Ok(Ended::NotYet)
             }
         }
     }
