Make the leader's work linear in replicas, and load only as many as needed

The leader compared every waiting item and every run with every replica, counted the runs of each replica by a walk over all items, looked up each replica among all others for its home model, and did all this again at each event. Whole reads of a table searched each known row in the rows read. All nodes rebuilt their routers at every change, also at listed results. Loads were ordered at all replicas of the pool.

The planner sorts the replicas once for all items that are alike (`Candidates`). Replicas are looked at when the directory, the loads or a version changed, at most every 40 ms, and rounds pause by what they take. Whole reads compare with a set. Routers follow the revision of the directory. A batch that another node took over gives its slots back.

--- a/crates/batch/src/planner.rs
+++ b/crates/batch/src/planner.rs
@@ -3,8 +3,10 @@
 use crate::{Item, Progress, Text};
 use dogwoodlb_types::Instant;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
 use std::time::Duration;
 
+mod candidates;
 mod choose;
 
 /// How long the text of an unfinished item is kept after the end of its batch, since its group
@@ -84,7 +86,7 @@
 pub struct Planner {
     works: BTreeMap<WorkId, Work>,
     batches: BTreeMap<String, Batch>,
-    replicas: BTreeMap<String, Replica>,
+    replicas: BTreeMap<Arc<str>, Replica>,
     carried: HashMap<String, WorkId>,
     next: u64,
     next_move: Instant,
@@ -191,11 +193,18 @@
     pub fn forget(&mut self, batch: &str) -> Vec<WorkId> {
         let works = self.batches.remove(batch).map(|batch| batch.works);
         let works = works.unwrap_or_default();
-        let running = works.iter().filter(|id| {
-            let work = self.works.remove(id);
-            work.is_some_and(|work| work.run().is_some())
-        });
-        running.copied().collect()
+        let mut running = Vec::new();
+        for id in works {
+            let work = self.works.remove(&id);
+            let Some(run) = work.as_ref().and_then(Work::run) else {
+                continue;
+            };
+            if let Some(replica) = self.replicas.get_mut(run.replica.as_str()) {
+                replica.release(run.tokens);
+            }
+            running.push(id);
+        }
+        running
     }
 
     /// Returns whether a batch is being run.
@@ -208,7 +217,7 @@
         match self.replicas.get_mut(id) {
             Some(replica) => replica.view = view,
             None => {
-                self.replicas.insert(id.to_owned(), Replica::new(view));
+                self.replicas.insert(id.into(), Replica::new(view));
             }
         }
     }
@@ -267,13 +276,19 @@
         works.map(|work| work.min_version).max()
     }
 
-    /// Returns the runs on a replica, of one model or of all.
-    pub fn running(&self, replica: &str, model: Option<&str>) -> usize {
-        let here = |work: &&Work| {
-            work.run().is_some_and(|run| run.replica == replica)
-                && model.is_none_or(|model| work.model == model)
+    /// Returns the items of a model that have no whole text yet.
+    pub fn demand(&self, model: &str) -> usize {
+        let is_open = |work: &&Work| {
+            let is_open = matches!(work.phase, Phase::Waiting | Phase::Running(_));
+            is_open && work.batch.is_some() && work.model == model
         };
-        self.works.values().filter(here).count()
+        self.works.values().filter(is_open).count()
+    }
+
+    /// Returns the runs on a replica.
+    pub fn running(&self, replica: &str) -> u32 {
+        let replica = self.replicas.get(replica);
+        replica.map_or(0, |replica| replica.running)
     }
 
     /// Takes in an event of a run; `false` means that it is not the next one, and that the run
@@ -298,7 +313,7 @@
         };
         // The first gap holds the time in the replica's queue and the reading of the prompt.
         if run.events > 0 {
-            if let Some(replica) = self.replicas.get_mut(&run.replica) {
+            if let Some(replica) = self.replicas.get_mut(run.replica.as_str()) {
                 replica.on_event(now.saturating_since(run.heard), now);
             }
         }
@@ -315,9 +330,8 @@
         let Phase::Running(run) = work.phase.clone() else {
             return false;
         };
-        if let Some(replica) = self.replicas.get_mut(&run.replica) {
-            replica.running = replica.running.saturating_sub(1);
-            replica.tokens = replica.tokens.saturating_sub(run.tokens);
+        if let Some(replica) = self.replicas.get_mut(run.replica.as_str()) {
+            replica.release(run.tokens);
             match stop {
                 Stop::Broken | Stop::Failed => replica.on_failure(now),
                 Stop::Refused => replica.on_refusal(now),
--- /dev/null
+++ b/crates/batch/src/planner/candidates.rs
@@ -0,0 +1,202 @@
+//! The replicas that can take work, the fastest first.
+
+use crate::replica::Replica;
+use crate::work::Work;
+use dogwoodlb_types::Instant;
+use std::cmp::{Ordering, Reverse};
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::sync::Arc;
+
+/// How much slower a replica counts whose version is too old for the next batch.
+const OLD_COST: f64 = 10.0;
+
+/// What decides whether and how well a replica suits a work; works that agree share a queue.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+struct Key {
+    model: String,
+    min_version: u64,
+    /// The version that the text has begun with, if it may have only one.
+    only_version: Option<u64>,
+    avoid_old: bool,
+}
+
+/// A replica in a queue, with what an event cost there when it was put in.
+#[derive(Debug, PartialEq)]
+struct Entry {
+    cost: f64,
+    replica: Arc<str>,
+}
+
+impl Eq for Entry {}
+
+impl Ord for Entry {
+    fn cmp(&self, other: &Self) -> Ordering {
+        let by_cost = self.cost.total_cmp(&other.cost);
+        by_cost.then_with(|| self.replica.cmp(&other.replica))
+    }
+}
+
+impl PartialOrd for Entry {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+#[derive(Default)]
+struct Queue {
+    entries: BinaryHeap<Reverse<Entry>>,
+    /// No replica of the queue has memory for a prompt of as many tokens.
+    full_at: Option<u64>,
+}
+
+/// What a round has placed on a replica so far.
+#[derive(Clone, Copy, Default)]
+struct Added {
+    runs: u32,
+    tokens: u64,
+}
+
+/// The replicas that can take work in one round of the planner.
+///
+/// A round that compared each work with each replica would take all of a node's processor time
+/// before some thousand replicas, so the replicas are sorted once for all works that are alike.
+pub(super) struct Candidates<'a> {
+    replicas: &'a BTreeMap<Arc<str>, Replica>,
+    usual_ms: f64,
+    now: Instant,
+    queues: HashMap<Key, Queue>,
+    added: HashMap<Arc<str>, Added>,
+}
+
+impl<'a> Candidates<'a> {
+    pub(super) fn new(
+        replicas: &'a BTreeMap<Arc<str>, Replica>,
+        usual_ms: f64,
+        now: Instant,
+    ) -> Self {
+        Self {
+            replicas,
+            usual_ms,
+            now,
+            queues: HashMap::new(),
+            added: HashMap::new(),
+        }
+    }
+
+    /// Returns the replica with the fastest events for one more run, and the time of one there.
+    /// With `avoid_old`, a replica whose version is too old for the next batch comes late.
+    pub(super) fn best(
+        &mut self,
+        work: &Work,
+        avoid_old: bool,
+        except: Option<&str>,
+    ) -> Option<(f64, Arc<str>)> {
+        let begun = work.progress.versions.first().copied();
+        let key = Key {
+            model: work.model.clone(),
+            min_version: work.min_version,
+            only_version: begun.filter(|_| work.single_version),
+            avoid_old,
+        };
+        let mut queue = match self.queues.remove(&key) {
+            Some(queue) => queue,
+            None => self.queue(&key, work),
+        };
+        let found = self.search(&mut queue, &key, work.prompt_tokens, except);
+        self.queues.insert(key, queue);
+        found
+    }
+
+    /// Notes that a run is placed on a replica.
+    pub(super) fn place(&mut self, replica: &Arc<str>, tokens: u64) {
+        let added = self.added.entry(replica.clone()).or_default();
+        added.runs += 1;
+        added.tokens += tokens;
+    }
+
+    fn queue(&self, key: &Key, work: &Work) -> Queue {
+        let usable = self.replicas.iter().filter(|(_, replica)| {
+            accepts(work, replica) && replica.is_open(&work.model, self.now)
+        });
+        let entries = usable.filter_map(|(name, replica)| {
+            let added = self.added.get(name).copied().unwrap_or_default();
+            let cost = self.cost(key, replica, added)?;
+            let replica = name.clone();
+            Some(Reverse(Entry { cost, replica }))
+        });
+        Queue {
+            entries: entries.collect(),
+            full_at: None,
+        }
+    }
+
+    fn search(
+        &self,
+        queue: &mut Queue,
+        key: &Key,
+        tokens: u64,
+        except: Option<&str>,
+    ) -> Option<(f64, Arc<str>)> {
+        if queue.full_at.is_some_and(|full| full <= tokens) {
+            return None;
+        }
+        let mut passed = Vec::new();
+        let mut found = None;
+        let mut is_excepted = false;
+        while let Some(Reverse(mut entry)) = queue.entries.pop() {
+            let Some(replica) = self.replicas.get(&entry.replica) else {
+                continue;
+            };
+            let added = self.added.get(&entry.replica).copied().unwrap_or_default();
+            let Some(cost) = self.cost(key, replica, added) else {
+                continue;
+            };
+            if cost > entry.cost {
+                entry.cost = cost;
+                queue.entries.push(Reverse(entry));
+                continue;
+            }
+            if except == Some(&*entry.replica) {
+                is_excepted = true;
+            } else if replica.has_memory(tokens, added.runs, added.tokens) {
+                let running = replica.running + added.runs + 1;
+                let ms = replica.event_ms(running, self.usual_ms, self.now);
+                found = Some((ms, entry.replica.clone()));
+            }
+            passed.push(Reverse(entry));
+            if found.is_some() {
+                break;
+            }
+        }
+        queue.entries.extend(passed);
+        if found.is_none() && !is_excepted {
+            queue.full_at = Some(tokens);
+        }
+        found
+    }
+
+    /// Returns what one more run costs on a replica, or `None` if its slots are taken.
+    fn cost(&self, key: &Key, replica: &Replica, added: Added) -> Option<f64> {
+        let running = replica.running + added.runs;
+        if running >= replica.view.slots {
+            return None;
+        }
+        let ms = replica.event_ms(running + 1, self.usual_ms, self.now);
+        let is_old = replica.version(&key.model) <= Some(key.min_version);
+        Some(if key.avoid_old && is_old {
+            ms * OLD_COST
+        } else {
+            ms
+        })
+    }
+}
+
+/// Returns whether the weights of a replica may go on with a work.
+fn accepts(work: &Work, replica: &Replica) -> bool {
+    let Some(version) = replica.version(&work.model) else {
+        return false;
+    };
+    let begun = work.progress.versions.first();
+    let same = !work.single_version || begun.is_none_or(|begun| *begun == version);
+    version >= work.min_version && same
+}
--- a/crates/batch/src/planner/choose.rs
+++ b/crates/batch/src/planner/choose.rs
@@ -1,10 +1,11 @@
 //! Which items start, move and stop now.
 
+use super::candidates::Candidates;
 use super::{Action, Planner};
 use crate::replica::Replica;
 use crate::work::{Phase, Run, Work, WorkId};
 use dogwoodlb_types::Instant;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 /// A run without an event for this long is taken to another replica. A change of weights stops
@@ -87,7 +88,7 @@
                 continue;
             }
             run.stopping = true;
-            if let Some(replica) = self.replicas.get_mut(&run.replica) {
+            if let Some(replica) = self.replicas.get_mut(run.replica.as_str()) {
                 replica.on_failure(now);
             }
             actions.push(Action::Stop {
@@ -136,15 +137,22 @@
             .collect();
         // The longest ones start first, because the last one to end decides.
         waiting.sort_by(|a, b| (b.0, b.1, a.2).cmp(&(a.0, a.1, b.2)));
-        let usual = self.usual_ms();
+        let mut candidates = Candidates::new(&self.replicas, self.usual_ms(), now);
+        let mut starts = Vec::new();
         for (urgency, _, id) in waiting {
-            let needed = urgency > Urgency::Spare;
             let work = &self.works[&id];
-            let Some(replica) = self.choose(work, needed, usual, now) else {
+            // The text of a group that will come again has to be new enough for its next batch.
+            let avoid_old = urgency == Urgency::Spare;
+            let Some((_, replica)) = candidates.best(work, avoid_old, None) else {
                 continue;
             };
-            self.start(id, &replica, now);
-            actions.push(Action::Start { work: id, replica });
+            candidates.place(&replica, work.prompt_tokens);
+            starts.push((id, replica));
+        }
+        for (work, replica) in starts {
+            self.start(work, &replica, now);
+            let replica = replica.to_string();
+            actions.push(Action::Start { work, replica });
         }
     }
 
@@ -167,26 +175,6 @@
         closing.map(|(id, _)| id.clone()).collect()
     }
 
-    fn choose(&self, work: &Work, needed: bool, usual: f64, now: Instant) -> Option<String> {
-        let tokens = work.prompt_tokens;
-        let fits = |replica: &Replica| {
-            replica.has_room(&work.model, tokens, now) && accepts(work, replica)
-        };
-        let usable = self.replicas.iter().filter(|(_, replica)| fits(replica));
-        let cost = |replica: &Replica| {
-            let ms = replica.event_ms(replica.running + 1, usual, now);
-            // The text of a group that will come again has to be new enough for its next batch.
-            let is_old = replica.version(&work.model) <= Some(work.min_version);
-            if !needed && is_old {
-                ms * 10.0
-            } else {
-                ms
-            }
-        };
-        let best = usable.min_by(|(_, a), (_, b)| cost(a).total_cmp(&cost(b)));
-        best.map(|(id, _)| id.clone())
-    }
-
     fn start(&mut self, id: WorkId, name: &str, now: Instant) {
         let Some(work) = self.works.get_mut(&id) else {
             return;
@@ -209,7 +197,7 @@
     /// Moves runs away from replicas that are about to change weights, and from slow ones.
     fn plan_moves(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let usual = self.usual_ms();
-        let mut extra: BTreeMap<String, u32> = BTreeMap::new();
+        let mut candidates = Candidates::new(&self.replicas, usual, now);
         let mut moves = Vec::new();
         let mut runs: Vec<(u64, WorkId)> = self
             .works
@@ -221,7 +209,7 @@
         for (remaining, id) in runs {
             let work = &self.works[&id];
             let Some(run) = work.run() else { continue };
-            let Some(from) = self.replicas.get(&run.replica) else {
+            let Some(from) = self.replicas.get(run.replica.as_str()) else {
                 continue;
             };
             let closed = from.is_closed(&work.model);
@@ -229,28 +217,12 @@
                 continue;
             }
             let here = from.event_ms(from.running, usual, now);
-            let target = self
-                .replicas
-                .iter()
-                .filter(|(name, _)| **name != run.replica)
-                .filter(|(name, replica)| {
-                    let added = extra.get(*name).copied().unwrap_or_default();
-                    replica.running + added < replica.view.slots
-                        && replica.has_room(&work.model, work.prompt_tokens, now)
-                        && accepts(work, replica)
-                })
-                .map(|(name, replica)| {
-                    let added = extra.get(name).copied().unwrap_or_default();
-                    let ms = replica.event_ms(replica.running + added + 1, usual, now);
-                    (ms, name)
-                })
-                .min_by(|a, b| a.0.total_cmp(&b.0));
-            let Some((there, name)) = target else {
+            let Some((there, target)) = candidates.best(work, false, Some(&run.replica)) else {
                 continue;
             };
             let gain = (here - there) * remaining as f64;
             if closed || gain > MOVE_GAIN.as_secs_f64() * 1e3 {
-                *extra.entry(name.clone()).or_default() += 1;
+                candidates.place(&target, work.prompt_tokens);
                 moves.push((id, if closed { "closed" } else { "slow" }));
             }
         }
@@ -273,13 +245,3 @@
             .unwrap_or(FIRST_EVENT_MS)
     }
 }
-
-/// Returns whether the weights of a replica may go on with a work.
-fn accepts(work: &Work, replica: &Replica) -> bool {
-    let Some(version) = replica.version(&work.model) else {
-        return false;
-    };
-    let begun = work.progress.versions.first();
-    let same = !work.single_version || begun.is_none_or(|begun| *begun == version);
-    version >= work.min_version && same
-}
--- a/crates/batch/src/replica.rs
+++ b/crates/batch/src/replica.rs
@@ -54,11 +54,23 @@
         }
     }
 
-    /// Returns whether the replica can take one more request of a model.
-    pub(crate) fn has_room(&self, model: &str, tokens: u64, now: Instant) -> bool {
+    /// Returns whether the replica takes new requests of a model, if it has room.
+    pub(crate) fn is_open(&self, model: &str, now: Instant) -> bool {
+        self.paused <= now && !self.is_closed(model)
+    }
+
+    /// Returns whether a prompt fits into the memory beside what runs and `added` runs with
+    /// `added_tokens`.
+    pub(crate) fn has_memory(&self, tokens: u64, added: u32, added_tokens: u64) -> bool {
         let memory = self.view.memory_tokens;
-        let fits = memory == 0 || self.running == 0 || self.tokens + tokens <= memory;
-        self.running < self.view.slots && fits && self.paused <= now && !self.is_closed(model)
+        let is_empty = self.running + added == 0;
+        memory == 0 || is_empty || self.tokens + added_tokens + tokens <= memory
+    }
+
+    /// Takes in the end of a run whose prompt has this many tokens.
+    pub(crate) fn release(&mut self, tokens: u64) {
+        self.running = self.running.saturating_sub(1);
+        self.tokens = self.tokens.saturating_sub(tokens);
     }
 
     pub(crate) fn is_closed(&self, model: &str) -> bool {
--- /dev/null
+++ b/crates/batch/tests/size.rs
@@ -0,0 +1,90 @@
+//! Guards against a planner whose work grows as items times replicas, which took all of the
+//! leader's processor time before 3,000 replicas.
+
+use dogwoodlb_batch::{Action, Item, Open, Planner, View};
+use dogwoodlb_types::Instant;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+const REPLICAS: u32 = 3_000;
+const SLOTS: u32 = 2;
+const ITEMS: u32 = 9_000;
+/// A round that looks at each pair takes some seconds in a debug build.
+const LIMIT: Duration = Duration::from_millis(600);
+
+fn item(number: u32) -> Item {
+    Item {
+        id: format!("i{number}"),
+        group: format!("g{}", number / 16),
+        prompt_tokens: 10,
+        expected_tokens: u64::from(100 + number % 90),
+        ..Item::default()
+    }
+}
+
+fn planner() -> Planner {
+    let mut planner = Planner::default();
+    for number in 0..REPLICAS {
+        let view = View {
+            slots: SLOTS,
+            versions: [("m".to_owned(), 1)].into(),
+            ..View::default()
+        };
+        planner.set_replica(&format!("r{number:04}"), view);
+    }
+    let items: Vec<Item> = (0..ITEMS).map(item).collect();
+    planner.open(&Open {
+        id: "b",
+        model: "m",
+        min_version: 1,
+        single_version: false,
+        target_groups: 500,
+        max_attempts: 3,
+        event_tokens: 10,
+        items: &items,
+        listed: &BTreeSet::new(),
+    });
+    planner
+}
+
+fn timed(planner: &mut Planner, ms: u64) -> (Vec<Action>, Duration) {
+    let began = std::time::Instant::now();
+    let actions = planner.plan(Instant::from_millis(ms));
+    (actions, began.elapsed())
+}
+
+#[test]
+fn first_round() {
+    let (actions, took) = timed(&mut planner(), 0);
+    assert_eq!(actions.len(), (REPLICAS * SLOTS) as usize);
+    assert!(took < LIMIT, "{took:?}");
+}
+
+/// All slots are taken, 3,000 items wait, and each run is compared with the other replicas.
+#[test]
+fn full_round() {
+    let mut planner = planner();
+    planner.plan(Instant::from_millis(0));
+    let (actions, took) = timed(&mut planner, 1_000);
+    assert_eq!(actions, []);
+    assert!(took < LIMIT, "{took:?}");
+}
+
+/// Half of the replicas are new and empty, so that every run has places to move to.
+#[test]
+fn moves() {
+    let mut planner = planner();
+    planner.plan(Instant::from_millis(0));
+    for number in 0..REPLICAS {
+        let view = View {
+            slots: SLOTS,
+            versions: [("m".to_owned(), 1)].into(),
+            ..View::default()
+        };
+        planner.set_replica(&format!("s{number:04}"), view);
+    }
+    let (actions, took) = timed(&mut planner, 1_000);
+    let waiting = (ITEMS - REPLICAS * SLOTS) as usize;
+    assert_eq!(actions.len(), waiting);
+    assert!(took < LIMIT, "{took:?}");
+}
--- a/crates/directory/src/directory.rs
+++ b/crates/directory/src/directory.rs
@@ -1,6 +1,6 @@
 use crate::{Entry, Stage};
 use dogwoodlb_types::Instant;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// The time after the store's return in which a live replica registers again.
@@ -17,6 +17,8 @@
     contact: Option<Instant>,
     /// Until when a missing entry counts as lapsed rather than gone.
     returning: Option<Instant>,
+    /// The number of changes so far.
+    revision: u64,
 }
 
 #[derive(Clone, Debug)]
@@ -55,6 +57,7 @@
             lapses: None,
         };
         self.replicas.insert(id.to_owned(), record);
+        self.revision += u64::from(changed);
         changed
     }
 
@@ -73,7 +76,10 @@
                 record.lapses.get_or_insert(until);
                 false
             }
-            _ => self.replicas.remove(id).is_some(),
+            _ => {
+                self.revision += 1;
+                self.replicas.remove(id).is_some()
+            }
         }
     }
 
@@ -84,10 +90,10 @@
         as_of: u64,
         now: Instant,
     ) -> Vec<String> {
-        let missing: Vec<String> = self
-            .replicas
-            .keys()
-            .filter(|id| !entries.iter().any(|(entry, _, _)| entry == *id))
+        let present: BTreeSet<&str> = entries.iter().map(|(id, _, _)| id.as_str()).collect();
+        let known = self.replicas.keys();
+        let missing: Vec<String> = known
+            .filter(|id| !present.contains(id.as_str()))
             .cloned()
             .collect();
         for (id, row, entry) in entries {
@@ -107,10 +113,16 @@
             .collect();
         for id in &lapsed {
             self.replicas.remove(id);
+            self.revision += 1;
         }
         lapsed
     }
 
+    /// Returns a number that grows whenever a replica comes, changes or goes.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
     /// Returns what a replica says of itself.
     pub fn get(&self, id: &str) -> Option<&Entry> {
         self.replicas.get(id).map(|record| &record.entry)
@@ -126,7 +138,6 @@
 
     /// Returns the replicas of a service that take new work.
     pub fn usable<'a>(&'a self, service: &'a str) -> impl Iterator<Item = (&'a str, &'a Entry)> {
-        self.listed(service)
-            .filter(|(_, entry)| entry.stage == Stage::Ready)
+        self.listed(service).filter(|(_, entry)| entry.is_usable())
     }
 }
--- a/crates/directory/src/entry.rs
+++ b/crates/directory/src/entry.rs
@@ -20,6 +20,11 @@
 }
 
 impl Entry {
+    /// Returns whether the replica takes new work.
+    pub fn is_usable(&self) -> bool {
+        self.stage == Stage::Ready
+    }
+
     /// Returns the version of a model's weights.
     pub fn version(&self, model: &str) -> Option<u64> {
         let mut models = self.models.iter();
--- a/crates/directory/tests/lapsed_entries.rs
+++ b/crates/directory/tests/lapsed_entries.rs
@@ -57,3 +57,18 @@
     assert!(!directory.remove("r", 3, at(0)));
     assert_eq!(directory.listed("s").count(), 1);
 }
+
+/// Each known replica was searched in the whole read, which took seconds for some thousand.
+#[test]
+fn long_read() {
+    let rows = || -> Vec<(String, u64, Entry)> {
+        let row = |number| (format!("a-replica-{number:05}"), 1, entry(Stage::Ready));
+        (0..20_000).map(row).collect()
+    };
+    let mut directory = Directory::default();
+    directory.replace(rows(), 1, at(0));
+    let began = std::time::Instant::now();
+    assert!(directory.replace(rows(), 2, at(1)).is_empty());
+    let took = began.elapsed();
+    assert!(took < Duration::from_secs(2), "{took:?}");
+}
--- a/crates/edge/src/conductor.rs
+++ b/crates/edge/src/conductor.rs
@@ -25,6 +25,12 @@
 
 /// The time between two looks at what is due.
 const TICK: Duration = Duration::from_millis(40);
+/// After a round, or a look at all replicas, the next one waits for this many times what it
+/// took, so that a leader of many replicas has time for its streams.
+const ROUND_PAUSE: u32 = 4;
+const SURVEY_PAUSE: u32 = 20;
+/// A round that takes less needs no pause.
+const SHORT_ROUND: Duration = Duration::from_millis(1);
 /// How long a new leader waits for the adoption of all open batches before it starts items.
 const GATHER: Duration = Duration::from_millis(800);
 /// How long an item may take of which the route says nothing.
@@ -68,6 +74,19 @@
     checkpointing: Cell<bool>,
     /// Until when no run starts because batches that were open at the start are being adopted.
     gathering: Cell<Option<Instant>>,
+    survey: Cell<Survey>,
+}
+
+/// The last look at all replicas.
+#[derive(Clone, Copy, Default)]
+struct Survey {
+    /// What was known then: the revisions of the directory and of the loads, and the row of
+    /// the last version that was named.
+    seen: (u64, u64, u64),
+    /// When the next one is due if nothing changes.
+    due: Instant,
+    /// When the next one may be, whatever changes.
+    earliest: Instant,
 }
 
 impl Conductor {
@@ -88,6 +107,7 @@
             next_checkpoint: Cell::default(),
             checkpointing: Cell::new(false),
             gathering: Cell::new(Some(clock::now() + GATHER)),
+            survey: Cell::default(),
         }
     }
 
@@ -104,7 +124,12 @@
                 self.surrender();
             }
             if !self.surrendered.get() {
+                let began = std::time::Instant::now();
                 self.step();
+                let took = began.elapsed();
+                if took >= SHORT_ROUND {
+                    sleep(took * ROUND_PAUSE).await;
+                }
             }
         }
     }
@@ -118,19 +143,8 @@
             return;
         };
         self.sync_batches();
-        self.sync_replicas(engine);
+        self.survey(engine);
         self.give_up();
-        let single_version = self.batches.borrow().values().any(|running| {
-            let route = self.route(&running.submission);
-            route.is_some_and(|route| route.single_version)
-        });
-        self.loads.advance(
-            &self.tools,
-            &self.planner,
-            &self.service,
-            engine,
-            single_version,
-        );
         if self.is_gathering() {
             return;
         }
@@ -338,6 +352,38 @@
         );
     }
 
+    /// Looks at all replicas: orders the loads that are due and tells the planner.
+    fn survey(self: &Rc<Self>, engine: &Engine) {
+        let now = clock::now();
+        let last = self.survey.get();
+        let seen = (
+            self.tools.known.directory().revision(),
+            self.loads.revision(),
+            self.tools.known.named_row(),
+        );
+        if now < last.earliest || (now < last.due && seen == last.seen) {
+            return;
+        }
+        let began = std::time::Instant::now();
+        let single_version = self.batches.borrow().values().any(|running| {
+            let route = self.route(&running.submission);
+            route.is_some_and(|route| route.single_version)
+        });
+        self.loads.advance(
+            &self.tools,
+            &self.planner,
+            &self.service,
+            engine,
+            single_version,
+        );
+        self.sync_replicas(engine);
+        self.survey.set(Survey {
+            seen: (seen.0, self.loads.revision(), seen.2),
+            due: now + TICK,
+            earliest: now + began.elapsed() * SURVEY_PAUSE,
+        });
+    }
+
     fn sync_replicas(&self, engine: &Engine) {
         let directory = self.tools.known.directory();
         let mut planner = self.planner.borrow_mut();
@@ -354,11 +400,9 @@
             };
             planner.set_replica(replica, view);
         }
-        let is_usable = |id: &str| {
-            directory
-                .usable(&self.service)
-                .any(|(known, _)| known == id)
-        };
-        planner.retain_replicas(is_usable);
+        planner.retain_replicas(|id| {
+            let entry = directory.get(id);
+            entry.is_some_and(|entry| entry.service == self.service && entry.is_usable())
+        });
     }
 }
--- a/crates/edge/src/fleet.rs
+++ b/crates/edge/src/fleet.rs
@@ -3,6 +3,7 @@
 use crate::clock;
 use crate::known::Known;
 use crate::settings::Settings;
+use dogwoodlb_config::Snapshot;
 use dogwoodlb_directory::Entry;
 use dogwoodlb_route::{Outcome, Replica, Request, Router, Ticket};
 use dogwoodlb_types::{id, Class};
@@ -49,6 +50,8 @@
     routers: RefCell<HashMap<String, Router>>,
     /// The replicas that can't be used, which are logged once.
     misplaced: RefCell<BTreeSet<String>>,
+    /// The directory and the configuration that the routers know.
+    seen: RefCell<Option<(u64, Rc<Snapshot>)>>,
 }
 
 impl Fleet {
@@ -72,6 +75,7 @@
             known,
             routers: RefCell::default(),
             misplaced: RefCell::default(),
+            seen: RefCell::default(),
         })
     }
 
@@ -81,6 +85,12 @@
             return;
         };
         let directory = self.known.directory();
+        let revision = directory.revision();
+        let is_seen =
+            |(known, old): &(u64, Rc<Snapshot>)| *known == revision && Rc::ptr_eq(old, &config);
+        if self.seen.borrow().as_ref().is_some_and(is_seen) {
+            return;
+        }
         let is_known = |id: &String| directory.get(id).is_some();
         self.misplaced.borrow_mut().retain(is_known);
         let mut routers = self.routers.borrow_mut();
@@ -96,6 +106,7 @@
                 tracing::error!(service = service.name, %error, "replicas_refused");
             }
         }
+        *self.seen.borrow_mut() = Some((revision, config.clone()));
     }
 
     fn replica(&self, id: &str, entry: &Entry) -> Option<Replica> {
--- a/crates/edge/src/known.rs
+++ b/crates/edge/src/known.rs
@@ -106,6 +106,12 @@
         self.directory.borrow()
     }
 
+    /// Returns the row of the weight version that was named last, of any model.
+    pub(crate) fn named_row(&self) -> u64 {
+        let versions = self.versions.borrow();
+        versions.values().map(|named| named.row).max().unwrap_or(0)
+    }
+
     /// Returns the newest version of a model's weights.
     pub(crate) fn version(&self, model: &str) -> Option<u64> {
         self.versions.borrow().get(model).map(|named| named.version)
--- a/crates/mirror/src/mirror.rs
+++ b/crates/mirror/src/mirror.rs
@@ -1,5 +1,5 @@
 use dogwoodlb_external::store::Row;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// What the shell has to ask the store next.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -49,9 +49,11 @@
         if version < self.version {
             return Vec::new();
         }
-        let missing = self.rows.values().filter(|known| {
-            known.version <= version && !rows.iter().any(|row| row.key == known.key)
-        });
+        let present: BTreeSet<&str> = rows.iter().map(|row| row.key.as_str()).collect();
+        let missing = self
+            .rows
+            .values()
+            .filter(|known| known.version <= version && !present.contains(known.key.as_str()));
         let mut changed: Vec<Row> = missing
             .map(|known| Row {
                 version,
--- a/crates/mirror/tests/late_rows.rs
+++ b/crates/mirror/tests/late_rows.rs
@@ -57,3 +57,22 @@
     assert_eq!(mirror.next(), Next::Read);
     assert_eq!(keys(&mirror), ["a"], "what is known stays in use");
 }
+
+/// Each known row was searched in the whole read, which took seconds for some thousand rows.
+#[test]
+fn long_table() {
+    let rows = |version| -> Vec<Row> {
+        let row = |number| Row {
+            key: format!("a-key-of-some-length-{number:05}"),
+            version,
+            ..Row::default()
+        };
+        (0..20_000).map(row).collect()
+    };
+    let mut mirror = Mirror::default();
+    mirror.replace(rows(1), 1);
+    let began = std::time::Instant::now();
+    assert_eq!(mirror.replace(rows(2), 2).len(), 20_000);
+    let took = began.elapsed();
+    assert!(took < std::time::Duration::from_secs(2), "{took:?}");
+}
--- a/crates/weights/src/homes.rs
+++ b/crates/weights/src/homes.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Which replica is kept fresh for which model.
 ///
@@ -28,9 +28,9 @@
             self.homes.clear();
             return;
         }
-        let is_known = |replica: &str| candidates.iter().any(|one| one.replica == replica);
+        let known: BTreeSet<&str> = candidates.iter().map(|one| &*one.replica).collect();
         self.homes
-            .retain(|replica, model| is_known(replica) && *model < shares.len());
+            .retain(|replica, model| known.contains(&**replica) && *model < shares.len());
         let wanted = quotas(candidates.len(), shares, total);
         let mut counts = vec![0; shares.len()];
         for model in self.homes.values() {
--- a/crates/weights/src/plan.rs
+++ b/crates/weights/src/plan.rs
@@ -1,3 +1,5 @@
+use std::collections::BTreeSet;
+
 /// The weights of one model on one replica.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Holding {
@@ -24,6 +26,8 @@
     pub free_loads: usize,
     /// The loads of the newest version so far.
     pub loads: usize,
+    /// The replicas that the work needs; others are left with the weights that they have.
+    pub needed: usize,
 }
 
 /// Why a replica is to load, the most urgent reason first.
@@ -50,20 +54,24 @@
 ///
 /// A replica that is one version behind serves the current step but not the next one. So those
 /// that are further behind load at once, half of all are kept at the newest version, and the
-/// rest loads while no work waits.
+/// rest loads while no work waits. All this concerns only as many replicas as the work needs,
+/// those with the newest weights first.
 pub fn plan(holdings: &[Holding], wish: &Wish) -> Vec<Choice> {
-    let is_behind = |one: &&Holding| one.version < wish.newest;
-    let mut behind: Vec<&Holding> = holdings.iter().filter(is_behind).collect();
-    behind.retain(|one| !one.busy);
-    behind.sort_by_key(|one| (one.version, one.running, one.replica.clone()));
+    let mut kept: Vec<&Holding> = holdings.iter().collect();
+    kept.sort_by(|a, b| (b.version, b.busy, &a.replica).cmp(&(a.version, a.busy, &b.replica)));
+    kept.truncate(wish.needed);
+    let total = kept.len();
+    let mut behind = kept;
+    behind.retain(|one| one.version < wish.newest && !one.busy);
+    behind.sort_by_key(|one| (one.version, one.running, &one.replica));
     // Those that are loading count as done.
-    let done = holdings.len() - behind.len();
+    let done = total - behind.len();
     let mut choices = Vec::new();
     for (turn, holding) in behind.into_iter().enumerate() {
         let useless = holding.version < wish.min_version || holding.version + 1 < wish.newest;
         let need = if useless {
             Need::Useless
-        } else if (done + turn) * 2 < holdings.len() {
+        } else if (done + turn) * 2 < total {
             Need::Half
         } else if !wish.waiting && wish.loads + turn < wish.free_loads {
             Need::Spare
@@ -87,10 +95,11 @@
     }
     all.sort_unstable();
     let mut begun: Vec<(usize, String)> = Vec::new();
+    let mut taken = BTreeSet::new();
     for (_, turn, model) in all {
         let replica = &choices[model][turn].replica;
         // A replica changes the weights of one model at a time.
-        if begun.len() < room && begun.iter().all(|(_, taken)| taken != replica) {
+        if begun.len() < room && taken.insert(replica) {
             begun.push((model, replica.clone()));
         }
     }
--- a/crates/weights/tests/load_order.rs
+++ b/crates/weights/tests/load_order.rs
@@ -18,6 +18,7 @@
     waiting: true,
     free_loads: 4,
     loads: 0,
+    needed: usize::MAX,
 };
 
 fn names(choices: &[Choice]) -> Vec<(&str, Need)> {
@@ -117,3 +118,31 @@
         );
     }
 }
+
+/// Loads were ordered at every replica of a pool, however little work there was.
+#[test]
+fn only_as_many_as_needed() {
+    let three = Wish { needed: 3, ..WISH };
+    let behind = [("r0", Need::Useless), ("r1", Need::Useless)];
+    assert_eq!(names(&plan(&holdings(&[3, 3, 2, 5, 1]), &three)), behind);
+    let none = Wish { needed: 0, ..WISH };
+    assert!(plan(&holdings(&[1, 1]), &none).is_empty());
+}
+
+/// Each candidate was looked up among all others, which took a leader's processor time before
+/// some thousand replicas.
+#[test]
+fn many_homes() {
+    let candidates: Vec<Candidate> = (0..20_000)
+        .map(|number| Candidate {
+            replica: format!("replica-of-a-long-name-{number:05}"),
+            lags: vec![0, 1],
+        })
+        .collect();
+    let mut homes = Homes::default();
+    homes.assign(&candidates, &[1.0, 1.0]);
+    let began = std::time::Instant::now();
+    homes.assign(&candidates, &[1.0, 1.0]);
+    let took = began.elapsed();
+    assert!(took < std::time::Duration::from_secs(1), "{took:?}");
+}
