Start items in the order of the steps, and keep the place of moved runs

Items of a younger step went before those of an older one by length alone.

The slots: a step's items take 1.4 to 2 s of all slots, and its longest (146 events of 35 to 41 ms) take 5 to 6 s whatever is done.

A round that stops runs starts none, and the next one follows at once; a run that was broken off goes on before new items; the steps come in the order of their submission. The special place of the last items of an almost whole step goes, since the older step is first now.

`older_step_first` and `moved_run_goes_on` guard this.

--- a/crates/batch/src/planner/choose.rs
+++ b/crates/batch/src/planner/choose.rs
@@ -5,7 +5,7 @@
 use crate::replica::Replica;
 use crate::work::{Phase, Run, Work, WorkId};
 use dogwoodlb_types::Instant;
-use std::collections::BTreeSet;
+use std::cmp::Reverse;
 use std::time::Duration;
 
 /// A run without an event for this long is taken to another replica. A change of weights stops
@@ -18,24 +18,28 @@
 /// The moves of one round; the speeds are estimated anew before the next one.
 const MOVES: usize = 4;
 const MOVE_INTERVAL: Duration = Duration::from_millis(100);
-/// A batch is almost whole when the items that it still needs take one in this many slots.
-const CLOSING_SHARE: usize = 4;
 /// The time of one event before any was seen, in milliseconds.
 const FIRST_EVENT_MS: f64 = 32.0;
 
-/// How soon an item is to start.
+/// Where a waiting item stands; the lowest starts first.
+///
+/// The batches are due in the order of their submission, and a batch ends with its longest item.
+/// A run that was broken off goes on before others begin, or a move would lose its place.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-enum Urgency {
-    /// Its batch can do without its group.
-    Spare,
-    /// Its group is likely to be among the first.
-    Needed,
-    /// It is one of the last that its batch needs.
-    Closing,
+struct Turn {
+    /// Whether its batch can do without its group.
+    is_spare: bool,
+    submitted_ms: u64,
+    is_new: bool,
+    remaining: Reverse<u64>,
+    id: WorkId,
 }
 
 impl Planner {
     /// Decides what is started and stopped now.
+    ///
+    /// Nothing is started in a round that stops runs: they are to be placed anew before others
+    /// take the slots. The shell asks again once it has stopped them.
     pub fn plan(&mut self, now: Instant) -> Vec<Action> {
         let mut actions = Vec::new();
         self.expire(now, &mut actions);
@@ -48,7 +52,9 @@
             }
             self.plan_moves(now, &mut actions);
         }
-        self.plan_starts(now, &mut actions);
+        if actions.is_empty() {
+            self.plan_starts(now, &mut actions);
+        }
         actions
     }
 
@@ -118,36 +124,34 @@
         }
     }
 
-    fn is_needed(&self, work: &Work) -> bool {
-        let batch = work.batch.as_ref().and_then(|id| self.batches.get(id));
-        batch.is_some_and(|batch| batch.needed[work.group])
+    fn turn(&self, id: WorkId, work: &Work) -> Option<Turn> {
+        let batch = self.batches.get(work.batch.as_ref()?)?;
+        let is_waiting = work.phase == Phase::Waiting;
+        is_waiting.then(|| Turn {
+            is_spare: !batch.needed[work.group],
+            submitted_ms: batch.submitted_ms,
+            is_new: work.progress.last_event == 0,
+            remaining: Reverse(work.remaining()),
+            id,
+        })
     }
 
     fn plan_starts(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        let is_waiting = |work: &Work| work.batch.is_some() && work.phase == Phase::Waiting;
-        let waiting = self.works.iter().filter(|(_, work)| is_waiting(work));
-        let closing = self.closing();
-        let urgency = |work: &Work| match self.is_needed(work) {
-            true if work.batch.as_ref().is_some_and(|id| closing.contains(id)) => Urgency::Closing,
-            true => Urgency::Needed,
-            false => Urgency::Spare,
-        };
-        let mut waiting: Vec<(Urgency, u64, WorkId)> = waiting
-            .map(|(id, work)| (urgency(work), work.remaining(), *id))
+        let works = self.works.iter();
+        let mut waiting: Vec<Turn> = works
+            .filter_map(|(id, work)| self.turn(*id, work))
             .collect();
-        // The longest ones start first, because the last one to end decides.
-        waiting.sort_by(|a, b| (b.0, b.1, a.2).cmp(&(a.0, a.1, b.2)));
+        waiting.sort_unstable();
         let mut candidates = Candidates::new(&self.replicas, self.usual_ms(), now);
         let mut starts = Vec::new();
-        for (urgency, _, id) in waiting {
-            let work = &self.works[&id];
+        for turn in waiting {
+            let work = &self.works[&turn.id];
             // The text of a group that will come again has to be new enough for its next batch.
-            let avoid_old = urgency == Urgency::Spare;
-            let Some((_, replica)) = candidates.best(work, avoid_old, None) else {
+            let Some((_, replica)) = candidates.best(work, turn.is_spare, None) else {
                 continue;
             };
             candidates.place(&replica, work.prompt_tokens);
-            starts.push((id, replica));
+            starts.push((turn.id, replica));
         }
         for (work, replica) in starts {
             self.start(work, &replica, now);
@@ -156,25 +160,6 @@
         }
     }
 
-    /// Returns the batches that are almost whole. Their last items take few slots, and by length
-    /// alone they would wait behind those of a batch that has just begun.
-    fn closing(&self) -> BTreeSet<String> {
-        let slots: usize = self
-            .replicas
-            .values()
-            .map(|one| one.view.slots as usize)
-            .sum();
-        let most = slots / CLOSING_SHARE;
-        let open = |work: &&WorkId| {
-            let work = &self.works[*work];
-            let is_open = matches!(work.phase, Phase::Waiting | Phase::Running(_));
-            is_open && self.is_needed(work)
-        };
-        let batches = self.batches.iter();
-        let closing = batches.filter(|(_, batch)| batch.works.iter().filter(open).count() <= most);
-        closing.map(|(id, _)| id.clone()).collect()
-    }
-
     fn start(&mut self, id: WorkId, name: &str, now: Instant) {
         let Some(work) = self.works.get_mut(&id) else {
             return;
--- a/crates/batch/tests/item_order.rs
+++ b/crates/batch/tests/item_order.rs
@@ -19,8 +19,13 @@
 }
 
 fn open(planner: &mut Planner, id: &str, min_version: u64, items: &[Item]) {
+    open_at(planner, id, 0, min_version, items);
+}
+
+fn open_at(planner: &mut Planner, id: &str, submitted_ms: u64, min_version: u64, items: &[Item]) {
     planner.open(&Open {
         id,
+        submitted_ms,
         model: "m",
         min_version,
         single_version: false,
@@ -72,12 +77,59 @@
     let mut planner = Planner::default();
     planner.set_replica("r", view(4, 1));
     let long: Vec<Item> = (0..6).map(|n| item(&format!("n{n}"), "g", 900)).collect();
-    open(&mut planner, "new", 1, &long);
-    open(&mut planner, "old", 1, &[item("a", "g", 100)]);
+    open_at(&mut planner, "new", 2_000, 1, &long);
+    open_at(&mut planner, "old", 1_000, 1, &[item("a", "g", 100)]);
     let actions = planner.plan(at(0));
     assert_eq!(starts(&actions), [(7, "r"), (1, "r"), (2, "r"), (3, "r")]);
 }
 
+/// The longest items of the newer step took the slots, and the older one missed its time.
+#[test]
+fn older_step_first() {
+    let mut planner = Planner::default();
+    planner.set_replica("r", view(4, 1));
+    let items = |name: &str, tokens| -> Vec<Item> {
+        let item = |n| item(&format!("{name}{n}"), name, tokens);
+        (0..4).map(item).collect()
+    };
+    open_at(&mut planner, "a-new", 2_000, 1, &items("new", 900));
+    open_at(&mut planner, "b-old", 1_000, 1, &items("old", 100));
+    let actions = planner.plan(at(0));
+    assert_eq!(starts(&actions), [(5, "r"), (6, "r"), (7, "r"), (8, "r")]);
+}
+
+/// The items that a change of weights broke off stood behind all others of their step, and
+/// the free slots that they were moved to were given to those.
+#[test]
+fn moved_run_goes_on() {
+    let mut planner = Planner::default();
+    planner.set_replica("r", view(1, 1));
+    let items = [item("a", "g", 100), item("b", "g", 90), item("c", "g", 90)];
+    open(&mut planner, "b1", 1, &items);
+    assert_eq!(starts(&planner.plan(at(0))), [(1, "r")]);
+    for event in 1..=8 {
+        let now = at(30 * event);
+        assert!(planner.on_event(WorkId(1), event, "x", 1, now));
+    }
+    planner.set_replica("other", view(1, 1));
+    let mut closed = view(1, 1);
+    closed.closed.push("m".into());
+    planner.set_replica("r", closed);
+    let actions = planner.plan(at(300));
+    assert!(
+        matches!(
+            actions[..],
+            [Action::Stop {
+                work: WorkId(1),
+                ..
+            }]
+        ),
+        "{actions:?}"
+    );
+    planner.on_stop(WorkId(1), Stop::Moved, at(300));
+    assert_eq!(starts(&planner.plan(at(300))), [(1, "other")]);
+}
+
 #[test]
 fn old_weights() {
     let mut planner = Planner::default();
--- a/crates/edge/src/conductor.rs
+++ b/crates/edge/src/conductor.rs
@@ -148,14 +148,27 @@
         if self.is_gathering() {
             return;
         }
+        // A round that stops runs starts none.
+        if self.plan() {
+            self.plan();
+        }
+        self.checkpoint();
+    }
+
+    /// Carries out a round of the planner; returns whether it stopped a run.
+    fn plan(self: &Rc<Self>) -> bool {
         let actions = self.planner.borrow_mut().plan(clock::now());
+        let mut has_stopped = false;
         for action in actions {
             match action {
                 Action::Start { work, replica } => self.start(work, replica),
-                Action::Stop { work, reason } => self.stop(work, reason),
+                Action::Stop { work, reason } => {
+                    self.stop(work, reason);
+                    has_stopped = true;
+                }
             }
         }
-        self.checkpoint();
+        has_stopped
     }
 
     /// Returns whether batches that were open at the start are still being adopted. Their items
@@ -266,6 +279,7 @@
         let engine = self.event_tokens();
         self.planner.borrow_mut().open(&Open {
             id,
+            submitted_ms: head.submitted_ms,
             model: &submission.model,
             min_version: submission.min_version,
             single_version: route.as_ref().is_some_and(|route| route.single_version),
