--- a/crates/batch/src/planner.rs
+++ b/crates/batch/src/planner.rs
@@ -219,13 +219,7 @@
     /// Takes in what is known of a replica.
     pub fn set_replica(&mut self, id: &str, view: View) {
         match self.replicas.get_mut(id) {
-            Some(replica) => {
-                // Its runs are to leave before the weights change.
-                if view.closed.len() > replica.view.closed.len() {
-                    self.next_move = Instant::default();
-                }
-                replica.view = view;
-            }
+            Some(replica) => replica.view = view,
             None => {
                 self.replicas.insert(id.into(), Replica::new(view));
             }
--- a/crates/batch/src/planner/choose.rs
+++ b/crates/batch/src/planner/choose.rs
@@ -15,9 +15,6 @@
 const MOVE_GAIN: Duration = Duration::from_millis(300);
 /// A run is not moved before it has run this long, so that its speed is known.
 const MOVE_AFTER: Duration = Duration::from_millis(400);
-/// A run that is likely to end within this time stays where it is, even if the weights there are
-/// about to change.
-const ENDS_SOON: Duration = Duration::from_millis(300);
 /// The moves of one round; the speeds are estimated anew before the next one.
 const MOVES: usize = 4;
 const MOVE_INTERVAL: Duration = Duration::from_millis(100);
@@ -205,9 +202,6 @@
                 continue;
             }
             let here = from.event_ms(from.running, usual, now);
-            if closed && here * remaining as f64 <= ENDS_SOON.as_secs_f64() * 1e3 {
-                continue;
-            }
             let Some((there, target)) = candidates.best(work, false, Some(&run.replica)) else {
                 continue;
             };
--- a/crates/edge/src/orders.rs
+++ b/crates/edge/src/orders.rs
@@ -111,7 +111,7 @@
     pub(crate) fn advance(
         self: &Rc<Self>,
         tools: &Rc<Tools>,
-        planner: &Rc<RefCell<Planner>>,
+        planner: &RefCell<Planner>,
         service: &str,
         engine: &Engine,
         single_version: bool,
@@ -157,7 +157,6 @@
             let load = Load {
                 loads: self.clone(),
                 tools: tools.clone(),
-                planner: planner.clone(),
                 address: entry.address,
                 replica,
                 model: model.clone(),
--- a/crates/edge/src/orders/load.rs
+++ b/crates/edge/src/orders/load.rs
@@ -6,20 +6,17 @@
 use crate::storage::{self, SHARED};
 use crate::tools::Tools;
 use bytes::Bytes;
-use dogwoodlb_batch::Planner;
 use dogwoodlb_external::store::{Outcome, Txn};
 use dogwoodlb_weights::{Claim, WINDOW};
 use hyper::header::{HeaderName, HeaderValue, CONTENT_TYPE, HOST};
 use hyper::{Method, Request, StatusCode};
-use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{sleep, sleep_until, Instant};
 
-/// How long a change of weights waits for the runs that are to end or to leave.
-const VACATE: Duration = Duration::from_millis(400);
-const VACATE_TICK: Duration = Duration::from_millis(20);
+/// The time in which the planner takes runs away from a replica before its weights change.
+const VACATE: Duration = Duration::from_millis(130);
 /// How long a report or an order may take.
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
 /// A replica's report is not asked for before this time; its entry in the store is sooner.
@@ -62,7 +59,6 @@
 pub(super) struct Load {
     pub(super) loads: Rc<Loads>,
     pub(super) tools: Rc<Tools>,
-    pub(super) planner: Rc<RefCell<Planner>>,
     pub(super) replica: String,
     pub(super) address: SocketAddr,
     pub(super) model: String,
@@ -108,7 +104,7 @@
     }
 
     async fn load(&self) -> Result<(), Error> {
-        self.vacate().await;
+        sleep(VACATE).await;
         let report = self.report().await?;
         if self.holds(&report) {
             return Ok(());
@@ -127,18 +123,6 @@
         self.wait(report.orders, answered).await
     }
 
-    /// Waits until the replica runs nothing.
-    async fn vacate(&self) {
-        let until = Instant::now() + VACATE;
-        while Instant::now() < until {
-            // Streams that were broken off need a moment to reach the replica.
-            sleep(VACATE_TICK).await;
-            if self.planner.borrow().running(&self.replica) == 0 {
-                return;
-            }
-        }
-    }
-
     fn holds(&self, report: &Report) -> bool {
         let mut models = report.models.iter();
         models.any(|one| one.model == self.model && one.version >= self.version)
