--- a/crates/edge/src/orders/load.rs
+++ b/crates/edge/src/orders/load.rs
@@ -7,20 +7,21 @@
 use crate::tools::Tools;
 use bytes::Bytes;
 use dogwoodlb_external::store::{Outcome, Txn};
+use dogwoodlb_types::Instant;
 use dogwoodlb_weights::{Claim, WINDOW};
 use hyper::header::{HeaderName, HeaderValue, CONTENT_TYPE, HOST};
 use hyper::{Method, Request, StatusCode};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{sleep, sleep_until, Instant};
+use tokio::time::sleep;
 
 /// The time in which the planner takes runs away from a replica before its weights change.
 const VACATE: Duration = Duration::from_millis(130);
 /// How long a report or an order may take.
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
-/// A replica's report is not asked for before this time; its entry in the store is sooner.
-const FIRST_LOOK: Duration = Duration::from_millis(1_200);
+/// A change of weights is not looked at before this time.
+const FIRST_LOOK: Duration = Duration::from_millis(750);
 const LOOK_INTERVAL: Duration = Duration::from_millis(120);
 /// A change of weights that takes longer has failed.
 const LOAD_TIMEOUT: Duration = Duration::from_secs(6);
@@ -128,26 +129,12 @@
         models.any(|one| one.model == self.model && one.version >= self.version)
     }
 
-    /// Returns whether the replica's entry shows the version. Reports are some hundred
-    /// milliseconds old, so that the entry is often the first to tell.
-    fn is_listed(&self) -> bool {
-        let directory = self.tools.known.directory();
-        let entry = directory.get(&self.replica);
-        let version = entry.and_then(|entry| entry.version(&self.model));
-        version >= Some(self.version)
-    }
-
     /// Waits until the replica holds the version.
     async fn wait(&self, orders: u64, answered: bool) -> Result<(), Error> {
         let began = clock::now();
-        let mut changes = self.tools.known.changes();
         let mut seen = answered;
-        let mut look = Instant::now() + FIRST_LOOK;
-        while !self.is_listed() {
-            tokio::select! {
-                _ = changes.changed() => continue,
-                () = sleep_until(look) => look = Instant::now() + LOOK_INTERVAL,
-            }
+        sleep(FIRST_LOOK).await;
+        loop {
             let waited = clock::now().saturating_since(began);
             if let Ok(report) = self.report().await {
                 if self.holds(&report) {
@@ -162,8 +149,8 @@
             if waited > LOAD_TIMEOUT {
                 return Err(Error::NoEffect);
             }
+            sleep(LOOK_INTERVAL).await;
         }
-        Ok(())
     }
 
     fn request(&self, method: Method, path: &str, body: Bytes) -> Request<Bytes> {
@@ -201,7 +188,7 @@
     }
 
     /// Writes the right to order; returns the fencing token and when the writing began.
-    async fn claim(&self) -> Result<(u64, dogwoodlb_types::Instant), Error> {
+    async fn claim(&self) -> Result<(u64, Instant), Error> {
         let storage = &self.tools.storage;
         let key = storage::claim_key(&self.replica);
         let row = storage.get(SHARED, &key).await?;
