Make the decision of loads a core of its own

Which replica loads which weights was decided in the node's shell, where only tests with processes reach it. `weights::Director` holds what is known of the replicas and returns the loads that are due; the shell keeps the orders and their answers. Nothing changes in what is decided.

Its tests guard against loads that no work needs, two orders to one replica, and a failed replica that is ordered at once again.

--- a/crates/batch/tests/item_order.rs
+++ b/crates/batch/tests/item_order.rs
@@ -104,7 +104,11 @@
 fn moved_run_goes_on() {
     let mut planner = Planner::default();
     planner.set_replica("r", view(1, 1));
-    let items = [item("a", "g", 900), item("b", "g", 890), item("c", "g", 890)];
+    let items = [
+        item("a", "g", 900),
+        item("b", "g", 890),
+        item("c", "g", 890),
+    ];
     open(&mut planner, "b1", 1, &items);
     assert_eq!(starts(&planner.plan(at(0))), [(1, "r")]);
     for event in 1..=8 {
--- a/crates/edge/src/conductor.rs
+++ b/crates/edge/src/conductor.rs
@@ -372,7 +372,7 @@
         let last = self.survey.get();
         let seen = (
             self.tools.known.directory().revision(),
-            self.loads.revision(),
+            self.loads.director().revision(),
             self.tools.known.named_row(),
         );
         if now < last.earliest || (now < last.due && seen == last.seen) {
@@ -392,7 +392,7 @@
         );
         self.sync_replicas(engine);
         self.survey.set(Survey {
-            seen: (seen.0, self.loads.revision(), seen.2),
+            seen: (seen.0, self.loads.director().revision(), seen.2),
             due: now + TICK,
             earliest: now + began.elapsed() * SURVEY_PAUSE,
         });
@@ -400,17 +400,18 @@
 
     fn sync_replicas(&self, engine: &Engine) {
         let directory = self.tools.known.directory();
+        let director = self.loads.director();
         let mut planner = self.planner.borrow_mut();
         for (replica, entry) in directory.usable(&self.service) {
             let versions = engine.models.iter().filter_map(|model| {
-                let version = self.loads.version(replica, model, entry.version(model))?;
+                let version = director.version(replica, model, entry.version(model))?;
                 Some((model.clone(), version))
             });
             let view = View {
                 slots: entry.slots,
                 memory_tokens: engine.memory_tokens,
                 versions: versions.collect(),
-                closed: self.loads.closed(replica),
+                closed: director.closed(replica).to_vec(),
             };
             planner.set_replica(replica, view);
         }
--- a/crates/edge/src/orders/load.rs
+++ b/crates/edge/src/orders/load.rs
@@ -75,21 +75,21 @@
             Err(_) => "failed",
         };
         self.tools.metrics.orders.with_label_values(&[label]).inc();
-        match outcome {
+        let end = match outcome {
             Ok(()) => {
-                self.loads.observe(&self.replica, &self.model, self.version);
                 self.log("loaded", "");
+                Ok(self.version)
             }
             Err(error) => {
                 let wait = match &error {
                     Error::Claimed(wait) => *wait,
                     _ => RETRY,
                 };
-                self.loads.pause(&self.replica, clock::now() + wait);
                 self.log("failed", &error.to_string());
+                Err(clock::now() + wait)
             }
-        }
-        self.loads.reopen(&self.replica, &self.model);
+        };
+        self.loads.end(&self.replica, &self.model, end);
         self.tools.known.announce();
     }
 
--- a/crates/weights/src/lib.rs
+++ b/crates/weights/src/lib.rs
@@ -1,8 +1,9 @@
 //! Weight versions on replicas: which replica loads which version and when, and which node may
 //! order it.
 //!
-//! [`Homes`] keeps each replica fresh for one model, [`plan`] chooses the loads, and [`share`]
-//! lets the models take turns. [`Claim`] is the right to send one order to one replica: it is
+//! A [`Director`] holds what is known of a service's replicas and decides their loads: [`Homes`]
+//! keeps each replica fresh for one model, [`plan`] chooses the loads, and [`share`] lets the
+//! models take turns. [`Claim`] is the right to send one order to one replica: it is
 //! written to the store before the order, it is short, and another node waits until it is over.
 //! So no node holds a lease between orders, and a node that takes over can order at once
 //! unless the earlier one has just done so.
@@ -21,9 +22,11 @@
 //! ```
 
 mod claim;
+mod director;
 mod homes;
 mod plan;
 
 pub use claim::{Claim, Error, WINDOW};
+pub use director::{Director, Load, Replica, Work};
 pub use homes::{Candidate, Homes};
 pub use plan::{plan, share, Choice, Holding, Need, Wish};
--- /dev/null
+++ b/crates/weights/tests/director.rs
@@ -0,0 +1,102 @@
+//! Guards against loads that nobody needs, and against replicas that are ordered twice.
+
+use dogwoodlb_types::Instant;
+use dogwoodlb_weights::{Director, Load, Replica, Work};
+
+fn at(ms: u64) -> Instant {
+    Instant::from_millis(ms)
+}
+
+fn director() -> Director {
+    let mut director = Director::default();
+    director.set_models(&["m".to_owned()]);
+    director
+}
+
+fn replicas<'a>(names: &'a [String], version: u64) -> Vec<Replica<'a>> {
+    let replica = |name: &'a String| Replica {
+        name,
+        slots: 10,
+        running: 0,
+        listed: vec![Some(version)],
+    };
+    names.iter().map(replica).collect()
+}
+
+fn names(count: usize) -> Vec<String> {
+    (0..count).map(|number| format!("r{number:02}")).collect()
+}
+
+fn work(newest: u64, items: usize) -> [Work; 1] {
+    [Work {
+        newest: Some(newest),
+        min_version: newest - 1,
+        waiting: items > 0,
+        items,
+    }]
+}
+
+fn loaded(loads: &[Load]) -> Vec<&str> {
+    loads.iter().map(|load| load.replica.as_str()).collect()
+}
+
+/// All of 50 replicas were brought to each version for a step that needs ten slots.
+#[test]
+fn as_many_as_the_work_needs() {
+    let names = names(50);
+    let mut director = director();
+    let mut ordered = 0;
+    for round in 0..20 {
+        let loads = director.advance(&replicas(&names, 1), &work(3, 10), at(round));
+        ordered += loads.len();
+        for load in &loads {
+            director.on_end(&load.replica, "m", Ok(3));
+        }
+    }
+    assert_eq!(ordered, 2);
+}
+
+#[test]
+fn the_peak_counts_for_a_while() {
+    let names = names(50);
+    let mut director = director();
+    director.advance(&replicas(&names, 1), &work(1, 100), at(0));
+    let loads = director.advance(&replicas(&names, 1), &work(3, 0), at(10_000));
+    assert_eq!(loads.len(), 10, "a fifth of all loads at a time");
+    for load in &loads {
+        director.on_end(&load.replica, "m", Ok(3));
+    }
+    let loads = director.advance(&replicas(&names, 1), &work(3, 0), at(10_001));
+    assert_eq!(loads.len(), 10);
+    let none = director.advance(&replicas(&names, 1), &work(3, 0), at(10_002));
+    assert!(
+        none.is_empty(),
+        "20 replicas have twice the slots of 100 items"
+    );
+}
+
+#[test]
+fn one_order_at_a_time() {
+    let names = names(2);
+    let mut director = director();
+    let loads = director.advance(&replicas(&names, 1), &work(3, 20), at(0));
+    assert_eq!(loaded(&loads), ["r00", "r01"]);
+    assert_eq!(director.closed("r00"), ["m"]);
+    let again = director.advance(&replicas(&names, 1), &work(4, 20), at(100));
+    assert!(again.is_empty());
+}
+
+#[test]
+fn a_failed_one_waits() {
+    let names = names(1);
+    let mut director = director();
+    director.advance(&replicas(&names, 1), &work(3, 20), at(0));
+    director.on_end("r00", "m", Err(at(700)));
+    assert!(director.closed("r00").is_empty());
+    let early = director.advance(&replicas(&names, 1), &work(3, 20), at(600));
+    assert!(early.is_empty());
+    let loads = director.advance(&replicas(&names, 1), &work(3, 20), at(700));
+    assert_eq!(loaded(&loads), ["r00"]);
+    director.on_end("r00", "m", Ok(3));
+    assert_eq!(director.version("r00", "m", Some(1)), Some(3));
+}
