Add an emulator and an experiment command

`dogwoodlb experiment` plays a scenario in virtual time with the planner and the director that a node runs, over emulated replicas, trainers and a store, and prints a table; it writes JSON and SVG, and compares with an earlier report seed by seed.

--- a/crates/batch/src/planner.rs
+++ b/crates/batch/src/planner.rs
@@ -237,6 +237,11 @@
         Some((work.batch.as_deref()?, work.index))
     }
 
+    /// Returns the model of a work.
+    pub fn model(&self, work: WorkId) -> Option<&str> {
+        self.works.get(&work).map(|work| work.model.as_str())
+    }
+
     /// Returns what was generated so far.
     pub fn progress(&self, work: WorkId) -> Option<&Progress> {
         self.works.get(&work).map(|work| &work.progress)
--- a/crates/dogwoodlb/src/args.rs
+++ b/crates/dogwoodlb/src/args.rs
@@ -19,6 +19,7 @@
     Check(Check),
     Demo(Demo),
     Edge(Edge),
+    Experiment(Experiment),
     Run(Run),
 }
 
@@ -66,3 +67,22 @@
     #[argh(switch)]
     pub(crate) check: bool,
 }
+
+/// Play a scenario with the decision cores in virtual time, and report how the trainers' steps
+/// went.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "experiment")]
+pub(crate) struct Experiment {
+    /// the scenario file, JSON with comments
+    #[argh(option)]
+    pub(crate) scenario: PathBuf,
+    /// write the report to this file, as JSON
+    #[argh(option)]
+    pub(crate) json: Option<PathBuf>,
+    /// draw the steps into this file, as SVG
+    #[argh(option)]
+    pub(crate) svg: Option<PathBuf>,
+    /// compare with the report in this file, seed by seed
+    #[argh(option)]
+    pub(crate) compare: Option<PathBuf>,
+}
--- a/crates/dogwoodlb/src/error.rs
+++ b/crates/dogwoodlb/src/error.rs
@@ -37,6 +37,15 @@
     Standin(#[from] dogwoodlb_standin::Error),
     #[error("the manifest of the demo was not accepted: {0}")]
     Manifest(String),
+    #[error("cannot read {}: {cause}", .path.display())]
+    File { path: PathBuf, cause: io::Error },
+    #[error("cannot write {}: {cause}", .path.display())]
+    Write { path: PathBuf, cause: io::Error },
+    #[error("{}: {cause}", .path.display())]
+    Experiment {
+        path: PathBuf,
+        cause: dogwoodlb_emulator::Error,
+    },
     #[error("{0}")]
     Name(#[from] dogwoodlb_types::Error),
 }
@@ -47,6 +56,8 @@
         match *self.0 {
             Inner::Read { .. }
             | Inner::Settings { .. }
+            | Inner::Experiment { .. }
+            | Inner::File { .. }
             | Inner::NoSettings
             | Inner::EdgeSettings { .. } => ExitCode::from(USAGE),
             _ => ExitCode::FAILURE,
--- a/crates/dogwoodlb/src/main.rs
+++ b/crates/dogwoodlb/src/main.rs
@@ -4,6 +4,7 @@
 mod demo;
 mod edge;
 mod error;
+mod experiment;
 mod logs;
 mod run;
 
@@ -20,9 +21,12 @@
         Some(Command::Check(args)) => run::check(&args.settings),
         Some(Command::Demo(args)) => demo::run(args),
         Some(Command::Edge(args)) => edge::run(args),
+        Some(Command::Experiment(args)) => experiment::run(args),
         Some(Command::Run(args)) => run::run(&args.settings),
         None => {
-            eprintln!("no command: use `edge`, `run`, `check` or `demo`, or see --help");
+            eprintln!(
+                "no command: use `edge`, `run`, `check`, `demo` or `experiment`, or see --help"
+            );
             return ExitCode::from(error::USAGE);
         }
     };
