--- a/crates/emulator/src/report.rs
+++ b/crates/emulator/src/report.rs
@@ -65,6 +65,7 @@
             .map(|trainer| {
                 // A step that is due to be submitted in the last moments can't be in time.
                 let last = scenario.duration_ms.saturating_sub(trainer.due_ms);
+                let last = last.min(scenario.last_submission_ms());
                 let steps = last / trainer.every_ms + 1;
                 let target = (f64::from(trainer.groups) * trainer.wait_share).ceil();
                 steps as f64 * target
--- a/crates/emulator/src/scenario.rs
+++ b/crates/emulator/src/scenario.rs
@@ -9,6 +9,9 @@
     pub name: String,
     /// How long a run lasts.
     pub duration_ms: u64,
+    /// When the last step may be submitted; default: the end.
+    #[serde(default)]
+    pub submit_until_ms: Option<u64>,
     /// The seeds; each is a run.
     pub seeds: Vec<u64>,
     /// The replicas.
@@ -193,6 +196,11 @@
 }
 
 impl Scenario {
+    /// Returns when the last step may be submitted.
+    pub(crate) fn last_submission_ms(&self) -> u64 {
+        self.submit_until_ms.unwrap_or(self.duration_ms)
+    }
+
     /// Reads a scenario, JSON with comments.
     ///
     /// # Errors
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -316,7 +316,8 @@
                 self.planner.close(&id, self.now());
                 self.open.remove(&id);
             }
-            if self.trainers[index].submit(now_ms).is_some() {
+            let is_over = now_ms > self.scenario.last_submission_ms();
+            if !is_over && self.trainers[index].submit(now_ms).is_some() {
                 let position = self.trainers[index].steps.len() - 1;
                 if self.has_leader {
                     self.open(index, position);
