Put the longest items of all steps first again

Items that were broken off go on first, those of an almost whole step come next, and then the longest of any step, as before; a round that stops runs still starts none. The order by submission goes with its field.

--- a/crates/batch/src/planner.rs
+++ b/crates/batch/src/planner.rs
@@ -18,8 +18,6 @@
 pub struct Open<'a> {
     /// The id of the batch.
     pub id: &'a str,
-    /// The store's time of the submission in milliseconds; older batches come first.
-    pub submitted_ms: u64,
     /// The model that generates.
     pub model: &'a str,
     /// The oldest weight version that may generate.
@@ -74,7 +72,6 @@
 
 #[derive(Debug)]
 struct Batch {
-    submitted_ms: u64,
     works: Vec<WorkId>,
     groups: usize,
     needed: Vec<bool>,
@@ -100,7 +97,6 @@
     pub fn open(&mut self, open: &Open<'_>) {
         let mut names: Vec<&str> = Vec::new();
         let mut batch = Batch {
-            submitted_ms: open.submitted_ms,
             works: Vec::new(),
             groups: 0,
             needed: Vec::new(),
--- a/crates/batch/src/planner/choose.rs
+++ b/crates/batch/src/planner/choose.rs
@@ -1,11 +1,12 @@
 //! Which items start, move and stop now.
 
 use super::candidates::Candidates;
-use super::{Action, Planner};
+use super::{Action, Batch, Planner};
 use crate::replica::Replica;
 use crate::work::{Phase, Run, Work, WorkId};
 use dogwoodlb_types::Instant;
 use std::cmp::Reverse;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 /// A run without an event for this long is taken to another replica. A change of weights stops
@@ -18,18 +19,21 @@
 /// The moves of one round; the speeds are estimated anew before the next one.
 const MOVES: usize = 4;
 const MOVE_INTERVAL: Duration = Duration::from_millis(100);
+/// A batch is almost whole when the items that it still needs take one in this many slots.
+const CLOSING_SHARE: usize = 4;
 /// The time of one event before any was seen, in milliseconds.
 const FIRST_EVENT_MS: f64 = 32.0;
 
 /// Where a waiting item stands; the lowest starts first.
 ///
-/// The batches are due in the order of their submission, and a batch ends with its longest item.
-/// A run that was broken off goes on before others begin, or a move would lose its place.
+/// A run that was broken off goes on before others begin, or a move would lose its place. The
+/// longest items start first, of whichever batch, because the last one to end decides.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct Turn {
     /// Whether its batch can do without its group.
     is_spare: bool,
-    submitted_ms: u64,
+    /// Whether its batch still needs many items.
+    is_early: bool,
     is_new: bool,
     remaining: Reverse<u64>,
     id: WorkId,
@@ -124,12 +128,13 @@
         }
     }
 
-    fn turn(&self, id: WorkId, work: &Work) -> Option<Turn> {
-        let batch = self.batches.get(work.batch.as_ref()?)?;
+    fn turn(&self, id: WorkId, work: &Work, closing: &BTreeSet<&str>) -> Option<Turn> {
+        let name = work.batch.as_deref()?;
+        let batch = self.batches.get(name)?;
         let is_waiting = work.phase == Phase::Waiting;
         is_waiting.then(|| Turn {
             is_spare: !batch.needed[work.group],
-            submitted_ms: batch.submitted_ms,
+            is_early: !closing.contains(name),
             is_new: work.progress.last_event == 0,
             remaining: Reverse(work.remaining()),
             id,
@@ -137,9 +142,10 @@
     }
 
     fn plan_starts(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let closing = self.closing();
         let works = self.works.iter();
         let mut waiting: Vec<Turn> = works
-            .filter_map(|(id, work)| self.turn(*id, work))
+            .filter_map(|(id, work)| self.turn(*id, work, &closing))
             .collect();
         waiting.sort_unstable();
         let mut candidates = Candidates::new(&self.replicas, self.usual_ms(), now);
@@ -160,6 +166,24 @@
         }
     }
 
+    /// Returns the batches that are almost whole. Their last items take few slots, and by length
+    /// alone they would wait behind those of a batch that has just begun.
+    fn closing(&self) -> BTreeSet<&str> {
+        let replicas = self.replicas.values();
+        let slots: usize = replicas.map(|one| one.view.slots as usize).sum();
+        let most = slots / CLOSING_SHARE;
+        let is_closing = |batch: &Batch| {
+            let is_missing = |work: &&WorkId| {
+                let work = &self.works[*work];
+                let is_open = matches!(work.phase, Phase::Waiting | Phase::Running(_));
+                is_open && batch.needed[work.group]
+            };
+            batch.works.iter().filter(is_missing).count() <= most
+        };
+        let closing = self.batches.iter().filter(|(_, batch)| is_closing(batch));
+        closing.map(|(name, _)| name.as_str()).collect()
+    }
+
     fn start(&mut self, id: WorkId, name: &str, now: Instant) {
         let Some(work) = self.works.get_mut(&id) else {
             return;
--- a/crates/edge/src/conductor.rs
+++ b/crates/edge/src/conductor.rs
@@ -279,7 +279,6 @@
         let engine = self.event_tokens();
         self.planner.borrow_mut().open(&Open {
             id,
-            submitted_ms: head.submitted_ms,
             model: &submission.model,
             min_version: submission.min_version,
             single_version: route.as_ref().is_some_and(|route| route.single_version),
--- a/crates/emulator/src/report.rs
+++ b/crates/emulator/src/report.rs
@@ -46,6 +46,8 @@
     pub runs_cut: u64,
 }
 
+/// A difference of worth that the text form of a report may make.
+const SAME: f64 = 1e-9;
 /// What a late group is worth.
 const LATE_SHARE: f64 = 0.375;
 
@@ -137,11 +139,12 @@
         });
         let pairs: Vec<(f64, f64)> = pairs.collect();
         let count = pairs.len().max(1) as f64;
+        let gains: Vec<f64> = pairs.iter().map(|(before, now)| now - before).collect();
         Compared {
             pairs: pairs.len(),
-            better: pairs.iter().filter(|(before, now)| now > before).count(),
-            worse: pairs.iter().filter(|(before, now)| now < before).count(),
-            gain: pairs.iter().map(|(before, now)| now - before).sum::<f64>() / count,
+            better: gains.iter().filter(|gain| **gain > SAME).count(),
+            worse: gains.iter().filter(|gain| **gain < -SAME).count(),
+            gain: gains.iter().sum::<f64>() / count,
         }
     }
 }
