--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -17,6 +17,9 @@
 const WATCH_WAIT: Duration = Duration::from_millis(500);
 /// The pause after an answer, so that a burst of changes costs few calls.
 const PAUSE: Duration = Duration::from_millis(15);
+/// The calls a second that all nodes together may make for one table while it changes all the
+/// time; 300 nodes with the short pause would make several times as many as a store takes.
+const CALLS_PER_S: u32 = 1_000;
 const FIRST_RETRY: Duration = Duration::from_millis(60);
 const LAST_RETRY: Duration = Duration::from_millis(200);
 /// The number of quiet answers after which a table is read whole, in case the feed is deaf.
@@ -70,7 +73,7 @@
             match self.step(table, &mut quiet).await {
                 Ok(()) => {
                     retry = FIRST_RETRY;
-                    sleep(PAUSE).await;
+                    sleep(self.pause()).await;
                 }
                 Err(error) => {
                     if reached && !self.storage.is_reached(clock::now()) {
@@ -85,6 +88,16 @@
         }
     }
 
+    /// Returns the pause after an answer: the share of this node in the calls of all, but a
+    /// leader sees changes at once.
+    fn pause(&self) -> Duration {
+        if self.peers.has_duty() {
+            return PAUSE;
+        }
+        let nodes = u32::try_from(self.peers.count()).unwrap_or(u32::MAX);
+        PAUSE.max(Duration::from_secs(1) * nodes / CALLS_PER_S)
+    }
+
     async fn step(&self, table: Table, quiet: &mut u32) -> Result<(), dogwoodlb_external::Error> {
         let name = self.name(table).to_owned();
         let next = self.mirrors.of(table).borrow().next();
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -57,6 +57,16 @@
         self.has_duty.set(has_duty);
     }
 
+    /// Returns whether the node leads a service.
+    pub(crate) fn has_duty(&self) -> bool {
+        self.has_duty.get()
+    }
+
+    /// Returns the number of nodes that are heard or listed, this one included.
+    pub(crate) fn count(&self) -> usize {
+        self.peers.borrow().targets().count() + 1
+    }
+
     pub(crate) fn set_leaving(&self) {
         self.own.borrow_mut().leaving = true;
     }
