--- a/crates/batch/src/planner/choose.rs
+++ b/crates/batch/src/planner/choose.rs
@@ -12,8 +12,9 @@
 /// A run without an event for this long is taken to another replica. A change of weights stops
 /// runs for less time.
 const STALL: Duration = Duration::from_millis(2_200);
-/// The time that a move has to save, so that the repeated reading of the prompt pays.
-const MOVE_GAIN: Duration = Duration::from_millis(300);
+/// The time that a move has to save, so that the connection which it closes and the repeated
+/// reading of the prompt pay.
+const MOVE_GAIN: Duration = Duration::from_millis(1_000);
 /// A run is not moved before it has run this long, so that its speed is known.
 const MOVE_AFTER: Duration = Duration::from_millis(400);
 /// The moves of one round; the speeds are estimated anew before the next one.
