--- a/crates/emulator/src/plot.rs
+++ b/crates/emulator/src/plot.rs
@@ -4,7 +4,8 @@
 use plotters::prelude::*;
 
 const SIZE: (u32, u32) = (720, 420);
-const MARGIN: u32 = 24;
+const MARGIN: u32 = 16;
+const LABELS: u32 = 48;
 
 /// Draws how long each step took, by the moment of its submission; a line is a trainer of one
 /// seed, and the black line is when groups are due.
@@ -44,7 +45,14 @@
     area.fill(&WHITE)?;
     let mut chart = ChartBuilder::on(&area)
         .margin(MARGIN)
+        .set_label_area_size(LabelAreaPosition::Left, LABELS)
+        .set_label_area_size(LabelAreaPosition::Bottom, LABELS)
         .build_cartesian_2d(0.0..end, 0.0..highest)?;
+    chart
+        .configure_mesh()
+        .x_desc("submitted, s")
+        .y_desc("until the end of the step, s")
+        .draw()?;
     chart.draw_series(LineSeries::new([(0.0, due), (end, due)], BLACK))?;
     for (number, line) in lines.into_iter().enumerate() {
         let color = Palette99::pick(number).mix(0.8);
