--- a/crates/edge/src/conductor.rs
+++ b/crates/edge/src/conductor.rs
@@ -8,8 +8,8 @@
 use crate::run::Guards;
 use crate::storage::{self, SHARED};
 use crate::tools::Tools;
-use dogwoodlb_batch::{Action, Head, Open, Planner, Record, Submission, Text, View};
-use dogwoodlb_config::{Engine, Route};
+use dogwoodlb_batch::{Action, Head, Open, Planner, Record, Submission, Text};
+use dogwoodlb_config::Route;
 use dogwoodlb_external::store::{self, Txn};
 use dogwoodlb_types::Instant;
 use std::cell::{Cell, RefCell};
@@ -21,14 +21,16 @@
 use tokio::time::sleep;
 
 mod items;
+mod survey;
 mod texts;
 
+use survey::Survey;
+
 /// The time between two looks at what is due.
 const TICK: Duration = Duration::from_millis(40);
-/// After a round, or a look at all replicas, the next one waits for this many times what it
-/// took, so that a leader of many replicas has time for its streams.
+/// After a round the next one waits for this many times what it took, so that a leader of many
+/// replicas has time for its streams.
 const ROUND_PAUSE: u32 = 4;
-const SURVEY_PAUSE: u32 = 20;
 /// A round that takes less needs no pause.
 const SHORT_ROUND: Duration = Duration::from_millis(1);
 /// How long a new leader waits for the adoption of all open batches before it starts items.
@@ -77,18 +79,6 @@
     survey: Cell<Survey>,
 }
 
-/// The last look at all replicas.
-#[derive(Clone, Copy, Default)]
-struct Survey {
-    /// What was known then: the revisions of the directory and of the loads, and the row of
-    /// the last version that was named.
-    seen: (u64, u64, u64),
-    /// When the next one is due if nothing changes.
-    due: Instant,
-    /// When the next one may be, whatever changes.
-    earliest: Instant,
-}
-
 impl Conductor {
     pub(crate) fn new(service: &str, tools: Rc<Tools>, inherited: Vec<Text>) -> Self {
         Self {
@@ -364,59 +354,4 @@
             "batch_closed"
         );
     }
-
-    /// Looks at all replicas: orders the loads that are due and tells the planner.
-    fn survey(self: &Rc<Self>, engine: &Engine) {
-        let now = clock::now();
-        let last = self.survey.get();
-        let seen = (
-            self.tools.known.directory().revision(),
-            self.loads.director().revision(),
-            self.tools.known.named_row(),
-        );
-        if now < last.earliest || (now < last.due && seen == last.seen) {
-            return;
-        }
-        let began = std::time::Instant::now();
-        let single_version = self.batches.borrow().values().any(|running| {
-            let route = self.route(&running.submission);
-            route.is_some_and(|route| route.single_version)
-        });
-        self.loads.advance(
-            &self.tools,
-            &self.planner,
-            &self.service,
-            engine,
-            single_version,
-        );
-        self.sync_replicas(engine);
-        self.survey.set(Survey {
-            seen: (seen.0, self.loads.director().revision(), seen.2),
-            due: now + TICK,
-            earliest: now + began.elapsed() * SURVEY_PAUSE,
-        });
-    }
-
-    fn sync_replicas(&self, engine: &Engine) {
-        let directory = self.tools.known.directory();
-        let director = self.loads.director();
-        let mut planner = self.planner.borrow_mut();
-        for (replica, entry) in directory.usable(&self.service) {
-            let versions = engine.models.iter().filter_map(|model| {
-                let version = director.version(replica, model, entry.version(model))?;
-                Some((model.clone(), version))
-            });
-            let view = View {
-                slots: entry.slots,
-                memory_tokens: engine.memory_tokens,
-                versions: versions.collect(),
-                closed: director.closed(replica).to_vec(),
-            };
-            planner.set_replica(replica, view);
-        }
-        planner.retain_replicas(|id| {
-            let entry = directory.get(id);
-            entry.is_some_and(|entry| entry.service == self.service && entry.is_usable())
-        });
-    }
 }
