Tell the writes of two listers of one node apart

A node frozen as its claim of the leadership was on its way thaws, takes over the open batches for 0.1 s and learns that it is late; the leader adopts them again. Its former lister of a batch lives on while scores of the batch are under way, since they hold it, finds its own node as the owner in the head again, and lists. The new lister's write conflicts, and if it wanted to list as many results, it takes the other one's for its own write whose answer was lost, and shows its results from memory. The store itself held one result at each position.

Each listing writes the random number of its lister into the head, and a lister knows its own write by that number (`Head::standing`). A lister stops when its batch is given up, not when the last score of it is over, and a batch whose lister was overtaken is adopted again instead of standing still. Heads that a conflict shows are known at once.

The conditional writes: every listing names the row that it read. A late write of the frozen node: its row is older.

--- a/crates/batch/src/head.rs
+++ b/crates/batch/src/head.rs
@@ -6,6 +6,9 @@
 pub struct Head {
     /// The node that runs the batch.
     pub owner: String,
+    /// A random number of the lister that wrote last, so that it knows its own write whose answer
+    /// was lost. The owner does not tell it: a node may own a batch again after another one.
+    pub claim: u64,
     /// The host that selects the route.
     pub host: String,
     /// The path that selects the route.
@@ -24,7 +27,34 @@
     pub submitted_ms: u64,
 }
 
+/// What a lister finds in the head after a write that failed or has no answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Standing {
+    /// Its own write took effect.
+    Written,
+    /// No write took effect, so that it may write again.
+    Unchanged,
+    /// The trainer ended the batch.
+    Ended,
+    /// Another lister has written, or another node owns the batch.
+    Lost,
+}
+
 impl Head {
+    /// Compares the head in the store with what it was before a write and what was written.
+    pub fn standing(&self, before: &Self, written: &Self) -> Standing {
+        let is_own = self.claim == written.claim && self.listed == written.listed;
+        let is_same = self.owner == before.owner
+            && self.claim == before.claim
+            && self.listed == before.listed;
+        match (is_own, is_same) {
+            (true, _) => Standing::Written,
+            (false, false) => Standing::Lost,
+            (false, true) if self.ended => Standing::Ended,
+            (false, true) => Standing::Unchanged,
+        }
+    }
+
     /// Returns whether results are still to come.
     pub fn is_open(&self) -> bool {
         !self.ended && self.listed < self.items
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -36,7 +36,7 @@
 mod work;
 
 pub use error::Error;
-pub use head::Head;
+pub use head::{Head, Standing};
 pub use outcome::{Outcome, State};
 pub use planner::{Action, Open, Planner, Stop};
 pub use progress::{Progress, Text};
--- a/crates/edge/src/conductor.rs
+++ b/crates/edge/src/conductor.rs
@@ -3,7 +3,7 @@
 use crate::archive::Error;
 use crate::clock;
 use crate::known::Stored;
-use crate::lister::Lister;
+use crate::lister::{Ended, Lister};
 use crate::orders::Loads;
 use crate::run::Guards;
 use crate::storage::{self, SHARED};
@@ -47,8 +47,10 @@
     task: RefCell<Option<AbortHandle>>,
 }
 
-impl Drop for Running {
-    fn drop(&mut self) {
+impl Running {
+    /// Stops the lister. Runs and scores that are not over yet still hold the batch, so that its
+    /// drop would be too late.
+    fn stop(&self) {
         if let Some(task) = self.task.borrow_mut().take() {
             task.abort();
         }
@@ -307,6 +309,9 @@
             async move {
                 let ended = lister.run(&own.tools.desk).await;
                 tracing::info!(batch = lister.batch, ended = ?ended, "lister_ended");
+                if ended == Ended::Lost {
+                    own.drop_batch(&lister);
+                }
                 own.kick.notify_one();
             }
         });
@@ -334,6 +339,19 @@
         engine.map_or(1, |engine| engine.event_tokens)
     }
 
+    /// Forgets a batch that its lister has lost; it is adopted again if this node still owns it.
+    fn drop_batch(&self, lister: &Rc<Lister>) {
+        let mut batches = self.batches.borrow_mut();
+        let held = batches.get(&lister.batch);
+        if !held.is_some_and(|held| Rc::ptr_eq(&held.lister, lister)) {
+            return;
+        }
+        batches.remove(&lister.batch);
+        for work in self.planner.borrow_mut().forget(&lister.batch) {
+            self.guards.borrow_mut().remove(&work);
+        }
+    }
+
     /// Stops running a batch that has ended or that another node took over.
     fn close(&self, id: &str, head: &Head) {
         let is_own = head.owner == self.tools.settings.node;
@@ -345,7 +363,10 @@
                 self.guards.borrow_mut().remove(&work);
             }
         }
-        self.batches.borrow_mut().remove(id);
+        let running = self.batches.borrow_mut().remove(id);
+        if let Some(running) = running {
+            running.stop();
+        }
         tracing::info!(
             batch = id,
             listed = head.listed,
--- a/crates/edge/src/conductor/texts.rs
+++ b/crates/edge/src/conductor/texts.rs
@@ -23,7 +23,10 @@
         let texts = self.texts(1);
         self.surrendered.set(true);
         self.guards.borrow_mut().clear();
-        self.batches.borrow_mut().clear();
+        let batches = std::mem::take(&mut *self.batches.borrow_mut());
+        for running in batches.values() {
+            running.stop();
+        }
         tracing::info!(service = self.service, texts = texts.len(), "surrendered");
         texts
     }
--- a/crates/edge/src/lister.rs
+++ b/crates/edge/src/lister.rs
@@ -5,7 +5,7 @@
 use crate::known::Known;
 use crate::metrics::Metrics;
 use crate::storage::{self, Storage, OUTCOMES, SHARED, TXN_BYTES, TXN_ROWS};
-use dogwoodlb_batch::{parts, Head, Outcome, Record, State};
+use dogwoodlb_batch::{parts, Head, Outcome, Record, Standing, State};
 use dogwoodlb_external::store::{self, Row, Txn};
 use std::cell::RefCell;
 use std::collections::{BTreeSet, VecDeque};
@@ -25,7 +25,7 @@
 pub(crate) enum Ended {
     /// Every item has a result, or the trainer ended the batch.
     Done,
-    /// Another node owns the batch.
+    /// Another lister has written, or another node owns the batch.
     Lost,
 }
 
@@ -33,6 +33,8 @@
 pub(crate) struct Lister {
     pub(crate) batch: String,
     node: String,
+    /// Marks the writes of this lister.
+    claim: u64,
     head: RefCell<(u64, Head)>,
     queue: RefCell<VecDeque<Outcome>>,
     wake: Notify,
@@ -61,6 +63,7 @@
         Self {
             batch: batch.to_owned(),
             node: node.to_owned(),
+            claim: rand::random(),
             head: RefCell::new((row, head)),
             queue: RefCell::default(),
             wake: Notify::new(),
@@ -125,21 +128,20 @@
             (head.1.listed, head.1.clone())
         };
         let wanted = Head {
+            claim: self.claim,
             listed: first + count,
-            ..before
+            ..before.clone()
         };
         loop {
             let (row, head) = self.head.borrow().clone();
-            // An earlier try whose answer was lost has listed them, since only the owner lists.
-            if head.listed == wanted.listed && head.owner == self.node {
-                self.show(desk, first, outcomes);
-                return None;
-            }
-            if head.owner != self.node || head.listed != first {
-                return Some(Ended::Lost);
-            }
-            if head.ended {
-                return Some(Ended::Done);
+            match head.standing(&before, &wanted) {
+                Standing::Written => {
+                    self.show(desk, first, outcomes);
+                    return None;
+                }
+                Standing::Lost => return Some(Ended::Lost),
+                Standing::Ended => return Some(Ended::Done),
+                Standing::Unchanged => {}
             }
             let txn = match self.txn(row, &wanted, first, outcomes) {
                 Ok(txn) => txn,
@@ -152,7 +154,7 @@
                 Ok(store::Outcome::Done { version, .. }) => {
                     *self.head.borrow_mut() = (version, wanted.clone());
                 }
-                Ok(store::Outcome::Conflict { rows }) => self.learn(&rows),
+                Ok(store::Outcome::Conflict { rows }) => self.learn(desk, &rows),
                 Err(error) => {
                     tracing::info!(batch = self.batch, %error, count, "list_not_written");
                     sleep(RETRY).await;
@@ -184,10 +186,13 @@
         Ok(txn)
     }
 
-    fn learn(&self, rows: &[Row]) {
+    fn learn(&self, desk: &Desk, rows: &[Row]) {
         for row in rows {
             match Head::from_slice(&row.value) {
-                Ok(head) => *self.head.borrow_mut() = (row.version, head),
+                Ok(head) => {
+                    desk.known.put_head(&self.batch, row.version, head.clone());
+                    *self.head.borrow_mut() = (row.version, head);
+                }
                 Err(error) => tracing::error!(batch = self.batch, %error, "row_refused"),
             }
         }
--- a/crates/edge/src/submit.rs
+++ b/crates/edge/src/submit.rs
@@ -238,6 +238,7 @@
         let leader = self.known.leader(service).map(|leader| leader.value);
         let head = Head {
             owner: leader.unwrap_or_else(|| self.node.clone()),
+            claim: 0,
             host: submission.host.clone(),
             path: submission.path.clone(),
             service: service.to_owned(),
