--- a/crates/edge/src/conductor.rs
+++ b/crates/edge/src/coordinator.rs
@@ -58,7 +58,7 @@
 }
 
 /// Runs the batches of one service.
-pub(crate) struct Conductor {
+pub(crate) struct Coordinator {
     service: String,
     tools: Rc<Tools>,
     planner: Rc<RefCell<Planner>>,
@@ -81,7 +81,7 @@
     survey: Cell<Survey>,
 }
 
-impl Conductor {
+impl Coordinator {
     pub(crate) fn new(service: &str, tools: Rc<Tools>, inherited: Vec<Text>) -> Self {
         Self {
             service: service.to_owned(),
@@ -307,7 +307,7 @@
         let task = tokio::task::spawn_local({
             let (lister, own) = (lister.clone(), self.clone());
             async move {
-                let ended = lister.run(&own.tools.desk).await;
+                let ended = lister.run(&own.tools.context).await;
                 tracing::info!(batch = lister.batch, ended = ?ended, "lister_ended");
                 if ended == Ended::Lost {
                     own.drop_batch(&lister);
--- a/crates/edge/src/conductor/items.rs
+++ b/crates/edge/src/coordinator/items.rs
@@ -1,13 +1,13 @@
 //! The runs, scores and outcomes of items.
 
-use super::{Conductor, Running};
+use super::{Coordinator, Running};
 use crate::clock;
 use crate::run::{self, End, Guard, Target};
 use crate::score::Scored;
 use dogwoodlb_batch::{Outcome, State, Stop, Submission, WorkId};
 use std::rc::Rc;
 
-impl Conductor {
+impl Coordinator {
     /// Gives up the items whose time is over.
     pub(super) fn give_up(self: &Rc<Self>) {
         let now = clock::now();
--- a/crates/edge/src/conductor/survey.rs
+++ b/crates/edge/src/coordinator/survey.rs
@@ -1,6 +1,6 @@
 //! The look at all replicas: the loads that are due, and what the planner knows of the replicas.
 
-use super::{Conductor, TICK};
+use super::{Coordinator, TICK};
 use crate::clock;
 use dogwoodlb_batch::View;
 use dogwoodlb_config::Engine;
@@ -23,14 +23,14 @@
     earliest: Instant,
 }
 
-impl Conductor {
+impl Coordinator {
     /// Looks at all replicas: orders the loads that are due and tells the planner.
     pub(super) fn survey(self: &Rc<Self>, engine: &Engine) {
         let now = clock::now();
         let last = self.survey.get();
         let seen = (
             self.tools.known.directory().revision(),
-            self.loads.director().revision(),
+            self.loads.scheduler().revision(),
             self.tools.known.named_row(),
         );
         if now < last.earliest || (now < last.due && seen == last.seen) {
@@ -50,7 +50,7 @@
         );
         self.sync_replicas(engine);
         self.survey.set(Survey {
-            seen: (seen.0, self.loads.director().revision(), seen.2),
+            seen: (seen.0, self.loads.scheduler().revision(), seen.2),
             due: now + TICK,
             earliest: now + began.elapsed() * PAUSE,
         });
@@ -58,18 +58,18 @@
 
     fn sync_replicas(&self, engine: &Engine) {
         let directory = self.tools.known.directory();
-        let director = self.loads.director();
+        let scheduler = self.loads.scheduler();
         let mut planner = self.planner.borrow_mut();
         for (replica, entry) in directory.usable(&self.service) {
             let versions = engine.models.iter().filter_map(|model| {
-                let version = director.version(replica, model, entry.version(model))?;
+                let version = scheduler.version(replica, model, entry.version(model))?;
                 Some((model.clone(), version))
             });
             let view = View {
                 slots: entry.slots,
                 memory_tokens: engine.memory_tokens,
                 versions: versions.collect(),
-                closed: director.closed(replica).to_vec(),
+                closed: scheduler.closed(replica).to_vec(),
             };
             planner.set_replica(replica, view);
         }
--- a/crates/edge/src/conductor/texts.rs
+++ b/crates/edge/src/coordinator/texts.rs
@@ -1,6 +1,6 @@
 //! What a leader leaves to the next one.
 
-use super::Conductor;
+use super::Coordinator;
 use crate::clock;
 use dogwoodlb_batch::Text;
 use std::rc::Rc;
@@ -17,7 +17,7 @@
 const CUT_OFF: Duration = Duration::from_millis(1_400);
 const CUT_OFF_AWAY: Duration = Duration::from_millis(1_100);
 
-impl Conductor {
+impl Coordinator {
     /// Stops all runs and returns what is known of unfinished items; nothing is run after this.
     pub(crate) fn surrender(&self) -> Vec<Text> {
         let texts = self.texts(1);
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -18,7 +18,7 @@
 /// The pause after an answer, so that a burst of changes costs few calls.
 const PAUSE: Duration = Duration::from_millis(15);
 /// The calls a second that all nodes together may make for one table while it changes all the
-/// time; 300 nodes with the short pause would make several times as many as a store takes.
+/// time; with the short pause alone the calls would grow with the nodes past what a store takes.
 const CALLS_PER_S: u32 = 1_000;
 const FIRST_RETRY: Duration = Duration::from_millis(60);
 const LAST_RETRY: Duration = Duration::from_millis(200);
--- a/crates/edge/src/leader.rs
+++ b/crates/edge/src/leader.rs
@@ -5,7 +5,7 @@
 //! done twice. So another node takes over as soon as the leader's heartbeats stop.
 
 use crate::clock;
-use crate::conductor::Conductor;
+use crate::coordinator::Coordinator;
 use crate::storage::{self, SHARED};
 use crate::sweep;
 use crate::tools::Tools;
@@ -31,7 +31,7 @@
 
 /// The services that a node leads, with what runs them.
 #[derive(Default)]
-pub(crate) struct Duties(RefCell<BTreeMap<String, Rc<Conductor>>>);
+pub(crate) struct Duties(RefCell<BTreeMap<String, Rc<Coordinator>>>);
 
 impl Duties {
     /// Returns whether the node leads nothing.
@@ -41,8 +41,8 @@
 
     /// Gives up a service that another node leads by now, and returns its unfinished texts.
     pub(crate) fn surrender(&self, service: &str) -> Vec<Text> {
-        let conductor = self.0.borrow().get(service).cloned();
-        conductor.map_or_else(Vec::new, |conductor| conductor.surrender())
+        let coordinator = self.0.borrow().get(service).cloned();
+        coordinator.map_or_else(Vec::new, |coordinator| coordinator.surrender())
     }
 }
 
@@ -90,9 +90,9 @@
                 self.follow(&service);
                 continue;
             }
-            let conductor = self.duties.0.borrow().get(&service).cloned();
-            if let Some(conductor) = conductor {
-                if conductor.hand_over().await {
+            let coordinator = self.duties.0.borrow().get(&service).cloned();
+            if let Some(coordinator) = coordinator {
+                if coordinator.hand_over().await {
                     self.resign(&service).await;
                     self.follow(&service);
                 }
@@ -135,15 +135,15 @@
         }
         let inherited = self.inherited.remove(service).unwrap_or_default();
         tracing::info!(service, inherited = inherited.len(), "leading");
-        let conductor = Rc::new(Conductor::new(service, self.tools.clone(), inherited));
+        let coordinator = Rc::new(Coordinator::new(service, self.tools.clone(), inherited));
         let sweep = sweep::run(self.tools.clone(), service.to_owned());
-        let run = conductor.clone().run();
+        let run = coordinator.clone().run();
         let task = tokio::task::spawn_local(async move {
             tokio::join!(run, sweep);
         });
         self.tasks.insert(service.to_owned(), task.abort_handle());
         let mut duties = self.duties.0.borrow_mut();
-        duties.insert(service.to_owned(), conductor);
+        duties.insert(service.to_owned(), coordinator);
     }
 
     fn follow(&mut self, service: &str) {
@@ -152,9 +152,9 @@
         };
         tracing::info!(service, "following");
         task.abort();
-        let conductor = self.duties.0.borrow_mut().remove(service);
-        if let Some(conductor) = conductor {
-            conductor.surrender();
+        let coordinator = self.duties.0.borrow_mut().remove(service);
+        if let Some(coordinator) = coordinator {
+            coordinator.surrender();
         }
     }
 
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -15,7 +15,7 @@
 mod archive;
 mod cache;
 mod clock;
-mod conductor;
+mod coordinator;
 pub mod dialect;
 mod error;
 mod fleet;
--- a/crates/edge/src/lister.rs
+++ b/crates/edge/src/lister.rs
@@ -44,7 +44,7 @@
 
 /// What listers write with.
 #[derive(Clone)]
-pub(crate) struct Desk {
+pub(crate) struct Context {
     pub(crate) archive: Rc<Archive>,
     pub(crate) known: Rc<Known>,
     pub(crate) metrics: Rc<Metrics>,
@@ -83,7 +83,7 @@
     }
 
     /// Lists outcomes until the batch is done or lost.
-    pub(crate) async fn run(&self, desk: &Desk) -> Ended {
+    pub(crate) async fn run(&self, context: &Context) -> Ended {
         loop {
             {
                 let head = &self.head.borrow().1;
@@ -102,7 +102,7 @@
             if outcomes.is_empty() {
                 continue;
             }
-            if let Some(ended) = self.list(desk, &outcomes).await {
+            if let Some(ended) = self.list(context, &outcomes).await {
                 return ended;
             }
         }
@@ -121,7 +121,7 @@
     }
 
     /// Lists outcomes at the next positions, whatever it takes.
-    async fn list(&self, desk: &Desk, outcomes: &[Outcome]) -> Option<Ended> {
+    async fn list(&self, context: &Context, outcomes: &[Outcome]) -> Option<Ended> {
         let count = u32::try_from(outcomes.len()).unwrap_or(u32::MAX);
         let (first, before) = {
             let head = self.head.borrow();
@@ -136,7 +136,7 @@
             let (row, head) = self.head.borrow().clone();
             match head.standing(&before, &wanted) {
                 Standing::Written => {
-                    self.show(desk, first, outcomes);
+                    self.show(context, first, outcomes);
                     return None;
                 }
                 Standing::Lost => return Some(Ended::Lost),
@@ -150,11 +150,11 @@
                     return Some(Ended::Lost);
                 }
             };
-            match desk.storage.commit(&txn).await {
+            match context.storage.commit(&txn).await {
                 Ok(store::Outcome::Done { version, .. }) => {
                     *self.head.borrow_mut() = (version, wanted.clone());
                 }
-                Ok(store::Outcome::Conflict { rows }) => self.learn(desk, &rows),
+                Ok(store::Outcome::Conflict { rows }) => self.learn(context, &rows),
                 Err(error) => {
                     tracing::info!(batch = self.batch, %error, count, "list_not_written");
                     sleep(RETRY).await;
@@ -186,11 +186,13 @@
         Ok(txn)
     }
 
-    fn learn(&self, desk: &Desk, rows: &[Row]) {
+    fn learn(&self, context: &Context, rows: &[Row]) {
         for row in rows {
             match Head::from_slice(&row.value) {
                 Ok(head) => {
-                    desk.known.put_head(&self.batch, row.version, head.clone());
+                    context
+                        .known
+                        .put_head(&self.batch, row.version, head.clone());
                     *self.head.borrow_mut() = (row.version, head);
                 }
                 Err(error) => tracing::error!(batch = self.batch, %error, "row_refused"),
@@ -198,20 +200,21 @@
         }
     }
 
-    fn show(&self, desk: &Desk, first: u32, outcomes: &[Outcome]) {
+    fn show(&self, context: &Context, first: u32, outcomes: &[Outcome]) {
         let (row, head) = self.head.borrow().clone();
         for (position, outcome) in (first..).zip(outcomes) {
             self.listed.borrow_mut().insert(outcome.index);
             let outcome = Rc::new(outcome.clone());
-            desk.archive
+            context
+                .archive
                 .cache
                 .put_outcome(&self.batch, position, outcome);
         }
         let is_complete = |outcome: &&Outcome| outcome.state == State::Complete;
         let complete = outcomes.iter().filter(is_complete).count();
         let abandoned = outcomes.len() - complete;
-        desk.metrics.listed("complete", complete as u64);
-        desk.metrics.listed("abandoned", abandoned as u64);
+        context.metrics.listed("complete", complete as u64);
+        context.metrics.listed("abandoned", abandoned as u64);
         tracing::info!(
             batch = self.batch,
             first,
@@ -221,7 +224,7 @@
             at_ms = clock::now().as_millis(),
             "results_listed"
         );
-        desk.known.put_head(&self.batch, row, head);
-        desk.known.announce();
+        context.known.put_head(&self.batch, row, head);
+        context.known.announce();
     }
 }
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -11,7 +11,7 @@
 use crate::front::{self, Answer, Directory, Front, Ready, Scrape};
 use crate::known::Known;
 use crate::leader::{Duties, Leader};
-use crate::lister::Desk;
+use crate::lister::Context;
 use crate::metrics::Metrics;
 use crate::peers::{self, Peers};
 use crate::reader::Reader;
@@ -135,7 +135,7 @@
         let tools = Rc::new(Tools {
             archive: archive.clone(),
             client: parts.client.clone(),
-            desk: Desk {
+            context: Context {
                 archive,
                 known: known.clone(),
                 metrics: metrics.clone(),
--- a/crates/edge/src/orders.rs
+++ b/crates/edge/src/orders.rs
@@ -6,7 +6,7 @@
 use dogwoodlb_config::Engine;
 use dogwoodlb_directory::Entry;
 use dogwoodlb_types::Instant;
-use dogwoodlb_weights::{Director, Replica, Work};
+use dogwoodlb_weights::{Replica, Scheduler, Work};
 use std::cell::{Ref, RefCell};
 use std::rc::Rc;
 
@@ -16,11 +16,11 @@
 
 /// The weights on the replicas of a service, and the orders under way.
 #[derive(Default)]
-pub(crate) struct Loads(RefCell<Director>);
+pub(crate) struct Loads(RefCell<Scheduler>);
 
 impl Loads {
     /// Returns what is known of the weights.
-    pub(crate) fn director(&self) -> Ref<'_, Director> {
+    pub(crate) fn scheduler(&self) -> Ref<'_, Scheduler> {
         self.0.borrow()
     }
 
@@ -59,12 +59,12 @@
             items: planner.demand(model),
         };
         let work: Vec<Work> = models.iter().map(work).collect();
-        let mut director = self.0.borrow_mut();
-        director.set_models(models);
-        for due in director.advance(&replicas, &work, clock::now()) {
+        let mut scheduler = self.0.borrow_mut();
+        scheduler.set_models(models);
+        for due in scheduler.advance(&replicas, &work, clock::now()) {
             let model = &models[due.model];
             let Some(entry) = directory.get(&due.replica) else {
-                director.on_end(&due.replica, model, Err(clock::now()));
+                scheduler.on_end(&due.replica, model, Err(clock::now()));
                 continue;
             };
             let load = Load {
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -234,5 +234,5 @@
     }
 }
 
-/// The running tasks of a conductor.
+/// The running tasks of a coordinator.
 pub(crate) type Guards = Rc<RefCell<std::collections::HashMap<WorkId, Guard>>>;
--- a/crates/edge/src/tools.rs
+++ b/crates/edge/src/tools.rs
@@ -1,7 +1,7 @@
 use crate::archive::Archive;
 use crate::dialect::Dialect;
 use crate::known::Known;
-use crate::lister::Desk;
+use crate::lister::Context;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::score::ScoreCaller;
@@ -14,7 +14,7 @@
 pub(crate) struct Tools {
     pub(crate) archive: Rc<Archive>,
     pub(crate) client: Client,
-    pub(crate) desk: Desk,
+    pub(crate) context: Context,
     pub(crate) dialect: Rc<dyn Dialect>,
     pub(crate) known: Rc<Known>,
     pub(crate) metrics: Rc<Metrics>,
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! An experiment plays a [`Scenario`] with the decision cores that a node runs, the
 //! [`Planner`](dogwoodlb_batch::Planner) and the
-//! [`Director`](dogwoodlb_weights::Director), and answers in seconds how a change of a policy
+//! [`Scheduler`](dogwoodlb_weights::Scheduler), and answers in seconds how a change of a policy
 //! changes the steps of the trainers. Lengths of texts follow from the seed, the step and the
 //! item alone, so that two builds see the same work and their reports can be compared in pairs.
 //!
--- a/crates/emulator/src/scenario.rs
+++ b/crates/emulator/src/scenario.rs
@@ -235,23 +235,23 @@
 }
 
 fn at_least_one(field: &'static str, value: u64) -> Result<()> {
-    if value > 0 {
-        return Ok(());
-    }
-    let wanted = "at least 1";
-    let value = value.to_string();
-    Err(Error::Range {
-        field,
-        value,
-        wanted,
-    })
+    check_range(field, value > 0, &value, "at least 1")
 }
 
 fn above_zero(field: &'static str, value: f64) -> Result<()> {
-    if value.is_finite() && value > 0.0 {
+    let is_fit = value.is_finite() && value > 0.0;
+    check_range(field, is_fit, &value, "above 0")
+}
+
+fn check_range(
+    field: &'static str,
+    is_fit: bool,
+    value: &dyn ToString,
+    wanted: &'static str,
+) -> Result<()> {
+    if is_fit {
         return Ok(());
     }
-    let wanted = "above 0";
     let value = value.to_string();
     Err(Error::Range {
         field,
--- /dev/null
+++ b/crates/emulator/src/world/node.rs
@@ -0,0 +1,167 @@
+//! The part of the leading node: its batches, its planner and the loads that it orders.
+
+use super::{Outcome, World, MAX_ATTEMPTS};
+use crate::engine::{Change, Engine, Request};
+use dogwoodlb_batch::{Action, Open, Stop, Text, View, WorkId};
+use dogwoodlb_weights::{Replica, Work};
+
+impl World<'_> {
+    /// Opens the batch of a step, with the texts that were written down.
+    pub(super) fn open(&mut self, trainer: usize, position: usize) {
+        let running = &self.trainers[trainer];
+        let step = &running.steps[position];
+        let id = step.id.clone();
+        self.planner.open(&Open {
+            id: &id,
+            model: &running.settings.model,
+            min_version: step.number.saturating_sub(1),
+            single_version: false,
+            target_groups: u32::try_from(step.target).unwrap_or(u32::MAX),
+            max_attempts: MAX_ATTEMPTS,
+            event_tokens: 1,
+            items: &step.items(),
+            listed: &step.listed,
+        });
+        for work in self.planner.unfinished(&id) {
+            let index = self.planner.place(work).map(|(_, index)| index);
+            let of_item = |text: &&Text| text.batch == id && Some(text.index) == index;
+            if let Some(text) = self.saved.iter().find(of_item) {
+                self.planner.restore(work, text);
+            }
+        }
+        let generated = self.planner.generated(&id);
+        self.open.insert(id, (trainer, position));
+        for work in generated {
+            self.score(work);
+        }
+    }
+
+    pub(super) fn score(&mut self, work: WorkId) {
+        let Some((batch, index)) = self.planner.place(work) else {
+            return;
+        };
+        let Some(&(trainer, step)) = self.open.get(batch) else {
+            return;
+        };
+        let at_ms = self.now_ms + self.pool().result_ms;
+        self.planner.finish(work);
+        self.results.push(Outcome {
+            trainer,
+            step,
+            index,
+            at_ms,
+        });
+    }
+
+    /// Orders the loads that are due and tells the planner of the replicas.
+    pub(super) fn look(&mut self, has_store: bool) {
+        let now = self.now();
+        self.scheduler.set_models(&self.models);
+        let newest = |model: &String| {
+            let trainers = self.trainers.iter();
+            let of_model = trainers.filter(|one| one.settings.model == *model);
+            of_model.map(|one| one.newest(self.now_ms)).max()
+        };
+        let work = |model: &String| Work {
+            newest: newest(model),
+            min_version: self.planner.min_version(model).unwrap_or(0),
+            waiting: self.planner.has_waiting(model),
+            items: self.planner.demand(model),
+        };
+        let work: Vec<Work> = self.models.iter().map(work).collect();
+        let slots = self.pool().slots;
+        let usable = self.engines.iter().filter(|engine| !engine.is_gone);
+        let replicas: Vec<Replica<'_>> = usable
+            .map(|engine| Replica {
+                name: &engine.name,
+                slots,
+                running: self.planner.running(&engine.name),
+                listed: engine.versions.iter().copied().map(Some).collect(),
+            })
+            .collect();
+        let loads = match has_store {
+            true => self.scheduler.advance(&replicas, &work, now),
+            false => Vec::new(),
+        };
+        let pool = &self.scenario.pool;
+        for load in loads {
+            let engine = self.engines.iter_mut();
+            let Some(engine) = engine.into_iter().find(|one| one.name == load.replica) else {
+                continue;
+            };
+            self.figures.loads += 1;
+            engine.change = Some(Change {
+                version: load.version,
+                model: load.model,
+                begins_ms: self.now_ms + pool.order_ms,
+                left_ms: pool.load_ms as f64,
+                known_ms: None,
+            });
+        }
+        for engine in self.engines.iter().filter(|engine| !engine.is_gone) {
+            let versions = self
+                .models
+                .iter()
+                .cloned()
+                .zip(engine.versions.iter().copied());
+            let view = View {
+                slots: pool.slots,
+                memory_tokens: pool.memory_tokens,
+                versions: versions.collect(),
+                closed: self.scheduler.closed(&engine.name).to_vec(),
+            };
+            self.planner.set_replica(&engine.name, view);
+        }
+        let engines = &self.engines;
+        self.planner.retain_replicas(|name| {
+            let mut usable = engines.iter().filter(|engine| !engine.is_gone);
+            usable.any(|engine| engine.name == name)
+        });
+    }
+
+    pub(super) fn plan(&mut self) {
+        // A round that stops runs starts none.
+        for _ in 0..2 {
+            let mut has_stopped = false;
+            for action in self.planner.plan(self.now()) {
+                match action {
+                    Action::Start { work, replica } => self.start(work, &replica),
+                    Action::Stop { work, .. } => {
+                        has_stopped = true;
+                        self.figures.runs_cut += 1;
+                        let runs = |engine: &Engine| {
+                            engine.requests.iter().any(|request| request.work == work)
+                        };
+                        match self.engines.iter().position(runs) {
+                            Some(engine) => self.end(engine, work, Stop::Moved),
+                            None => {
+                                self.planner.on_stop(work, Stop::Moved, self.now());
+                            }
+                        }
+                    }
+                }
+            }
+            if !has_stopped {
+                return;
+            }
+        }
+    }
+
+    fn start(&mut self, work: WorkId, replica: &str) {
+        let done = self.planner.progress(work).map_or(0, |one| one.last_event);
+        let place = self.planner.place(work);
+        let place = place.and_then(|(batch, index)| Some((*self.open.get(batch)?, index)));
+        let engine = self.engines.iter_mut().find(|one| one.name == replica);
+        let (Some(((trainer, step), index)), Some(engine)) = (place, engine) else {
+            self.planner.on_stop(work, Stop::Refused, self.now());
+            return;
+        };
+        let running = &self.trainers[trainer];
+        let left = running.steps[step].events(index).saturating_sub(done);
+        let pool = &self.scenario.pool;
+        let tokens = running.settings.prompt_tokens + done * pool.event_tokens;
+        self.figures.runs += 1;
+        let request = Request::new(work, tokens, left, pool);
+        engine.requests.push(request);
+    }
+}
--- a/crates/lease/src/timing.rs
+++ b/crates/lease/src/timing.rs
@@ -25,5 +25,5 @@
 /// How often the first three candidates read.
 ///
 /// Rank r reads every r - 1 intervals, so the reads of all candidates of a lease grow with the
-/// logarithm of their number: with 320 nodes about 10/s, of the store's 2,000/s.
+/// logarithm of their number only.
 pub(crate) const READ_INTERVAL: Duration = Duration::from_secs(1);
--- a/crates/ledger/src/accept.rs
+++ b/crates/ledger/src/accept.rs
@@ -9,7 +9,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// The shortest time between two flushes: 14 trainers then cost at most 70 writes/s.
+/// The shortest time between two flushes, which bounds the writes of a trainer.
 pub const FLUSH_INTERVAL: Duration = Duration::from_millis(200);
 
 /// The largest number of samples in one flush, which keeps batch rows to some ten kilobytes.
--- a/crates/member/src/frames.rs
+++ b/crates/member/src/frames.rs
@@ -38,14 +38,21 @@
         self.merge_header(header, now, &mut actions);
         match frame {
             Frame::Ping(_) => {
-                self.send_ack(&header.vm, header.sequence, status, rng, &mut actions);
+                self.send(
+                    Frame::Ack,
+                    &header.vm,
+                    header.sequence,
+                    status,
+                    rng,
+                    &mut actions,
+                );
             }
             Frame::Ack(_) => self.on_ack(header, status, rng, &mut actions),
             Frame::PingReq { target, .. } => {
                 if self.peers.contains_key(target) {
                     let relay = self.add_relay(target, &header.vm, header.sequence, now);
                     if let Some(sequence) = relay {
-                        self.send_ping(target, sequence, status, rng, &mut actions);
+                        self.send(Frame::Ping, target, sequence, status, rng, &mut actions);
                     }
                 }
             }
@@ -100,12 +107,14 @@
         if let Some(index) = relay {
             let relay = self.relays.swap_remove(index);
             let sequence = relay.requester_sequence;
-            self.send_ack(&relay.requester, sequence, status, rng, actions);
+            self.send(Frame::Ack, &relay.requester, sequence, status, rng, actions);
         }
     }
 
-    pub(crate) fn send_ping(
+    /// Sends a ping or an acknowledgement to a peer whose address is known.
+    pub(crate) fn send(
         &mut self,
+        frame: fn(Header) -> Frame,
         vm: &id::Vm,
         sequence: u32,
         status: &Status,
@@ -113,21 +122,7 @@
         actions: &mut Vec<Action>,
     ) {
         if let Some(to) = self.address(vm) {
-            let frame = Frame::Ping(self.header(vm, sequence, status, rng));
-            actions.push(Action::Send { to, frame });
-        }
-    }
-
-    fn send_ack(
-        &mut self,
-        vm: &id::Vm,
-        sequence: u32,
-        status: &Status,
-        rng: &mut dyn Rng,
-        actions: &mut Vec<Action>,
-    ) {
-        if let Some(to) = self.address(vm) {
-            let frame = Frame::Ack(self.header(vm, sequence, status, rng));
+            let frame = frame(self.header(vm, sequence, status, rng));
             actions.push(Action::Send { to, frame });
         }
     }
--- a/crates/member/src/members.rs
+++ b/crates/member/src/members.rs
@@ -15,8 +15,7 @@
 /// Three times the nodes of docs/design.md, section 1.4.
 const MAX_PEERS: usize = 1_024;
 
-/// The peers told directly that this node is leaving; gossip reaches the rest of 320 nodes
-/// within about 2 s, and 5 s are allowed.
+/// The peers told directly that this node is leaving; gossip reaches the rest.
 const ANNOUNCE_PEERS: usize = 32;
 
 /// A pause of the process after which its own timers say nothing about its peers.
@@ -234,7 +233,7 @@
         let mut actions = Vec::new();
         for vm in self.sample(ANNOUNCE_PEERS, &[], rng) {
             let sequence = self.next_sequence();
-            self.send_ping(&vm, sequence, status, rng, &mut actions);
+            self.send(Frame::Ping, &vm, sequence, status, rng, &mut actions);
         }
         actions
     }
--- a/crates/member/src/probe.rs
+++ b/crates/member/src/probe.rs
@@ -79,7 +79,7 @@
             self.suspect(&probe.target, now, actions);
             // The target can refute at once instead of hearing of the suspicion later.
             let sequence = self.next_sequence();
-            self.send_ping(&probe.target, sequence, status, rng, actions);
+            self.send(Frame::Ping, &probe.target, sequence, status, rng, actions);
             return;
         }
         if probe.ask_at > now || !probe.helpers.is_empty() {
@@ -88,7 +88,14 @@
         }
         // The first ping may merely have been lost. Repeating it keeps false suspicions rare at
         // 20% loss, where their refutations would otherwise crowd out other news.
-        self.send_ping(&probe.target, probe.sequence, status, rng, actions);
+        self.send(
+            Frame::Ping,
+            &probe.target,
+            probe.sequence,
+            status,
+            rng,
+            actions,
+        );
         let helpers = self.sample(HELPERS, &[&probe.target], rng);
         for vm in &helpers {
             let Some(to) = self.address(vm) else { continue };
@@ -113,7 +120,7 @@
             return;
         };
         let sequence = self.next_sequence();
-        self.send_ping(&target, sequence, status, rng, actions);
+        self.send(Frame::Ping, &target, sequence, status, rng, actions);
         self.probe = Some(Probe {
             target,
             sequence,
@@ -150,7 +157,7 @@
             .cloned();
         if let Some(vm) = lost {
             let sequence = self.next_sequence();
-            self.send_ping(&vm, sequence, status, rng, actions);
+            self.send(Frame::Ping, &vm, sequence, status, rng, actions);
         }
     }
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -24,8 +24,8 @@
 /// Threads for short calls: orders, reads of engines, proposals, outcomes of keyed calls.
 const WORKERS: usize = 32;
 
-/// Short calls that may wait: a commit asks up to 320 nodes at once, and a swap reads up to
-/// 1,900 replicas. With fewer, the same ones were dropped in every turn.
+/// Short calls that may wait: a commit asks all nodes at once, and a swap reads all replicas.
+/// With fewer places the same ones would be dropped in every turn.
 const CALLS: usize = 4096;
 
 const TICK: Duration = Duration::from_millis(50);
--- a/crates/node/src/sampling.rs
+++ b/crates/node/src/sampling.rs
@@ -17,7 +17,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// The longest generation; a step has to be whole within 7 min.
+/// The longest generation.
 const GENERATE_TIMEOUT: Duration = Duration::from_secs(110);
 
 const SCORE_TIMEOUT: Duration = Duration::from_secs(10);
--- a/crates/node/src/swapper.rs
+++ b/crates/node/src/swapper.rs
@@ -22,7 +22,7 @@
 const TICK: Duration = Duration::from_millis(50);
 const CALL_TIMEOUT: Duration = Duration::from_millis(900);
 
-/// How often the published version is read; a part of the 18 s that a swap may take.
+/// How often the published version is read.
 const TARGET_INTERVAL: Duration = Duration::from_millis(500);
 
 /// What came of a call of an engine.
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -5,8 +5,8 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// The load that affinity may bring to a replica, as a multiple of the mean, in thousandths.
-/// docs/design.md, section 4.11, gives the source. With 1.25 and a few requests at each replica,
-/// chance alone reaches the bound, and every sixth prompt missed the cache.
+/// docs/design.md, section 4.11, gives the source. With a few requests at each replica,
+/// chance alone reaches a lower bound, and prompts miss the cache.
 const BOUND: u64 = 2_000;
 
 /// Chooses among the members: the nearest level with a free slot, then by prefix or by load.
--- a/crates/route/src/member.rs
+++ b/crates/route/src/member.rs
@@ -13,8 +13,8 @@
 const RESERVE: [u64; 3] = [0, 100, 200];
 
 /// The estimated load at which customers are kept from a replica, as a multiple of its slots.
-/// A report that is 2 s old shows replicas as full that have emptied since; kept away from
-/// them, all nodes send to the others; at 150% load that cost 13 of 78% goodput.
+/// A late report shows replicas as full that have emptied since, and all nodes would send to
+/// the others.
 const OVERBOOKING: u64 = 2;
 
 /// One request in the units of load estimates, so that decayed reports keep their fractions.
--- a/crates/weights/src/lib.rs
+++ b/crates/weights/src/lib.rs
@@ -1,7 +1,7 @@
 //! Weight versions on replicas: which replica loads which version and when, and which node may
 //! order it.
 //!
-//! A [`Director`] holds what is known of a service's replicas and decides their loads: [`Homes`]
+//! A [`Scheduler`] holds what is known of a service's replicas and decides their loads: [`Homes`]
 //! keeps each replica fresh for one model, [`plan`] chooses the loads, and [`share`] lets the
 //! models take turns. [`Claim`] is the right to send one order to one replica: it is
 //! written to the store before the order, it is short, and another node waits until it is over.
@@ -22,11 +22,11 @@
 //! ```
 
 mod claim;
-mod director;
 mod homes;
 mod plan;
+mod scheduler;
 
 pub use claim::{Claim, Error, WINDOW};
-pub use director::{Director, Load, Replica, Work};
 pub use homes::{Candidate, Homes};
 pub use plan::{plan, share, Choice, Holding, Need, Wish};
+pub use scheduler::{Load, Replica, Scheduler, Work};
--- a/crates/weights/src/director.rs
+++ b/crates/weights/src/scheduler.rs
@@ -21,7 +21,7 @@
     pub slots: u32,
     /// The runs on it.
     pub running: u32,
-    /// The versions that its entry shows, for each model of the [`Director`].
+    /// The versions that its entry shows, for each model of the [`Scheduler`].
     pub listed: Vec<Option<u64>>,
 }
 
@@ -66,7 +66,7 @@
 
 /// Decides which replicas of a service load which weights, and knows what they hold.
 #[derive(Debug, Default)]
-pub struct Director {
+pub struct Scheduler {
     models: Vec<(String, Model)>,
     /// Versions that replicas reported or that answers showed, by replica.
     observed: BTreeMap<String, BTreeMap<String, u64>>,
@@ -78,7 +78,7 @@
     revision: u64,
 }
 
-impl Director {
+impl Scheduler {
     /// Sets the models of the service.
     pub fn set_models(&mut self, names: &[String]) {
         let is_same = self.models.iter().map(|(name, _)| name).eq(names);
--- a/crates/weights/tests/director.rs
+++ b/crates/weights/tests/scheduler.rs
@@ -1,16 +1,16 @@
 //! Guards against loads that nobody needs, and against replicas that are ordered twice.
 
 use dogwoodlb_types::Instant;
-use dogwoodlb_weights::{Director, Load, Replica, Work};
+use dogwoodlb_weights::{Load, Replica, Scheduler, Work};
 
 fn at(ms: u64) -> Instant {
     Instant::from_millis(ms)
 }
 
-fn director() -> Director {
-    let mut director = Director::default();
-    director.set_models(&["m".to_owned()]);
-    director
+fn scheduler() -> Scheduler {
+    let mut scheduler = Scheduler::default();
+    scheduler.set_models(&["m".to_owned()]);
+    scheduler
 }
 
 fn replicas<'a>(names: &'a [String], version: u64) -> Vec<Replica<'a>> {
@@ -44,13 +44,13 @@
 #[test]
 fn as_many_as_the_work_needs() {
     let names = names(50);
-    let mut director = director();
+    let mut scheduler = scheduler();
     let mut ordered = 0;
     for round in 0..20 {
-        let loads = director.advance(&replicas(&names, 1), &work(3, 10), at(round));
+        let loads = scheduler.advance(&replicas(&names, 1), &work(3, 10), at(round));
         ordered += loads.len();
         for load in &loads {
-            director.on_end(&load.replica, "m", Ok(3));
+            scheduler.on_end(&load.replica, "m", Ok(3));
         }
     }
     assert_eq!(ordered, 2);
@@ -59,16 +59,16 @@
 #[test]
 fn the_peak_counts_for_a_while() {
     let names = names(50);
-    let mut director = director();
-    director.advance(&replicas(&names, 1), &work(1, 100), at(0));
-    let loads = director.advance(&replicas(&names, 1), &work(3, 0), at(10_000));
+    let mut scheduler = scheduler();
+    scheduler.advance(&replicas(&names, 1), &work(1, 100), at(0));
+    let loads = scheduler.advance(&replicas(&names, 1), &work(3, 0), at(10_000));
     assert_eq!(loads.len(), 10, "a fifth of all loads at a time");
     for load in &loads {
-        director.on_end(&load.replica, "m", Ok(3));
+        scheduler.on_end(&load.replica, "m", Ok(3));
     }
-    let loads = director.advance(&replicas(&names, 1), &work(3, 0), at(10_001));
+    let loads = scheduler.advance(&replicas(&names, 1), &work(3, 0), at(10_001));
     assert_eq!(loads.len(), 10);
-    let none = director.advance(&replicas(&names, 1), &work(3, 0), at(10_002));
+    let none = scheduler.advance(&replicas(&names, 1), &work(3, 0), at(10_002));
     assert!(
         none.is_empty(),
         "20 replicas have twice the slots of 100 items"
@@ -78,25 +78,25 @@
 #[test]
 fn one_order_at_a_time() {
     let names = names(2);
-    let mut director = director();
-    let loads = director.advance(&replicas(&names, 1), &work(3, 20), at(0));
+    let mut scheduler = scheduler();
+    let loads = scheduler.advance(&replicas(&names, 1), &work(3, 20), at(0));
     assert_eq!(loaded(&loads), ["r00", "r01"]);
-    assert_eq!(director.closed("r00"), ["m"]);
-    let again = director.advance(&replicas(&names, 1), &work(4, 20), at(100));
+    assert_eq!(scheduler.closed("r00"), ["m"]);
+    let again = scheduler.advance(&replicas(&names, 1), &work(4, 20), at(100));
     assert!(again.is_empty());
 }
 
 #[test]
 fn a_failed_one_waits() {
     let names = names(1);
-    let mut director = director();
-    director.advance(&replicas(&names, 1), &work(3, 20), at(0));
-    director.on_end("r00", "m", Err(at(700)));
-    assert!(director.closed("r00").is_empty());
-    let early = director.advance(&replicas(&names, 1), &work(3, 20), at(600));
+    let mut scheduler = scheduler();
+    scheduler.advance(&replicas(&names, 1), &work(3, 20), at(0));
+    scheduler.on_end("r00", "m", Err(at(700)));
+    assert!(scheduler.closed("r00").is_empty());
+    let early = scheduler.advance(&replicas(&names, 1), &work(3, 20), at(600));
     assert!(early.is_empty());
-    let loads = director.advance(&replicas(&names, 1), &work(3, 20), at(700));
+    let loads = scheduler.advance(&replicas(&names, 1), &work(3, 20), at(700));
     assert_eq!(loaded(&loads), ["r00"]);
-    director.on_end("r00", "m", Ok(3));
-    assert_eq!(director.version("r00", "m", Some(1)), Some(3));
+    scheduler.on_end("r00", "m", Ok(3));
+    assert_eq!(scheduler.version("r00", "m", Some(1)), Some(3));
 }
