Let only runs of the loading model pause in the emulator

Cause: an emulated replica that loaded the weights of one model stopped the runs of all models, and all replicas had one speed. Real ones go on with other models, and a third of the grown pools is 1.3 times slower, so that the emulator blamed loads for what slow replicas cost. Change: requests know their model; `pool.slowdowns` gives each replica a factor.

--- a/crates/emulator/src/engine.rs
+++ b/crates/emulator/src/engine.rs
@@ -7,6 +7,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Request {
     pub(crate) work: WorkId,
+    /// The index of its model.
+    model: usize,
     /// The time left to process the prompt.
     prompt_ms: f64,
     /// The completed fraction of the next event.
@@ -16,9 +18,16 @@
 }
 
 impl Request {
-    pub(crate) fn new(work: WorkId, tokens: u64, events_left: u64, pool: &Pool) -> Self {
+    pub(crate) fn new(
+        work: WorkId,
+        model: usize,
+        tokens: u64,
+        events_left: u64,
+        pool: &Pool,
+    ) -> Self {
         Self {
             work,
+            model,
             prompt_ms: tokens as f64 / pool.prompt_tokens_per_ms,
             event_progress: 0.0,
             events_left,
@@ -57,21 +66,23 @@
 }
 
 impl Engine {
-    /// Returns whether it is loading weights, during which its requests make no progress.
-    pub(crate) fn is_loading(&self, now_ms: u64) -> bool {
+    /// Returns the model whose weights it is loading. Requests of that model make no progress.
+    pub(crate) fn loading_model(&self, now_ms: u64) -> Option<usize> {
         let load = self.load.as_ref();
-        load.is_some_and(|load| load.starts_at_ms <= now_ms && load.remaining_ms > 0.0)
+        let load = load.filter(|load| load.starts_at_ms <= now_ms && load.remaining_ms > 0.0);
+        load.map(|load| load.model)
     }
 
     /// Advances the requests by a tick and returns those that generated an event.
     pub(crate) fn advance(&mut self, pool: &Pool, now_ms: u64, tick_ms: f64) -> Vec<WorkId> {
-        if self.is_loading(now_ms) {
-            return Vec::new();
-        }
+        let loading = self.loading_model(now_ms);
         let running = self.requests.len() as f64;
         let event_ms = (pool.event_ms + pool.event_ms_per_run * running) * self.slowdown;
         let mut events = Vec::new();
         for request in &mut self.requests {
+            if loading == Some(request.model) {
+                continue;
+            }
             if request.prompt_ms > 0.0 {
                 request.prompt_ms -= tick_ms / self.slowdown;
                 continue;
--- a/crates/emulator/src/scenario.rs
+++ b/crates/emulator/src/scenario.rs
@@ -37,6 +37,9 @@
     pub event_ms: f64,
     /// The additional time per event for each running request.
     pub event_ms_per_run: f64,
+    /// The factors by which the times of the replicas exceed those above, assigned in turn; all
+    /// replicas are equal if empty.
+    pub slowdowns: Vec<f64>,
     /// The number of tokens per event.
     pub event_tokens: u64,
     /// The number of prompt tokens processed per millisecond.
@@ -62,6 +65,7 @@
             memory_tokens: 0,
             event_ms: 30.8,
             event_ms_per_run: 1.05,
+            slowdowns: Vec::new(),
             event_tokens: 42,
             prompt_tokens_per_ms: 220.0,
             order_ms: 160,
@@ -73,6 +77,16 @@
     }
 }
 
+impl Pool {
+    /// Returns the factor by which a replica is slower than the base times.
+    pub(crate) fn slowdown(&self, replica: usize) -> f64 {
+        match self.slowdowns.len() {
+            0 => 1.0,
+            count => self.slowdowns[replica % count],
+        }
+    }
+}
+
 /// A trainer and the items that it submits.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(default, deny_unknown_fields)]
--- a/crates/emulator/src/simulation.rs
+++ b/crates/emulator/src/simulation.rs
@@ -160,6 +160,7 @@
         }
         let mut interrupted = Vec::new();
         let total = self.engines.len();
+        let pool = self.pool();
         for (index, engine) in self.engines.iter_mut().enumerate() {
             let is_down = index < down_count;
             if is_down && !engine.is_down {
@@ -168,7 +169,7 @@
             }
             engine.is_down = is_down;
             let is_slow = index >= total.saturating_sub(slow.0);
-            engine.slowdown = if is_slow { slow.1 } else { 1.0 };
+            engine.slowdown = pool.slowdown(index) * if is_slow { slow.1 } else { 1.0 };
         }
         let now = self.now();
         for request in interrupted {
@@ -242,11 +243,12 @@
     fn advance_loads(&mut self) {
         let pool = &self.scenario.pool;
         let now_ms = self.now_ms;
-        let loading = self.engines.iter().filter(|one| one.is_loading(now_ms));
+        let loading = self.engines.iter();
+        let loading = loading.filter(|one| one.loading_model(now_ms).is_some());
         let loading = loading.count() as f64;
         let speed = (f64::from(pool.loads_at_speed) / loading.max(1.0)).min(1.0);
         for engine in &mut self.engines {
-            let is_loading = engine.is_loading(now_ms);
+            let is_loading = engine.loading_model(now_ms).is_some();
             let Some(load) = &mut engine.load else {
                 continue;
             };
--- a/crates/emulator/src/simulation/leader.rs
+++ b/crates/emulator/src/simulation/leader.rs
@@ -63,11 +63,15 @@
             let of_model = trainers.filter(|one| one.config.model == *model);
             of_model.map(|one| one.newest_version(self.now_ms)).max()
         };
-        let demand = |model: &String| ModelDemand {
-            newest: newest(model),
-            min_version: self.planner.min_version(model).unwrap_or(0),
-            has_waiting: self.planner.has_waiting(model),
-            open_items: self.planner.demand(model),
+        let demand = |model: &String| {
+            let (open_items, open_events) = self.planner.demand(model);
+            ModelDemand {
+                newest: newest(model),
+                min_version: self.planner.min_version(model).unwrap_or(0),
+                has_waiting: self.planner.has_waiting(model),
+                open_items,
+                open_events,
+            }
         };
         let demands: Vec<ModelDemand> = self.models.iter().map(demand).collect();
         let slots = self.pool().slots;
@@ -163,7 +167,9 @@
         let pool = &self.scenario.pool;
         let tokens = state.config.prompt_tokens + done * pool.event_tokens;
         self.figures.runs += 1;
-        let request = Request::new(work, tokens, left, pool);
+        let mut models = self.models.iter();
+        let model = models.position(|model| *model == state.config.model);
+        let request = Request::new(work, model.unwrap_or_default(), tokens, left, pool);
         engine.requests.push(request);
     }
 }
