Assign replicas to models in proportion to their demand

Cause: on the grown Stand Atlas two of four trainers (offer, corner) lose their groups, the others none. A log of all starts (trial, a copy) shows why: each model had 11 of 44 replicas, and in busy seconds 34 to 64 of the 64 to 88 items of a step of these two started more than a second late, while replicas of the two with short texts were free. A text of 149 events takes 7.2 s of the 7.5 s, so that a late start is a lost group. Change: a model's share of the replicas follows the peak, over 15 s, of the events that its open items are expected to need; at least half of the mean, so that its next step finds replicas.

--- a/crates/batch/src/planner.rs
+++ b/crates/batch/src/planner.rs
@@ -308,13 +308,17 @@
         work_items.map(|work| work.min_version).max()
     }
 
-    /// Returns the number of items of a model whose text is not complete.
-    pub fn demand(&self, model: &str) -> usize {
+    /// Returns the number of items of a model whose text is not complete, and the number of events
+    /// that they are expected to need.
+    pub fn demand(&self, model: &str) -> (usize, u64) {
         let is_open = |work: &&Work| {
             let is_open = matches!(work.phase, Phase::Waiting | Phase::Running(_));
             is_open && work.batch.is_some() && work.model == model
         };
-        self.work_items.values().filter(is_open).count()
+        let open = self.work_items.values().filter(is_open);
+        open.fold((0, 0), |(items, events), work| {
+            (items + 1, events + work.remaining_events())
+        })
     }
 
     /// Returns the number of runs on a replica.
--- a/crates/edge/src/orders.rs
+++ b/crates/edge/src/orders.rs
@@ -53,11 +53,15 @@
             announced: models.iter().map(|model| entry.version(model)).collect(),
         };
         let replicas: Vec<Replica<'_>> = directory.ready_replicas(service).map(replica).collect();
-        let demand = |model: &String| ModelDemand {
-            newest: context.cluster.newest_version(model),
-            min_version: planner.min_version(model).unwrap_or(0),
-            has_waiting: planner.has_waiting(model),
-            open_items: planner.demand(model),
+        let demand = |model: &String| {
+            let (open_items, open_events) = planner.demand(model);
+            ModelDemand {
+                newest: context.cluster.newest_version(model),
+                min_version: planner.min_version(model).unwrap_or(0),
+                has_waiting: planner.has_waiting(model),
+                open_items,
+                open_events,
+            }
         };
         let demands: Vec<ModelDemand> = models.iter().map(demand).collect();
         let mut scheduler = self.0.borrow_mut();
--- a/crates/weights/src/scheduler.rs
+++ b/crates/weights/src/scheduler.rs
@@ -12,6 +12,9 @@
 /// The number of slots to provide per open item: a replica is faster with half of its slots free,
 /// and some replicas fail.
 const SLOTS_PER_ITEM: usize = 2;
+/// The demand that a model counts with at least, as a share of the mean demand, so that its next
+/// step finds replicas.
+const MIN_DEMAND_SHARE: f64 = 0.5;
 /// How long the peak demand of a model is retained, so that the pause between two steps does not
 /// count as a drop in demand.
 const PEAK_DEMAND_WINDOW: Duration = Duration::from_secs(15);
@@ -40,6 +43,8 @@
     pub has_waiting: bool,
     /// The number of items whose text is not complete.
     pub open_items: usize,
+    /// The number of events that these items are expected to need.
+    pub open_events: u64,
 }
 
 /// A load to order.
@@ -53,19 +58,31 @@
     pub version: u64,
 }
 
-/// The highest number of open items of a model within [`PEAK_DEMAND_WINDOW`].
+/// The highest value of a demand within [`PEAK_DEMAND_WINDOW`].
 #[derive(Clone, Copy, Debug, Default)]
 struct PeakDemand {
-    items: usize,
+    value: u64,
     until: Instant,
 }
 
-/// The load count and the peak demand of one model.
+impl PeakDemand {
+    /// Records the current value and returns the peak.
+    fn observe(&mut self, value: u64, now: Instant) -> u64 {
+        if value >= self.value || self.until <= now {
+            let until = now + PEAK_DEMAND_WINDOW;
+            *self = Self { value, until };
+        }
+        self.value
+    }
+}
+
+/// The load count and the peak demands of one model.
 #[derive(Clone, Debug, Default)]
 struct ModelState {
     /// The newest version and the number of its loads so far.
     newest_loads: (u64, usize),
-    peak: PeakDemand,
+    peak_items: PeakDemand,
+    peak_events: PeakDemand,
 }
 
 /// Schedules the loads of weights on the replicas of a service, and tracks the loaded versions.
@@ -144,7 +161,7 @@
         demands: &[ModelDemand],
         now: Instant,
     ) -> Vec<Load> {
-        self.assign(replicas, demands);
+        self.assign(replicas, demands, now);
         let mut planned = Vec::new();
         for index in 0..self.models.len() {
             let demand = demands.get(index).copied().unwrap_or_default();
@@ -172,8 +189,9 @@
         loads
     }
 
-    /// Assigns the replicas to the models in equal shares.
-    fn assign(&mut self, replicas: &[Replica<'_>], demands: &[ModelDemand]) {
+    /// Assigns the replicas to the models in proportion to their recent peak demand. With equal
+    /// shares, the items of a model with long steps wait while replicas of the others are free.
+    fn assign(&mut self, replicas: &[Replica<'_>], demands: &[ModelDemand], now: Instant) {
         let lag = |replica: &Replica<'_>, index: usize| {
             let newest = demands
                 .get(index)
@@ -191,10 +209,20 @@
                     .collect(),
             })
             .collect();
-        let shares = vec![1.0; self.models.len()];
+        let shares = self.demand_shares(demands, now);
         self.assignments.assign(&candidates, &shares);
     }
 
+    fn demand_shares(&mut self, demands: &[ModelDemand], now: Instant) -> Vec<f64> {
+        let models = self.models.iter_mut().zip(demands);
+        let peaks: Vec<f64> = models
+            .map(|((_, model), demand)| model.peak_events.observe(demand.open_events, now) as f64)
+            .collect();
+        let mean = peaks.iter().sum::<f64>() / peaks.len().max(1) as f64;
+        let min = (mean * MIN_DEMAND_SHARE).max(1.0);
+        peaks.into_iter().map(|peak| peak.max(min)).collect()
+    }
+
     fn loaded_version(&self, replica: &Replica<'_>, index: usize) -> Option<u64> {
         let announced = replica.announced.get(index).copied().flatten();
         self.version(replica.name, &self.models[index].0, announced)
@@ -246,12 +274,8 @@
         replicas: &[Replica<'_>],
         now: Instant,
     ) -> usize {
-        let peak = &mut self.models[index].1.peak;
-        if items >= peak.items || peak.until <= now {
-            let until = now + PEAK_DEMAND_WINDOW;
-            *peak = PeakDemand { items, until };
-        }
-        let wanted_slots = peak.items * SLOTS_PER_ITEM;
+        let peak = self.models[index].1.peak_items.observe(items as u64, now);
+        let wanted_slots = peak as usize * SLOTS_PER_ITEM;
         let slots = replicas.iter().map(|replica| replica.slots as usize);
         let slots_per_replica = (slots.sum::<usize>() / replicas.len().max(1)).max(1);
         wanted_slots.div_ceil(slots_per_replica)
--- a/crates/weights/tests/scheduler.rs
+++ b/crates/weights/tests/scheduler.rs
@@ -33,6 +33,7 @@
         min_version: newest - 1,
         has_waiting: items > 0,
         open_items: items,
+        open_events: 20 * items as u64,
     }]
 }
 
@@ -100,3 +101,42 @@
     scheduler.on_load_end("r00", "m", Ok(3));
     assert_eq!(scheduler.version("r00", "m", Some(1)), Some(3));
 }
+
+/// Completes all loads of two models at once, and returns how many each model got.
+fn loads_by_model(replica_count: usize, events: [u64; 2]) -> [usize; 2] {
+    let names = names(replica_count);
+    let mut replicas = replicas(&names, 1);
+    for replica in &mut replicas {
+        replica.announced.push(Some(1));
+    }
+    let models = ["m0", "m1"];
+    let mut scheduler = Scheduler::default();
+    scheduler.set_models(&models.map(str::to_owned));
+    let demands = events.map(|open_events| ModelDemand {
+        open_events,
+        ..demand(3, 100)[0]
+    });
+    let mut counts = [0, 0];
+    for round in 0..100 {
+        for load in scheduler.next_loads(&replicas, &demands, at(round)) {
+            counts[load.model] += 1;
+            scheduler.on_load_end(&load.replica, models[load.model], Ok(load.version));
+        }
+    }
+    counts
+}
+
+/// Guards against equal shares, with which the items of one model wait for replicas while those of
+/// the other are free.
+#[test]
+fn replicas_follow_demand() {
+    assert_eq!(loads_by_model(12, [300, 300]), [6, 6]);
+    assert_eq!(loads_by_model(12, [900, 300]), [9, 3]);
+}
+
+/// Guards against a model without replicas for its next step.
+#[test]
+fn idle_model_keeps_replicas() {
+    assert_eq!(loads_by_model(10, [800, 0]), [8, 2]);
+    assert_eq!(loads_by_model(10, [0, 0]), [5, 5]);
+}
