End responses that stall, and take only labelled ones for answers

Cause: found with a scripted replica. A response without the id of the request was taken for its answer; the body of a refusal was read to its end, so that one without end cost the whole deadline; a streamed body had no limit of time, so that a byte now and then held the caller and the connection for good; a 5xx counted as a success of the replica, so that one that fails requests with a good health check was never ejected. Ruled out by the same tests, which passed before: heads, interim responses and bytes that are no HTTP, without end, towards customers, items and score calls; short bodies that trickle. Change: a response must echo the id, but for refusals; the rest of a refusal is dropped after 50 ms or 16 KB; streamed bodies end at the caller's deadline, event streams also after a gap of four latency objectives, 2 s at least, without a complete event (ProgressMonitor); a 5xx counts as a failure of the replica, also in score calls; the time-out of a request with a long body covers its response.

--- a/crates/client/src/error.rs
+++ b/crates/client/src/error.rs
@@ -35,6 +35,12 @@
         /// The limit in bytes.
         limit: usize,
     },
+    /// A streamed body made no progress, or did not end by its deadline.
+    #[error("the response from {address} stalled")]
+    Stalled {
+        /// The address of the server.
+        address: SocketAddr,
+    },
     /// No complete response arrived in time. The server may have seen the request.
     #[error("no response from {address} within {} ms", .time_limit.as_millis())]
     Timeout {
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -7,10 +7,12 @@
 
 mod client;
 mod error;
+mod progress;
 mod response;
 
 pub use client::{Client, Settings};
 pub use error::Error;
+pub use progress::{Progress, ProgressMonitor};
 pub use response::{Body, Response};
 
 /// A specialised `Result` for client operations.
--- a/crates/client/src/response.rs
+++ b/crates/client/src/response.rs
@@ -1,5 +1,5 @@
 use crate::client::{Pool, Sender};
-use crate::{Error, Result};
+use crate::{Error, ProgressMonitor, Result};
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
@@ -8,6 +8,12 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::time::{timeout, timeout_at, Instant};
+
+/// How much of an unwanted body is read, and for how long, to keep its connection. Opening another
+/// connection costs less than waiting longer.
+const MAX_DISCARDED_BYTES: usize = 16 * 1024;
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(50);
 
 /// A response whose body has not been read yet.
 #[derive(Debug)]
@@ -84,6 +90,33 @@
         Ok(collected.freeze())
     }
 
+    /// Returns the next chunk, or `None` at the end, as long as the monitor permits.
+    ///
+    /// # Errors
+    ///
+    /// As [`next`](Self::next), and [`Error::Stalled`] once the monitor has expired, even while
+    /// data arrives.
+    pub async fn next_monitored(&mut self, monitor: &mut ProgressMonitor) -> Result<Option<Bytes>> {
+        let address = self.address;
+        let next = match monitor.expires_at() {
+            Some(expires) if expires <= Instant::now() => return Err(Error::Stalled { address }),
+            Some(expires) => timeout_at(expires, self.next()).await,
+            None => Ok(self.next().await),
+        };
+        let data = next.unwrap_or(Err(Error::Stalled { address }))?;
+        if let Some(data) = &data {
+            monitor.on_data(data, Instant::now());
+        }
+        Ok(data)
+    }
+
+    /// Discards the rest of the body. The connection is only kept if the rest is short and arrives
+    /// at once, because a faulty server may send a body without end.
+    pub async fn discard(self) {
+        // Dropping the body closes the connection, so that a failure needs no handling.
+        let _ = timeout(DISCARD_TIMEOUT, self.collect(MAX_DISCARDED_BYTES)).await;
+    }
+
     /// Returns the exact length of the body if the head states it.
     pub fn content_length(&self) -> Option<u64> {
         self.incoming.size_hint().exact()
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -8,14 +8,15 @@
 use crate::reply::{self, Body};
 use crate::routing::{Selection, ServiceRouters};
 use bytes::Bytes;
-use dogwoodlb_client::Client;
+use dogwoodlb_client::{Client, Progress, ProgressMonitor};
 use dogwoodlb_config::{Route, RouteKind, Snapshot};
 use dogwoodlb_route::Outcome;
 use dogwoodlb_types::{id, Instant};
 use http_body_util::StreamBody;
 use hyper::body::{Body as _, Frame, Incoming};
-use hyper::header::{HeaderValue, CONTENT_LENGTH, HOST};
+use hyper::header::{HeaderValue, CONTENT_LENGTH, CONTENT_TYPE, HOST};
 use hyper::http::request::Parts;
+use hyper::http::response;
 use hyper::{Request, Response, StatusCode};
 use std::rc::Rc;
 use std::time::Duration;
@@ -44,6 +45,12 @@
 /// the time-out would never complete.
 const LIMITED_ATTEMPTS: u32 = 1;
 
+/// The longest time between two events of a stream, as a multiple of the route's latency objective.
+const EVENT_GAP_FACTOR: u32 = 4;
+const MIN_EVENT_GAP: Duration = Duration::from_secs(2);
+/// The start of the content type of an event stream.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+
 /// Forwards requests to the replicas of plain services.
 pub(crate) struct Forwarder {
     pub(crate) client: Client,
@@ -244,40 +251,47 @@
     ) -> Attempt {
         let headers = self.protocol.headers();
         let echoed = header_str(&response.head.headers, &headers.request_id);
-        if echoed.is_some_and(|echoed| echoed != proxied.request_id) {
+        let is_not_run = is_not_run(headers, &response.head);
+        // A response without an id can be anything, also one to an earlier request. A refusal may
+        // come from a replica that has not read the id.
+        let is_own = echoed.map_or(is_not_run, |echoed| echoed == proxied.request_id);
+        if !is_own {
             tracing::warn!(request = proxied.request_id, replica = %selection.replica, "request_id_mismatch");
             response.body.prevent_reuse();
             selection.finish(Outcome::Failure);
             return Attempt::Failed(None);
         }
-        if is_not_run(headers, &response.head) {
+        if is_not_run {
             let status = response.head.status.as_u16();
             tracing::debug!(request = proxied.request_id, replica = %selection.replica, status, "not_run");
-            // Drain the body so that the connection can be reused.
-            let _ = response.body.collect(MAX_BUFFERED_BYTES).await;
+            response.body.discard().await;
             selection.finish(Outcome::Cancelled);
             return Attempt::NotRun;
         }
         let is_failure = response.head.status.is_server_error();
+        // A replica can fail requests while its health check succeeds.
+        let outcome = match is_failure {
+            true => Outcome::Failure,
+            false => Outcome::Success,
+        };
         let is_short = response
             .body
             .content_length()
             .is_some_and(|l| l <= MAX_BUFFERED_BYTES as u64);
         if !is_short {
-            // A streamed response is final, also with a 5xx status: it is passed on without a retry
-            // and reported to the router as a success.
-            selection.finish(Outcome::Success);
-            return Attempt::Responded(stream_body(response));
+            // A streamed response is final, also with a 5xx status: it is passed on without a retry.
+            selection.finish(outcome);
+            let monitor = self.body_monitor(proxied, &response.head);
+            return Attempt::Responded(stream_body(response, monitor));
         }
         let (head, body) = (response.head, response.body);
         match body.collect(MAX_BUFFERED_BYTES).await {
             Ok(body) if is_failure => {
-                // The router is told of a success although the status is 5xx.
-                selection.finish(Outcome::Success);
+                selection.finish(outcome);
                 Attempt::Failed(Some(build_response(head, reply::full_body(body))))
             }
             Ok(body) => {
-                selection.finish(Outcome::Success);
+                selection.finish(outcome);
                 self.metrics.observe_request(proxied.began);
                 Attempt::Responded(build_response(head, reply::full_body(body)))
             }
@@ -304,36 +318,59 @@
         if let Some(length) = length {
             request.headers_mut().insert(CONTENT_LENGTH, length.into());
         }
-        match timeout(left, self.client.send_streaming(selection.address, request)).await {
-            Ok(Ok(mut response)) => {
-                // The replica may respond before it has read the whole request body, so the
-                // connection can't be reused.
-                response.body.prevent_reuse();
-                match self
-                    .handle_response(proxied, response, &mut selection)
-                    .await
-                {
-                    Attempt::Responded(response) | Attempt::Failed(Some(response)) => response,
-                    Attempt::NotRun => {
-                        reply::unavailable("the replica did not run it", RETRY_AFTER)
-                    }
-                    Attempt::Failed(None) | Attempt::TimedOut => reply::plain_text(
-                        StatusCode::BAD_GATEWAY,
-                        "the replica failed; it may have run",
-                    ),
-                }
-            }
-            Ok(Err(error)) if error.is_unsent() => {
-                reply::unavailable("the replica can't be reached; it has not run", RETRY_AFTER)
+        let exchange = async {
+            let sent = self.client.send_streaming(selection.address, request).await;
+            let mut response = match sent {
+                Ok(response) => response,
+                Err(error) if error.is_unsent() => return Attempt::NotRun,
+                Err(_) => return Attempt::Failed(None),
+            };
+            // The replica may respond before it has read the whole request body, so the
+            // connection can't be reused.
+            response.body.prevent_reuse();
+            self.handle_response(proxied, response, &mut selection)
+                .await
+        };
+        match timeout(left, exchange).await {
+            Ok(Attempt::Responded(response) | Attempt::Failed(Some(response))) => response,
+            Ok(Attempt::NotRun) => {
+                reply::unavailable("the replica did not run the request", RETRY_AFTER)
             }
-            Ok(Err(_)) => reply::plain_text(
+            Ok(Attempt::Failed(None)) => reply::plain_text(
                 StatusCode::BAD_GATEWAY,
                 "the replica failed; it may have run",
             ),
-            Err(_) => gateway_timeout(),
+            Ok(Attempt::TimedOut) | Err(_) => gateway_timeout(),
         }
     }
 
+    /// Returns the limits on the time that a streamed response may take. The caller has left at its
+    /// own deadline; the route's time-out only bounds the wait for the head, since a stream may
+    /// take longer.
+    fn body_monitor(
+        &self,
+        proxied: &ProxiedRequest<'_>,
+        response: &response::Parts,
+    ) -> ProgressMonitor {
+        let headers = self.protocol.headers();
+        let stated = header_millis(&proxied.head.headers, &headers.deadline_ms);
+        let content_type = response.headers.get(CONTENT_TYPE);
+        let is_event_stream =
+            content_type.is_some_and(|value| value.as_bytes().starts_with(EVENT_STREAM));
+        let (progress, limit) = match is_event_stream {
+            true => {
+                let gap = proxied.route.latency_target * EVENT_GAP_FACTOR;
+                let max_gap = gap.max(MIN_EVENT_GAP);
+                (Progress::Event { max_gap }, stated)
+            }
+            false => (Progress::Data, Some(stated.unwrap_or(DEFAULT_TIMEOUT))),
+        };
+        let now = tokio::time::Instant::now();
+        let spent = clock::now().saturating_since(proxied.began);
+        let deadline = limit.map(|limit| now + limit.saturating_sub(spent));
+        ProgressMonitor::new(progress, deadline, now)
+    }
+
     fn build_request(
         &self,
         proxied: &ProxiedRequest<'_>,
@@ -376,7 +413,7 @@
     }
 }
 
-fn build_response(head: hyper::http::response::Parts, body: Body) -> Response<Body> {
+fn build_response(head: response::Parts, body: Body) -> Response<Body> {
     let mut response = Response::new(body);
     *response.status_mut() = head.status;
     *response.headers_mut() = head.headers;
@@ -390,13 +427,18 @@
     reply::plain_text(StatusCode::GATEWAY_TIMEOUT, reason)
 }
 
-fn stream_body(response: dogwoodlb_client::Response) -> Response<Body> {
-    let frames = futures_util::stream::unfold(Some(response.body), |body| async move {
-        let mut body = body?;
-        match body.next().await {
-            Ok(Some(data)) => Some((Ok(Frame::data(data)), Some(body))),
+/// Passes a body on as it arrives. If it breaks off or stalls, so does the response of the caller.
+fn stream_body(response: dogwoodlb_client::Response, monitor: ProgressMonitor) -> Response<Body> {
+    let state = Some((response.body, monitor));
+    let frames = futures_util::stream::unfold(state, |state| async move {
+        let (mut body, mut monitor) = state?;
+        match body.next_monitored(&mut monitor).await {
+            Ok(Some(data)) => Some((Ok(Frame::data(data)), Some((body, monitor)))),
             Ok(None) => None,
-            Err(error) => Some((Err(error), None)),
+            Err(error) => {
+                tracing::info!(%error, "response_stream_failed");
+                Some((Err(error), None))
+            }
         }
     });
     build_response(response.head, Box::pin(StreamBody::new(frames)))
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -20,8 +20,6 @@
 const HEAD_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// The maximum size of an event.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
-/// The maximum size of the body of an error response.
-const MAX_ERROR_BODY_BYTES: usize = 64 * 1024;
 
 /// The replica on which an item runs.
 pub(crate) struct Target {
@@ -116,7 +114,9 @@
     mut response: dogwoodlb_client::Response,
 ) -> RunResult {
     let echoed = header_str(&response.head.headers, &headers.request_id);
-    if echoed.is_some_and(|echoed| echoed != item.id) {
+    let not_run = is_not_run(headers, &response.head);
+    // A refusal may come from a replica that has not read the id.
+    if !echoed.map_or(not_run, |echoed| echoed == item.id) {
         tracing::warn!(
             item = item.id,
             replica = target.replica,
@@ -126,9 +126,7 @@
     }
     let status = response.head.status;
     if status != StatusCode::OK {
-        let not_run = is_not_run(headers, &response.head);
-        // Drain the body so that the connection can be reused.
-        let _ = response.body.collect(MAX_ERROR_BODY_BYTES).await;
+        response.body.discard().await;
         tracing::debug!(item = item.id, replica = target.replica, %status, not_run, "run_error_status");
         return match status {
             _ if not_run => RunResult::Ended(RunEnd::Refused),
--- a/crates/edge/src/score.rs
+++ b/crates/edge/src/score.rs
@@ -125,7 +125,9 @@
         let exchange = async {
             let mut response = self.client.send(selection.address, request).await?;
             let echoed = header_str(&response.head.headers, &headers.request_id);
-            let id_matches = echoed.is_none_or(|echoed| echoed == scorer.id);
+            // A refusal may come from a replica that has not read the id.
+            let is_refusal = is_not_run(headers, &response.head);
+            let id_matches = echoed.map_or(is_refusal, |echoed| echoed == scorer.id);
             if !id_matches {
                 response.body.prevent_reuse();
             }
@@ -154,7 +156,10 @@
             selection.finish(Outcome::Cancelled);
             return Attempt::Retry;
         }
-        selection.finish(Outcome::Success);
+        selection.finish(match head.status.is_server_error() {
+            true => Outcome::Failure,
+            false => Outcome::Success,
+        });
         let signature = header_str(&head.headers, &headers.signature);
         match signature {
             Some(signature) if head.status.is_success() => Attempt::Signed(signature.to_owned()),
