Start a take-over without waiting for a dead leader

Change: a leader without heartbeats is asked for its texts, since it may only be cut off and has to stop its runs, but not waited for; the three reads of an adoption run at the same time.

--- a/crates/edge/src/coordinator.rs
+++ b/crates/edge/src/coordinator.rs
@@ -261,10 +261,12 @@
                 }
             }
         }
-        let submission = batch_store.submission(id, &header).await?;
-        let outcomes = batch_store.outcomes(id, 0, header.result_count).await?;
+        let (submission, outcomes, mut texts) = tokio::try_join!(
+            batch_store.submission(id, &header),
+            batch_store.outcomes(id, 0, header.result_count),
+            batch_store.texts(id),
+        )?;
         let finished = outcomes.iter().map(|outcome| outcome.index).collect();
-        let mut texts = batch_store.texts(id).await?;
         let inherited = self.inherited.iter().filter(|text| text.batch == id);
         texts.extend(inherited.cloned());
         if !self.relinquished.get() {
--- a/crates/edge/src/leader.rs
+++ b/crates/edge/src/leader.rs
@@ -201,7 +201,7 @@
                 );
                 self.context.cluster.put_leader(service, version, node);
                 self.ineligible_since.remove(service);
-                let texts = self.context.peers.fetch_texts(previous, service).await;
+                let texts = self.request_texts(previous, service).await;
                 self.inherited.insert(service.to_owned(), texts);
                 self.lead(service);
             }
@@ -223,6 +223,25 @@
         }
     }
 
+    /// Asks the previous leader for its unfinished texts, which makes it stop its runs. A node
+    /// without heartbeats is asked, too, because it may only be cut off from this one, but not
+    /// waited for: it is probably dead, and items wait.
+    async fn request_texts(&self, previous: &str, service: &str) -> Vec<ItemText> {
+        if self.context.peers.is_live(previous) {
+            return self.context.peers.fetch_texts(previous, service).await;
+        }
+        let (context, previous) = (self.context.clone(), previous.to_owned());
+        let service = service.to_owned();
+        tokio::task::spawn_local(async move {
+            let texts = context.peers.fetch_texts(&previous, &service).await;
+            if !texts.is_empty() {
+                let count = texts.len();
+                tracing::info!(service, before = previous, count, "late_texts_dropped");
+            }
+        });
+        Vec::new()
+    }
+
     /// Clears the leader row, so that the next leader need not wait until heartbeats of this node
     /// are missed.
     async fn resign(&self, service: &str) {
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -86,6 +86,11 @@
         self.own.borrow().leaving
     }
 
+    /// Returns whether another node is alive.
+    pub(crate) fn is_live(&self, node: &str) -> bool {
+        self.peers.borrow().is_live(node, clock::now())
+    }
+
     /// Returns whether another node is eligible to lead a service.
     pub(crate) fn is_eligible(&self, node: &str) -> bool {
         self.peers.borrow().is_eligible(node, clock::now())
