--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -38,7 +38,7 @@
 pub use error::Error;
 pub use header::{BatchHeader, WriteOutcome};
 pub use outcome::{Outcome, OutcomeState};
-pub use planner::{Action, NewBatch, Planner, RunEnd};
+pub use planner::{Action, Demand, NewBatch, Planner, RunEnd};
 pub use progress::{ItemText, Progress};
 pub use record::Record;
 pub use replica::{Replica, ReplicaState};
--- a/crates/batch/src/planner.rs
+++ b/crates/batch/src/planner.rs
@@ -6,8 +6,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+mod action;
 mod candidates;
 mod choose;
+mod demand;
+
+pub use action::{Action, RunEnd};
+pub use demand::Demand;
 
 /// How long the text of an unfinished item is kept after its batch has ended, because the trainer
 /// may resubmit the group.
@@ -36,53 +41,6 @@
     pub finished: &'a BTreeSet<u32>,
 }
 
-/// An instruction of the planner to the node.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Action {
-    /// Send the item to a replica, resuming after the last known event.
-    Start {
-        /// The work on the item.
-        work: WorkId,
-        /// The replica.
-        replica: String,
-    },
-    /// Cancel the run and report [`RunEnd::Stopped`] to [`Planner::on_run_end`].
-    Stop {
-        /// The work on the item.
-        work: WorkId,
-        /// The reason, for logs and metrics.
-        reason: &'static str,
-    },
-}
-
-/// How a run ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum RunEnd {
-    /// Generation finished.
-    Completed,
-    /// The stream was interrupted; the item can be resumed.
-    Interrupted,
-    /// The replica refused to run the item.
-    Refused,
-    /// The replica reported a failure of the run.
-    Failed,
-    /// The run was cancelled by [`Action::Stop`].
-    Stopped,
-}
-
-impl RunEnd {
-    /// Returns the label of the outcome in metrics.
-    pub const fn as_str(self) -> &'static str {
-        match self {
-            Self::Completed => "whole",
-            Self::Interrupted => "broken",
-            Self::Refused => "refused",
-            Self::Failed => "failed",
-            Self::Stopped => "moved",
-        }
-    }
-}
-
 #[derive(Debug)]
 struct Batch {
     /// The items without an outcome at the time the batch was added.
@@ -294,33 +252,6 @@
             .collect()
     }
 
-    /// Returns whether any item of a model waits for a replica.
-    pub fn has_waiting(&self, model: &str) -> bool {
-        let mut work_items = self.work_items.values();
-        work_items
-            .any(|work| work.batch.is_some() && work.model == model && work.phase == Phase::Waiting)
-    }
-
-    /// Returns the highest `min_version` among the open batches of a model.
-    pub fn min_version(&self, model: &str) -> Option<u64> {
-        let work_items = self.work_items.values();
-        let work_items = work_items.filter(|work| work.batch.is_some() && work.model == model);
-        work_items.map(|work| work.min_version).max()
-    }
-
-    /// Returns the number of items of a model whose text is not complete, and the number of events
-    /// that they are expected to need.
-    pub fn demand(&self, model: &str) -> (usize, u64) {
-        let is_open = |work: &&Work| {
-            let is_open = matches!(work.phase, Phase::Waiting | Phase::Running(_));
-            is_open && work.batch.is_some() && work.model == model
-        };
-        let open = self.work_items.values().filter(is_open);
-        open.fold((0, 0), |(items, events), work| {
-            (items + 1, events + work.remaining_events())
-        })
-    }
-
     /// Returns the number of runs on a replica.
     pub fn run_count(&self, replica: &str) -> u32 {
         let replica = self.replicas.get(replica);
--- /dev/null
+++ b/crates/batch/src/planner/demand.rs
@@ -0,0 +1,43 @@
+//! What the open batches ask of the replicas of a model.
+
+use super::Planner;
+use crate::work::{Phase, Work};
+
+/// The items of a model whose text is not complete.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Demand {
+    /// The number of items.
+    pub items: usize,
+    /// The number of events that they are expected to need.
+    pub events: u64,
+}
+
+impl Planner {
+    /// Returns whether any item of a model waits for a replica.
+    pub fn has_waiting(&self, model: &str) -> bool {
+        let mut work_items = self.work_items.values();
+        work_items
+            .any(|work| work.batch.is_some() && work.model == model && work.phase == Phase::Waiting)
+    }
+
+    /// Returns the highest `min_version` among the open batches of a model.
+    pub fn min_version(&self, model: &str) -> Option<u64> {
+        let work_items = self.work_items.values();
+        let work_items = work_items.filter(|work| work.batch.is_some() && work.model == model);
+        work_items.map(|work| work.min_version).max()
+    }
+
+    /// Returns the demand for a model.
+    pub fn demand(&self, model: &str) -> Demand {
+        let is_open = |work: &&Work| {
+            let is_open = matches!(work.phase, Phase::Waiting | Phase::Running(_));
+            is_open && work.batch.is_some() && work.model == model
+        };
+        let mut demand = Demand::default();
+        for work in self.work_items.values().filter(is_open) {
+            demand.items += 1;
+            demand.events += work.remaining_events();
+        }
+        demand
+    }
+}
--- a/crates/edge/src/coordinator.rs
+++ b/crates/edge/src/coordinator.rs
@@ -1,16 +1,13 @@
 //! Runs the batches of one service while this node is its leader.
 
-use crate::batch_store::Error;
 use crate::clock;
 use crate::cluster::Versioned;
 use crate::context::NodeContext;
 use crate::orders::WeightLoads;
-use crate::outcome_writer::{OutcomeWriter, WriterEnd};
+use crate::outcome_writer::OutcomeWriter;
 use crate::run::RunTasks;
-use crate::storage::{self, SHARED};
-use dogwoodlb_batch::{Action, BatchHeader, ItemText, NewBatch, Planner, Record, Submission};
+use dogwoodlb_batch::{Action, BatchHeader, ItemText, Planner, Submission};
 use dogwoodlb_config::Route;
-use dogwoodlb_external::store::{self, Txn};
 use dogwoodlb_types::Instant;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
@@ -20,6 +17,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::sleep;
 
+mod adoption;
 mod handover;
 mod items;
 mod replica_scan;
@@ -231,137 +229,6 @@
         }
     }
 
-    /// Takes over an open batch if another node owns it, and starts running it.
-    async fn adopt(
-        self: &Rc<Self>,
-        id: &str,
-        row_version: u64,
-        header: BatchHeader,
-    ) -> Result<(), Error> {
-        let node = &self.context.settings.node;
-        let batch_store = &self.context.batch_store;
-        let mut row_version = row_version;
-        let mut header = header;
-        let is_take_over = header.owner != *node;
-        if is_take_over {
-            header.owner.clone_from(node);
-            let key = storage::header_key(id);
-            let txn = Txn::default().check(SHARED, &key, row_version);
-            let txn = txn.put(SHARED, &key, header.to_vec()?);
-            match self.context.storage.commit(&txn).await? {
-                store::Outcome::Done { version, .. } => {
-                    row_version = version;
-                    self.context
-                        .cluster
-                        .put_batch_header(id, row_version, header.clone());
-                }
-                store::Outcome::Conflict { .. } => {
-                    batch_store.read_header(id).await?;
-                    return Ok(());
-                }
-            }
-        }
-        let (submission, outcomes, mut texts) = tokio::try_join!(
-            batch_store.submission(id, &header),
-            batch_store.outcomes(id, 0, header.result_count),
-            batch_store.texts(id),
-        )?;
-        let finished = outcomes.iter().map(|outcome| outcome.index).collect();
-        let inherited = self.inherited.iter().filter(|text| text.batch == id);
-        texts.extend(inherited.cloned());
-        if !self.relinquished.get() {
-            self.start_batch(id, row_version, header, submission, finished, &texts);
-        }
-        Ok(())
-    }
-
-    fn start_batch(
-        self: &Rc<Self>,
-        id: &str,
-        row_version: u64,
-        header: BatchHeader,
-        submission: Rc<Submission>,
-        finished: BTreeSet<u32>,
-        texts: &[ItemText],
-    ) {
-        let route = self.route(&submission);
-        let lifetime = route.as_ref().and_then(|route| route.item_ttl);
-        let now_ms = self
-            .context
-            .storage
-            .earliest_time_ms()
-            .unwrap_or(header.submitted_ms);
-        let age = Duration::from_millis(now_ms.saturating_sub(header.submitted_ms));
-        let deadline = clock::now()
-            + lifetime
-                .unwrap_or(DEFAULT_ITEM_LIFETIME)
-                .saturating_sub(age);
-        let event_tokens = self.event_tokens();
-        self.planner.borrow_mut().add_batch(&NewBatch {
-            id,
-            model: &submission.model,
-            min_version: submission.min_version,
-            single_version: route.as_ref().is_some_and(|route| route.single_version),
-            target_groups: submission.target_groups,
-            max_attempts: route.map_or(1, |route| route.max_attempts),
-            event_tokens,
-            items: &submission.items,
-            finished: &finished,
-        });
-        let unfinished = self.planner.borrow().unfinished(id);
-        for work in unfinished {
-            let index = self
-                .planner
-                .borrow()
-                .item_location(work)
-                .map(|(_, index)| index);
-            for text in texts.iter().filter(|text| Some(text.index) == index) {
-                self.planner.borrow_mut().restore(work, text);
-            }
-        }
-        tracing::info!(
-            batch = id,
-            step = submission.step,
-            items = submission.items.len(),
-            listed = finished.len(),
-            restored = texts.len(),
-            age_ms = age.as_millis(),
-            row = row_version,
-            "batch_adopted"
-        );
-        let writer = Rc::new(OutcomeWriter::new(
-            id,
-            &self.context.settings.node,
-            row_version,
-            header,
-            finished,
-        ));
-        let task = tokio::task::spawn_local({
-            let (writer, this) = (writer.clone(), self.clone());
-            async move {
-                let end = writer.run(&this.context.writer_context).await;
-                tracing::info!(batch = writer.batch, ended = ?end, "outcome_writer_ended");
-                if end == WriterEnd::Lost {
-                    this.drop_batch(&writer);
-                }
-                this.wake.notify_one();
-            }
-        });
-        let running = RunningBatch {
-            submission,
-            writer,
-            deadline,
-            task: RefCell::new(Some(task.abort_handle())),
-        };
-        self.batches
-            .borrow_mut()
-            .insert(id.to_owned(), Rc::new(running));
-        let generated = self.planner.borrow().generated(id);
-        for work in generated {
-            self.score(work);
-        }
-    }
-
     fn event_tokens(&self) -> u64 {
         let config = self.context.cluster.config();
         let service = config
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -5,18 +5,17 @@
 use crate::headers::{header_millis, header_number, header_str, is_not_run, remove_hop_by_hop};
 use crate::metrics::Metrics;
 use crate::protocol::Protocol;
+use crate::relay;
 use crate::reply::{self, Body};
 use crate::routing::{Selection, ServiceRouters};
 use bytes::Bytes;
-use dogwoodlb_client::{Client, Progress, ProgressMonitor};
+use dogwoodlb_client::Client;
 use dogwoodlb_config::{Route, RouteKind, Snapshot};
 use dogwoodlb_route::Outcome;
 use dogwoodlb_types::{id, Instant};
-use http_body_util::StreamBody;
-use hyper::body::{Body as _, Frame, Incoming};
-use hyper::header::{HeaderValue, CONTENT_LENGTH, CONTENT_TYPE, HOST};
+use hyper::body::{Body as _, Incoming};
+use hyper::header::{HeaderValue, CONTENT_LENGTH, HOST};
 use hyper::http::request::Parts;
-use hyper::http::response;
 use hyper::{Request, Response, StatusCode};
 use std::rc::Rc;
 use std::time::Duration;
@@ -45,12 +44,6 @@
 /// the time-out would never complete.
 const LIMITED_ATTEMPTS: u32 = 1;
 
-/// The longest time between two events of a stream, as a multiple of the route's latency objective.
-const EVENT_GAP_FACTOR: u32 = 4;
-const MIN_EVENT_GAP: Duration = Duration::from_secs(2);
-/// The start of the content type of an event stream.
-const EVENT_STREAM: &[u8] = b"text/event-stream";
-
 /// Forwards requests to the replicas of plain services.
 pub(crate) struct Forwarder {
     pub(crate) client: Client,
@@ -281,19 +274,25 @@
         if !is_short {
             // A streamed response is final, also with a 5xx status: it is passed on without a retry.
             selection.finish(outcome);
-            let monitor = self.body_monitor(proxied, &response.head);
-            return Attempt::Responded(stream_body(response, monitor));
+            let monitor = relay::body_monitor(
+                headers,
+                proxied.route,
+                proxied.head,
+                proxied.began,
+                &response.head,
+            );
+            return Attempt::Responded(relay::stream_body(response, monitor));
         }
         let (head, body) = (response.head, response.body);
         match body.collect(MAX_BUFFERED_BYTES).await {
             Ok(body) if is_failure => {
                 selection.finish(outcome);
-                Attempt::Failed(Some(build_response(head, reply::full_body(body))))
+                Attempt::Failed(Some(relay::build_response(head, reply::full_body(body))))
             }
             Ok(body) => {
                 selection.finish(outcome);
                 self.metrics.observe_request(proxied.began);
-                Attempt::Responded(build_response(head, reply::full_body(body)))
+                Attempt::Responded(relay::build_response(head, reply::full_body(body)))
             }
             Err(error) => {
                 tracing::info!(request = proxied.request_id, replica = %selection.replica, %error, "response_incomplete");
@@ -344,33 +343,6 @@
         }
     }
 
-    /// Returns the limits on the time that a streamed response may take. The caller has left at its
-    /// own deadline; the route's time-out only bounds the wait for the head, since a stream may
-    /// take longer.
-    fn body_monitor(
-        &self,
-        proxied: &ProxiedRequest<'_>,
-        response: &response::Parts,
-    ) -> ProgressMonitor {
-        let headers = self.protocol.headers();
-        let stated = header_millis(&proxied.head.headers, &headers.deadline_ms);
-        let content_type = response.headers.get(CONTENT_TYPE);
-        let is_event_stream =
-            content_type.is_some_and(|value| value.as_bytes().starts_with(EVENT_STREAM));
-        let (progress, limit) = match is_event_stream {
-            true => {
-                let gap = proxied.route.latency_target * EVENT_GAP_FACTOR;
-                let max_gap = gap.max(MIN_EVENT_GAP);
-                (Progress::Event { max_gap }, stated)
-            }
-            false => (Progress::Data, Some(stated.unwrap_or(DEFAULT_TIMEOUT))),
-        };
-        let now = tokio::time::Instant::now();
-        let spent = clock::now().saturating_since(proxied.began);
-        let deadline = limit.map(|limit| now + limit.saturating_sub(spent));
-        ProgressMonitor::new(progress, deadline, now)
-    }
-
     fn build_request(
         &self,
         proxied: &ProxiedRequest<'_>,
@@ -413,33 +385,8 @@
     }
 }
 
-fn build_response(head: response::Parts, body: Body) -> Response<Body> {
-    let mut response = Response::new(body);
-    *response.status_mut() = head.status;
-    *response.headers_mut() = head.headers;
-    remove_hop_by_hop(response.headers_mut());
-    response
-}
-
 /// Returns the response to a request whose deadline has passed.
 pub(crate) fn gateway_timeout() -> Response<Body> {
     let reason = "no answer in time; it may have run";
     reply::plain_text(StatusCode::GATEWAY_TIMEOUT, reason)
 }
-
-/// Passes a body on as it arrives. If it breaks off or stalls, so does the response of the caller.
-fn stream_body(response: dogwoodlb_client::Response, monitor: ProgressMonitor) -> Response<Body> {
-    let state = Some((response.body, monitor));
-    let frames = futures_util::stream::unfold(state, |state| async move {
-        let (mut body, mut monitor) = state?;
-        match body.next_monitored(&mut monitor).await {
-            Ok(Some(data)) => Some((Ok(Frame::data(data)), Some((body, monitor)))),
-            Ok(None) => None,
-            Err(error) => {
-                tracing::info!(%error, "response_stream_failed");
-                Some((Err(error), None))
-            }
-        }
-    });
-    build_response(response.head, Box::pin(StreamBody::new(frames)))
-}
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -32,6 +32,7 @@
 mod peers;
 pub mod protocol;
 mod reader;
+mod relay;
 mod reply;
 mod retention;
 mod routing;
--- a/crates/edge/src/orders.rs
+++ b/crates/edge/src/orders.rs
@@ -54,13 +54,13 @@
         };
         let replicas: Vec<Replica<'_>> = directory.ready_replicas(service).map(replica).collect();
         let demand = |model: &String| {
-            let (open_items, open_events) = planner.demand(model);
+            let open = planner.demand(model);
             ModelDemand {
                 newest: context.cluster.newest_version(model),
                 min_version: planner.min_version(model).unwrap_or(0),
                 has_waiting: planner.has_waiting(model),
-                open_items,
-                open_events,
+                open_items: open.items,
+                open_events: open.events,
             }
         };
         let demands: Vec<ModelDemand> = models.iter().map(demand).collect();
--- a/crates/emulator/src/simulation/leader.rs
+++ b/crates/emulator/src/simulation/leader.rs
@@ -64,13 +64,13 @@
             of_model.map(|one| one.newest_version(self.now_ms)).max()
         };
         let demand = |model: &String| {
-            let (open_items, open_events) = self.planner.demand(model);
+            let open = self.planner.demand(model);
             ModelDemand {
                 newest: newest(model),
                 min_version: self.planner.min_version(model).unwrap_or(0),
                 has_waiting: self.planner.has_waiting(model),
-                open_items,
-                open_events,
+                open_items: open.items,
+                open_events: open.events,
             }
         };
         let demands: Vec<ModelDemand> = self.models.iter().map(demand).collect();
