Count only the wait for the sender as a gap in a stream

The monitor took the time since the last event, also while a caller that reads slowly held up the transfer; its sound stream would have been cut after two seconds. Change: ProgressMonitor sums the time spent waiting for data since the last event; the deadline stays a point in time.

--- a/crates/client/src/progress.rs
+++ b/crates/client/src/progress.rs
@@ -16,7 +16,10 @@
     },
 }
 
-/// Decides until when a streamed body may continue.
+/// Decides how long a streamed body may keep its receiver waiting.
+///
+/// Only time spent waiting for the sender counts as a gap, because a receiver that reads slowly
+/// must not make a sound stream look stalled.
 ///
 /// # Examples
 ///
@@ -25,19 +28,20 @@
 /// use std::time::Duration;
 /// use tokio::time::Instant;
 ///
-/// let began = Instant::now();
-/// let max_gap = Duration::from_secs(2);
-/// let mut monitor = ProgressMonitor::new(Progress::Event { max_gap }, None, began);
-/// monitor.on_data(b"id: 1\nda", began + Duration::from_secs(1));
-/// assert_eq!(monitor.expires_at(), Some(began + max_gap), "the event is not complete");
-/// monitor.on_data(b"ta: a\n\n", began + Duration::from_secs(1));
-/// assert_eq!(monitor.expires_at(), Some(began + Duration::from_secs(3)));
+/// let now = Instant::now();
+/// let (second, max_gap) = (Duration::from_secs(1), Duration::from_secs(2));
+/// let mut monitor = ProgressMonitor::new(Progress::Event { max_gap }, None);
+/// monitor.on_data(b"id: 1\nda", second);
+/// assert_eq!(monitor.wait_limit(now), Some(second), "the event is not complete");
+/// monitor.on_data(b"ta: a\n\n", Duration::ZERO);
+/// assert_eq!(monitor.wait_limit(now), Some(max_gap));
 /// ```
 #[derive(Clone, Debug)]
 pub struct ProgressMonitor {
     progress: Progress,
     deadline: Option<Instant>,
-    last_progress: Instant,
+    /// The time spent waiting since the last progress.
+    waited: Duration,
     event: EventScan,
 }
 
@@ -77,38 +81,37 @@
 }
 
 impl ProgressMonitor {
-    /// Creates a monitor of a body whose head arrived at `now`.
-    pub fn new(progress: Progress, deadline: Option<Instant>, now: Instant) -> Self {
+    /// Creates a monitor of a body that has to end by the deadline, if there is one.
+    pub fn new(progress: Progress, deadline: Option<Instant>) -> Self {
         Self {
             progress,
             deadline,
-            last_progress: now,
+            waited: Duration::ZERO,
             event: EventScan::default(),
         }
     }
 
-    /// Records data that arrived at `now`.
-    pub fn on_data(&mut self, data: &[u8], now: Instant) {
+    /// Records data that arrived after waiting for some time.
+    pub fn on_data(&mut self, data: &[u8], waited: Duration) {
         if self.progress == Progress::Data {
             return;
         }
+        self.waited += waited;
         for byte in data {
             if self.event.push(*byte) {
-                self.last_progress = now;
+                self.waited = Duration::ZERO;
             }
         }
     }
 
-    /// Returns when the body must be given up unless more of it arrives, or `None` if it may take
+    /// Returns how long to wait for more data before the body is given up, or `None` if it may take
     /// any time.
-    pub fn expires_at(&self) -> Option<Instant> {
-        let Progress::Event { max_gap } = self.progress else {
-            return self.deadline;
+    pub fn wait_limit(&self, now: Instant) -> Option<Duration> {
+        let until_deadline = self.deadline.map(|deadline| deadline - now);
+        let until_stalled = match self.progress {
+            Progress::Data => None,
+            Progress::Event { max_gap } => Some(max_gap.saturating_sub(self.waited)),
         };
-        let stalled_at = self.last_progress + max_gap;
-        Some(
-            self.deadline
-                .map_or(stalled_at, |deadline| deadline.min(stalled_at)),
-        )
+        until_deadline.into_iter().chain(until_stalled).min()
     }
 }
--- a/crates/client/src/response.rs
+++ b/crates/client/src/response.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{timeout, timeout_at, Instant};
+use tokio::time::{timeout, Instant};
 
 /// How much of an unwanted body is read, and for how long, to keep its connection. Opening another
 /// connection costs less than waiting longer.
@@ -94,18 +94,19 @@
     ///
     /// # Errors
     ///
-    /// As [`next`](Self::next), and [`Error::Stalled`] once the monitor has expired, even while
-    /// data arrives.
+    /// As [`next`](Self::next), and [`Error::Stalled`] once the monitor permits no more waiting,
+    /// even while data arrives.
     pub async fn next_monitored(&mut self, monitor: &mut ProgressMonitor) -> Result<Option<Bytes>> {
         let address = self.address;
-        let next = match monitor.expires_at() {
-            Some(expires) if expires <= Instant::now() => return Err(Error::Stalled { address }),
-            Some(expires) => timeout_at(expires, self.next()).await,
+        let began = Instant::now();
+        let next = match monitor.wait_limit(began) {
+            Some(Duration::ZERO) => return Err(Error::Stalled { address }),
+            Some(limit) => timeout(limit, self.next()).await,
             None => Ok(self.next().await),
         };
         let data = next.unwrap_or(Err(Error::Stalled { address }))?;
         if let Some(data) = &data {
-            monitor.on_data(data, Instant::now());
+            monitor.on_data(data, began.elapsed());
         }
         Ok(data)
     }
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -46,7 +46,7 @@
     let now = tokio::time::Instant::now();
     let spent = clock::now().saturating_since(began);
     let deadline = limit.map(|limit| now + limit.saturating_sub(spent));
-    ProgressMonitor::new(progress, deadline, now)
+    ProgressMonitor::new(progress, deadline)
 }
 
 /// Passes a body on as it arrives. If it breaks off or stalls, so does the response of the caller.
