--- a/crates/batch/src/planner/action.rs
+++ b/crates/batch/src/planner/action.rs
@@ -1,4 +1,4 @@
-//! What the planner tells the node to do, and what the node tells the planner of a run's end.
+//! The instructions of the planner to the node, and the ends of runs that the node reports back.
 
 use crate::work::WorkId;
 
@@ -12,7 +12,8 @@
         /// The replica.
         replica: String,
     },
-    /// Cancel the run and report [`RunEnd::Stopped`] to [`Planner::on_run_end`](super::Planner::on_run_end).
+    /// Cancel the run and report [`RunEnd::Stopped`] to
+    /// [`Planner::on_run_end`](super::Planner::on_run_end).
     Stop {
         /// The work on the item.
         work: WorkId,
--- a/crates/batch/src/planner/demand.rs
+++ b/crates/batch/src/planner/demand.rs
@@ -1,4 +1,4 @@
-//! What the open batches ask of the replicas of a model.
+//! The demand of the open batches for replicas of a model.
 
 use super::Planner;
 use crate::work::{Phase, Work};
