Count and log requests for items of batches that ended

Nothing a node wrote said so: the start of a run and a scoring call that succeeds or waits leave no line, so that calls which outlive their batch can't be told from runs that are sent late.

Change: each request on behalf of an item is counted by what it does and by whether the node still ran its batch when it sent it (`item_requests`), and one of a batch that ended or that another node runs is logged (`request_without_batch`). Nothing is refused yet.

--- a/crates/batch/src/header.rs
+++ b/crates/batch/src/header.rs
@@ -44,6 +44,28 @@
     Superseded,
 }
 
+/// The relation of a node to a batch, as far as a header tells.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Ownership {
+    /// The batch is open and the node runs it.
+    Held,
+    /// The batch is not open any more, so that nothing may be done for it.
+    Ended,
+    /// Another node runs the batch.
+    Lost,
+}
+
+impl Ownership {
+    /// Returns the name for logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Held => "held",
+            Self::Ended => "ended",
+            Self::Lost => "lost",
+        }
+    }
+}
+
 impl BatchHeader {
     /// Compares the stored header with its value before a write and with the value written.
     pub fn resolve_write(&self, before: &Self, written: &Self) -> WriteOutcome {
@@ -61,6 +83,15 @@
         }
     }
 
+    /// Returns the relation of a node to the batch.
+    pub fn ownership(&self, node: &str) -> Ownership {
+        match (self.is_open(), self.owner == node) {
+            (false, _) => Ownership::Ended,
+            (true, true) => Ownership::Held,
+            (true, false) => Ownership::Lost,
+        }
+    }
+
     /// Returns whether the batch still expects results.
     pub fn is_open(&self) -> bool {
         !self.ended && self.result_count < self.item_count
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -36,7 +36,7 @@
 mod work;
 
 pub use error::Error;
-pub use header::{BatchHeader, WriteOutcome};
+pub use header::{BatchHeader, Ownership, WriteOutcome};
 pub use outcome::{Outcome, OutcomeState};
 pub use planner::{Action, Demand, NewBatch, Planner, RunEnd};
 pub use progress::{ItemText, Progress};
--- a/crates/edge/src/coordinator/items.rs
+++ b/crates/edge/src/coordinator/items.rs
@@ -2,6 +2,7 @@
 
 use super::{Coordinator, RunningBatch};
 use crate::clock;
+use crate::permit::Permit;
 use crate::run::{self, AbortOnDrop, RunResult, Target};
 use crate::score::ScoreOutcome;
 use dogwoodlb_batch::{Outcome, OutcomeState, RunEnd, Submission, WorkId};
@@ -28,6 +29,16 @@
         }
     }
 
+    fn permit(&self, batch: &str) -> Permit {
+        let context = &self.context;
+        Permit::new(
+            batch,
+            &context.settings.node,
+            &context.cluster,
+            &context.metrics,
+        )
+    }
+
     /// Returns the batch of an item, if this node runs the batch, and the index of the item in it.
     /// The item itself may be in any phase; it need not have a run.
     fn running(&self, work: WorkId) -> Option<(Rc<RunningBatch>, u32)> {
@@ -57,6 +68,7 @@
             };
             let item = &running.submission.items[index as usize];
             let context = &this.context;
+            let permit = this.permit(&running.submission.id);
             let result = run::run_item(
                 &context.client,
                 &*context.protocol,
@@ -64,6 +76,7 @@
                 work,
                 item,
                 &target,
+                &permit,
             );
             let result = result.await;
             this.on_run_end(work, result, &target.replica, &running.submission);
@@ -149,7 +162,11 @@
                 Some(scorer) => match this
                     .context
                     .score_client
-                    .score(scorer, running.deadline)
+                    .score(
+                        scorer,
+                        &this.permit(&running.submission.id),
+                        running.deadline,
+                    )
                     .await
                 {
                     ScoreOutcome::Signed(score) => Some(score),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -30,6 +30,7 @@
 mod orders;
 mod outcome_writer;
 mod peers;
+mod permit;
 pub mod protocol;
 mod reader;
 mod relay;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -18,6 +18,7 @@
     pub(crate) runs: IntCounterVec,
     pub(crate) orders: IntCounterVec,
     pub(crate) batches: IntCounterVec,
+    item_requests: IntCounterVec,
     pub(crate) connections: IntGauge,
     pub(crate) store_calls: IntGauge,
     pub(crate) store_failures: IntGauge,
@@ -39,6 +40,11 @@
             registry.register(Box::new(counters.clone()))?;
             prometheus::Result::Ok(counters)
         };
+        let item_requests = IntCounterVec::new(
+            Opts::new("item_requests", "Requests to replicas on behalf of items."),
+            &["kind", "batch"],
+        )?;
+        registry.register(Box::new(item_requests.clone()))?;
         let gauge = |name: &str, help: &str| {
             let gauge = IntGauge::new(name, help)?;
             registry.register(Box::new(gauge.clone()))?;
@@ -56,6 +62,7 @@
             )?,
             store_calls: gauge("store_calls", "Calls to the metadata store.")?,
             store_failures: gauge("store_failures", "Failed calls to the metadata store.")?,
+            item_requests,
             requests,
             registry,
         })
@@ -78,6 +85,11 @@
         self.items.with_label_values(&[outcome]).inc_by(count);
     }
 
+    /// Counts a request on behalf of an item by its kind and the state of the item's batch.
+    pub(crate) fn count_item_request(&self, kind: &str, batch: &str) {
+        self.item_requests.with_label_values(&[kind, batch]).inc();
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     pub(crate) fn encode(&self) -> Vec<u8> {
         let mut text = Vec::new();
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -2,6 +2,7 @@
 
 use crate::clock;
 use crate::headers::{header_str, is_not_run};
+use crate::permit::{Permit, RequestKind};
 use crate::protocol::{HeaderNames, Protocol};
 use bytes::Bytes;
 use dogwoodlb_batch::{Item, Planner, RunEnd, WorkId};
@@ -52,10 +53,12 @@
     work: WorkId,
     item: &Item,
     target: &Target,
+    permit: &Permit,
 ) -> RunResult {
     let headers = protocol.headers();
     let last_event = planner.borrow().progress(work).map_or(0, |p| p.last_event);
     let request = build_request(headers, item, target, last_event);
+    permit.observe(RequestKind::Run, &item.id);
     let response = match timeout(HEAD_TIMEOUT, client.send(target.address, request)).await {
         Ok(Ok(response)) => response,
         Ok(Err(error)) => {
--- a/crates/edge/src/score.rs
+++ b/crates/edge/src/score.rs
@@ -3,6 +3,7 @@
 use crate::clock;
 use crate::cluster::ClusterState;
 use crate::headers::{header_number, header_str, is_not_run};
+use crate::permit::{Permit, RequestKind};
 use crate::protocol::Protocol;
 use crate::routing::ServiceRouters;
 use bytes::Bytes;
@@ -57,7 +58,12 @@
 
 impl ScoreClient {
     /// Calls the scorer until it returns a signature, fails permanently, or the deadline passes.
-    pub(crate) async fn score(&self, scorer: &Scorer, until: Instant) -> ScoreOutcome {
+    pub(crate) async fn score(
+        &self,
+        scorer: &Scorer,
+        permit: &Permit,
+        until: Instant,
+    ) -> ScoreOutcome {
         let mut failures = 0;
         let mut retry = MIN_RETRY_DELAY;
         let mut tried: Vec<id::Upstream> = Vec::new();
@@ -67,7 +73,7 @@
                 .as_ref()
                 .and_then(|c| c.route(&scorer.host, &scorer.path));
             let call = match route {
-                Some(route) => self.call(scorer, route, &mut tried).await,
+                Some(route) => self.call(scorer, permit, route, &mut tried).await,
                 None => Attempt::Retry,
             };
             match call {
@@ -88,7 +94,13 @@
         ScoreOutcome::TimedOut
     }
 
-    async fn call(&self, scorer: &Scorer, route: &Route, tried: &mut Vec<id::Upstream>) -> Attempt {
+    async fn call(
+        &self,
+        scorer: &Scorer,
+        permit: &Permit,
+        route: &Route,
+        tried: &mut Vec<id::Upstream>,
+    ) -> Attempt {
         let Some(service) = route.select_service(rand::random()) else {
             return Attempt::Retry;
         };
@@ -122,6 +134,7 @@
             headers.deadline_ms.clone(),
             header_number(CALL_TIMEOUT.as_millis()),
         );
+        permit.observe(RequestKind::Score, &scorer.id);
         let exchange = async {
             let mut response = self.client.send(selection.address, request).await?;
             let echoed = header_str(&response.head.headers, &headers.request_id);
