Cancel the requests for a batch's items with the batch

Cause: a task was spawned for each complete text and repeated its scoring call until the deadline of the items, 40 s there. Nothing owned the task, so neither the end of the batch, nor its loss to another node, nor the end of the leadership stopped it. With few replicas of the scorer the calls wait longer than the batch lasts.

Change: a running batch owns the tasks that act for it, and dropping it cancels them: at its end, when another node owns it, when its outcome writer has lost it, and when the node stops leading. A task can't hold the running batch, only what it uses of it. Besides, each request for an item needs the permit of its batch, which reads the newest header that the node knows right before the request is sent; a refused one is logged and counted and not sent.

Conclusion: the class of fault is a spawned task that outlives what it acts for. Other such tasks are looked at separately.

--- a/crates/edge/src/coordinator.rs
+++ b/crates/edge/src/coordinator.rs
@@ -14,15 +14,16 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
-use tokio::task::AbortHandle;
 use tokio::time::sleep;
 
 mod adoption;
 mod handover;
 mod items;
 mod replica_scan;
+mod running;
 
 use replica_scan::ReplicaScan;
+use running::RunningBatch;
 
 /// The longest interval between two planning rounds.
 const MAX_ROUND_INTERVAL: Duration = Duration::from_millis(40);
@@ -38,31 +39,12 @@
 /// The lifetime of items whose route sets none.
 const DEFAULT_ITEM_LIFETIME: Duration = Duration::from_secs(30);
 
-/// A batch that this node is running.
-struct RunningBatch {
-    submission: Rc<Submission>,
-    writer: Rc<OutcomeWriter>,
-    /// When unfinished items are abandoned.
-    deadline: Instant,
-    task: RefCell<Option<AbortHandle>>,
-}
-
-impl RunningBatch {
-    /// Stops the task of the outcome writer. Dropping the batch does not stop it, since a dropped
-    /// [`AbortHandle`] does not abort its task.
-    fn stop(&self) {
-        if let Some(task) = self.task.borrow_mut().take() {
-            task.abort();
-        }
-    }
-}
-
 /// Runs the batches of one service.
 pub(crate) struct Coordinator {
     service: String,
     context: Rc<NodeContext>,
     planner: Rc<RefCell<Planner>>,
-    batches: RefCell<BTreeMap<String, Rc<RunningBatch>>>,
+    batches: RefCell<BTreeMap<String, RunningBatch>>,
     /// The batches that are being adopted.
     adopting: RefCell<BTreeSet<String>>,
     run_tasks: RunTasks,
@@ -243,7 +225,7 @@
     fn drop_batch(&self, writer: &Rc<OutcomeWriter>) {
         let mut batches = self.batches.borrow_mut();
         let current = batches.get(&writer.batch);
-        if !current.is_some_and(|current| Rc::ptr_eq(&current.writer, writer)) {
+        if !current.is_some_and(|current| Rc::ptr_eq(&current.batch.writer, writer)) {
             return;
         }
         batches.remove(&writer.batch);
@@ -263,10 +245,7 @@
                 self.run_tasks.borrow_mut().remove(&work);
             }
         }
-        let running = self.batches.borrow_mut().remove(id);
-        if let Some(running) = running {
-            running.stop();
-        }
+        self.batches.borrow_mut().remove(id);
         tracing::info!(
             batch = id,
             listed = header.result_count,
--- a/crates/edge/src/coordinator/adoption.rs
+++ b/crates/edge/src/coordinator/adoption.rs
@@ -1,13 +1,14 @@
 //! Adoption of open batches: a batch is taken over if another node owns it, read, and started.
 
-use super::{Coordinator, RunningBatch, DEFAULT_ITEM_LIFETIME};
+use super::running::{Batch, RunningBatch};
+use super::{Coordinator, DEFAULT_ITEM_LIFETIME};
 use crate::batch_store::Error;
 use crate::clock;
 use crate::outcome_writer::{OutcomeWriter, WriterEnd};
+use crate::permit::Permit;
 use crate::storage::{self, SHARED};
 use dogwoodlb_batch::{BatchHeader, ItemText, NewBatch, Record, Submission};
 use dogwoodlb_external::store::{self, Txn};
-use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
@@ -118,29 +119,36 @@
             header,
             finished,
         ));
-        let task = tokio::task::spawn_local({
-            let (writer, this) = (writer.clone(), self.clone());
-            async move {
-                let end = writer.run(&this.context.writer_context).await;
-                tracing::info!(batch = writer.batch, ended = ?end, "outcome_writer_ended");
-                if end == WriterEnd::Lost {
-                    this.drop_batch(&writer);
-                }
-                this.wake.notify_one();
-            }
-        });
-        let running = RunningBatch {
+        let mut running = RunningBatch::new(Rc::new(Batch {
             submission,
-            writer,
+            writer: writer.clone(),
+            permit: self.permit(id),
             deadline,
-            task: RefCell::new(Some(task.abort_handle())),
-        };
-        self.batches
-            .borrow_mut()
-            .insert(id.to_owned(), Rc::new(running));
+        }));
+        running.spawn(self.clone().write_outcomes(writer));
+        self.batches.borrow_mut().insert(id.to_owned(), running);
         let generated = self.planner.borrow().generated(id);
         for work in generated {
             self.score(work);
         }
     }
+
+    async fn write_outcomes(self: Rc<Self>, writer: Rc<OutcomeWriter>) {
+        let end = writer.run(&self.context.writer_context).await;
+        tracing::info!(batch = writer.batch, ended = ?end, "outcome_writer_ended");
+        if end == WriterEnd::Lost {
+            self.drop_batch(&writer);
+        }
+        self.wake.notify_one();
+    }
+
+    fn permit(&self, batch: &str) -> Permit {
+        let context = &self.context;
+        Permit::new(
+            batch,
+            &context.settings.node,
+            &context.cluster,
+            &context.metrics,
+        )
+    }
 }
--- a/crates/edge/src/coordinator/handover.rs
+++ b/crates/edge/src/coordinator/handover.rs
@@ -30,10 +30,7 @@
         let texts = self.texts(1);
         self.relinquished.set(true);
         self.run_tasks.borrow_mut().clear();
-        let batches = std::mem::take(&mut *self.batches.borrow_mut());
-        for running in batches.values() {
-            running.stop();
-        }
+        self.batches.borrow_mut().clear();
         tracing::info!(
             service = self.service,
             texts = texts.len(),
@@ -66,7 +63,7 @@
         let batches = self.batches.borrow();
         let texts = batches.iter().flat_map(|(id, running)| {
             let texts = planner.texts(id, min_events).into_iter();
-            texts.filter(|text| !running.writer.is_written(text.index))
+            texts.filter(|text| !running.batch.writer.is_written(text.index))
         });
         texts.collect()
     }
--- a/crates/edge/src/coordinator/items.rs
+++ b/crates/edge/src/coordinator/items.rs
@@ -1,8 +1,8 @@
 //! Runs, scoring and outcomes of items.
 
-use super::{Coordinator, RunningBatch};
+use super::running::Batch;
+use super::Coordinator;
 use crate::clock;
-use crate::permit::Permit;
 use crate::run::{self, AbortOnDrop, RunResult, Target};
 use crate::score::ScoreOutcome;
 use dogwoodlb_batch::{Outcome, OutcomeState, RunEnd, Submission, WorkId};
@@ -17,7 +17,7 @@
             let batches = self.batches.borrow();
             let overdue = batches
                 .iter()
-                .filter(|(_, running)| running.deadline <= now);
+                .filter(|(_, running)| running.batch.deadline <= now);
             overdue.map(|(id, _)| id.clone()).collect()
         };
         for id in overdue {
@@ -29,23 +29,13 @@
         }
     }
 
-    fn permit(&self, batch: &str) -> Permit {
-        let context = &self.context;
-        Permit::new(
-            batch,
-            &context.settings.node,
-            &context.cluster,
-            &context.metrics,
-        )
-    }
-
     /// Returns the batch of an item, if this node runs the batch, and the index of the item in it.
     /// The item itself may be in any phase; it need not have a run.
-    fn running(&self, work: WorkId) -> Option<(Rc<RunningBatch>, u32)> {
+    fn batch(&self, work: WorkId) -> Option<(Rc<Batch>, u32)> {
         let planner = self.planner.borrow();
-        let (batch, index) = planner.item_location(work)?;
-        let running = self.batches.borrow().get(batch).cloned()?;
-        Some((running, index))
+        let (name, index) = planner.item_location(work)?;
+        let batches = self.batches.borrow();
+        Some((batches.get(name)?.batch.clone(), index))
     }
 
     pub(super) fn start(self: &Rc<Self>, work: WorkId, replica: String) {
@@ -53,7 +43,7 @@
             let directory = self.context.cluster.directory();
             directory.get(&replica).map(|entry| entry.address)
         };
-        let (Some((running, index)), Some(address)) = (self.running(work), address) else {
+        let (Some((batch, index)), Some(address)) = (self.batch(work), address) else {
             self.planner
                 .borrow_mut()
                 .on_run_end(work, RunEnd::Refused, clock::now());
@@ -64,11 +54,10 @@
             let target = Target {
                 replica,
                 address,
-                host: running.submission.host.clone(),
+                host: batch.submission.host.clone(),
             };
-            let item = &running.submission.items[index as usize];
+            let item = &batch.submission.items[index as usize];
             let context = &this.context;
-            let permit = this.permit(&running.submission.id);
             let result = run::run_item(
                 &context.client,
                 &*context.protocol,
@@ -76,10 +65,10 @@
                 work,
                 item,
                 &target,
-                &permit,
+                &batch.permit,
             );
             let result = result.await;
-            this.on_run_end(work, result, &target.replica, &running.submission);
+            this.on_run_end(work, result, &target.replica, &batch.submission);
         });
         let guard = AbortOnDrop(task.abort_handle());
         self.run_tasks.borrow_mut().insert(work, guard);
@@ -128,18 +117,13 @@
     }
 
     fn abandon(&self, work: WorkId, reason: &str) {
-        let Some((running, index)) = self.running(work) else {
+        let Some((batch, index)) = self.batch(work) else {
             return;
         };
-        let item = running.submission.items[index as usize].id.clone();
-        tracing::info!(
-            batch = running.submission.id,
-            item,
-            reason,
-            "item_abandoned"
-        );
+        let item = batch.submission.items[index as usize].id.clone();
+        tracing::info!(batch = batch.submission.id, item, reason, "item_abandoned");
         self.planner.borrow_mut().mark_abandoned(work);
-        running.writer.enqueue(Outcome {
+        batch.writer.enqueue(Outcome {
             index,
             item,
             state: OutcomeState::Abandoned,
@@ -147,49 +131,43 @@
         });
     }
 
-    /// Scores a complete text and enqueues its outcome.
+    /// Scores a complete text and enqueues its outcome. The task is cancelled with the batch: a
+    /// later batch that resubmits the item scores its text itself.
     pub(super) fn score(self: &Rc<Self>, work: WorkId) {
-        let Some((running, index)) = self.running(work) else {
+        let Some((batch, index)) = self.batch(work) else {
             return;
         };
+        let mut batches = self.batches.borrow_mut();
+        if let Some(running) = batches.get_mut(&batch.submission.id) {
+            running.spawn(self.clone().score_item(batch, work, index));
+        }
+    }
+
+    async fn score_item(self: Rc<Self>, batch: Rc<Batch>, work: WorkId, index: u32) {
         let Some(progress) = self.planner.borrow().progress(work).cloned() else {
             return;
         };
-        let this = self.clone();
-        tokio::task::spawn_local(async move {
-            let item = &running.submission.items[index as usize];
-            let score = match &item.scorer {
-                Some(scorer) => match this
-                    .context
-                    .score_client
-                    .score(
-                        scorer,
-                        &this.permit(&running.submission.id),
-                        running.deadline,
-                    )
-                    .await
-                {
+        let item = &batch.submission.items[index as usize];
+        let score = match &item.scorer {
+            Some(scorer) => {
+                let client = &self.context.score_client;
+                match client.score(scorer, &batch.permit, batch.deadline).await {
                     ScoreOutcome::Signed(score) => Some(score),
-                    ScoreOutcome::Failed => return this.abandon(work, "score_failed"),
-                    ScoreOutcome::TimedOut => return this.abandon(work, "score_late"),
-                },
-                None => None,
-            };
-            // The batch may have ended during scoring, and a later batch that resubmits the item
-            // keeps its work id.
-            let current = this.running(work);
-            if current.is_none_or(|(batch, _)| !Rc::ptr_eq(&batch, &running)) {
-                return;
+                    ScoreOutcome::Failed => return self.abandon(work, "score_failed"),
+                    ScoreOutcome::TimedOut => return self.abandon(work, "score_late"),
+                    ScoreOutcome::Revoked => return,
+                }
             }
-            this.planner.borrow_mut().mark_done(work);
-            running.writer.enqueue(Outcome {
-                index,
-                item: item.id.clone(),
-                state: OutcomeState::Complete,
-                text: progress.text,
-                versions: progress.versions,
-                score,
-            });
+            None => None,
+        };
+        self.planner.borrow_mut().mark_done(work);
+        batch.writer.enqueue(Outcome {
+            index,
+            item: item.id.clone(),
+            state: OutcomeState::Complete,
+            text: progress.text,
+            versions: progress.versions,
+            score,
         });
     }
 }
--- a/crates/edge/src/coordinator/replica_scan.rs
+++ b/crates/edge/src/coordinator/replica_scan.rs
@@ -39,7 +39,7 @@
         }
         let began = std::time::Instant::now();
         let single_version = self.batches.borrow().values().any(|running| {
-            let route = self.route(&running.submission);
+            let route = self.route(&running.batch.submission);
             route.is_some_and(|route| route.single_version)
         });
         self.loads.start_due(
--- a/crates/edge/src/permit.rs
+++ b/crates/edge/src/permit.rs
@@ -47,23 +47,25 @@
         }
     }
 
-    /// Counts a request that is about to be sent, and logs it if this node doesn't run the batch
-    /// any more.
-    pub(crate) fn observe(&self, kind: RequestKind, request: &str) {
+    /// Returns whether a request may be sent. It may not if this node doesn't run the batch any
+    /// more, as far as it knows; the task of the request is then about to be cancelled.
+    pub(crate) fn allows(&self, kind: RequestKind, request: &str) -> bool {
         let header = self.cluster.batch_header(&self.batch);
         let ownership = header.map_or(Ownership::Ended, |header| {
             header.value.ownership(&self.node)
         });
+        let is_held = ownership == Ownership::Held;
         let (kind, ownership) = (kind.as_str(), ownership.as_str());
         self.metrics.count_item_request(kind, ownership);
-        if ownership != Ownership::Held.as_str() {
-            tracing::warn!(
+        if !is_held {
+            tracing::info!(
                 request,
                 kind,
                 batch = self.batch,
                 ownership,
-                "request_without_batch"
+                "item_request_refused"
             );
         }
+        is_held
     }
 }
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -58,7 +58,9 @@
     let headers = protocol.headers();
     let last_event = planner.borrow().progress(work).map_or(0, |p| p.last_event);
     let request = build_request(headers, item, target, last_event);
-    permit.observe(RequestKind::Run, &item.id);
+    if !permit.allows(RequestKind::Run, &item.id) {
+        return RunResult::Ended(RunEnd::Stopped);
+    }
     let response = match timeout(HEAD_TIMEOUT, client.send(target.address, request)).await {
         Ok(Ok(response)) => response,
         Ok(Err(error)) => {
--- a/crates/edge/src/score.rs
+++ b/crates/edge/src/score.rs
@@ -36,6 +36,8 @@
     Failed,
     /// The deadline passed.
     TimedOut,
+    /// This node doesn't run the batch of the item any more.
+    Revoked,
 }
 
 /// The result of one scoring call.
@@ -46,6 +48,8 @@
     Failed,
     /// No replica gave a usable response. The call is repeated after a back-off.
     Retry,
+    /// The call was not sent, because this node doesn't run the batch of the item any more.
+    Revoked,
 }
 
 /// Sends scoring calls.
@@ -78,6 +82,7 @@
             };
             match call {
                 Attempt::Signed(signature) => return ScoreOutcome::Signed(signature),
+                Attempt::Revoked => return ScoreOutcome::Revoked,
                 Attempt::Failed => {
                     failures += 1;
                     if route.is_some_and(|route| failures >= route.max_attempts) {
@@ -134,7 +139,9 @@
             headers.deadline_ms.clone(),
             header_number(CALL_TIMEOUT.as_millis()),
         );
-        permit.observe(RequestKind::Score, &scorer.id);
+        if !permit.allows(RequestKind::Score, &scorer.id) {
+            return Attempt::Revoked;
+        }
         let exchange = async {
             let mut response = self.client.send(selection.address, request).await?;
             let echoed = header_str(&response.head.headers, &headers.request_id);
