Split the writes and the ends of batches from their acceptance

The code of the parts is unchanged, only moved: writes of new batches to `submit/write.rs`, ends to `submit/end.rs`.

--- a/crates/edge/src/submit.rs
+++ b/crates/edge/src/submit.rs
@@ -1,41 +1,37 @@
 //! Accepts and ends batches.
 
-use crate::batch_store::{BatchStore, Error};
+use crate::batch_store::BatchStore;
 use crate::clock;
-use crate::cluster::{ClusterState, Versioned};
+use crate::cluster::ClusterState;
 use crate::headers::{header_millis, header_str};
 use crate::metrics::Metrics;
 use crate::peers::{Peers, MAX_RELAY_BYTES};
 use crate::protocol::Protocol;
 use crate::reply::{self, Body};
-use crate::storage::{self, Storage, BODIES, MAX_TXN_BYTES, SHARED};
+use crate::storage::{self, Storage};
 use bytes::Bytes;
-use dogwoodlb_batch::{parts, BatchHeader, Record, Submission};
+use dogwoodlb_batch::{BatchHeader, Record, Submission};
 use dogwoodlb_config::{Route, Snapshot};
-use dogwoodlb_external::store::{Outcome, Row, Txn};
+use dogwoodlb_external::store::Row;
 use dogwoodlb_types::Instant;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use serde::{Deserialize, Serialize};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::sleep;
+
+mod end;
+mod write;
+
+pub(crate) use end::EndOutcome;
 
 /// The time-out of a request whose caller states none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(5);
-/// How long a write that was certainly not applied is retried. After that, another node may be
-/// able to reach the store.
-const UNAPPLIED_RETRY_TIME: Duration = Duration::from_millis(900);
-/// How long the node tries to end a batch. The caller gives up after its acknowledgement
-/// time-out.
-const END_TIMEOUT: Duration = Duration::from_millis(3_500);
 const RETRY_INTERVAL: Duration = Duration::from_millis(80);
 /// The retry-after time of refused requests.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
 /// The maximum length of a batch id, which becomes part of row keys.
 const MAX_ID_BYTES: usize = 120;
-/// The maximum number of parts in a transaction.
-const PARTS_PER_TXN: usize = MAX_TXN_BYTES / parts::PART_BYTES;
 
 /// Accepts and ends batches.
 pub(crate) struct Submitter {
@@ -78,17 +74,6 @@
     }
 }
 
-/// The result of one attempt to end a batch.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub(crate) enum EndOutcome {
-    /// The batch is ended.
-    Ended,
-    /// A concurrent write changed the header first.
-    Conflict,
-    /// The batch does not exist.
-    NoBatch,
-}
-
 /// A batch that is relayed through another node.
 #[derive(Debug, Deserialize, Serialize)]
 pub(crate) struct RelayedBatch {
@@ -225,116 +210,6 @@
         }
     }
 
-    /// Writes a batch to the store, its header last.
-    async fn store_batch(
-        &self,
-        submission: &Submission,
-        route: &Route,
-        began: Instant,
-        deadline: Instant,
-    ) -> SubmitOutcome {
-        let Some(service) = route.select_service(rand::random()) else {
-            return SubmitOutcome::Refused;
-        };
-        let bytes = match submission.to_vec() {
-            Ok(bytes) => bytes,
-            Err(error) => {
-                tracing::error!(batch = submission.id, %error, "batch_not_encoded");
-                return SubmitOutcome::Refused;
-            }
-        };
-        let body_parts = parts::split(&bytes);
-        let Some(submitted_ms) = self.store_time_ms().await else {
-            return SubmitOutcome::Refused;
-        };
-        let leader = self.cluster.leader(service).map(|leader| leader.value);
-        let header = BatchHeader {
-            owner: leader.unwrap_or_else(|| self.node.clone()),
-            writer_id: 0,
-            host: submission.host.clone(),
-            path: submission.path.clone(),
-            service: service.to_owned(),
-            item_count: u32::try_from(submission.items.len()).unwrap_or(u32::MAX),
-            part_count: u32::try_from(body_parts.len()).unwrap_or(u32::MAX),
-            result_count: 0,
-            ended: false,
-            submitted_ms,
-        };
-        let txns = transactions(&submission.id, &header, body_parts);
-        let mut not_applied = true;
-        for (number, txn) in (1..).zip(&txns) {
-            let is_last = number == txns.len();
-            let unapplied_deadline = began + UNAPPLIED_RETRY_TIME;
-            match self
-                .commit_with_retry(txn, unapplied_deadline, deadline, &mut not_applied)
-                .await
-            {
-                Some(Outcome::Done { version, .. }) => {
-                    if !is_last {
-                        continue;
-                    }
-                    self.cluster
-                        .put_batch_header(&submission.id, version, header.clone());
-                    let submission = Rc::new(submission.clone());
-                    self.batch_store
-                        .cache
-                        .put_submission(&submission.id, submission.clone());
-                    self.cluster.notify_changed();
-                }
-                Some(Outcome::Conflict { rows }) => {
-                    self.apply_header_rows(&submission.id, &rows);
-                    return SubmitOutcome::Accepted { is_new: false };
-                }
-                // Without the last transaction, which writes the header, the batch does not exist.
-                None if not_applied || !is_last => return SubmitOutcome::Refused,
-                None => return SubmitOutcome::Unknown,
-            }
-        }
-        SubmitOutcome::Accepted { is_new: true }
-    }
-
-    /// Returns an upper bound of the store's time, from which the lifetime of items is counted. A
-    /// node that copied its tables from other nodes has not seen the store's clock yet.
-    async fn store_time_ms(&self) -> Option<u64> {
-        if let Some(now_ms) = self.storage.latest_time_ms() {
-            return Some(now_ms);
-        }
-        let key = storage::node_key(&self.node);
-        if let Err(error) = self.storage.get(SHARED, &key).await {
-            tracing::info!(%error, "store_clock_not_read");
-        }
-        self.storage.latest_time_ms()
-    }
-
-    /// Retries a transaction until its result is known. `not_applied` becomes false when an
-    /// attempt may have been applied although no result was received.
-    async fn commit_with_retry(
-        &self,
-        txn: &Txn,
-        unapplied_deadline: Instant,
-        deadline: Instant,
-        not_applied: &mut bool,
-    ) -> Option<Outcome> {
-        loop {
-            match self.storage.commit(txn).await {
-                Ok(outcome) => return Some(outcome),
-                Err(error) => {
-                    *not_applied &= storage::is_not_applied(&error);
-                    let until = if *not_applied {
-                        unapplied_deadline
-                    } else {
-                        deadline
-                    };
-                    if clock::now() + RETRY_INTERVAL >= until {
-                        tracing::info!(%error, "write_abandoned");
-                        return None;
-                    }
-                }
-            }
-            sleep(RETRY_INTERVAL).await;
-        }
-    }
-
     fn apply_header_rows(&self, batch: &str, rows: &[Row]) {
         let key = storage::header_key(batch);
         for row in rows.iter().filter(|row| row.key == key && row.version > 0) {
@@ -344,99 +219,4 @@
             }
         }
     }
-
-    /// Ends a batch.
-    pub(crate) async fn end(&self, batch: &str) -> Response<Body> {
-        let until = clock::now() + END_TIMEOUT;
-        let mut outcome = "conflict";
-        loop {
-            match self.end_via_any_node(batch).await {
-                Ok(EndOutcome::Ended) => break,
-                Ok(EndOutcome::Conflict) => {}
-                Ok(EndOutcome::NoBatch) => {
-                    tracing::info!(batch, outcome = "not_found", "batch_ended");
-                    return reply::plain_text(StatusCode::NOT_FOUND, "there is no such batch");
-                }
-                Err(error) => {
-                    tracing::debug!(batch, %error, "end_not_written");
-                    outcome = "unknown";
-                }
-            }
-            if clock::now() + RETRY_INTERVAL >= until {
-                tracing::warn!(batch, outcome, "batch_ended");
-                return reply::plain_text(StatusCode::GATEWAY_TIMEOUT, "the end is not stored yet");
-            }
-            sleep(RETRY_INTERVAL).await;
-        }
-        tracing::info!(batch, outcome = "ended", "batch_ended");
-        self.cluster.notify_changed();
-        reply::json(Bytes::from_static(b"{}"))
-    }
-
-    /// Tries once to end a batch, through another node if this one can't reach the store.
-    async fn end_via_any_node(&self, batch: &str) -> Result<EndOutcome, Error> {
-        if !self.storage.is_reachable(clock::now()) {
-            if let Some(outcome) = self.peers.relay_end(batch).await {
-                return Ok(outcome);
-            }
-        }
-        self.try_end(batch).await
-    }
-
-    /// Tries once to end a batch.
-    pub(crate) async fn try_end(&self, batch: &str) -> Result<EndOutcome, Error> {
-        let Some(Versioned {
-            row_version,
-            value: header,
-        }) = self.batch_store.header(batch).await?
-        else {
-            return Ok(EndOutcome::NoBatch);
-        };
-        if header.ended {
-            return Ok(EndOutcome::Ended);
-        }
-        let ended = BatchHeader {
-            ended: true,
-            ..header
-        };
-        let key = storage::header_key(batch);
-        let txn = Txn::default().check(SHARED, &key, row_version);
-        let txn = txn.put(SHARED, &key, ended.to_vec()?);
-        match self.storage.commit(&txn).await? {
-            Outcome::Done { version, .. } => {
-                self.cluster.put_batch_header(batch, version, ended);
-                Ok(EndOutcome::Ended)
-            }
-            Outcome::Conflict { rows } => {
-                self.apply_header_rows(batch, &rows);
-                Ok(EndOutcome::Conflict)
-            }
-        }
-    }
-}
-
-/// Returns the transactions that store a batch. The last one writes the header and thereby accepts
-/// the batch.
-fn transactions(batch: &str, header: &BatchHeader, body_parts: Vec<Vec<u8>>) -> Vec<Txn> {
-    let header_key = storage::header_key(batch);
-    // Every transaction requires that no header exists, so that resubmitting an id changes nothing.
-    let new_batch = || Txn::default().check(SHARED, &header_key, 0);
-    let mut txns = vec![new_batch()];
-    for (number, part) in (0..).zip(body_parts) {
-        let is_full = txns
-            .last()
-            .is_none_or(|txn| txn.puts.len() >= PARTS_PER_TXN);
-        if is_full {
-            txns.push(new_batch());
-        }
-        if let Some(txn) = txns.pop() {
-            let key = storage::numbered_key(batch, number);
-            txns.push(txn.put(BODIES, &key, part));
-        }
-    }
-    match (txns.pop(), header.to_vec()) {
-        (Some(txn), Ok(header)) => txns.push(txn.put(SHARED, &header_key, header)),
-        (_, header) => tracing::error!(batch, error = ?header.err(), "header_not_encoded"),
-    }
-    txns
 }
