--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -25,7 +25,6 @@
 use dogwoodlb_client::Client;
 use dogwoodlb_external::store::Txn;
 use dogwoodlb_external::MetadataStore;
-use dogwoodlb_types::Instant;
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -34,16 +33,8 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::sleep;
 
-/// The maximum time for which callers keep a list of addresses, as a multiple of the stated time
-/// to live.
-const ADDRESS_TTL_FACTOR: u32 = 3;
-/// Reserved at the end of the grace period, so that the process exits before it is killed.
-const EXIT_MARGIN: Duration = Duration::from_millis(700);
-/// Reserved for requests in flight if the services can't be handed over earlier.
-const FINISH_TIME: Duration = Duration::from_millis(500);
-/// The time before the exit in which requests still pending are answered with a time-out.
-const ABORT_MARGIN: Duration = Duration::from_millis(200);
-const DRAIN_POLL: Duration = Duration::from_millis(50);
+mod drain;
+
 const REGISTER_RETRY: Duration = Duration::from_millis(400);
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -194,7 +185,7 @@
         while let Some(Command::Reload(settings)) = commands.recv().await {
             reload(&context, &settings);
         }
-        drain(&context, &front, &led_services, &shutdown).await;
+        drain::run(&context, &front, &led_services, &shutdown).await;
     }
 }
 
@@ -381,43 +372,3 @@
         "settings_reloaded"
     );
 }
-
-/// Shuts the node down: stops announcing it to callers, hands over its services, then finishes
-/// the requests in flight.
-async fn drain(
-    context: &NodeContext,
-    front: &FrontHandler,
-    led_services: &LedServices,
-    shutdown: &watch::Sender<bool>,
-) {
-    let began = clock::now();
-    context.peers.set_leaving();
-    tracing::info!(in_flight = front.in_flight.get(), "draining");
-    let address_lifetime = context.settings.address_ttl() * ADDRESS_TTL_FACTOR;
-    let grace = context.settings.grace().saturating_sub(EXIT_MARGIN);
-    let until = began + grace;
-    sleep(address_lifetime.min(grace.saturating_sub(FINISH_TIME))).await;
-    // While the store can't be reached, services can't be handed over.
-    wait_until(until - FINISH_TIME, || led_services.is_empty()).await;
-    context.peers.set_closing();
-    context.cluster.notify_changed();
-    shutdown.send_replace(true);
-    // A forwarded request may take as long as its route allows, and its caller may read the
-    // response slowly.
-    wait_until(until - ABORT_MARGIN, || front.open_connections.get() == 0).await;
-    front.aborting.send_replace(true);
-    wait_until(until, || front.open_connections.get() == 0).await;
-    tracing::info!(
-        in_flight = front.in_flight.get(),
-        connections = front.open_connections.get(),
-        took_ms = clock::now().saturating_since(began).as_millis(),
-        "stopped"
-    );
-}
-
-/// Waits until `is_over` returns true or the deadline `until` has passed.
-async fn wait_until(until: Instant, is_over: impl Fn() -> bool) {
-    while !is_over() && clock::now() < until {
-        sleep(DRAIN_POLL).await;
-    }
-}
