--- a/crates/edge/src/protocol.rs
+++ b/crates/edge/src/protocol.rs
@@ -10,6 +10,7 @@
 use hyper::header::HeaderName;
 use hyper::http::request::Parts;
 use hyper::Uri;
+use std::fmt::Display;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -17,10 +18,16 @@
 #[derive(Debug, thiserror::Error)]
 #[error("malformed {what}: {cause}")]
 pub struct DecodeError {
-    /// The kind of message expected.
-    pub what: &'static str,
-    /// The reason.
-    pub cause: String,
+    what: &'static str,
+    cause: String,
+}
+
+impl DecodeError {
+    /// Creates an error. `what` is the kind of message expected.
+    pub fn new(what: &'static str, cause: impl Display) -> Self {
+        let cause = cause.to_string();
+        Self { what, cause }
+    }
 }
 
 /// The names of the headers that the node reads and sets.
