Bound the length of errors about malformed messages

**Seen.** A row of another writer whose state or number of slots is a text of 60 KB put the whole text into the log, at each of its versions.

**Cause.** The errors of the JSON parser and of the state quote the value.

**Evidence.** `long_value::case_1_state` and `long_value::case_2_slots` in platform/tests/odd_entries.rs failed before: `assertion failed: message.chars().count() < MAX_MESSAGE_CHARS`.

**Change.** `DecodeError` keeps the first 200 characters of its reason.

**Conclusion.** One short log line for each version of an odd row.

--- a/crates/edge/src/protocol.rs
+++ b/crates/edge/src/protocol.rs
@@ -14,6 +14,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+/// The maximum length of the reason in an error.
+const MAX_CAUSE_CHARS: usize = 200;
+
 /// A received message could not be decoded.
 #[derive(Debug, thiserror::Error)]
 #[error("malformed {what}: {cause}")]
@@ -23,9 +26,11 @@
 }
 
 impl DecodeError {
-    /// Creates an error. `what` is the kind of message expected.
+    /// Creates an error. `what` is the kind of message expected. Only the beginning of `cause` is
+    /// kept, since it may quote a value of any length and is logged.
     pub fn new(what: &'static str, cause: impl Display) -> Self {
         let cause = cause.to_string();
+        let cause = cause.chars().take(MAX_CAUSE_CHARS).collect();
         Self { what, cause }
     }
 }
