Read the other rows of a page that has an odd one

**Seen.** A row whose value isn't base64 text, or that has no readable key, failed the read, the feed answer or the conflict that contained it. The watcher repeats a failed read, so that the node stopped following the table while the row was there.

**Cause.** A page was decoded as one typed message.

A part of a submission with an empty value counts as missing.

**Conclusion.** An odd row concerns its own key only. Whether the store passes such rows on is not known; its pages promise base64.

--- a/crates/edge/src/batch_store.rs
+++ b/crates/edge/src/batch_store.rs
@@ -74,7 +74,8 @@
         let rows = self.storage.list(BODIES, &format!("{batch}/")).await?;
         for part in 0..header.part_count {
             let key = storage::numbered_key(batch, part);
-            if rows.get(part as usize).is_none_or(|row| row.key != key) {
+            let row = rows.get(part as usize);
+            if row.is_none_or(|row| row.key != key || row.value.is_empty()) {
                 let batch = batch.to_owned();
                 return Err(Error::Missing { batch, part });
             }
--- a/crates/external/src/store.rs
+++ b/crates/external/src/store.rs
@@ -18,7 +18,7 @@
     pub table: String,
     /// The key.
     pub key: String,
-    /// The value.
+    /// The value; empty if it can't be read.
     pub value: Vec<u8>,
     /// The number of the transaction that last wrote or removed the row; 0 if it never existed.
     pub version: u64,
