Plan loads beside an entry with the highest weight version

**Cause.** The scheduler and the plan of loads added one to the version that an entry announces.

**Evidence.** `highest_version` in crates/weights/tests/scheduler.rs before: `panicked at crates/weights/src/scheduler.rs:244:59: attempt to add with overflow`. The same panic was behind `extreme_entries`, a test of whole nodes that follows: `timed out waiting for the results`.

**Change.** The lag behind the newest version is computed by a saturating subtraction.

**Conclusion.** No version that an entry can hold overflows.

--- a/crates/weights/src/plan.rs
+++ b/crates/weights/src/plan.rs
@@ -69,7 +69,8 @@
     let up_to_date = total - behind.len();
     let mut planned = Vec::new();
     for (position, weights) in behind.into_iter().enumerate() {
-        let is_too_old = weights.version < goal.min_version || weights.version + 1 < goal.newest;
+        let lag = goal.newest.saturating_sub(weights.version);
+        let is_too_old = weights.version < goal.min_version || lag > 1;
         let reason = if is_too_old {
             LoadReason::TooOld
         } else if (up_to_date + position) * 2 < total {
--- a/crates/weights/src/scheduler.rs
+++ b/crates/weights/src/scheduler.rs
@@ -241,7 +241,8 @@
         let needed = self.needed_replicas(index, demand.open_items, replicas, now);
         let loaded = self.loaded_weights(index, replicas, newest, now);
         // Without demand, consider the replicas that could serve the last step.
-        let serves_last_step = |weights: &&LoadedWeights| weights.version + 1 >= newest;
+        let serves_last_step =
+            |weights: &&LoadedWeights| newest.saturating_sub(weights.version) <= 1;
         let needed = match needed {
             0 => loaded
                 .iter()
--- a/crates/weights/tests/scheduler.rs
+++ b/crates/weights/tests/scheduler.rs
@@ -140,3 +140,16 @@
     assert_eq!(loads_by_model(10, [800, 0]), [8, 2]);
     assert_eq!(loads_by_model(10, [0, 0]), [5, 5]);
 }
+
+/// An entry with the highest version that can be read made the addition of one overflow, so that
+/// the task which plans the loads ended.
+#[test]
+fn highest_version() {
+    let names = names(4);
+    let mut announced = replicas(&names, 1);
+    announced[0].announced = vec![Some(u64::MAX)];
+    let idle = scheduler().next_loads(&announced, &demand(3, 0), at(0));
+    assert_eq!(loaded(&idle), ["r01"]);
+    let busy = scheduler().next_loads(&announced, &demand(3, 40), at(0));
+    assert_eq!(loaded(&busy), ["r01", "r02"]);
+}
