Plan items with the highest token counts

**Seen.** A submission with items of prompt or output tokens ended the task that runs the batches of the service, in a build with overflow checks. Without the checks the sums wrap, so that a full replica counts as empty.

**Cause.** The token counts that callers state were added up unchecked.

**Evidence.** `highest_token_counts` in crates/batch/tests/item_order.rs before: `panicked at crates/batch/src/replica.rs:78:38: attempt to add with overflow`.

**Change.** The sums of prompt tokens and of expected events saturate.

--- a/crates/batch/src/planner/candidates.rs
+++ b/crates/batch/src/planner/candidates.rs
@@ -116,7 +116,7 @@
     pub(super) fn place(&mut self, replica: &Arc<str>, tokens: u64) {
         let placed = self.placed.entry(replica.clone()).or_default();
         placed.runs += 1;
-        placed.tokens += tokens;
+        placed.tokens = placed.tokens.saturating_add(tokens);
     }
 
     fn build_queue(&self, key: &QueueKey, work: &Work) -> Queue {
--- a/crates/batch/src/planner/choose.rs
+++ b/crates/batch/src/planner/choose.rs
@@ -210,8 +210,7 @@
             stop_requested: false,
         });
         if let Some(replica) = self.replicas.get_mut(name) {
-            replica.run_count += 1;
-            replica.prompt_tokens += prompt_tokens;
+            replica.occupy(prompt_tokens);
         }
     }
 
--- a/crates/batch/src/planner/demand.rs
+++ b/crates/batch/src/planner/demand.rs
@@ -36,7 +36,7 @@
         let mut demand = Demand::default();
         for work in self.work_items.values().filter(is_open) {
             demand.items += 1;
-            demand.events += work.remaining_events();
+            demand.events = demand.events.saturating_add(work.remaining_events());
         }
         demand
     }
--- a/crates/batch/src/replica.rs
+++ b/crates/batch/src/replica.rs
@@ -75,7 +75,14 @@
     ) -> bool {
         let capacity = self.state.kv_capacity_tokens;
         let is_empty = self.run_count + placed_runs == 0;
-        capacity == 0 || is_empty || self.prompt_tokens + placed_tokens + tokens <= capacity
+        let used = self.prompt_tokens.saturating_add(placed_tokens);
+        capacity == 0 || is_empty || used.saturating_add(tokens) <= capacity
+    }
+
+    /// Occupies a slot and the prompt tokens of a run that starts.
+    pub(crate) fn occupy(&mut self, tokens: u64) {
+        self.run_count += 1;
+        self.prompt_tokens = self.prompt_tokens.saturating_add(tokens);
     }
 
     /// Releases the slot and the prompt tokens of a run that has ended.
--- a/crates/batch/tests/item_order.rs
+++ b/crates/batch/tests/item_order.rs
@@ -247,3 +247,34 @@
     let labels = ["whole", "broken", "refused", "failed", "moved"];
     assert_eq!(ends.map(RunEnd::as_str), labels);
 }
+
+/// Token counts that callers state made sums overflow, so that the task which runs the batches
+/// ended.
+#[test]
+fn highest_token_counts() {
+    let mut planner = Planner::default();
+    let mut replica = state(2, 1);
+    replica.kv_capacity_tokens = 1_000;
+    planner.set_replica("r", replica);
+    let huge = |id: &str| Item {
+        prompt_tokens: u64::MAX,
+        ..item(id, id, u64::MAX)
+    };
+    planner.add_batch(&NewBatch {
+        id: "b",
+        model: "m",
+        min_version: 1,
+        single_version: false,
+        target_groups: 3,
+        max_attempts: 3,
+        event_tokens: 1,
+        items: &[huge("a"), huge("b"), item("c", "c", 10)],
+        finished: &BTreeSet::new(),
+    });
+    // A prompt that exceeds the capacity runs alone.
+    let first = planner.plan(at(0));
+    assert_eq!(starts(&first), [(1, "r")]);
+    assert_eq!(planner.demand("m").events, u64::MAX);
+    planner.on_run_end(WorkId(1), RunEnd::Completed, at(1));
+    assert_eq!(starts(&planner.plan(at(2))), [(2, "r")]);
+}
