Keep odd values out of the copies between nodes

**Seen.** While odd entries of 12 MB in all lay among those of the replicas, a node that the store refused never became ready.

**Cause.** A node keeps the rows of the table and sends them to the nodes that can't reach the store, odd ones included. The copy exceeded the 8 MB of a message, and it also carries the configuration.

**Change.** The value of an entry that can't be decoded is dropped once it has been looked at; its version stays known, so that it is logged once.

**Conclusion.** Odd entries cost a node their key and version. Entries that can be decoded are still kept whole.

--- a/crates/mirror/src/mirror.rs
+++ b/crates/mirror/src/mirror.rs
@@ -44,6 +44,14 @@
         self.is_synced = false;
     }
 
+    /// Drops the value of a row that can't be decoded, so that it is neither kept nor copied to
+    /// other nodes. The version of the row stays known.
+    pub fn clear_value(&mut self, key: &str) {
+        if let Some(row) = self.rows.get_mut(key) {
+            row.value = Vec::new();
+        }
+    }
+
     /// Replaces the copy by all rows as of a table version, and returns the rows that changed. A
     /// version older than the current one changes nothing.
     pub fn replace(&mut self, rows: Vec<Row>, version: u64) -> Vec<Row> {
--- a/crates/mirror/tests/late_rows.rs
+++ b/crates/mirror/tests/late_rows.rs
@@ -77,3 +77,19 @@
     let elapsed = start.elapsed();
     assert!(elapsed < std::time::Duration::from_secs(2), "{elapsed:?}");
 }
+
+/// A row whose value was dropped isn't reported again, but its next version is.
+#[test]
+fn cleared_value() {
+    let odd = |version| Row {
+        value: vec![7; 60_000],
+        ..row("a", version)
+    };
+    let mut mirror = Mirror::default();
+    mirror.replace(vec![odd(4)], 5);
+    mirror.clear_value("a");
+    mirror.clear_value("unknown");
+    assert!(mirror.rows().all(|row| row.value.is_empty()));
+    assert!(mirror.replace(vec![odd(4)], 6).is_empty());
+    assert_eq!(mirror.apply(vec![odd(7)], 7), [odd(7)]);
+}
