Drop a replica at once when its entry becomes odd

**Seen.** An entry that another writer replaced by an odd one kept naming the replica for up to 2.2 s after a failed call to the store.

**Cause.** The odd entry was handled like an expired one, which is kept after an outage until the replica has had time to register again.

**Change.** `Directory::invalidate` removes the replica at once.

**Conclusion.** An odd entry names no replica from the moment it is read.

--- a/crates/directory/src/directory.rs
+++ b/crates/directory/src/directory.rs
@@ -85,6 +85,17 @@
         }
     }
 
+    /// Removes a replica whose entry was replaced by one that names no replica. Unlike an expired
+    /// entry, it is not kept after an outage of the store. Returns whether it was removed.
+    pub fn invalidate(&mut self, id: &str, row_version: u64) -> bool {
+        let known = self.replicas.get(id);
+        if known.is_none_or(|known| row_version < known.row_version) {
+            return false;
+        }
+        self.revision += 1;
+        self.replicas.remove(id).is_some()
+    }
+
     /// Replaces the contents by a full read as of row version `as_of`. Returns the replicas that
     /// were removed.
     pub fn replace(
--- a/crates/directory/tests/expired_entries.rs
+++ b/crates/directory/tests/expired_entries.rs
@@ -73,3 +73,17 @@
     let elapsed = start.elapsed();
     assert!(elapsed < Duration::from_secs(2), "{elapsed:?}");
 }
+
+/// An entry that another writer replaced by one that names no replica is not an expired one: the
+/// replica is not kept after an outage of the store.
+#[test]
+fn invalid_entry_after_outage() {
+    let mut directory = Directory::default();
+    directory.on_contact(at(0));
+    directory.put("r", 5, entry(Stage::Ready), at(0));
+    directory.on_failure(at(100));
+    assert!(!directory.invalidate("r", 4), "an older row");
+    assert!(directory.invalidate("r", 6));
+    assert_eq!(directory.ready_replicas("s").count(), 0);
+    assert!(!directory.invalidate("r", 7), "no entry is left");
+}
--- a/crates/edge/src/table_watcher.rs
+++ b/crates/edge/src/table_watcher.rs
@@ -232,7 +232,7 @@
             }
             Err(error) => {
                 // An entry that can't be decoded invalidates the previous entry of the replica.
-                directory.remove(replica, row.version, now);
+                directory.invalidate(replica, row.version);
                 self.mirrors.replicas.borrow_mut().clear_value(replica);
                 tracing::warn!(replica, row = row.version, %error, "replica_entry_not_decoded");
             }
