Ignore entries whose key is no id of a replica

**Seen.** Items went to replicas under keys that no request can name: with line breaks, of 200 bytes, or empty. A batch on such a service didn't end.

**Cause.** The replicas of plain services were chosen by a valid id, those of model engines by any key. A key that is no header value was left out of the request, so that any process at the address ran it; the key of a claim is longer than the replica's, which the store refuses above 200 bytes.

**Evidence.** `odd_keys` in platform/tests/nodes/odd_entries.rs before: `timed out waiting for the results`.

**Change.** The watcher accepts a row as an entry only if its key is a valid id.

**Conclusion.** One rule for the replicas of all services.

--- a/crates/edge/src/table_watcher.rs
+++ b/crates/edge/src/table_watcher.rs
@@ -3,11 +3,13 @@
 use crate::clock;
 use crate::cluster::{ClusterState, NewestVersion};
 use crate::peers::Peers;
-use crate::protocol::{OperatorRow, Protocol};
+use crate::protocol::{DecodeError, OperatorRow, Protocol};
 use crate::storage::{Storage, SHARED};
 use dogwoodlb_batch::{BatchHeader, Record};
+use dogwoodlb_directory::Entry;
 use dogwoodlb_external::store::{KeyRange, Row, WatchResponse};
 use dogwoodlb_mirror::{Mirror, NextRequest};
+use dogwoodlb_types::id;
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -221,7 +223,7 @@
             }
             return;
         }
-        match self.protocol.decode_replica_entry(&row.value) {
+        match self.decode_replica_row(row) {
             Ok(entry) => {
                 let stage = format!("{:?}", entry.stage);
                 let (service, address) = (entry.service.clone(), entry.address);
@@ -239,6 +241,14 @@
         }
     }
 
+    /// Decodes the entry of a replica. Its key has to be an id that requests can name.
+    fn decode_replica_row(&self, row: &Row) -> Result<Entry, DecodeError> {
+        if let Err(error) = row.key.parse::<id::Upstream>() {
+            return Err(DecodeError::new("id of a replica", error));
+        }
+        self.protocol.decode_replica_entry(&row.value)
+    }
+
     fn apply_shared_row(&self, row: &Row) {
         let Some((kind, name)) = row.key.split_once('/') else {
             return;
