--- a/crates/edge/src/protocol.rs
+++ b/crates/edge/src/protocol.rs
@@ -10,17 +10,29 @@
 use hyper::header::HeaderName;
 use hyper::http::request::Parts;
 use hyper::Uri;
+use std::fmt::Display;
 use std::net::SocketAddr;
 use std::time::Duration;
 
+/// The maximum length of the reason in an error.
+const MAX_CAUSE_CHARS: usize = 200;
+
 /// A received message could not be decoded.
 #[derive(Debug, thiserror::Error)]
 #[error("malformed {what}: {cause}")]
 pub struct DecodeError {
-    /// The kind of message expected.
-    pub what: &'static str,
-    /// The reason.
-    pub cause: String,
+    what: &'static str,
+    cause: String,
+}
+
+impl DecodeError {
+    /// Creates an error. `what` is the kind of message expected. Only the beginning of `cause` is
+    /// kept, since it may quote a value of any length and is logged.
+    pub fn new(what: &'static str, cause: impl Display) -> Self {
+        let cause = cause.to_string();
+        let cause = cause.chars().take(MAX_CAUSE_CHARS).collect();
+        Self { what, cause }
+    }
 }
 
 /// The names of the headers that the node reads and sets.
