Compare terms before a node gives up a service

Callers would have seen every batch of a service stop: its items waited until another node took the service over, which no one does while the leader's heartbeats go on.

Cause: a new leader asks its predecessor for the unfinished texts, and the predecessor stops its runs. The request named only the service. One that arrived late (held up in the network, or read after a pause) stopped a newer leadership of the same node as well, and the election did nothing then: the leader row names the node and a coordinator, the stopped one, exists.

Change: the version of the leader row is the term of a leadership. The request carries the term of its sender, and a node only gives up a leadership of an older term. A leader whose row got a new version, since another node led in between, starts again in the new term.

--- a/crates/edge/src/coordinator.rs
+++ b/crates/edge/src/coordinator.rs
@@ -60,6 +60,8 @@
 /// Runs the batches of one service.
 pub(crate) struct Coordinator {
     service: String,
+    /// The version of the leader row under which this node runs the service.
+    pub(crate) term: u64,
     context: Rc<NodeContext>,
     planner: Rc<RefCell<Planner>>,
     batches: RefCell<BTreeMap<String, Rc<RunningBatch>>>,
@@ -86,9 +88,15 @@
 }
 
 impl Coordinator {
-    pub(crate) fn new(service: &str, context: Rc<NodeContext>, inherited: Vec<ItemText>) -> Self {
+    pub(crate) fn new(
+        service: &str,
+        term: u64,
+        context: Rc<NodeContext>,
+        inherited: Vec<ItemText>,
+    ) -> Self {
         Self {
             service: service.to_owned(),
+            term,
             context,
             planner: Rc::default(),
             batches: RefCell::default(),
--- a/crates/edge/src/leader.rs
+++ b/crates/edge/src/leader.rs
@@ -3,7 +3,8 @@
 //! The leader of a service runs its batches and orders weight loads on its replicas. A row in the
 //! store names the leader, without a lease: every action of a leader is either conditional on
 //! rows in the store or idempotent. Another node can therefore take over as soon as the leader's
-//! heartbeats stop.
+//! heartbeats stop. The version of that row is the term of the leader: it differs between two
+//! leaderships of one node.
 
 use crate::clock;
 use crate::context::NodeContext;
@@ -43,11 +44,18 @@
         self.0.borrow().is_empty()
     }
 
-    /// Stops running a service that another node now leads, and returns its unfinished texts. They
-    /// are empty if the service has been relinquished before.
-    pub(crate) fn relinquish(&self, service: &str) -> Vec<ItemText> {
-        let coordinator = self.0.borrow().get(service).cloned();
-        coordinator.map_or_else(Vec::new, |coordinator| coordinator.relinquish())
+    /// Stops running a service that another node leads since a term, and returns its unfinished
+    /// texts. They are empty if the service has been relinquished before. A term older than that of
+    /// this node's leadership stops nothing: the request was late.
+    pub(crate) fn relinquish(&self, service: &str, term: u64) -> Vec<ItemText> {
+        match self.get(service) {
+            Some(coordinator) if coordinator.term < term => coordinator.relinquish(),
+            _ => Vec::new(),
+        }
+    }
+
+    fn get(&self, service: &str) -> Option<Rc<Coordinator>> {
+        self.0.borrow().get(service).cloned()
     }
 }
 
@@ -95,8 +103,7 @@
                 self.stop_leading(&service);
                 continue;
             }
-            let coordinator = self.led_services.0.borrow().get(&service).cloned();
-            if let Some(coordinator) = coordinator {
+            if let Some(coordinator) = self.led_services.get(&service) {
                 if coordinator.hand_over().await {
                     self.resign(&service).await;
                     self.stop_leading(&service);
@@ -116,12 +123,12 @@
         for service in &services {
             let leader = self.context.cluster.leader(service);
             let name = leader.as_ref().map_or("", |leader| leader.value.as_str());
+            let row_version = leader.as_ref().map_or(0, |leader| leader.row_version);
             if name == self.context.settings.node {
-                self.lead(service);
+                self.lead(service, row_version);
                 continue;
             }
             self.stop_leading(service);
-            let row_version = leader.as_ref().map_or(0, |leader| leader.row_version);
             if self.is_claim_due(service, name) {
                 self.claim(service, name, row_version).await;
             }
@@ -137,13 +144,23 @@
         }
     }
 
-    fn lead(&mut self, service: &str) {
-        if self.tasks.contains_key(service) {
-            return;
+    /// Starts running a service in a term, unless it already runs in that term.
+    fn lead(&mut self, service: &str, term: u64) {
+        match self.led_services.get(service) {
+            Some(coordinator) if coordinator.term == term => return,
+            // Another node led the service in between.
+            Some(_) => self.stop_leading(service),
+            None => {}
         }
         let inherited = self.inherited.remove(service).unwrap_or_default();
-        tracing::info!(service, inherited = inherited.len(), "leading_started");
-        let coordinator = Rc::new(Coordinator::new(service, self.context.clone(), inherited));
+        tracing::info!(
+            service,
+            term,
+            inherited = inherited.len(),
+            "leading_started"
+        );
+        let context = self.context.clone();
+        let coordinator = Rc::new(Coordinator::new(service, term, context, inherited));
         let retention = retention::run(self.context.clone(), service.to_owned());
         let run = coordinator.clone().run();
         let task = tokio::task::spawn_local(async move {
@@ -201,9 +218,9 @@
                 );
                 self.context.cluster.put_leader(service, version, node);
                 self.ineligible_since.remove(service);
-                let texts = self.request_texts(previous, service).await;
+                let texts = self.request_texts(previous, service, version).await;
                 self.inherited.insert(service.to_owned(), texts);
-                self.lead(service);
+                self.lead(service, version);
             }
             Ok(Outcome::Conflict { rows }) => {
                 tracing::info!(
@@ -226,14 +243,15 @@
     /// Asks the previous leader for its unfinished texts, which makes it stop its runs. A node
     /// without heartbeats is asked, too, because it may only be cut off from this one, but not
     /// waited for: it is probably dead, and items wait.
-    async fn request_texts(&self, previous: &str, service: &str) -> Vec<ItemText> {
+    async fn request_texts(&self, previous: &str, service: &str, term: u64) -> Vec<ItemText> {
         if self.context.peers.is_live(previous) {
-            return self.context.peers.fetch_texts(previous, service).await;
+            let peers = &self.context.peers;
+            return peers.fetch_texts(previous, service, term).await;
         }
         let (context, previous) = (self.context.clone(), previous.to_owned());
         let service = service.to_owned();
         tokio::task::spawn_local(async move {
-            let texts = context.peers.fetch_texts(&previous, &service).await;
+            let texts = context.peers.fetch_texts(&previous, &service, term).await;
             if !texts.is_empty() {
                 let count = texts.len();
                 tracing::info!(service, before = previous, count, "late_texts_dropped");
--- a/crates/edge/src/peers/requests.rs
+++ b/crates/edge/src/peers/requests.rs
@@ -40,8 +40,8 @@
 enum PeerRequest {
     /// Asks for the tables that are newer than the given versions.
     Copies { operator: u64, replicas: u64 },
-    /// Asks for the unfinished texts of a service that the sender now leads.
-    Texts { service: String },
+    /// Asks for the unfinished texts of a service that the sender now leads, in the given term.
+    Texts { service: String, term: u64 },
     /// Reads results of a batch for a node that can't reach the store.
     Results {
         batch: String,
@@ -94,7 +94,7 @@
 impl Peers {
     /// Fetches the unfinished texts of a service from its previous leader. On this request, that
     /// node stops running the service.
-    pub(crate) async fn fetch_texts(&self, node: &str, service: &str) -> Vec<ItemText> {
+    pub(crate) async fn fetch_texts(&self, node: &str, service: &str, term: u64) -> Vec<ItemText> {
         let peer = self
             .peers
             .borrow()
@@ -104,7 +104,7 @@
             return Vec::new();
         };
         let service = service.to_owned();
-        let message = PeerRequest::Texts { service };
+        let message = PeerRequest::Texts { service, term };
         let response: io::Result<Vec<ItemText>> = request(peer, &message, TEXTS_TIMEOUT).await;
         response.unwrap_or_else(|error| {
             tracing::info!(node, %error, "texts_not_received");
@@ -210,8 +210,8 @@
             };
             send(&mut stream, &copies).await
         }
-        PeerRequest::Texts { service } => {
-            let texts = led_services.relinquish(&service);
+        PeerRequest::Texts { service, term } => {
+            let texts = led_services.relinquish(&service, term);
             send(&mut stream, &texts).await
         }
         PeerRequest::Results {
