Resign only from the leadership that was handed over

Callers saw the items of a service stop and start again a moment after another node had taken it over from a stopping one.

Cause: a stopping node stores its unfinished texts, then clears the leader row. It took the version of the row at that time for the condition of the write. While it stores the texts, other nodes know that it is leaving, so one of them claims the service; the clearing then hit the claim of that node, which stopped its runs.

Evidence: `resignation_after_claim` stops a leader whose commits take 0.8 s. On the old code the leader row is emptied after the claim:

assertion `left == right` failed left: "" right: "edge-1"

Change: the condition is the term of the leadership that was handed over, so the write has no effect once another node leads. The log states whether the row was written rather than whether the store responded.

--- a/crates/edge/src/leader.rs
+++ b/crates/edge/src/leader.rs
@@ -105,7 +105,7 @@
             }
             if let Some(coordinator) = self.led_services.get(&service) {
                 if coordinator.hand_over().await {
-                    self.resign(&service).await;
+                    self.resign(&service, coordinator.term).await;
                     self.stop_leading(&service);
                 }
             }
@@ -260,16 +260,14 @@
         Vec::new()
     }
 
-    /// Clears the leader row, so that the next leader need not wait until heartbeats of this node
-    /// are missed.
-    async fn resign(&self, service: &str) {
-        let Some(leader) = self.context.cluster.leader(service) else {
-            return;
-        };
+    /// Clears the leader row of a term, so that the next leader need not wait until heartbeats of
+    /// this node are missed. If another node leads by now, nothing changes.
+    async fn resign(&self, service: &str, term: u64) {
         let key = storage::leader_key(service);
-        let txn = Txn::default().check(SHARED, &key, leader.row_version);
+        let txn = Txn::default().check(SHARED, &key, term);
         let txn = txn.put(SHARED, &key, Vec::new());
         let written = timeout(RESIGN_TIMEOUT, self.context.storage.commit(&txn)).await;
-        tracing::info!(service, is_written = written.is_ok(), "resigned");
+        let is_written = matches!(written, Ok(Ok(Outcome::Done { .. })));
+        tracing::info!(service, term, is_written, "resigned");
     }
 }
