Restart a service that its leader gave up while isolated

Callers saw no further result of any batch of a service after an outage in which its leader reached neither the store nor another node, until that node was restarted.

Cause: such a leader stops its runs, because another node may have taken over. If none has (all of them were down, or there is no other one), the leader row still names the node after the outage, and the election left the stopped coordinator in place.

Evidence: `leader_after_isolation` takes the store away from a single node for 4 s. On the old code the next batch has no results:

panicked at platform/tests/nodes/cluster.rs:94:9: timed out waiting for the results

Change: once the store can be reached, the election reads the leader row and, if it still has the term of the stopped coordinator, replaces the coordinator. The read decides, not the local copy, which may be old after an outage.

--- a/crates/edge/src/coordinator/handover.rs
+++ b/crates/edge/src/coordinator/handover.rs
@@ -24,8 +24,8 @@
 
 impl Coordinator {
     /// Stops all runs and returns the texts of the items without a written outcome. The coordinator
-    /// starts nothing afterwards, even if this node stays the leader, and further calls return no
-    /// texts.
+    /// starts nothing afterwards, and further calls return no texts. If this node stays the leader,
+    /// the election replaces the coordinator.
     pub(crate) fn relinquish(&self) -> Vec<ItemText> {
         let texts = self.texts(1);
         self.relinquished.set(true);
@@ -42,6 +42,10 @@
         texts
     }
 
+    pub(crate) fn is_relinquished(&self) -> bool {
+        self.relinquished.get()
+    }
+
     /// Stores the unfinished texts and stops all runs, so that the next leader can continue them.
     /// If the texts can't be stored within [`HANDOVER_TIMEOUT`], the runs continue, although a node
     /// that reaches the store may become leader meanwhile. Returns whether the texts were stored.
--- a/crates/edge/src/leader.rs
+++ b/crates/edge/src/leader.rs
@@ -126,6 +126,7 @@
             let row_version = leader.as_ref().map_or(0, |leader| leader.row_version);
             if name == self.context.settings.node {
                 self.lead(service, row_version);
+                self.restart_relinquished(service).await;
                 continue;
             }
             self.stop_leading(service);
@@ -171,6 +172,27 @@
         led_services.insert(service.to_owned(), coordinator);
     }
 
+    /// Starts running a service again that was relinquished although this node is still its leader:
+    /// while the node was isolated, no other one took over.
+    async fn restart_relinquished(&mut self, service: &str) {
+        let Some(coordinator) = self.led_services.get(service) else {
+            return;
+        };
+        let storage = &self.context.storage;
+        if !coordinator.is_relinquished() || !storage.is_reachable(clock::now()) {
+            return;
+        }
+        match storage.get(SHARED, &storage::leader_key(service)).await {
+            Ok(Some(row)) if row.version == coordinator.term => {
+                self.stop_leading(service);
+                self.lead(service, row.version);
+            }
+            // The change feed will name the new leader.
+            Ok(_) => {}
+            Err(error) => tracing::info!(service, %error, "leader_not_read"),
+        }
+    }
+
     fn stop_leading(&mut self, service: &str) {
         let Some(task) = self.tasks.remove(service) else {
             return;
