Make takeovers and checkpoints conditional on the term

Callers saw items of a batch start over that another node had already brought further, and the runs of a batch stop on the node that led it.

Cause: the write that takes a batch over was conditional on the header of the batch only, and checkpoints on nothing. A write of a former leader that takes effect late (the task goes on after the leadership, or the store applies a call without a reply seconds later) therefore replaced the longer text of its successor by an older one, or named the former leader as the owner of a batch that the current one was running.

Evidence, both tests on the old code:

late_checkpoint: the stored text shrank from 120 to 39 events late_takeover: assertion `left == right` failed left: "edge-1" right: "edge-0"

Change: both writes require that the leader row still has the term of their sender. Outcomes need no such check: they are conditional on the header, which the next leader rewrites when it takes the batch over. A take-over that fails its check is tried again after the usual pause, not at once.

--- a/crates/edge/src/batch_store.rs
+++ b/crates/edge/src/batch_store.rs
@@ -4,7 +4,7 @@
 use crate::cluster::{ClusterState, Versioned};
 use crate::storage::{self, Storage, BODIES, MAX_TXN_BYTES, MAX_TXN_ROWS, OUTCOMES, SHARED, TEXTS};
 use dogwoodlb_batch::{parts, BatchHeader, ItemText, Outcome, Record, Submission};
-use dogwoodlb_external::store::{KeyRange, Row, Txn};
+use dogwoodlb_external::store::{self, KeyRange, Row, Txn};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -23,6 +23,8 @@
     Unreachable(Duration),
     #[error("part {part} of batch {batch} is missing")]
     Missing { batch: String, part: u32 },
+    #[error("another node changed a row first")]
+    Conflict,
 }
 
 /// Access to the batches in the metadata store, through a cache.
@@ -142,9 +144,10 @@
         Ok(rows.iter().filter_map(decode).collect())
     }
 
-    /// Stores the texts of unfinished items. A text too large for one row is skipped.
-    pub(crate) async fn put_texts(&self, texts: &[ItemText]) -> Result<(), Error> {
-        let mut txn = Txn::default();
+    /// Stores the texts of unfinished items, if the checks of `fence` hold. A text too large for one
+    /// row is skipped.
+    pub(crate) async fn put_texts(&self, texts: &[ItemText], fence: &Txn) -> Result<(), Error> {
+        let mut txn = fence.clone();
         let mut bytes = 0;
         for text in texts {
             let value = text.to_vec()?;
@@ -152,7 +155,8 @@
                 continue;
             }
             if txn.puts.len() >= MAX_TXN_ROWS || bytes + value.len() > MAX_TXN_BYTES {
-                self.storage.commit(&std::mem::take(&mut txn)).await?;
+                self.commit(&txn).await?;
+                txn = fence.clone();
                 bytes = 0;
             }
             bytes += value.len();
@@ -163,8 +167,15 @@
             );
         }
         if !txn.puts.is_empty() {
-            self.storage.commit(&txn).await?;
+            self.commit(&txn).await?;
         }
         Ok(())
     }
+
+    async fn commit(&self, txn: &Txn) -> Result<(), Error> {
+        match self.storage.commit(txn).await? {
+            store::Outcome::Done { .. } => Ok(()),
+            store::Outcome::Conflict { .. } => Err(Error::Conflict),
+        }
+    }
 }
--- a/crates/edge/src/coordinator.rs
+++ b/crates/edge/src/coordinator.rs
@@ -6,8 +6,10 @@
 use crate::orders::WeightLoads;
 use crate::outcome_writer::OutcomeWriter;
 use crate::run::RunTasks;
+use crate::storage::{self, SHARED};
 use dogwoodlb_batch::{Action, BatchHeader, ItemText, Planner, Submission};
 use dogwoodlb_config::Route;
+use dogwoodlb_external::store::Txn;
 use dogwoodlb_types::Instant;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
@@ -115,6 +117,13 @@
         }
     }
 
+    /// Returns the start of a transaction that only takes effect while this leadership lasts. A
+    /// node may learn late that another one leads, and the store may apply a write late.
+    fn fence(&self) -> Txn {
+        let key = storage::leader_key(&self.service);
+        Txn::default().check(SHARED, &key, self.term)
+    }
+
     /// Runs batches until the task is aborted.
     pub(crate) async fn run(self: Rc<Self>) {
         let mut changes = self.context.cluster.changes();
--- a/crates/edge/src/coordinator/adoption.rs
+++ b/crates/edge/src/coordinator/adoption.rs
@@ -6,7 +6,7 @@
 use crate::outcome_writer::{OutcomeWriter, WriterEnd};
 use crate::storage::{self, SHARED};
 use dogwoodlb_batch::{BatchHeader, ItemText, NewBatch, Record, Submission};
-use dogwoodlb_external::store::{self, Txn};
+use dogwoodlb_external::store;
 use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::rc::Rc;
@@ -28,7 +28,7 @@
         if is_take_over {
             header.owner.clone_from(node);
             let key = storage::header_key(id);
-            let txn = Txn::default().check(SHARED, &key, row_version);
+            let txn = self.fence().check(SHARED, &key, row_version);
             let txn = txn.put(SHARED, &key, header.to_vec()?);
             match self.context.storage.commit(&txn).await? {
                 store::Outcome::Done { version, .. } => {
@@ -39,7 +39,7 @@
                 }
                 store::Outcome::Conflict { .. } => {
                     batch_store.read_header(id).await?;
-                    return Ok(());
+                    return Err(Error::Conflict);
                 }
             }
         }
--- a/crates/edge/src/coordinator/handover.rs
+++ b/crates/edge/src/coordinator/handover.rs
@@ -51,7 +51,9 @@
     /// that reaches the store may become leader meanwhile. Returns whether the texts were stored.
     pub(crate) async fn hand_over(&self) -> bool {
         let texts = self.texts(1);
-        let result = timeout(HANDOVER_TIMEOUT, self.context.batch_store.put_texts(&texts)).await;
+        let fence = self.fence();
+        let write = self.context.batch_store.put_texts(&texts, &fence);
+        let result = timeout(HANDOVER_TIMEOUT, write).await;
         let is_written = matches!(result, Ok(Ok(())));
         if is_written {
             self.relinquish();
@@ -103,7 +105,12 @@
         self.checkpointing.set(true);
         let this = self.clone();
         tokio::task::spawn_local(async move {
-            if let Err(error) = this.context.batch_store.put_texts(&texts).await {
+            if let Err(error) = this
+                .context
+                .batch_store
+                .put_texts(&texts, &this.fence())
+                .await
+            {
                 tracing::debug!(service = this.service, %error, "checkpoint_not_written");
             }
             this.checkpointing.set(false);
