Adopt a batch only if its header has not changed meanwhile

Callers saw requests for items of a batch reach replicas after the batch had ended, from a node that had just become the leader.

Cause: adopting a batch takes several reads from the store. The batch was then started with the header from before them, and the texts that were complete were scored at once, although the node knew by then that the batch had ended. The adoption was also a task of its own that went on after the leadership.

Evidence: `batch_ended_during_adoption`, on the old code:

assertion `left == right` failed: scoring calls of the ended batch left: 9 right: 4

Change: before it starts the batch, the adoption compares the header with the newest known one, and leaves a changed one to the next round. The coordinator owns the tasks of its adoptions and cancels them when it gives the service up.

--- a/crates/edge/src/coordinator.rs
+++ b/crates/edge/src/coordinator.rs
@@ -5,14 +5,14 @@
 use crate::context::NodeContext;
 use crate::orders::WeightLoads;
 use crate::outcome_writer::OutcomeWriter;
-use crate::run::RunTasks;
+use crate::run::{AbortOnDrop, RunTasks};
 use crate::storage::{self, SHARED};
 use dogwoodlb_batch::{Action, BatchHeader, ItemText, Planner, Submission};
 use dogwoodlb_config::Route;
 use dogwoodlb_external::store::Txn;
 use dogwoodlb_types::Instant;
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -67,8 +67,8 @@
     context: Rc<NodeContext>,
     planner: Rc<RefCell<Planner>>,
     batches: RefCell<BTreeMap<String, Rc<RunningBatch>>>,
-    /// The batches that are being adopted.
-    adopting: RefCell<BTreeSet<String>>,
+    /// The tasks that adopt batches, by batch.
+    adoptions: RefCell<BTreeMap<String, AbortOnDrop>>,
     run_tasks: RunTasks,
     loads: Rc<WeightLoads>,
     wake: Notify,
@@ -102,7 +102,7 @@
             context,
             planner: Rc::default(),
             batches: RefCell::default(),
-            adopting: RefCell::default(),
+            adoptions: RefCell::default(),
             run_tasks: RunTasks::default(),
             loads: Rc::default(),
             wake: Notify::new(),
@@ -232,20 +232,27 @@
             if is_running && (!header.is_open() || header.owner != self.context.settings.node) {
                 self.close(&id, &header);
             }
-            if !is_running && header.is_open() && self.adopting.borrow_mut().insert(id.clone()) {
-                let this = self.clone();
-                tokio::task::spawn_local(async move {
-                    if let Err(error) = this.adopt(&id, row_version, header).await {
-                        tracing::info!(batch = id, %error, "batch_not_adopted");
-                        sleep(ADOPTION_RETRY).await;
-                    }
-                    this.adopting.borrow_mut().remove(&id);
-                    this.wake.notify_one();
-                });
+            let is_adopting = self.adoptions.borrow().contains_key(&id);
+            if !is_running && !is_adopting && header.is_open() {
+                self.start_adoption(id, row_version, header);
             }
         }
     }
 
+    fn start_adoption(self: &Rc<Self>, id: String, row_version: u64, header: BatchHeader) {
+        let (this, batch) = (self.clone(), id.clone());
+        let task = tokio::task::spawn_local(async move {
+            if let Err(error) = this.adopt(&batch, row_version, header).await {
+                tracing::info!(batch, %error, "batch_not_adopted");
+                sleep(ADOPTION_RETRY).await;
+            }
+            this.adoptions.borrow_mut().remove(&batch);
+            this.wake.notify_one();
+        });
+        let task = AbortOnDrop(task.abort_handle());
+        self.adoptions.borrow_mut().insert(id, task);
+    }
+
     fn event_tokens(&self) -> u64 {
         let config = self.context.cluster.config();
         let service = config
--- a/crates/edge/src/coordinator/adoption.rs
+++ b/crates/edge/src/coordinator/adoption.rs
@@ -51,7 +51,10 @@
         let finished = outcomes.iter().map(|outcome| outcome.index).collect();
         let inherited = self.inherited.iter().filter(|text| text.batch == id);
         texts.extend(inherited.cloned());
-        if !self.relinquished.get() {
+        // While the batch was read, it may have ended or got another owner. If it is still open, the
+        // next round adopts it with its new header.
+        let current = self.context.cluster.batch_header(id);
+        if current.is_some_and(|current| current.row_version == row_version) {
             self.start_batch(id, row_version, header, submission, finished, &texts);
         }
         Ok(())
--- a/crates/edge/src/coordinator/handover.rs
+++ b/crates/edge/src/coordinator/handover.rs
@@ -29,6 +29,7 @@
     pub(crate) fn relinquish(&self) -> Vec<ItemText> {
         let texts = self.texts(1);
         self.relinquished.set(true);
+        self.adoptions.borrow_mut().clear();
         self.run_tasks.borrow_mut().clear();
         let batches = std::mem::take(&mut *self.batches.borrow_mut());
         for running in batches.values() {
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -244,7 +244,7 @@
     }
 }
 
-/// Aborts the task of a run when dropped.
+/// Aborts a task when dropped.
 pub(crate) struct AbortOnDrop(pub(crate) tokio::task::AbortHandle);
 
 impl Drop for AbortOnDrop {
