Cancel weight loads with the leadership that ordered them

Callers waited longer for new weights after a change of leader.

Cause: a load is a task of its own that goes on after the leadership has ended, for up to 6 s. Its claim to order the replica was conditional on the claim row only, so that a former leader could still write it, and the current one then had to wait until it had expired. (Two holders can't order one replica within the lease; the claims prevent that.)

Evidence: `late_claim`, on the old code, finds the claim of the killed leader after the next one has taken over:

assertion `left != right` failed left: "edge-0" right: "edge-0"

Change: the coordinator owns its loads and cancels them when it gives the service up, and a claim requires the term of its leadership. The name of the transaction that carries this check is no longer that of the fencing token of an order.

--- a/crates/edge/src/batch_store.rs
+++ b/crates/edge/src/batch_store.rs
@@ -144,10 +144,10 @@
         Ok(rows.iter().filter_map(decode).collect())
     }
 
-    /// Stores the texts of unfinished items, if the checks of `fence` hold. A text too large for one
-    /// row is skipped.
-    pub(crate) async fn put_texts(&self, texts: &[ItemText], fence: &Txn) -> Result<(), Error> {
-        let mut txn = fence.clone();
+    /// Stores the texts of unfinished items, if the checks of `new_txn` hold. A text too large for
+    /// one row is skipped.
+    pub(crate) async fn put_texts(&self, texts: &[ItemText], new_txn: &Txn) -> Result<(), Error> {
+        let mut txn = new_txn.clone();
         let mut bytes = 0;
         for text in texts {
             let value = text.to_vec()?;
@@ -156,7 +156,7 @@
             }
             if txn.puts.len() >= MAX_TXN_ROWS || bytes + value.len() > MAX_TXN_BYTES {
                 self.commit(&txn).await?;
-                txn = fence.clone();
+                txn = new_txn.clone();
                 bytes = 0;
             }
             bytes += value.len();
--- a/crates/edge/src/coordinator.rs
+++ b/crates/edge/src/coordinator.rs
@@ -101,7 +101,7 @@
 
     /// Returns the start of a transaction that only takes effect while this leadership lasts. A
     /// node may learn late that another one leads, and the store may apply a write late.
-    fn fence(&self) -> Txn {
+    fn new_txn(&self) -> Txn {
         let key = storage::leader_key(&self.service);
         Txn::default().check(SHARED, &key, self.term)
     }
--- a/crates/edge/src/coordinator/adoption.rs
+++ b/crates/edge/src/coordinator/adoption.rs
@@ -29,7 +29,7 @@
         if is_take_over {
             header.owner.clone_from(node);
             let key = storage::header_key(id);
-            let txn = self.fence().check(SHARED, &key, row_version);
+            let txn = self.new_txn().check(SHARED, &key, row_version);
             let txn = txn.put(SHARED, &key, header.to_vec()?);
             match self.context.storage.commit(&txn).await? {
                 store::Outcome::Done { version, .. } => {
--- a/crates/edge/src/coordinator/handover.rs
+++ b/crates/edge/src/coordinator/handover.rs
@@ -30,6 +30,7 @@
         let texts = self.texts(1);
         self.relinquished.set(true);
         self.adoptions.borrow_mut().clear();
+        self.loads.cancel();
         self.run_tasks.borrow_mut().clear();
         self.batches.borrow_mut().clear();
         tracing::info!(
@@ -49,8 +50,8 @@
     /// that reaches the store may become leader meanwhile. Returns whether the texts were stored.
     pub(crate) async fn hand_over(&self) -> bool {
         let texts = self.texts(1);
-        let fence = self.fence();
-        let write = self.context.batch_store.put_texts(&texts, &fence);
+        let txn = self.new_txn();
+        let write = self.context.batch_store.put_texts(&texts, &txn);
         let result = timeout(HANDOVER_TIMEOUT, write).await;
         let is_written = matches!(result, Ok(Ok(())));
         if is_written {
@@ -106,7 +107,7 @@
             if let Err(error) = this
                 .context
                 .batch_store
-                .put_texts(&texts, &this.fence())
+                .put_texts(&texts, &this.new_txn())
                 .await
             {
                 tracing::debug!(service = this.service, %error, "checkpoint_not_written");
--- a/crates/edge/src/coordinator/replica_scan.rs
+++ b/crates/edge/src/coordinator/replica_scan.rs
@@ -48,6 +48,7 @@
             &self.service,
             engine,
             single_version,
+            &self.new_txn(),
         );
         self.sync_replicas(engine);
         self.replica_scan.set(ReplicaScan {
--- a/crates/edge/src/orders.rs
+++ b/crates/edge/src/orders.rs
@@ -5,10 +5,12 @@
 use dogwoodlb_batch::Planner;
 use dogwoodlb_config::Engine;
 use dogwoodlb_directory::Entry;
+use dogwoodlb_external::store::Txn;
 use dogwoodlb_types::Instant;
 use dogwoodlb_weights::{ModelDemand, Replica, Scheduler};
 use std::cell::{Ref, RefCell};
 use std::rc::Rc;
+use tokio::task::JoinSet;
 
 mod load;
 
@@ -16,25 +18,35 @@
 
 /// The weight versions on the replicas of a service, and the loads in progress.
 #[derive(Default)]
-pub(crate) struct WeightLoads(RefCell<Scheduler>);
+pub(crate) struct WeightLoads {
+    scheduler: RefCell<Scheduler>,
+    tasks: RefCell<JoinSet<()>>,
+}
 
 impl WeightLoads {
     /// Returns the scheduler, which holds the known weight versions.
     pub(crate) fn scheduler(&self) -> Ref<'_, Scheduler> {
-        self.0.borrow()
+        self.scheduler.borrow()
     }
 
     /// Records the weight version that a response stated.
     pub(crate) fn observe_version(&self, replica: &str, model: &str, version: u64) {
-        self.0.borrow_mut().on_version(replica, model, version);
+        self.scheduler
+            .borrow_mut()
+            .on_version(replica, model, version);
     }
 
     /// Records the end of a load: the loaded version, or the earliest time of the next attempt.
     fn finish(&self, replica: &str, model: &str, end: Result<u64, Instant>) {
-        self.0.borrow_mut().on_load_end(replica, model, end);
+        self.scheduler.borrow_mut().on_load_end(replica, model, end);
+    }
+
+    /// Cancels the loads in progress.
+    pub(crate) fn cancel(&self) {
+        self.tasks.borrow_mut().abort_all();
     }
 
-    /// Starts the loads that are due.
+    /// Starts the loads that are due. Their claims depend on the checks of `new_txn`.
     pub(crate) fn start_due(
         self: &Rc<Self>,
         context: &Rc<NodeContext>,
@@ -42,6 +54,7 @@
         service: &str,
         engine: &Engine,
         single_version: bool,
+        new_txn: &Txn,
     ) {
         let directory = context.cluster.directory();
         let planner = planner.borrow();
@@ -64,8 +77,10 @@
             }
         };
         let demands: Vec<ModelDemand> = models.iter().map(demand).collect();
-        let mut scheduler = self.0.borrow_mut();
+        let mut scheduler = self.scheduler.borrow_mut();
         scheduler.set_models(models);
+        let mut tasks = self.tasks.borrow_mut();
+        while tasks.try_join_next().is_some() {}
         for due in scheduler.next_loads(&replicas, &demands, clock::now()) {
             let model = &models[due.model];
             let Some(entry) = directory.get(&due.replica) else {
@@ -80,8 +95,9 @@
                 model: model.clone(),
                 version: due.version,
                 finish_runs: single_version,
+                new_txn: new_txn.clone(),
             };
-            tokio::task::spawn_local(load.run());
+            tasks.spawn_local(load.run());
         }
     }
 }
--- a/crates/edge/src/orders/load.rs
+++ b/crates/edge/src/orders/load.rs
@@ -66,6 +66,8 @@
     pub(super) model: String,
     pub(super) version: u64,
     pub(super) finish_runs: bool,
+    /// The start of a transaction that only takes effect while this node leads the service.
+    pub(super) new_txn: Txn,
 }
 
 impl Load {
@@ -220,7 +222,7 @@
             at_ms: storage.latest_time_ms().ok_or(Error::NoClock)?,
         };
         let version = row.map_or(0, |row| row.version);
-        let txn = Txn::default().check(SHARED, &key, version);
+        let txn = self.new_txn.clone().check(SHARED, &key, version);
         let txn = txn.put(SHARED, &key, claim.to_vec()?);
         match storage.commit(&txn).await? {
             Outcome::Done { version, .. } => Ok((version, sent)),
