Close a batch whose header was deleted

Callers saw the store refuse calls (429) while a leader wrote to it without pause.

Cause: if the header of a batch is gone, a write of its outcomes fails its check, and the response has no header to compare with. The writer took that for an unchanged header and repeated the write at once, for as long as the process ran. The coordinator closed only batches whose header it knows, so a batch deleted before the leader had seen its end also stayed among the running ones.

Change: a writer without a header ends as lost, and the coordinator closes running batches without a header. It also copies only the headers of the batches to adopt in each round, no longer those of all ended ones.

--- a/crates/edge/src/coordinator.rs
+++ b/crates/edge/src/coordinator.rs
@@ -7,7 +7,7 @@
 use crate::outcome_writer::OutcomeWriter;
 use crate::run::{AbortOnDrop, RunTasks};
 use crate::storage::{self, SHARED};
-use dogwoodlb_batch::{Action, BatchHeader, ItemText, Planner, Submission};
+use dogwoodlb_batch::{Action, BatchHeader, ItemText, Ownership, Planner, Submission};
 use dogwoodlb_config::Route;
 use dogwoodlb_external::store::Txn;
 use dogwoodlb_types::Instant;
@@ -193,32 +193,36 @@
         config.route(&submission.host, &submission.path).cloned()
     }
 
-    /// Closes the batches that have ended or that another node owns, and adopts the open batches of
-    /// the service that are not running here.
+    /// Closes the batches that have ended, that another node owns or that were deleted, and adopts
+    /// the open batches of the service that are not running here.
     fn sync_batches(self: &Rc<Self>) {
-        let headers: Vec<(String, Versioned<BatchHeader>)> = {
-            let headers = self.context.cluster.batch_headers.borrow();
-            let of_service = headers
-                .iter()
-                .filter(|(_, header)| header.value.service == self.service);
-            of_service
-                .map(|(id, header)| (id.clone(), header.clone()))
-                .collect()
-        };
-        for (id, versioned) in headers {
-            let Versioned {
-                row_version,
-                value: header,
-            } = versioned;
-            let is_running = self.batches.borrow().contains_key(&id);
-            if is_running && (!header.is_open() || header.owner != self.context.settings.node) {
-                self.close(&id, &header);
-            }
-            let is_adopting = self.adoptions.borrow().contains_key(&id);
-            if !is_running && !is_adopting && header.is_open() {
-                self.start_adoption(id, row_version, header);
+        let cluster = &self.context.cluster;
+        let running: Vec<String> = self.batches.borrow().keys().cloned().collect();
+        for id in running {
+            let header = cluster.batch_header(&id).map(|header| header.value);
+            let is_held = header.as_ref().is_some_and(|header| {
+                header.ownership(&self.context.settings.node) == Ownership::Held
+            });
+            if !is_held {
+                self.close(&id, header.as_ref());
             }
         }
+        for (id, header) in self.new_batches() {
+            self.start_adoption(id, header.row_version, header.value);
+        }
+    }
+
+    /// Returns the open batches of the service that are neither running nor being adopted.
+    fn new_batches(&self) -> Vec<(String, Versioned<BatchHeader>)> {
+        let headers = self.context.cluster.batch_headers.borrow();
+        let (batches, adoptions) = (self.batches.borrow(), self.adoptions.borrow());
+        let is_new = |(id, header): &(&String, &Versioned<BatchHeader>)| {
+            let is_open = header.value.service == self.service && header.value.is_open();
+            is_open && !batches.contains_key(*id) && !adoptions.contains_key(*id)
+        };
+        let new = headers.iter().filter(is_new);
+        new.map(|(id, header)| (id.clone(), header.clone()))
+            .collect()
     }
 
     fn start_adoption(self: &Rc<Self>, id: String, row_version: u64, header: BatchHeader) {
@@ -258,9 +262,10 @@
         }
     }
 
-    /// Stops running a batch that has ended or is owned by another node.
-    fn close(&self, id: &str, header: &BatchHeader) {
-        let is_own = header.owner == self.context.settings.node;
+    /// Stops running a batch that has ended, is owned by another node or was deleted, in which case
+    /// it has no header.
+    fn close(&self, id: &str, header: Option<&BatchHeader>) {
+        let is_own = header.is_some_and(|header| header.owner == self.context.settings.node);
         if is_own {
             self.planner.borrow_mut().end_batch(id, clock::now());
         } else {
@@ -272,8 +277,8 @@
         self.batches.borrow_mut().remove(id);
         tracing::info!(
             batch = id,
-            listed = header.result_count,
-            ended = header.ended,
+            listed = header.map(|header| header.result_count),
+            ended = header.map(|header| header.ended),
             is_own,
             "batch_closed"
         );
--- a/crates/edge/src/outcome_writer.rs
+++ b/crates/edge/src/outcome_writer.rs
@@ -29,8 +29,8 @@
 pub(crate) enum WriterEnd {
     /// Every item has an outcome, or the trainer ended the batch.
     Done,
-    /// Another writer wrote the header, another node owns the batch, or outcomes could not be
-    /// encoded.
+    /// Another writer wrote the header, another node owns the batch, the batch was deleted, or
+    /// outcomes could not be encoded.
     Lost,
 }
 
@@ -163,7 +163,11 @@
                 Ok(store::Outcome::Done { version, .. }) => {
                     *self.header.borrow_mut() = (version, wanted.clone());
                 }
-                Ok(store::Outcome::Conflict { rows }) => self.apply_header_rows(context, &rows),
+                Ok(store::Outcome::Conflict { rows }) => {
+                    if !self.apply_header_rows(context, &rows) {
+                        return Some(WriterEnd::Lost);
+                    }
+                }
                 Err(error) => {
                     tracing::info!(batch = self.batch, %error, count, "outcomes_not_written");
                     sleep(RETRY_INTERVAL).await;
@@ -195,16 +199,23 @@
         Ok(txn)
     }
 
-    fn apply_header_rows(&self, context: &WriterContext, rows: &[Row]) {
-        for row in rows {
-            match BatchHeader::from_slice(&row.value) {
-                Ok(header) => {
-                    context
-                        .cluster
-                        .put_batch_header(&self.batch, row.version, header.clone());
-                    *self.header.borrow_mut() = (row.version, header);
-                }
-                Err(error) => tracing::error!(batch = self.batch, %error, "row_not_decoded"),
+    /// Applies the current header. Returns whether there is one that can be read.
+    fn apply_header_rows(&self, context: &WriterContext, rows: &[Row]) -> bool {
+        let key = storage::header_key(&self.batch);
+        let Some(row) = rows.iter().find(|row| row.key == key && !row.removed) else {
+            return false;
+        };
+        match BatchHeader::from_slice(&row.value) {
+            Ok(header) => {
+                context
+                    .cluster
+                    .put_batch_header(&self.batch, row.version, header.clone());
+                *self.header.borrow_mut() = (row.version, header);
+                true
+            }
+            Err(error) => {
+                tracing::error!(batch = self.batch, %error, "row_not_decoded");
+                false
             }
         }
     }
