Close idle connections after a call timed out

Callers saw nodes act on an old state for seconds, such as start items of a batch that had ended, after all open connections had gone silent without a reset.

Cause: a call that timed out closed its own connection only. The next call took the next idle one, just as silent, and waited for its time-out again: a watch takes up to 1.5 s each, and an idle connection is used for up to 3.6 s. A run of an item closed them already, a call did not.

Evidence: `silent_connections`, on the old code, after a first call had timed out:

Err(Inner { category: Ambiguous, target: "store", cause: Timeout(300ms) })

Change: `Client::call` closes the idle connections to a server after a time-out. The next call opens a new one.

--- a/crates/client/src/client.rs
+++ b/crates/client/src/client.rs
@@ -126,7 +126,8 @@
         self.send_request(address, request.map(Either::Right)).await
     }
 
-    /// Sends a request and reads the complete response.
+    /// Sends a request and reads the complete response. After a time-out, the idle connections to
+    /// the server are closed, because one that is silent is seldom the only one.
     ///
     /// # Errors
     ///
@@ -144,10 +145,13 @@
             Ok(hyper::Response::from_parts(response.head, body))
         };
         let outcome = timeout(time_limit, exchange).await;
-        outcome.unwrap_or(Err(Error::Timeout {
-            address,
-            time_limit,
-        }))
+        outcome.unwrap_or_else(|_| {
+            self.close_idle(address);
+            Err(Error::Timeout {
+                address,
+                time_limit,
+            })
+        })
     }
 
     /// Closes the idle connections to a server, for instance after a request to it timed out.
