--- a/crates/edge/src/coordinator.rs
+++ b/crates/edge/src/coordinator.rs
@@ -5,12 +5,14 @@
 use crate::context::NodeContext;
 use crate::orders::WeightLoads;
 use crate::outcome_writer::OutcomeWriter;
-use crate::run::RunTasks;
-use dogwoodlb_batch::{Action, BatchHeader, ItemText, Planner, Submission};
+use crate::run::{AbortOnDrop, RunTasks};
+use crate::storage::{self, SHARED};
+use dogwoodlb_batch::{Action, BatchHeader, ItemText, Ownership, Planner, Submission};
 use dogwoodlb_config::Route;
+use dogwoodlb_external::store::Txn;
 use dogwoodlb_types::Instant;
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -42,11 +44,13 @@
 /// Runs the batches of one service.
 pub(crate) struct Coordinator {
     service: String,
+    /// The version of the leader row under which this node runs the service.
+    pub(crate) term: u64,
     context: Rc<NodeContext>,
     planner: Rc<RefCell<Planner>>,
     batches: RefCell<BTreeMap<String, RunningBatch>>,
-    /// The batches that are being adopted.
-    adopting: RefCell<BTreeSet<String>>,
+    /// The tasks that adopt batches, by batch.
+    adoptions: RefCell<BTreeMap<String, AbortOnDrop>>,
     run_tasks: RunTasks,
     loads: Rc<WeightLoads>,
     wake: Notify,
@@ -68,13 +72,19 @@
 }
 
 impl Coordinator {
-    pub(crate) fn new(service: &str, context: Rc<NodeContext>, inherited: Vec<ItemText>) -> Self {
+    pub(crate) fn new(
+        service: &str,
+        term: u64,
+        context: Rc<NodeContext>,
+        inherited: Vec<ItemText>,
+    ) -> Self {
         Self {
             service: service.to_owned(),
+            term,
             context,
             planner: Rc::default(),
             batches: RefCell::default(),
-            adopting: RefCell::default(),
+            adoptions: RefCell::default(),
             run_tasks: RunTasks::default(),
             loads: Rc::default(),
             wake: Notify::new(),
@@ -89,6 +99,13 @@
         }
     }
 
+    /// Returns the start of a transaction that only takes effect while this leadership lasts. A
+    /// node may learn late that another one leads, and the store may apply a write late.
+    fn new_txn(&self) -> Txn {
+        let key = storage::leader_key(&self.service);
+        Txn::default().check(SHARED, &key, self.term)
+    }
+
     /// Runs batches until the task is aborted.
     pub(crate) async fn run(self: Rc<Self>) {
         let mut changes = self.context.cluster.changes();
@@ -176,39 +193,50 @@
         config.route(&submission.host, &submission.path).cloned()
     }
 
-    /// Closes the batches that have ended or that another node owns, and adopts the open batches of
-    /// the service that are not running here.
+    /// Closes the batches that have ended, that another node owns or that were deleted, and adopts
+    /// the open batches of the service that are not running here.
     fn sync_batches(self: &Rc<Self>) {
-        let headers: Vec<(String, Versioned<BatchHeader>)> = {
-            let headers = self.context.cluster.batch_headers.borrow();
-            let of_service = headers
-                .iter()
-                .filter(|(_, header)| header.value.service == self.service);
-            of_service
-                .map(|(id, header)| (id.clone(), header.clone()))
-                .collect()
-        };
-        for (id, versioned) in headers {
-            let Versioned {
-                row_version,
-                value: header,
-            } = versioned;
-            let is_running = self.batches.borrow().contains_key(&id);
-            if is_running && (!header.is_open() || header.owner != self.context.settings.node) {
-                self.close(&id, &header);
-            }
-            if !is_running && header.is_open() && self.adopting.borrow_mut().insert(id.clone()) {
-                let this = self.clone();
-                tokio::task::spawn_local(async move {
-                    if let Err(error) = this.adopt(&id, row_version, header).await {
-                        tracing::info!(batch = id, %error, "batch_not_adopted");
-                        sleep(ADOPTION_RETRY).await;
-                    }
-                    this.adopting.borrow_mut().remove(&id);
-                    this.wake.notify_one();
-                });
+        let cluster = &self.context.cluster;
+        let running: Vec<String> = self.batches.borrow().keys().cloned().collect();
+        for id in running {
+            let header = cluster.batch_header(&id).map(|header| header.value);
+            let is_held = header.as_ref().is_some_and(|header| {
+                header.ownership(&self.context.settings.node) == Ownership::Held
+            });
+            if !is_held {
+                self.close(&id, header.as_ref());
             }
         }
+        for (id, header) in self.new_batches() {
+            self.start_adoption(id, header.row_version, header.value);
+        }
+    }
+
+    /// Returns the open batches of the service that are neither running nor being adopted.
+    fn new_batches(&self) -> Vec<(String, Versioned<BatchHeader>)> {
+        let headers = self.context.cluster.batch_headers.borrow();
+        let (batches, adoptions) = (self.batches.borrow(), self.adoptions.borrow());
+        let is_new = |(id, header): &(&String, &Versioned<BatchHeader>)| {
+            let is_open = header.value.service == self.service && header.value.is_open();
+            is_open && !batches.contains_key(*id) && !adoptions.contains_key(*id)
+        };
+        let new = headers.iter().filter(is_new);
+        new.map(|(id, header)| (id.clone(), header.clone()))
+            .collect()
+    }
+
+    fn start_adoption(self: &Rc<Self>, id: String, row_version: u64, header: BatchHeader) {
+        let (this, batch) = (self.clone(), id.clone());
+        let task = tokio::task::spawn_local(async move {
+            if let Err(error) = this.adopt(&batch, row_version, header).await {
+                tracing::info!(batch, %error, "batch_not_adopted");
+                sleep(ADOPTION_RETRY).await;
+            }
+            this.adoptions.borrow_mut().remove(&batch);
+            this.wake.notify_one();
+        });
+        let task = AbortOnDrop(task.abort_handle());
+        self.adoptions.borrow_mut().insert(id, task);
     }
 
     fn event_tokens(&self) -> u64 {
@@ -234,9 +262,10 @@
         }
     }
 
-    /// Stops running a batch that has ended or is owned by another node.
-    fn close(&self, id: &str, header: &BatchHeader) {
-        let is_own = header.owner == self.context.settings.node;
+    /// Stops running a batch that has ended, is owned by another node or was deleted, in which case
+    /// it has no header.
+    fn close(&self, id: &str, header: Option<&BatchHeader>) {
+        let is_own = header.is_some_and(|header| header.owner == self.context.settings.node);
         if is_own {
             self.planner.borrow_mut().end_batch(id, clock::now());
         } else {
@@ -248,8 +277,8 @@
         self.batches.borrow_mut().remove(id);
         tracing::info!(
             batch = id,
-            listed = header.result_count,
-            ended = header.ended,
+            listed = header.map(|header| header.result_count),
+            ended = header.map(|header| header.ended),
             is_own,
             "batch_closed"
         );
--- a/crates/edge/src/coordinator/handover.rs
+++ b/crates/edge/src/coordinator/handover.rs
@@ -24,11 +24,13 @@
 
 impl Coordinator {
     /// Stops all runs and returns the texts of the items without a written outcome. The coordinator
-    /// starts nothing afterwards, even if this node stays the leader, and further calls return no
-    /// texts.
+    /// starts nothing afterwards, and further calls return no texts. If this node stays the leader,
+    /// the election replaces the coordinator.
     pub(crate) fn relinquish(&self) -> Vec<ItemText> {
         let texts = self.texts(1);
         self.relinquished.set(true);
+        self.adoptions.borrow_mut().clear();
+        self.loads.cancel();
         self.run_tasks.borrow_mut().clear();
         self.batches.borrow_mut().clear();
         tracing::info!(
@@ -39,12 +41,18 @@
         texts
     }
 
+    pub(crate) fn is_relinquished(&self) -> bool {
+        self.relinquished.get()
+    }
+
     /// Stores the unfinished texts and stops all runs, so that the next leader can continue them.
     /// If the texts can't be stored within [`HANDOVER_TIMEOUT`], the runs continue, although a node
     /// that reaches the store may become leader meanwhile. Returns whether the texts were stored.
     pub(crate) async fn hand_over(&self) -> bool {
         let texts = self.texts(1);
-        let result = timeout(HANDOVER_TIMEOUT, self.context.batch_store.put_texts(&texts)).await;
+        let txn = self.new_txn();
+        let write = self.context.batch_store.put_texts(&texts, &txn);
+        let result = timeout(HANDOVER_TIMEOUT, write).await;
         let is_written = matches!(result, Ok(Ok(())));
         if is_written {
             self.relinquish();
@@ -96,7 +104,12 @@
         self.checkpointing.set(true);
         let this = self.clone();
         tokio::task::spawn_local(async move {
-            if let Err(error) = this.context.batch_store.put_texts(&texts).await {
+            if let Err(error) = this
+                .context
+                .batch_store
+                .put_texts(&texts, &this.new_txn())
+                .await
+            {
                 tracing::debug!(service = this.service, %error, "checkpoint_not_written");
             }
             this.checkpointing.set(false);
