Reject responses with an unknown transfer coding

What callers would see: a 200 whose body is not the replica's, framed as whole: `Transfer-Encoding: gzip, chunked` passed on compressed bytes without the header, and a misspelt `chunke` made the body end with the connection, chunk sizes included. Cause: hyper decodes the last coding only, and reads a body with another one up to the end of the connection; the header is hop by hop and is removed before the response goes on. Evidence: six cases of truncated_responses::malformed_response fail before: "transfer-encoding: gzip transfer-encoding: chunked ... taken for a whole response: Ok(Response { status: 200 ... body: b\"\" })". Change: the client accepts one coding, `chunked`, or none; anything else is the new error Malformed, after which a request may have run, and its connection is closed. A store call that ends so is ambiguous. Conclusion: the client announces no coding, so that no sound server sends another one.

--- a/crates/client/src/client.rs
+++ b/crates/client/src/client.rs
@@ -106,8 +106,8 @@
     /// # Errors
     ///
     /// [`Error::Connect`] or [`Error::Unsent`] if the server can't have seen the request,
-    /// [`Error::Incomplete`] otherwise. There is no time-out; dropping the future closes the
-    /// connection.
+    /// [`Error::Incomplete`] or [`Error::Malformed`] otherwise. There is no time-out; dropping the
+    /// future closes the connection.
     pub async fn send(&self, address: SocketAddr, request: Request<Bytes>) -> Result<Response> {
         let request = request.map(|body| Either::Left(Full::new(body)));
         self.send_request(address, request).await
@@ -170,7 +170,7 @@
             let mut error = match sender.try_send_request(request).await {
                 Ok(response) => {
                     let pool = self.pool.clone();
-                    return Ok(Response::new(response, sender, address, pool));
+                    return Response::new(response, sender, address, pool);
                 }
                 Err(error) => error,
             };
--- a/crates/client/src/error.rs
+++ b/crates/client/src/error.rs
@@ -29,6 +29,15 @@
         /// The error of the HTTP library.
         cause: hyper::Error,
     },
+    /// The end of the response is uncertain, or the response can't be one to the request. The server
+    /// may have seen the request.
+    #[error("malformed response from {address}: {reason}")]
+    Malformed {
+        /// The address of the server.
+        address: SocketAddr,
+        /// The reason why the response can't be used.
+        reason: &'static str,
+    },
     /// The response body exceeds the limit.
     #[error("response larger than {limit} bytes")]
     TooLarge {
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod client;
 mod error;
+mod framing;
 mod progress;
 mod response;
 
--- a/crates/client/src/response.rs
+++ b/crates/client/src/response.rs
@@ -1,5 +1,5 @@
 use crate::client::{Pool, Sender};
-use crate::{Error, ProgressMonitor, Result};
+use crate::{framing, Error, ProgressMonitor, Result};
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
@@ -35,13 +35,15 @@
 }
 
 impl Response {
+    /// Wraps a response, or closes its connection if the end of the response is uncertain.
     pub(crate) fn new(
         response: hyper::Response<Incoming>,
         sender: Sender,
         address: SocketAddr,
         pool: Rc<Pool>,
-    ) -> Self {
+    ) -> Result<Self> {
         let (head, incoming) = response.into_parts();
+        framing::check(&head.headers).map_err(|reason| Error::Malformed { address, reason })?;
         let keep_alive = head.headers.get("keep-alive").and_then(keep_alive_timeout);
         let idle_timeout = keep_alive.unwrap_or(pool.settings.idle_timeout);
         let body = Body {
@@ -50,7 +52,7 @@
             reusable: Some((sender, idle_timeout)),
             pool,
         };
-        Self { head, body }
+        Ok(Self { head, body })
     }
 }
 
--- a/crates/client/tests/truncated_responses.rs
+++ b/crates/client/tests/truncated_responses.rs
@@ -246,6 +246,14 @@
 #[case::long_body("HTTP/1.1 200 OK\r\ncontent-length: 11\r\n\r\nwhole body")]
 #[case::old_chunked("HTTP/1.0 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n")]
 #[case::chunk_size("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nx\r\n\r\n")]
+#[case::unknown_coding("HTTP/1.1 200 OK\r\ntransfer-encoding: gzip\r\n\r\nwhole body")]
+#[case::misspelt_coding("HTTP/1.1 200 OK\r\ntransfer-encoding: chunke\r\n\r\nwhole body")]
+#[case::coding_before("HTTP/1.1 200 OK\r\ntransfer-encoding: gzip, chunked\r\n\r\n0\r\n\r\n")]
+#[case::coding_after("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked, gzip\r\n\r\n0\r\n\r\n")]
+#[case::chunked_twice("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked, chunked\r\n\r\n0\r\n\r\n")]
+#[case::two_codings(
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: gzip\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n"
+)]
 fn malformed_response(#[case] response: &str) {
     check_incomplete(
         &outcome_of(Script::new(response, End::Close), &Method::GET),
