Reject a change of protocols that nobody requested

Cause: hyper returns a 101 as a final response without a body. The client never requests an upgrade (the header is hop by hop), so that a 101 is no answer to its request, and what follows it is no HTTP. Evidence: two cases of truncated_responses::malformed_response fail before: "HTTP/1.1 101 Switching Protocols ... taken for a whole response: Ok(Response { status: 101 ... body: b\"\" })". Change: the client returns Malformed for it and closes the connection.

--- a/crates/client/src/response.rs
+++ b/crates/client/src/response.rs
@@ -43,7 +43,7 @@
         pool: Rc<Pool>,
     ) -> Result<Self> {
         let (head, incoming) = response.into_parts();
-        framing::check(&head.headers).map_err(|reason| Error::Malformed { address, reason })?;
+        framing::check(&head).map_err(|reason| Error::Malformed { address, reason })?;
         let keep_alive = head.headers.get("keep-alive").and_then(keep_alive_timeout);
         let idle_timeout = keep_alive.unwrap_or(pool.settings.idle_timeout);
         let body = Body {
--- a/crates/client/tests/truncated_responses.rs
+++ b/crates/client/tests/truncated_responses.rs
@@ -254,6 +254,10 @@
 #[case::two_codings(
     "HTTP/1.1 200 OK\r\ntransfer-encoding: gzip\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n"
 )]
+#[case::switched_protocols("HTTP/1.1 101 Switching Protocols\r\n\r\nwhole body")]
+#[case::requested_upgrade(
+    "HTTP/1.1 101 Switching Protocols\r\nconnection: upgrade\r\nupgrade: x\r\n\r\nwhole body"
+)]
 fn malformed_response(#[case] response: &str) {
     check_incomplete(
         &outcome_of(Script::new(response, End::Close), &Method::GET),
