State the length of a response in one number

What callers saw: `content-length: 10, 10`, as the replica had sent it; a caller may reject it or take another body for the response. Cause: hyper accepts equal lengths, and the response goes on with the replica's header. Change: the client leaves one number, or none if a response without a body (HEAD, 304) has a length that is no number.

--- a/crates/client/src/framing.rs
+++ b/crates/client/src/framing.rs
@@ -1,21 +1,22 @@
 //! Checks of the headers that tell where the body of a response ends.
 
-use hyper::header::{HeaderMap, TRANSFER_ENCODING};
+use hyper::header::{HeaderMap, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
 use hyper::StatusCode;
 
 /// The only transfer coding that the client decodes. It announces no other one to servers.
 const CHUNKED: &[u8] = b"chunked";
 
-/// Checks that the end of the body is certain.
+/// Checks that the end of the body is certain, and leaves at most one number in `Content-Length`.
 ///
-/// `hyper` decodes only the last transfer coding, and reads a body with an unknown one until the
-/// connection ends. Either is not the body that the server encoded.
+/// `hyper` reads a body with an unknown transfer coding until the connection ends, and accepts the
+/// same length several times. Both would reach a caller to whom the response is passed on: the
+/// first as another body than the server's, the second as a header that callers may reject.
 ///
 /// # Errors
 ///
 /// The reason why the response can't be used.
-pub(crate) fn check(head: &Parts) -> Result<(), &'static str> {
+pub(crate) fn check(head: &mut Parts) -> Result<(), &'static str> {
     // The client never requests an upgrade, and the bytes that follow are no HTTP.
     if head.status == StatusCode::SWITCHING_PROTOCOLS {
         return Err("the server switched protocols without a request to do so");
@@ -23,6 +24,7 @@
     if !has_known_coding(&head.headers) {
         return Err("the transfer coding is unknown");
     }
+    unify_content_length(&mut head.headers);
     Ok(())
 }
 
@@ -34,3 +36,16 @@
     };
     coding.as_bytes().eq_ignore_ascii_case(CHUNKED) && codings.next().is_none()
 }
+
+/// Replaces repeated lengths by one. They are equal, since `hyper` fails otherwise, except in
+/// responses without a body; a length that is no number says nothing there.
+fn unify_content_length(headers: &mut HeaderMap) {
+    let Some(value) = headers.remove(CONTENT_LENGTH) else {
+        return;
+    };
+    let first = value.to_str().ok().and_then(|text| text.split(',').next());
+    let length: Option<u64> = first.and_then(|first| first.trim().parse().ok());
+    if let Some(length) = length {
+        headers.insert(CONTENT_LENGTH, length.into());
+    }
+}
--- a/crates/client/src/response.rs
+++ b/crates/client/src/response.rs
@@ -42,8 +42,8 @@
         address: SocketAddr,
         pool: Rc<Pool>,
     ) -> Result<Self> {
-        let (head, incoming) = response.into_parts();
-        framing::check(&head).map_err(|reason| Error::Malformed { address, reason })?;
+        let (mut head, incoming) = response.into_parts();
+        framing::check(&mut head).map_err(|reason| Error::Malformed { address, reason })?;
         let keep_alive = head.headers.get("keep-alive").and_then(keep_alive_timeout);
         let idle_timeout = keep_alive.unwrap_or(pool.settings.idle_timeout);
         let body = Body {
--- a/crates/client/tests/truncated_responses.rs
+++ b/crates/client/tests/truncated_responses.rs
@@ -279,6 +279,15 @@
     "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nwhole body",
     Some("10")
 )]
+#[case::same_length_twice(
+    "HTTP/1.1 200 OK\r\ncontent-length: 10\r\ncontent-length: 10\r\n\r\nwhole body",
+    Some("10")
+)]
+#[case::list_of_same_length(
+    "HTTP/1.1 200 OK\r\ncontent-length: 10, 10\r\n\r\nwhole body",
+    Some("10")
+)]
+#[case::leading_zero("HTTP/1.1 200 OK\r\ncontent-length: 010\r\n\r\nwhole body", Some("10"))]
 #[case::length_and_chunks(
     "HTTP/1.1 200 OK\r\ncontent-length: 3\r\ntransfer-encoding: chunked\r\n\r\na\r\nwhole body\r\n0\r\n\r\n",
     None
