Run an item again whose stream ended without any event

Cause: a run counted as complete if its response ended between two events. A response that ends right after its head does so too: one without a length whose replica closed, or one whose only chunk is the last. Change: the end of a stream completes an item only if this run or an earlier one has generated an event; else the run counts as interrupted, and the item runs on another replica. Conclusion: an item has at least one event. A resumed run without events still completes its item, because the run before may have lost nothing but its end.

--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -163,8 +163,13 @@
                     }
                 }
             }
-            Ok(None) if events.is_at_boundary() => return RunResult::Ended(RunEnd::Completed),
-            Ok(None) => return RunResult::Ended(RunEnd::Interrupted),
+            Ok(None) => {
+                let has_text = has_events(&planner.borrow(), work);
+                return RunResult::Ended(match events.is_at_boundary() && has_text {
+                    true => RunEnd::Completed,
+                    false => RunEnd::Interrupted,
+                });
+            }
             Err(error) => {
                 tracing::info!(item = item.id, replica = target.replica, %error, "run_stream_failed");
                 return RunResult::Ended(RunEnd::Interrupted);
@@ -176,6 +181,14 @@
     }
 }
 
+/// Returns whether this run or an earlier one has generated an event of an item. A replica that stops
+/// before the first event may still end its response properly, and its empty text is not the
+/// output of the item.
+fn has_events(planner: &Planner, work: WorkId) -> bool {
+    let progress = planner.progress(work);
+    progress.is_some_and(|progress| progress.last_event > 0)
+}
+
 /// An event of a stream.
 struct Event {
     id: u64,
