Read unframed responses whole for callers of HTTP/1.0

What callers saw: a 200 with the first part of a body and a close of the channel, which is the end of a whole response in HTTP/1.0. Cause: a body without a length is streamed; in HTTP/1.0 it ends with the connection, and hyper closes it also after a failure of the body. Evidence: the three cases of nodes::truncated_responses:: caller_of_old_version fail before (the first one in one run of two): "taken for whole: HTTP/1.0 200 OK". Change: such a body is read to its end, 512 KB at most, before a caller of HTTP/1.0 gets it; if it breaks off, the attempt has failed. Conclusion: callers of HTTP/1.1 get chunks as before.

--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -16,7 +16,7 @@
 use hyper::body::{Body as _, Incoming};
 use hyper::header::{HeaderValue, CONTENT_LENGTH, HOST};
 use hyper::http::request::Parts;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode, Version};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{sleep, timeout};
@@ -24,7 +24,7 @@
 /// Bodies whose content length is at most this are buffered, so that a request can be retried and
 /// a response can be verified before it is passed on. Bodies with a larger content length are
 /// streamed. Without a content length, a request body is buffered up to the configured
-/// `max_body_bytes`, and a response body is streamed.
+/// `max_body_bytes`, and a response body is streamed, except to callers of HTTP/1.0.
 const MAX_BUFFERED_BYTES: usize = 512 * 1024;
 /// The time-out of a request whose caller states none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
@@ -267,11 +267,7 @@
             true => Outcome::Failure,
             false => Outcome::Success,
         };
-        let is_short = response
-            .body
-            .content_length()
-            .is_some_and(|l| l <= MAX_BUFFERED_BYTES as u64);
-        if !is_short {
+        if !is_buffered(proxied.head, &response.body) {
             // A streamed response is final, also with a 5xx status: it is passed on without a retry.
             selection.finish(outcome);
             let monitor = relay::body_monitor(
@@ -385,6 +381,15 @@
     }
 }
 
+/// Returns whether a response is read to its end before it is passed on. A caller of HTTP/1.0 knows
+/// no chunks, so it would take a body without a length that breaks off for a whole one.
+fn is_buffered(request: &Parts, body: &dogwoodlb_client::Body) -> bool {
+    match body.content_length() {
+        Some(length) => length <= MAX_BUFFERED_BYTES as u64,
+        None => request.version < Version::HTTP_11,
+    }
+}
+
 /// Returns the response to a request whose deadline has passed.
 pub(crate) fn gateway_timeout() -> Response<Body> {
     let reason = "no answer in time; it may have run";
