Check the framing itself in the adapter, not its headers' presence

What callers would see (`dogwoodlb run`): a 200 with a body that had been cut by a reset, or with chunk sizes in it; a 101. Cause: a response counted as delimited if it had the header Transfer-Encoding. ureq reads a body with another coding than `chunked`, and a chunked one of HTTP/1.0, until the connection ends, and takes a reset for the end. A 101 with a length passed, too. Change: framing::check knows the coding, the version and the status.

--- a/crates/adapter/src/client.rs
+++ b/crates/adapter/src/client.rs
@@ -1,3 +1,4 @@
+use crate::framing;
 use dogwoodlb_external::{Category, Cause, Error, Result};
 use percent_encoding::{utf8_percent_encode, AsciiSet, NON_ALPHANUMERIC};
 use serde::de::DeserializeOwned;
@@ -7,7 +8,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use ureq::config::AutoHeaderValue;
-use ureq::http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use ureq::http::{self, Method, Uri};
 use ureq::unversioned::resolver::{ResolvedSocketAddrs, Resolver};
 use ureq::unversioned::transport::{
@@ -189,10 +189,8 @@
     pub(crate) fn call(&self, exchange: &Exchange<'_>) -> Result<(u16, Vec<u8>, Option<String>)> {
         let mut response = self.send(exchange)?;
         let status = response.status().as_u16();
-        if !is_delimited(exchange, &response) {
-            let cause = Cause::Malformed("the body has neither a length nor chunked encoding");
-            return Err(exchange.error(Category::Ambiguous, cause));
-        }
+        framing::check(exchange.method, &response)
+            .map_err(|reason| exchange.error(Category::Ambiguous, Cause::Malformed(reason)))?;
         let media_type = response.headers().get(http::header::CONTENT_TYPE);
         let media_type = media_type
             .and_then(|value| value.to_str().ok())
@@ -239,18 +237,6 @@
     })
 }
 
-/// Returns whether the end of the body can be distinguished from a lost connection.
-///
-/// If the body ends when the connection closes, truncation can't be detected, and `ureq` treats
-/// even a connection reset as the end of the body.
-fn is_delimited(exchange: &Exchange<'_>, response: &http::Response<ureq::Body>) -> bool {
-    let headers = response.headers();
-    exchange.method == "HEAD"
-        || matches!(response.status().as_u16(), 204 | 304)
-        || headers.contains_key(CONTENT_LENGTH)
-        || headers.contains_key(TRANSFER_ENCODING)
-}
-
 /// Marks failures to establish a connection, in which case no byte of the request was sent.
 #[derive(Debug)]
 struct NotConnected(ErrorKind);
--- a/crates/adapter/src/lib.rs
+++ b/crates/adapter/src/lib.rs
@@ -31,6 +31,7 @@
 
 mod client;
 mod engine;
+mod framing;
 mod objects;
 mod service;
 mod table;
