Require an event or a second replica for a text's end

What callers saw: an item was listed as `complete` with the text that it had when its stream broke off, or with no text at all.

Cause: a response with status 200 whose body had no event counted as the whole rest of the text. A faulty replica sends such a body, and so does one whose error page has status 200. The planner took any end of a stream as the end of the text.

Change: a run without an event counts as interrupted. An item without any event is never complete. A resumed run without an event is also what a sound replica sends when the stream before broke off after its last event, so the text is complete once a second replica ends it in the same way, or the same one if no other can continue it. A new event clears the report. The coordinator scores a text only if the planner says that it is generated.

Conclusion: an end without an event costs one more run; no text is lost or repeated. A stream with at least one event and an orderly end still counts as whole, also if it is shorter than its maximum or ends with its connection, because nothing on the wire says otherwise.

--- a/crates/batch/src/planner.rs
+++ b/crates/batch/src/planner.rs
@@ -10,6 +10,7 @@
 mod candidates;
 mod choose;
 mod demand;
+mod runs;
 
 pub use action::{Action, RunEnd};
 pub use demand::Demand;
@@ -136,6 +137,7 @@
             min_version: new.min_version,
             single_version: new.single_version,
             phase: old.as_ref().map_or(Phase::Waiting, |old| old.phase.clone()),
+            end_reported_by: old.as_ref().and_then(|old| old.end_reported_by.clone()),
             progress: old.map(|old| old.progress).unwrap_or_default(),
             failures: 0,
             expires_at: None,
@@ -233,6 +235,12 @@
             .collect()
     }
 
+    /// Returns whether the text of an item is complete but has no outcome yet.
+    pub fn is_generated(&self, work: WorkId) -> bool {
+        let work = self.work_items.get(&work);
+        work.is_some_and(|work| work.phase == Phase::Generated)
+    }
+
     /// Returns the items of a batch that wait or run. An item whose text is complete is not among
     /// them, even if it has no outcome yet.
     pub fn unfinished(&self, batch: &str) -> Vec<WorkId> {
@@ -258,76 +266,6 @@
         replica.map_or(0, |replica| replica.run_count)
     }
 
-    /// Records an event of a run. Returns `false` if the item has no run, or if the event is out of
-    /// sequence or violates the version constraints of the batch; the run must then be cancelled.
-    ///
-    /// An event that is in sequence and not from a version below the minimum is appended to the
-    /// text before the other conditions are checked, and stays there if they fail. If the text
-    /// violates the version constraints, [`Planner::on_run_end`] discards it.
-    pub fn on_event(
-        &mut self,
-        id: WorkId,
-        event: u64,
-        data: &str,
-        version: u64,
-        now: Instant,
-    ) -> bool {
-        let Some(work) = self.work_items.get_mut(&id) else {
-            return false;
-        };
-        if version < work.min_version || !work.progress.push(event, data, version) {
-            return false;
-        }
-        let is_valid = work
-            .progress
-            .satisfies(work.min_version, work.single_version);
-        let Phase::Running(run) = &mut work.phase else {
-            return false;
-        };
-        // The time to the first event includes queueing on the replica and prompt processing.
-        if run.events > 0 {
-            if let Some(replica) = self.replicas.get_mut(run.replica.as_str()) {
-                replica.on_event(now.saturating_since(run.last_event_at), now);
-            }
-        }
-        run.events += 1;
-        run.last_event_at = now;
-        is_valid
-    }
-
-    /// Records the end of a run. Returns whether the item has no attempts left.
-    pub fn on_run_end(&mut self, id: WorkId, end: RunEnd, now: Instant) -> bool {
-        let Some(work) = self.work_items.get_mut(&id) else {
-            return false;
-        };
-        let Phase::Running(run) = work.phase.clone() else {
-            return false;
-        };
-        if let Some(replica) = self.replicas.get_mut(run.replica.as_str()) {
-            replica.release(run.prompt_tokens);
-            match end {
-                RunEnd::Interrupted | RunEnd::Failed => replica.on_failure(now),
-                RunEnd::Refused => replica.on_refusal(now),
-                RunEnd::Stopped | RunEnd::Completed => {}
-            }
-        }
-        work.phase = match end {
-            RunEnd::Completed => Phase::Generated,
-            _ => Phase::Waiting,
-        };
-        // A text that violates the version constraints is discarded and generated again.
-        if !work
-            .progress
-            .satisfies(work.min_version, work.single_version)
-        {
-            work.progress = Progress::default();
-            work.phase = Phase::Waiting;
-        }
-        work.failures += u32::from(end == RunEnd::Failed);
-        let batch = work.batch.as_ref().and_then(|id| self.batches.get(id));
-        batch.is_some_and(|batch| work.failures >= batch.max_attempts)
-    }
-
     /// Replaces the text of a waiting item by one that another node generated or stored, if that
     /// one is longer.
     pub fn restore(&mut self, id: WorkId, text: &ItemText) {
@@ -340,6 +278,7 @@
         let is_longer = text.progress.last_event > work.progress.last_event;
         if is_valid && is_longer && work.phase == Phase::Waiting {
             work.progress = text.progress.clone();
+            work.end_reported_by = None;
             if text.is_complete {
                 work.phase = Phase::Generated;
             }
--- a/crates/batch/src/planner/candidates.rs
+++ b/crates/batch/src/planner/candidates.rs
@@ -199,7 +199,7 @@
 }
 
 /// Returns whether the weight version of a replica may continue the text of an item.
-fn has_suitable_version(work: &Work, replica: &Replica) -> bool {
+pub(super) fn has_suitable_version(work: &Work, replica: &Replica) -> bool {
     let Some(version) = replica.version(&work.model) else {
         return false;
     };
--- /dev/null
+++ b/crates/batch/src/planner/runs.rs
@@ -0,0 +1,115 @@
+//! Records the events and the ends of runs.
+
+use super::candidates::has_suitable_version;
+use super::{Planner, RunEnd};
+use crate::work::{Phase, WorkId};
+use crate::Progress;
+use dogwoodlb_types::Instant;
+
+impl Planner {
+    /// Records an event of a run. Returns `false` if the item has no run, or if the event is out of
+    /// sequence or violates the version constraints of the batch; the run must then be cancelled.
+    ///
+    /// An event that is in sequence and not from a version below the minimum is appended to the
+    /// text before the other conditions are checked, and stays there if they fail. If the text
+    /// violates the version constraints, [`Planner::on_run_end`] discards it.
+    pub fn on_event(
+        &mut self,
+        id: WorkId,
+        event: u64,
+        data: &str,
+        version: u64,
+        now: Instant,
+    ) -> bool {
+        let Some(work) = self.work_items.get_mut(&id) else {
+            return false;
+        };
+        if version < work.min_version || !work.progress.push(event, data, version) {
+            return false;
+        }
+        work.end_reported_by = None;
+        let is_valid = work
+            .progress
+            .satisfies(work.min_version, work.single_version);
+        let Phase::Running(run) = &mut work.phase else {
+            return false;
+        };
+        // The time to the first event includes queueing on the replica and prompt processing.
+        if run.events > 0 {
+            if let Some(replica) = self.replicas.get_mut(run.replica.as_str()) {
+                replica.on_event(now.saturating_since(run.last_event_at), now);
+            }
+        }
+        run.events += 1;
+        run.last_event_at = now;
+        is_valid
+    }
+
+    /// Records the end of a run. Returns whether the item has no attempts left.
+    ///
+    /// A run that ends as [`RunEnd::Completed`] without an event counts as interrupted until
+    /// another replica confirms the end; [`Planner::is_generated`] tells whether the text is
+    /// complete.
+    pub fn on_run_end(&mut self, id: WorkId, end: RunEnd, now: Instant) -> bool {
+        let end = match end {
+            RunEnd::Completed if !self.confirm_end(id) => RunEnd::Interrupted,
+            end => end,
+        };
+        let Some(work) = self.work_items.get_mut(&id) else {
+            return false;
+        };
+        let Phase::Running(run) = work.phase.clone() else {
+            return false;
+        };
+        if let Some(replica) = self.replicas.get_mut(run.replica.as_str()) {
+            replica.release(run.prompt_tokens);
+            match end {
+                RunEnd::Interrupted | RunEnd::Failed => replica.on_failure(now),
+                RunEnd::Refused => replica.on_refusal(now),
+                RunEnd::Stopped | RunEnd::Completed => {}
+            }
+        }
+        work.phase = match end {
+            RunEnd::Completed => Phase::Generated,
+            _ => Phase::Waiting,
+        };
+        // A text that violates the version constraints is discarded and generated again.
+        if !work
+            .progress
+            .satisfies(work.min_version, work.single_version)
+        {
+            work.progress = Progress::default();
+            work.end_reported_by = None;
+            work.phase = Phase::Waiting;
+        }
+        work.failures += u32::from(end == RunEnd::Failed);
+        let batch = work.batch.as_ref().and_then(|id| self.batches.get(id));
+        batch.is_some_and(|batch| work.failures >= batch.max_attempts)
+    }
+
+    /// Returns whether the end of a run proves that the text is complete.
+    ///
+    /// A run without an event proves nothing by itself, because the response of a faulty replica
+    /// can be empty. It is also the response of a sound replica if the previous run was interrupted
+    /// after its last event. So the text is complete if a second replica responds in the same way,
+    /// or the same one if no other can continue the text.
+    fn confirm_end(&mut self, id: WorkId) -> bool {
+        let Some(work) = self.work_items.get_mut(&id) else {
+            return false;
+        };
+        let Phase::Running(run) = &work.phase else {
+            return false;
+        };
+        if run.events > 0 {
+            return true;
+        }
+        if work.progress.last_event == 0 {
+            return false;
+        }
+        let replica = run.replica.clone();
+        let earlier = work.end_reported_by.replace(replica.clone());
+        let mut others = self.replicas.iter().filter(|(name, _)| ***name != *replica);
+        let has_other = others.any(|(_, other)| has_suitable_version(work, other));
+        earlier.is_some_and(|earlier| earlier != replica || !has_other)
+    }
+}
--- a/crates/batch/src/work.rs
+++ b/crates/batch/src/work.rs
@@ -21,6 +21,8 @@
     pub(crate) single_version: bool,
     pub(crate) phase: Phase,
     pub(crate) progress: Progress,
+    /// The replica whose run ended without an event after the current text, if there was one.
+    pub(crate) end_reported_by: Option<String>,
     /// The number of runs that ended with [`RunEnd::Failed`](crate::RunEnd::Failed).
     pub(crate) failures: u32,
     /// The time at which the item is dropped, set once its batch has ended.
--- /dev/null
+++ b/crates/batch/tests/stream_end.rs
@@ -0,0 +1,174 @@
+//! Guards against a text that counts as complete although the end of its stream proves nothing: a
+//! faulty replica answered without an event.
+
+use dogwoodlb_batch::{Action, Item, NewBatch, Planner, ReplicaState, RunEnd, WorkId};
+use dogwoodlb_types::Instant;
+use rstest::rstest;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+const WORK: WorkId = WorkId(1);
+const MIN_VERSION: u64 = 2;
+/// Longer than the longest backoff of a replica.
+const PAUSE: Duration = Duration::from_secs(5);
+
+/// A planner with one item, and the current time.
+struct Run {
+    planner: Planner,
+    now: Instant,
+}
+
+fn state(version: u64) -> ReplicaState {
+    ReplicaState {
+        slots: 1,
+        versions: [("m".to_owned(), version)].into(),
+        ..ReplicaState::default()
+    }
+}
+
+impl Run {
+    fn new(replicas: &[&str]) -> Self {
+        let mut planner = Planner::default();
+        for replica in replicas {
+            planner.set_replica(replica, state(MIN_VERSION));
+        }
+        let item = Item {
+            id: "a".into(),
+            group: "g".into(),
+            expected_tokens: 100,
+            ..Item::default()
+        };
+        planner.add_batch(&NewBatch {
+            id: "b",
+            model: "m",
+            min_version: MIN_VERSION,
+            single_version: false,
+            target_groups: 1,
+            max_attempts: 3,
+            event_tokens: 10,
+            items: &[item],
+            finished: &BTreeSet::new(),
+        });
+        let now = Instant::default();
+        Self { planner, now }
+    }
+
+    /// Starts the item on the only replica that is not reloading weights.
+    fn start_on(&mut self, replica: &str, others: &[&str]) {
+        for other in others {
+            let mut reloading = state(MIN_VERSION);
+            reloading.reloading.push("m".into());
+            self.planner.set_replica(other, reloading);
+        }
+        self.planner.set_replica(replica, state(MIN_VERSION));
+        self.now = self.now + PAUSE;
+        let start = Action::Start {
+            work: WORK,
+            replica: replica.to_owned(),
+        };
+        assert_eq!(self.planner.plan(self.now), [start]);
+    }
+
+    fn receive(&mut self, events: std::ops::RangeInclusive<u64>) {
+        for event in events {
+            assert!(self
+                .planner
+                .on_event(WORK, event, "x", MIN_VERSION, self.now));
+        }
+    }
+
+    /// Ends the run and returns whether the text is complete.
+    fn end(&mut self, end: RunEnd) -> bool {
+        assert!(!self.planner.on_run_end(WORK, end, self.now));
+        self.planner.is_generated(WORK)
+    }
+
+    fn last_event(&self) -> u64 {
+        self.planner.progress(WORK).unwrap().last_event
+    }
+}
+
+#[test]
+fn whole_stream() {
+    let mut run = Run::new(&["r"]);
+    run.start_on("r", &[]);
+    run.receive(1..=3);
+    assert!(run.end(RunEnd::Completed));
+}
+
+/// An item generates at least one event, whatever the number of replicas that respond without one.
+#[test]
+fn no_event_at_all() {
+    let mut run = Run::new(&["r", "s"]);
+    for (replica, other) in [("r", "s"), ("s", "r"), ("r", "s")] {
+        run.start_on(replica, &[other]);
+        assert!(!run.end(RunEnd::Completed), "{replica}");
+    }
+}
+
+/// The end of a resumed stream without an event counts only if another replica confirms it.
+#[test]
+fn faulty_replica_twice() {
+    let mut run = Run::new(&["faulty", "sound"]);
+    run.start_on("sound", &["faulty"]);
+    run.receive(1..=2);
+    assert!(!run.end(RunEnd::Interrupted));
+    for _ in 0..2 {
+        run.start_on("faulty", &["sound"]);
+        assert!(!run.end(RunEnd::Completed));
+    }
+    run.start_on("sound", &["faulty"]);
+    run.receive(3..=4);
+    assert!(run.end(RunEnd::Completed));
+    assert_eq!(run.last_event(), 4);
+}
+
+/// An end that was reported for a shorter text says nothing about the present one.
+#[test]
+fn text_grew_after_report() {
+    let mut run = Run::new(&["faulty", "sound"]);
+    run.start_on("sound", &["faulty"]);
+    run.receive(1..=2);
+    assert!(!run.end(RunEnd::Interrupted));
+    run.start_on("faulty", &["sound"]);
+    assert!(!run.end(RunEnd::Completed));
+    run.start_on("sound", &["faulty"]);
+    run.receive(3..=3);
+    assert!(!run.end(RunEnd::Interrupted));
+    run.start_on("sound", &["faulty"]);
+    assert!(!run.end(RunEnd::Completed));
+}
+
+/// A stream that broke off after its last event would otherwise be resumed for ever.
+#[rstest]
+#[case::other_replica(&["r", "s"])]
+#[case::only_replica(&["r", "r"])]
+fn confirmed_end(#[case] replicas: &[&str]) {
+    let mut run = Run::new(replicas);
+    let others = |replica: &str| -> Vec<&str> {
+        let others = replicas.iter().copied();
+        others.filter(|other| *other != replica).collect()
+    };
+    run.start_on(replicas[0], &others(replicas[0]));
+    run.receive(1..=2);
+    assert!(!run.end(RunEnd::Interrupted));
+    run.start_on(replicas[0], &others(replicas[0]));
+    assert!(!run.end(RunEnd::Completed));
+    run.start_on(replicas[1], &others(replicas[1]));
+    assert!(run.end(RunEnd::Completed));
+    assert_eq!(run.last_event(), 2);
+}
+
+/// A replica whose weights are too old for the item never confirms the end of its text.
+#[test]
+fn outdated_replica() {
+    let mut run = Run::new(&["r"]);
+    run.planner.set_replica("old", state(MIN_VERSION - 1));
+    run.start_on("r", &[]);
+    run.receive(1..=2);
+    assert!(!run.end(RunEnd::Interrupted));
+    run.start_on("r", &[]);
+    assert!(!run.end(RunEnd::Completed));
+    run.start_on("r", &[]);
+    assert!(run.end(RunEnd::Completed));
+}
--- a/crates/edge/src/coordinator/items.rs
+++ b/crates/edge/src/coordinator/items.rs
@@ -108,8 +108,10 @@
         let has_failed = self.planner.borrow_mut().on_run_end(work, end, now);
         if has_failed || result == RunResult::Unprocessable {
             self.abandon(work, "failed");
-        } else if end == RunEnd::Completed {
+        } else if self.planner.borrow().is_generated(work) {
             self.score(work);
+        } else if end == RunEnd::Completed {
+            tracing::info!(work = work.0, replica, "run_end_unconfirmed");
         }
         self.wake.notify_one();
     }
--- a/crates/emulator/src/simulation.rs
+++ b/crates/emulator/src/simulation.rs
@@ -229,7 +229,9 @@
             };
             for work in complete {
                 self.end_run(index, work, RunEnd::Completed);
-                self.queue_result(work);
+                if self.planner.is_generated(work) {
+                    self.queue_result(work);
+                }
             }
         }
     }
