Break off a run whose stream has lines without an id

What callers saw: a text without its last events was listed as `complete`.

Cause: the decoder skipped each block of lines without an event id. A replica that appends an error text to a stream that it can't continue, and then ends the body in an orderly way, or whose last event lost its id, so looked like one that had finished.

Evidence: `broken_item` in tests/nodes/broken_streams.rs on the code before, three cases failed (error_text, damaged_event, unframed_foreign_response): {"Id":"b1-1","Score":"stamp-s-b1-1","State":"complete", "Text":"b1-1-1\nb1-1-2","Versions":[1]} (4 events asked for)

Change: anything but comments and events with an id interrupts the run, and the item resumes after its last whole event. All events of the platform have ids. The decoder moves from run.rs to a module of its own. `whole_item` guards against the opposite: whole streams in each framing, and with comments, are taken at once.

Conclusion: only events with an id, in sequence, reach a text, and a stream with anything else in it is never the end of one.

--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -21,6 +21,7 @@
 mod context;
 mod coordinator;
 mod error;
+mod event;
 mod forward;
 mod front;
 mod headers;
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -1,6 +1,7 @@
-//! Runs one item on a replica: sends the request and decodes its event stream.
+//! Runs one item on a replica: sends the request and passes its events to the planner.
 
 use crate::clock;
+use crate::event;
 use crate::headers::{header_str, is_not_run};
 use crate::protocol::{HeaderNames, Protocol};
 use bytes::Bytes;
@@ -144,104 +145,53 @@
         );
         return RunResult::Ended(RunEnd::Interrupted);
     };
-    let mut events = EventDecoder::new(headers.weight_version.clone(), version);
+    let mut events = event::Decoder::new(headers.weight_version.clone(), version);
     loop {
         match response.body.next().await {
-            Ok(Some(data)) => {
-                for event in events.decode(&data) {
-                    let mut planner = planner.borrow_mut();
-                    let now = clock::now();
-                    if !planner.on_event(work, event.id, &event.data, event.version, now) {
-                        tracing::info!(
-                            item = item.id,
-                            replica = target.replica,
-                            event = event.id,
-                            version = event.version,
-                            "event_rejected"
-                        );
-                        return RunResult::EventRejected(event.version);
-                    }
-                }
-            }
-            Ok(None) if events.is_at_boundary() => return RunResult::Ended(RunEnd::Completed),
+            Ok(Some(data)) => events.push(&data),
+            Ok(None) if events.pending_bytes() == 0 => return RunResult::Ended(RunEnd::Completed),
             Ok(None) => return RunResult::Ended(RunEnd::Interrupted),
             Err(error) => {
                 tracing::info!(item = item.id, replica = target.replica, %error, "run_stream_failed");
                 return RunResult::Ended(RunEnd::Interrupted);
             }
         }
-        if events.buffer.len() > MAX_EVENT_BYTES {
+        if let Err(result) = record_events(planner, work, item, target, &mut events) {
+            return result;
+        }
+        if events.pending_bytes() > MAX_EVENT_BYTES {
             return RunResult::Ended(RunEnd::Interrupted);
         }
     }
 }
 
-/// An event of a stream.
-struct Event {
-    id: u64,
-    data: String,
-    version: u64,
-}
-
-/// Incremental decoder of server-sent events.
-struct EventDecoder {
-    /// The received bytes that do not form a complete event yet.
-    buffer: Vec<u8>,
-    version_field: HeaderName,
-    version: u64,
-}
-
-impl EventDecoder {
-    fn new(version_field: HeaderName, version: u64) -> Self {
-        Self {
-            buffer: Vec::new(),
-            version_field,
-            version,
-        }
-    }
-
-    /// Returns whether the stream is at an event boundary.
-    fn is_at_boundary(&self) -> bool {
-        self.buffer.is_empty()
-    }
-
-    fn decode(&mut self, data: &[u8]) -> Vec<Event> {
-        self.buffer.extend_from_slice(data);
-        let mut events = Vec::new();
-        while let Some(end) = self.buffer.windows(2).position(|pair| pair == b"\n\n") {
-            let block: Vec<u8> = self.buffer.drain(..end + 2).collect();
-            events.extend(self.parse(&String::from_utf8_lossy(&block)));
-        }
-        events
-    }
-
-    fn parse(&mut self, block: &str) -> Option<Event> {
-        let mut id = None;
-        let mut data: Option<String> = None;
-        for line in block.lines() {
-            let (name, value) = line.split_once(':').unwrap_or((line, ""));
-            let value = value.strip_prefix(' ').unwrap_or(value);
-            match name {
-                "id" => id = value.parse().ok(),
-                "data" => match &mut data {
-                    Some(data) => {
-                        data.push('\n');
-                        data.push_str(value);
-                    }
-                    None => data = Some(value.to_owned()),
-                },
-                name if name == self.version_field.as_str() => {
-                    self.version = value.trim().parse().unwrap_or(self.version);
-                }
-                _ => {}
-            }
+/// Passes the received events to the planner, or returns the result of a run that can't go on.
+fn record_events(
+    planner: &RefCell<Planner>,
+    work: WorkId,
+    item: &Item,
+    target: &Target,
+    events: &mut event::Decoder,
+) -> Result<(), RunResult> {
+    let interrupted = |error| {
+        tracing::warn!(item = item.id, replica = target.replica, %error, "run_stream_malformed");
+        RunResult::Ended(RunEnd::Interrupted)
+    };
+    while let Some(event) = events.next_event().map_err(interrupted)? {
+        let mut planner = planner.borrow_mut();
+        let now = clock::now();
+        if !planner.on_event(work, event.id, &event.data, event.version, now) {
+            tracing::info!(
+                item = item.id,
+                replica = target.replica,
+                event = event.id,
+                version = event.version,
+                "event_rejected"
+            );
+            return Err(RunResult::EventRejected(event.version));
         }
-        Some(Event {
-            id: id?,
-            data: data.unwrap_or_default(),
-            version: self.version,
-        })
     }
+    Ok(())
 }
 
 /// Aborts the task of a run when dropped.
