--- a/crates/batch/src/planner/candidates.rs
+++ b/crates/batch/src/planner/candidates.rs
@@ -116,7 +116,7 @@
     pub(super) fn place(&mut self, replica: &Arc<str>, tokens: u64) {
         let placed = self.placed.entry(replica.clone()).or_default();
         placed.runs += 1;
-        placed.tokens += tokens;
+        placed.tokens = placed.tokens.saturating_add(tokens);
     }
 
     fn build_queue(&self, key: &QueueKey, work: &Work) -> Queue {
@@ -199,7 +199,7 @@
 }
 
 /// Returns whether the weight version of a replica may continue the text of an item.
-fn has_suitable_version(work: &Work, replica: &Replica) -> bool {
+pub(super) fn has_suitable_version(work: &Work, replica: &Replica) -> bool {
     let Some(version) = replica.version(&work.model) else {
         return false;
     };
--- a/crates/edge/src/batch_store.rs
+++ b/crates/edge/src/batch_store.rs
@@ -4,7 +4,7 @@
 use crate::cluster::{ClusterState, Versioned};
 use crate::storage::{self, Storage, BODIES, MAX_TXN_BYTES, MAX_TXN_ROWS, OUTCOMES, SHARED, TEXTS};
 use dogwoodlb_batch::{parts, BatchHeader, ItemText, Outcome, Record, Submission};
-use dogwoodlb_external::store::{KeyRange, Row, Txn};
+use dogwoodlb_external::store::{self, KeyRange, Row, Txn};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -23,6 +23,8 @@
     Unreachable(Duration),
     #[error("part {part} of batch {batch} is missing")]
     Missing { batch: String, part: u32 },
+    #[error("another node changed a row first")]
+    Conflict,
 }
 
 /// Access to the batches in the metadata store, through a cache.
@@ -74,7 +76,8 @@
         let rows = self.storage.list(BODIES, &format!("{batch}/")).await?;
         for part in 0..header.part_count {
             let key = storage::numbered_key(batch, part);
-            if rows.get(part as usize).is_none_or(|row| row.key != key) {
+            let row = rows.get(part as usize);
+            if row.is_none_or(|row| row.key != key || row.value.is_empty()) {
                 let batch = batch.to_owned();
                 return Err(Error::Missing { batch, part });
             }
@@ -142,9 +145,10 @@
         Ok(rows.iter().filter_map(decode).collect())
     }
 
-    /// Stores the texts of unfinished items. A text too large for one row is skipped.
-    pub(crate) async fn put_texts(&self, texts: &[ItemText]) -> Result<(), Error> {
-        let mut txn = Txn::default();
+    /// Stores the texts of unfinished items, if the checks of `new_txn` hold. A text too large for
+    /// one row is skipped.
+    pub(crate) async fn put_texts(&self, texts: &[ItemText], new_txn: &Txn) -> Result<(), Error> {
+        let mut txn = new_txn.clone();
         let mut bytes = 0;
         for text in texts {
             let value = text.to_vec()?;
@@ -152,7 +156,8 @@
                 continue;
             }
             if txn.puts.len() >= MAX_TXN_ROWS || bytes + value.len() > MAX_TXN_BYTES {
-                self.storage.commit(&std::mem::take(&mut txn)).await?;
+                self.commit(&txn).await?;
+                txn = new_txn.clone();
                 bytes = 0;
             }
             bytes += value.len();
@@ -163,8 +168,15 @@
             );
         }
         if !txn.puts.is_empty() {
-            self.storage.commit(&txn).await?;
+            self.commit(&txn).await?;
         }
         Ok(())
     }
+
+    async fn commit(&self, txn: &Txn) -> Result<(), Error> {
+        match self.storage.commit(txn).await? {
+            store::Outcome::Done { .. } => Ok(()),
+            store::Outcome::Conflict { .. } => Err(Error::Conflict),
+        }
+    }
 }
--- a/crates/edge/src/coordinator/adoption.rs
+++ b/crates/edge/src/coordinator/adoption.rs
@@ -8,7 +8,7 @@
 use crate::permit::Permit;
 use crate::storage::{self, SHARED};
 use dogwoodlb_batch::{BatchHeader, ItemText, NewBatch, Record, Submission};
-use dogwoodlb_external::store::{self, Txn};
+use dogwoodlb_external::store;
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
@@ -29,7 +29,7 @@
         if is_take_over {
             header.owner.clone_from(node);
             let key = storage::header_key(id);
-            let txn = Txn::default().check(SHARED, &key, row_version);
+            let txn = self.new_txn().check(SHARED, &key, row_version);
             let txn = txn.put(SHARED, &key, header.to_vec()?);
             match self.context.storage.commit(&txn).await? {
                 store::Outcome::Done { version, .. } => {
@@ -40,7 +40,7 @@
                 }
                 store::Outcome::Conflict { .. } => {
                     batch_store.read_header(id).await?;
-                    return Ok(());
+                    return Err(Error::Conflict);
                 }
             }
         }
@@ -52,7 +52,10 @@
         let finished = outcomes.iter().map(|outcome| outcome.index).collect();
         let inherited = self.inherited.iter().filter(|text| text.batch == id);
         texts.extend(inherited.cloned());
-        if !self.relinquished.get() {
+        // While the batch was read, it may have ended or got another owner. If it is still open, the
+        // next round adopts it with its new header.
+        let current = self.context.cluster.batch_header(id);
+        if current.is_some_and(|current| current.row_version == row_version) {
             self.start_batch(id, row_version, header, submission, finished, &texts);
         }
         Ok(())
