Count no more slots than connections of a replica

**Seen.** Beside one entry with slots, only one replica of a service got new weights while items were open, and a batch that needs them ran on that one alone.

**Cause.** The number of replicas to load follows from the mean of the slots, which entries announce without a bound.

**Evidence.** `extreme_number::case_1_slots` in platform/tests/nodes/odd_entries.rs before: `timed out waiting for new weights on two replicas`.

**Change.** A replica counts with at most as many slots as the configuration allows it connections, since each request takes one. This holds for planning, loads and routing.

**Conclusion.** One entry shifts the mean by the connection limit at most.

--- a/crates/config/src/service.rs
+++ b/crates/config/src/service.rs
@@ -3,12 +3,34 @@
 pub struct Service {
     /// The name.
     pub name: String,
-    /// The maximum number of connections to one replica, over all callers.
+    /// The maximum number of connections to one replica, over all callers; 0 if unknown.
     pub max_connections: u32,
     /// The properties of its model engines, if it runs models.
     pub engine: Option<Engine>,
 }
 
+impl Service {
+    /// Returns how many of the slots that a replica announces can be in use at once. Each request
+    /// takes a connection.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use dogwoodlb_config::Service;
+    ///
+    /// let service = Service { max_connections: 40, ..Service::default() };
+    /// assert_eq!(service.usable_slots(12), 12);
+    /// assert_eq!(service.usable_slots(u32::MAX), 40);
+    /// assert_eq!(Service::default().usable_slots(12), 12);
+    /// ```
+    pub fn usable_slots(&self, announced: u32) -> u32 {
+        match self.max_connections {
+            0 => announced,
+            limit => announced.min(limit),
+        }
+    }
+}
+
 /// The properties of the replicas of a service that runs models.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Engine {
--- a/crates/edge/src/coordinator.rs
+++ b/crates/edge/src/coordinator.rs
@@ -137,11 +137,12 @@
         let service = config
             .as_ref()
             .and_then(|config| config.service(&self.service));
-        let Some(engine) = service.and_then(|service| service.engine.as_ref()) else {
+        let Some(service) = service else { return };
+        let Some(engine) = &service.engine else {
             return;
         };
         self.sync_batches();
-        self.scan_replicas(engine);
+        self.scan_replicas(service, engine);
         self.abandon_overdue();
         if self.is_adopting() {
             return;
--- a/crates/edge/src/coordinator/replica_scan.rs
+++ b/crates/edge/src/coordinator/replica_scan.rs
@@ -4,7 +4,7 @@
 use super::{Coordinator, MAX_ROUND_INTERVAL};
 use crate::clock;
 use dogwoodlb_batch::ReplicaState;
-use dogwoodlb_config::Engine;
+use dogwoodlb_config::{Engine, Service};
 use dogwoodlb_types::Instant;
 use std::rc::Rc;
 
@@ -26,7 +26,7 @@
 
 impl Coordinator {
     /// Scans all replicas: starts the weight loads that are due and updates the planner.
-    pub(super) fn scan_replicas(self: &Rc<Self>, engine: &Engine) {
+    pub(super) fn scan_replicas(self: &Rc<Self>, service: &Service, engine: &Engine) {
         let now = clock::now();
         let last = self.replica_scan.get();
         let inputs = (
@@ -45,11 +45,11 @@
         self.loads.start_due(
             &self.context,
             &self.planner,
-            &self.service,
+            service,
             engine,
             single_version,
         );
-        self.sync_replicas(engine);
+        self.sync_replicas(service, engine);
         self.replica_scan.set(ReplicaScan {
             inputs: (inputs.0, self.loads.scheduler().revision(), inputs.2),
             due: now + MAX_ROUND_INTERVAL,
@@ -57,7 +57,7 @@
         });
     }
 
-    fn sync_replicas(&self, engine: &Engine) {
+    fn sync_replicas(&self, service: &Service, engine: &Engine) {
         let directory = self.context.cluster.directory();
         let scheduler = self.loads.scheduler();
         let mut planner = self.planner.borrow_mut();
@@ -67,7 +67,7 @@
                 Some((model.clone(), version))
             });
             let view = ReplicaState {
-                slots: entry.slots,
+                slots: service.usable_slots(entry.slots),
                 kv_capacity_tokens: engine.kv_capacity_tokens,
                 versions: versions.collect(),
                 reloading: scheduler.loading_models(replica).to_vec(),
--- a/crates/edge/src/orders.rs
+++ b/crates/edge/src/orders.rs
@@ -3,7 +3,7 @@
 use crate::clock;
 use crate::context::NodeContext;
 use dogwoodlb_batch::Planner;
-use dogwoodlb_config::Engine;
+use dogwoodlb_config::{Engine, Service};
 use dogwoodlb_directory::Entry;
 use dogwoodlb_types::Instant;
 use dogwoodlb_weights::{ModelDemand, Replica, Scheduler};
@@ -39,7 +39,7 @@
         self: &Rc<Self>,
         context: &Rc<NodeContext>,
         planner: &RefCell<Planner>,
-        service: &str,
+        service: &Service,
         engine: &Engine,
         single_version: bool,
     ) {
@@ -48,11 +48,14 @@
         let models = &engine.models;
         let replica = |(name, entry): (_, &Entry)| Replica {
             name,
-            slots: entry.slots,
+            slots: service.usable_slots(entry.slots),
             running: planner.run_count(name),
             announced: models.iter().map(|model| entry.version(model)).collect(),
         };
-        let replicas: Vec<Replica<'_>> = directory.ready_replicas(service).map(replica).collect();
+        let replicas: Vec<Replica<'_>> = directory
+            .ready_replicas(&service.name)
+            .map(replica)
+            .collect();
         let demand = |model: &String| {
             let open = planner.demand(model);
             ModelDemand {
--- a/crates/edge/src/routing.rs
+++ b/crates/edge/src/routing.rs
@@ -3,7 +3,7 @@
 use crate::clock;
 use crate::cluster::ClusterState;
 use crate::settings::Settings;
-use dogwoodlb_config::Snapshot;
+use dogwoodlb_config::{Service, Snapshot};
 use dogwoodlb_directory::Entry;
 use dogwoodlb_route::{Outcome, Replica, Request, Router, Ticket};
 use dogwoodlb_types::{id, Class};
@@ -98,7 +98,7 @@
         for service in config.services() {
             let ready = directory.ready_replicas(&service.name);
             let replicas: Vec<Replica> = ready
-                .filter_map(|(id, entry)| self.route_replica(id, entry))
+                .filter_map(|(id, entry)| self.route_replica(service, id, entry))
                 .collect();
             let router = routers
                 .entry(service.name.clone())
@@ -110,7 +110,7 @@
         *self.applied.borrow_mut() = Some((revision, config.clone()));
     }
 
-    fn route_replica(&self, id: &str, entry: &Entry) -> Option<Replica> {
+    fn route_replica(&self, service: &Service, id: &str, entry: &Entry) -> Option<Replica> {
         let upstream = id.parse().ok();
         let centre = entry.centre.parse().ok();
         let region = self.centres.get(&entry.centre);
@@ -129,7 +129,7 @@
             upstream,
             region,
             centre,
-            slots: entry.slots.max(1),
+            slots: service.usable_slots(entry.slots),
             leaving: false,
         })
     }
