Count no replica whose weight version was never announced

**Cause.** The replicas with the highest versions are considered first.

**Evidence.** `unannounced_version` in crates/weights/tests/scheduler.rs before: `left: ["r01"] right: ["r01", "r02"]`.

**Change.** A version above the newest announced one is left out when loads are planned. `highest_version` expects a second load when nothing is open, since the odd replica no longer counts as one of the two.

**Conclusion.** No order gives a replica such a version. A replica that a node sees ahead of the announcement counts again once that has arrived.

--- a/crates/weights/src/scheduler.rs
+++ b/crates/weights/src/scheduler.rs
@@ -282,7 +282,8 @@
         wanted_slots.div_ceil(slots_per_replica)
     }
 
-    /// Returns the loaded weights of the replicas that are assigned to a model.
+    /// Returns the loaded weights of the replicas that are assigned to a model. A replica whose
+    /// version was never announced is left out.
     fn loaded_weights(
         &self,
         index: usize,
@@ -295,6 +296,9 @@
             assigned.filter(|replica| self.assignments.assigned_model(replica.name) == Some(index));
         let weights = |replica: &Replica<'_>| {
             let version = self.loaded_version(replica, index)?;
+            if version > newest {
+                return None;
+            }
             let retry_at = self.retry_at.get(replica.name);
             let is_in_backoff = retry_at.is_some_and(|at| now < *at);
             // A replica gets one order at a time, whatever the model.
--- a/crates/weights/tests/scheduler.rs
+++ b/crates/weights/tests/scheduler.rs
@@ -149,7 +149,18 @@
     let mut announced = replicas(&names, 1);
     announced[0].announced = vec![Some(u64::MAX)];
     let idle = scheduler().next_loads(&announced, &demand(3, 0), at(0));
-    assert_eq!(loaded(&idle), ["r01"]);
+    assert_eq!(loaded(&idle), ["r01", "r02"]);
     let busy = scheduler().next_loads(&announced, &demand(3, 40), at(0));
     assert_eq!(loaded(&busy), ["r01", "r02"]);
 }
+
+/// A replica whose entry shows a version that was never announced counted as one with the newest
+/// weights, so that too few others loaded these.
+#[test]
+fn unannounced_version() {
+    let names = names(10);
+    let mut announced = replicas(&names, 1);
+    announced[0].announced = vec![Some(u64::MAX)];
+    let loads = scheduler().next_loads(&announced, &demand(3, 10), at(0));
+    assert_eq!(loaded(&loads), ["r01", "r02"]);
+}
