Read a table in pages when its feed can't be read

**Seen.** Many large odd entries between two watches, more than the 4 MB that a response may have, stopped a node from following the replicas.

**Cause.** The watcher repeated the same watch, whose response only grows. The pages don't bound a response of the feed.

**Evidence.** `long_feed` in platform/tests/nodes/odd_entries.rs before: `timed out waiting for the nodes to follow the entries`.

**Change.** After a response that is too large or malformed the watcher reads the whole table, page by page, and watches from there.

**Conclusion.** No response of the feed can stop a watcher for good.

--- a/crates/edge/src/table_watcher.rs
+++ b/crates/edge/src/table_watcher.rs
@@ -8,6 +8,7 @@
 use dogwoodlb_batch::{BatchHeader, Record};
 use dogwoodlb_directory::Entry;
 use dogwoodlb_external::store::{KeyRange, Row, WatchResponse};
+use dogwoodlb_external::{Category, Error};
 use dogwoodlb_mirror::{Mirror, NextRequest};
 use dogwoodlb_types::id;
 use std::cell::RefCell;
@@ -103,11 +104,7 @@
         MIN_POLL_DELAY.max(Duration::from_secs(1) * nodes / MAX_POLLS_PER_S)
     }
 
-    async fn poll(
-        &self,
-        table: Table,
-        empty_polls: &mut u32,
-    ) -> Result<(), dogwoodlb_external::Error> {
+    async fn poll(&self, table: Table, empty_polls: &mut u32) -> Result<(), Error> {
         let name = self.name(table).to_owned();
         let next = self.mirrors.of(table).borrow().next_request();
         match next {
@@ -121,7 +118,8 @@
                 self.apply_snapshot(table, page.rows, page.version);
             }
             NextRequest::Watch(after) => {
-                match self.storage.watch(&name, after, WATCH_TIMEOUT).await? {
+                let response = self.storage.watch(&name, after, WATCH_TIMEOUT).await;
+                match response.inspect_err(|error| self.on_watch_error(table, error))? {
                     WatchResponse::Rows(page) => {
                         *empty_polls = if page.rows.is_empty() {
                             *empty_polls + 1
@@ -145,6 +143,15 @@
         Ok(())
     }
 
+    /// Handles a failed watch. One whose response is too large or malformed would fail again, but
+    /// the table can be read in pages of a bounded size.
+    fn on_watch_error(&self, table: Table, error: &Error) {
+        if error.classify() == Category::InvalidResponse {
+            tracing::warn!(?table, %error, "change_feed_unreadable");
+            self.mirrors.of(table).borrow_mut().mark_stale();
+        }
+    }
+
     fn name(&self, table: Table) -> &str {
         match table {
             Table::Operator => self.protocol.operator_table(),
