Send nothing for a call whose result no one waits for

Callers saw engines and scorers get requests whose results were dropped: samples of a trainer that the node no longer owned, and model calls whose callers had disconnected. The others waited behind these.

Cause: a call that waits for a replica, or that is repeated after a refusal, never checked whether someone still waits for it. A sample was only cancelled at an event of its own stream, not while it queued, before a further attempt, or for its scoring. A model call noticed a caller that had gone at the first event that it could not write, and one without a stream not at all.

Change: each call to engines or services names its waiter: the flag of the sample, or the caller's responder. The call asks it right before it sends, for each attempt, and at each event. A call with an idempotency key whose caller has gone before it was sent counts as not run.

--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -43,6 +43,11 @@
         }
     }
 
+    /// Returns whether the client has disconnected.
+    pub fn is_closed(&self) -> bool {
+        self.0.is_closed()
+    }
+
     /// Closes the connection without a response, so that the client can't know the outcome.
     pub fn abort(self) {
         // Sending fails only if the client has disconnected.
--- a/crates/node/src/api.rs
+++ b/crates/node/src/api.rs
@@ -4,8 +4,9 @@
 use crate::generate;
 use crate::lock;
 use crate::shared::{Shared, ADDRESS_CACHE_TTL};
+use crate::waiter::{StreamCaller, Waiter};
 use crate::{operators, service_call, trainers};
-use dogwoodlb_http::{sse, Handler, Request, Responder, Response, ResponseStream};
+use dogwoodlb_http::{sse, Handler, Request, Responder, Response};
 use dogwoodlb_manifest::section::Caller;
 use dogwoodlb_manifest::Manifest;
 use dogwoodlb_types::{id, Class, Code, Instant, Refusal};
@@ -91,7 +92,9 @@
             (_, ["v1", "trainers", trainer, rest @ ..]) => {
                 respond(trainers::handle(shared, request, trainer, rest), responder)
             }
-            (_, ["svc", service, ..]) => respond(self.call(request, service), responder),
+            (_, ["svc", service, ..]) => {
+                respond(self.call(request, service, &responder), responder)
+            }
             _ => {
                 let message = format!("no such endpoint: {} {}", request.method, request.path);
                 Err((Refusal::not_run(Code::NotFound, message), responder))
@@ -146,17 +149,12 @@
                 return Err((refusal, responder));
             }
         };
-        let call = generate::ModelCall {
-            request_id: &context.request_id,
-            class,
-            priority: class.rank(),
-            deadline: context.deadline,
-            model_request: &model_request,
-            resume: true,
-        };
         if model_request.stream {
-            return self.stream(&call, &context, responder);
+            let caller = StreamCaller::new(responder);
+            let call = model_call(&context, class, &model_request, &caller);
+            return self.stream(&call, &context, &caller);
         }
+        let call = model_call(&context, class, &model_request, &responder);
         let result = self.0.generate(&call, &mut |_| ControlFlow::Continue(()));
         self.0
             .count_request(class, context.started_at, result.as_ref().err());
@@ -195,12 +193,10 @@
         &self,
         call: &generate::ModelCall<'_>,
         context: &RequestContext,
-        responder: Responder,
+        caller: &StreamCaller,
     ) -> RouteResult {
-        let mut responder = Some(responder);
-        let mut stream: Option<ResponseStream> = None;
         let result = self.0.generate(call, &mut |event| {
-            if let Some(responder) = responder.take() {
+            if let Some(responder) = caller.responder.take() {
                 let elapsed = self.0.now().saturating_since(context.started_at);
                 self.0
                     .metrics
@@ -210,8 +206,9 @@
                     ("cache-control", "no-store"),
                     ("x-request-id", context.request_id.as_str()),
                 ];
-                stream = Some(responder.stream(200, &headers));
+                caller.stream.replace(Some(responder.stream(200, &headers)));
             }
+            let stream = caller.stream.borrow();
             match stream
                 .as_ref()
                 .map(|stream| stream.write(&sse::encode_event(event)))
@@ -222,7 +219,7 @@
         });
         self.0
             .count_request(call.class, context.started_at, result.as_ref().err());
-        match (result, stream, responder) {
+        match (result, caller.stream.take(), caller.responder.take()) {
             (Ok(_), Some(stream), _) => {
                 // Fails only if the client has disconnected.
                 let _ = stream.finish();
@@ -234,7 +231,12 @@
         }
     }
 
-    fn call(&self, request: &Request, service: &str) -> Result<Response, Refusal> {
+    fn call(
+        &self,
+        request: &Request,
+        service: &str,
+        responder: &Responder,
+    ) -> Result<Response, Refusal> {
         let context = self.context(request)?;
         let manifest = self.0.manifest()?;
         let caller = find_caller(&manifest, request)?;
@@ -270,6 +272,7 @@
             content_type: request.header("content-type"),
             body: &request.body,
             idempotent: !non_idempotent && key.is_none(),
+            waiter: responder,
         };
         let result = match key {
             Some(key) => self.0.call_at_most_once(&call, &caller.caller, key),
@@ -309,6 +312,23 @@
     }
 }
 
+fn model_call<'a>(
+    context: &'a RequestContext,
+    class: Class,
+    model_request: &'a ModelRequest,
+    waiter: &'a dyn Waiter,
+) -> generate::ModelCall<'a> {
+    generate::ModelCall {
+        request_id: &context.request_id,
+        class,
+        priority: class.rank(),
+        deadline: context.deadline,
+        model_request,
+        resume: true,
+        waiter,
+    }
+}
+
 /// Sends a response, or returns the refusal with the responder.
 fn respond(result: Result<Response, Refusal>, responder: Responder) -> RouteResult {
     match result {
--- a/crates/node/src/generate.rs
+++ b/crates/node/src/generate.rs
@@ -3,6 +3,7 @@
 use crate::completion::{ModelRequest, Output};
 use crate::replica_set::{Permit, PermitRequest, ReplicaSet};
 use crate::shared::Shared;
+use crate::waiter::Waiter;
 use dogwoodlb_external::engine::{CompletionRequest, Report};
 use dogwoodlb_external::{Category, Cause, Error};
 use dogwoodlb_http::sse::DONE;
@@ -32,6 +33,7 @@
     /// Whether an interrupted response may be continued on another engine. The weight version of
     /// the first part of a continued response is unknown, so samples are never continued.
     pub(crate) resume: bool,
+    pub(crate) waiter: &'a dyn Waiter,
 }
 
 /// A complete response.
@@ -116,6 +118,13 @@
         };
         let bytes = body.len() + call.model_request.answer_bytes();
         self.reserve_link(permit.locality(), call.class, bytes, call.deadline)?;
+        if call.waiter.is_gone() {
+            let error = Error::new(Category::Cancelled, call.request_id, Cause::Cancelled);
+            return Ok(Attempt {
+                result: Err(error),
+                upstream: None,
+            });
+        }
         // Each attempt has its own id, so that a late response can't be attributed to another.
         let attempt_id = format!("{}.{number}", call.request_id);
         let engine_call = CompletionRequest {
@@ -131,7 +140,10 @@
         let result = self.platform.engine.generate(&engine_call, &mut |event| {
             first_event_at.get_or_insert_with(|| self.now());
             output.push(event);
-            on_event(event)
+            match call.waiter.is_gone() {
+                true => ControlFlow::Break(()),
+                false => on_event(event),
+            }
         });
         let latency = first_event_at.map(|at: Instant| at.saturating_since(sent_at));
         record_outcome(&mut permit, &result, latency);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -57,6 +57,7 @@
 mod trainer_calls;
 mod trainers;
 mod upstreams;
+mod waiter;
 mod watch;
 
 pub use clock::SystemClock;
--- a/crates/node/src/sampling.rs
+++ b/crates/node/src/sampling.rs
@@ -179,15 +179,13 @@
             deadline: shared.now() + GENERATE_TIMEOUT,
             model_request: &model_request,
             resume: false,
+            waiter: &*job.cancelled,
         },
         &mut |_| {
             if !std::mem::replace(&mut started, true) {
                 on_started();
             }
-            match job.cancelled.load(Ordering::Relaxed) {
-                true => ControlFlow::Break(()),
-                false => ControlFlow::Continue(()),
-            }
+            ControlFlow::Continue(())
         },
     )?;
     if answer.continued {
@@ -213,6 +211,7 @@
         content_type: Some("application/json"),
         body: &body,
         idempotent: !service_call::is_non_idempotent(&job.manifest, service, "POST", SCORE_PATH),
+        waiter: &*job.cancelled,
     })?;
     let score = serde_json::from_slice::<ScoreResponse>(&reply.body)
         .ok()
--- a/crates/node/src/service_call.rs
+++ b/crates/node/src/service_call.rs
@@ -2,6 +2,7 @@
 
 use crate::replica_set::PermitRequest;
 use crate::shared::Shared;
+use crate::waiter::Waiter;
 use dogwoodlb_external::service::{Call, Reply};
 use dogwoodlb_external::{Category, Cause, Error};
 use dogwoodlb_limit::Signal;
@@ -26,6 +27,7 @@
     pub(crate) body: &'a [u8],
     /// Whether the call may be repeated.
     pub(crate) idempotent: bool,
+    pub(crate) waiter: &'a dyn Waiter,
 }
 
 /// Returns whether the manifest marks a call as non-idempotent.
@@ -73,6 +75,10 @@
                 call.deadline,
             )
             .map_err(|refusal| mark_may_have_run(refusal, sent))?;
+            if call.waiter.is_gone() {
+                let refusal = Refusal::not_run(Code::NoUpstream, "no one waits for the result");
+                return Err(mark_may_have_run(refusal, sent));
+            }
             let result = self.platform.service.call(&Call {
                 address: permit.address,
                 method: call.method,
