Take only framed responses of nodes in the operators' client

What operators would see: a status or a timeline that had been cut, as a whole one. Cause: ureq reads a body without a length or chunks until the connection ends, and takes a reset for the end. Change: a response without a length or chunks is ambiguous. Nodes frame all their responses.

--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -1,6 +1,8 @@
 use dogwoodlb_types::Instant;
 use std::net::SocketAddr;
 use std::time::Duration;
+use ureq::http;
+use ureq::http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 
 /// Limit of a response body. The largest one is a node's timeline, whose ring buffer is bounded
 /// well below this.
@@ -101,6 +103,10 @@
             }
         };
         let mut response = response.map_err(send_error)?;
+        if !is_framed(&response) {
+            let reason = "the response has neither a length nor chunks";
+            return Err(SendError::Ambiguous(reason.to_owned()));
+        }
         let status = response.status().as_u16();
         let body = response.body_mut().with_config().limit(MAX_RESPONSE_BYTES);
         let body = body.read_to_string();
@@ -118,6 +124,16 @@
     }
 }
 
+/// Returns whether the end of the body can be distinguished from a lost connection, after which
+/// `ureq` returns what it has read. Nodes frame all their responses.
+fn is_framed<T>(response: &http::Response<T>) -> bool {
+    let headers = response.headers();
+    let coding = headers.get(TRANSFER_ENCODING);
+    let is_chunked = coding.is_some_and(|coding| coding == "chunked");
+    let has_length = coding.is_none() && headers.contains_key(CONTENT_LENGTH);
+    response.version() == http::Version::HTTP_11 && (is_chunked || has_length)
+}
+
 fn send_error(error: ureq::Error) -> SendError {
     let text = error.to_string();
     match error {
