Break the caller's stream that ends within an event

What callers saw: a stream that stopped in the middle of an event, or before its first one, ended with a last chunk, as if it were complete.

Cause: an answer without a length ends with its connection. If a replica fails and its connection closes in the orderly way, the node can't tell that from an end, and it passed the end on in chunks, which is a stronger statement than the replica made. An event stream has a sign of its own: each event ends with a blank line.

Change: the monitor of an event stream says whether the stream may end where it is: after a complete event, or, for a request that resumes a stream, before the first one. A body without a length that closes elsewhere is an error, and breaks the caller's connection. Bodies with a length or chunks, and bodies that are no event streams, pass as they did.

Conclusion: a stream that closes exactly between two events without any framing still counts as complete; the caller's resumption is the only check of that.

--- a/crates/client/src/error.rs
+++ b/crates/client/src/error.rs
@@ -29,6 +29,12 @@
         /// The error of the HTTP library.
         cause: hyper::Error,
     },
+    /// A body without a stated length ended before its event stream was complete.
+    #[error("the event stream from {address} ended early")]
+    Truncated {
+        /// The address of the server.
+        address: SocketAddr,
+    },
     /// The response body exceeds the limit.
     #[error("response larger than {limit} bytes")]
     TooLarge {
--- a/crates/client/src/progress.rs
+++ b/crates/client/src/progress.rs
@@ -52,6 +52,10 @@
     line: [u8; 5],
     line_length: usize,
     has_field: bool,
+    /// Whether a line other than a comment has followed the last blank line.
+    is_open: bool,
+    /// Whether the stream has had an event, or needs none.
+    has_event: bool,
 }
 
 impl EventScan {
@@ -69,11 +73,18 @@
         }
         let is_blank = self.line_length == 0;
         let is_event = is_blank && self.has_field;
+        self.has_event |= is_event;
         self.has_field = !is_blank && (self.has_field || self.is_field());
+        self.is_open = !is_blank && (self.is_open || self.line[0] != b':');
         self.line_length = 0;
         is_event
     }
 
+    /// Returns whether the last event is complete.
+    fn is_at_boundary(&self) -> bool {
+        self.has_event && !self.is_open && self.line_length == 0
+    }
+
     fn is_field(&self) -> bool {
         let start = &self.line[..self.line_length.min(self.line.len())];
         start == b"data" || start == b"data:" || start.starts_with(b"id:")
@@ -91,6 +102,18 @@
         }
     }
 
+    /// Lets the body end without an event, as that of a resumed stream may.
+    pub fn allow_empty(mut self) -> Self {
+        self.event.has_event = true;
+        self
+    }
+
+    /// Returns whether the body may end here. The body of an event stream may do so after a complete
+    /// event only, since the connection of a sender that fails can close as if the body were whole.
+    pub fn may_end(&self) -> bool {
+        self.progress == Progress::Data || self.event.is_at_boundary()
+    }
+
     /// Records data that arrived after waiting for some time.
     pub fn on_data(&mut self, data: &[u8], waited: Duration) {
         if self.progress == Progress::Data {
--- a/crates/client/src/response.rs
+++ b/crates/client/src/response.rs
@@ -3,7 +3,7 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
-use hyper::header::HeaderValue;
+use hyper::header::{HeaderMap, HeaderValue, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -29,6 +29,8 @@
 pub struct Body {
     incoming: Incoming,
     address: SocketAddr,
+    /// Whether the body ends with its connection, because the head states no other end.
+    ends_with_connection: bool,
     /// The connection, with the time for which it may stay idle, unless it must not be reused.
     reusable: Option<(Sender, Duration)>,
     pool: Rc<Pool>,
@@ -44,9 +46,11 @@
         let (head, incoming) = response.into_parts();
         let keep_alive = head.headers.get("keep-alive").and_then(keep_alive_timeout);
         let idle_timeout = keep_alive.unwrap_or(pool.settings.idle_timeout);
+        let is_delimited = incoming.size_hint().exact().is_some() || is_chunked(&head.headers);
         let body = Body {
             incoming,
             address,
+            ends_with_connection: !is_delimited,
             reusable: Some((sender, idle_timeout)),
             pool,
         };
@@ -94,8 +98,9 @@
     ///
     /// # Errors
     ///
-    /// As [`next`](Self::next), and [`Error::Stalled`] once the monitor permits no more waiting,
-    /// even while data arrives.
+    /// As [`next`](Self::next), [`Error::Stalled`] once the monitor permits no more waiting, even
+    /// while data arrives, and [`Error::Truncated`] if the connection closes where the monitor
+    /// permits no end.
     pub async fn next_monitored(&mut self, monitor: &mut ProgressMonitor) -> Result<Option<Bytes>> {
         let address = self.address;
         let began = Instant::now();
@@ -105,8 +110,12 @@
             None => Ok(self.next().await),
         };
         let data = next.unwrap_or(Err(Error::Stalled { address }))?;
-        if let Some(data) = &data {
-            monitor.on_data(data, began.elapsed());
+        match &data {
+            Some(data) => monitor.on_data(data, began.elapsed()),
+            None if self.ends_with_connection && !monitor.may_end() => {
+                return Err(Error::Truncated { address });
+            }
+            None => {}
         }
         Ok(data)
     }
@@ -136,6 +145,13 @@
     }
 }
 
+/// Returns whether the last transfer coding is `chunked`.
+fn is_chunked(headers: &HeaderMap) -> bool {
+    let codings = headers.get_all(TRANSFER_ENCODING).iter().next_back();
+    let last = codings.and_then(|value| value.to_str().ok()?.rsplit(',').next());
+    last.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"))
+}
+
 /// Parses the `timeout` parameter of a `Keep-Alive` header.
 fn keep_alive_timeout(value: &HeaderValue) -> Option<Duration> {
     let text = value.to_str().ok()?;
--- a/crates/client/tests/stream_progress.rs
+++ b/crates/client/tests/stream_progress.rs
@@ -72,3 +72,36 @@
     let monitor = ProgressMonitor::new(EVENTS, Some(began + SECOND));
     assert_eq!(monitor.wait_limit(began), Some(SECOND));
 }
+
+/// A stream that breaks off must not count as complete, nor a complete one as broken off.
+#[rstest]
+#[case::event(b"id: 1\ndata: a\n\n", true)]
+#[case::carriage_returns(b"id: 1\r\ndata: a\r\n\r\n", true)]
+#[case::comment_after_event(b"data: a\n\n: b\n", true)]
+#[case::blank_line_after_event(b"data: a\n\n\n", true)]
+#[case::nothing(b"", false)]
+#[case::comment(b": a\n\n", false)]
+#[case::unfinished_line(b"data: a\n\nda", false)]
+#[case::unfinished_event(b"data: a\n\nid: 2\n", false)]
+#[case::other_field(b"data: a\n\nversion: 2\n", false)]
+#[case::unfinished_comment(b"data: a\n\n: b", false)]
+fn end_of_event_stream(#[case] data: &[u8], #[case] may_end: bool) {
+    let mut monitor = ProgressMonitor::new(EVENTS, None);
+    monitor.on_data(data, SECOND);
+    assert_eq!(monitor.may_end(), may_end);
+}
+
+#[test]
+fn end_of_resumed_stream() {
+    let mut monitor = ProgressMonitor::new(EVENTS, None).allow_empty();
+    assert!(monitor.may_end());
+    monitor.on_data(b"id: 2", SECOND);
+    assert!(!monitor.may_end());
+}
+
+#[test]
+fn end_of_other_body() {
+    let mut monitor = ProgressMonitor::new(Progress::Data, None);
+    monitor.on_data(b"id: 2", SECOND);
+    assert!(monitor.may_end());
+}
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -46,7 +46,11 @@
     let now = tokio::time::Instant::now();
     let spent = clock::now().saturating_since(began);
     let deadline = limit.map(|limit| now + limit.saturating_sub(spent));
-    ProgressMonitor::new(progress, deadline)
+    let monitor = ProgressMonitor::new(progress, deadline);
+    match request.headers.contains_key(&names.last_event) {
+        true => monitor.allow_empty(),
+        false => monitor,
+    }
 }
 
 /// Passes a body on as it arrives. If it breaks off or stalls, so does the response of the caller.
