Keep an engine's error events out of the caller's stream

What callers saw, on `dogwoodlb run`: the error of an engine and a `[DONE]` in the middle of a stream that then went on at another engine, or that ended there as if it were complete.

Cause: the client of the engines passed each event on before it looked at it. Engines report a failure in a stream that has begun as an event (`{"error":...}`), often followed by `[DONE]`. The check that the report is there, belongs to the request and is the last event came after `[DONE]` had been sent; the attempt then failed and another engine continued the text behind it.

Change: an event is checked before it is passed on: it must be a JSON object without an error, and a report must belong to the request. `[DONE]` is passed on last, once the report was the last event and the body has ended.

Conclusion: a caller gets nothing of a failed attempt but the tokens that the next engine continues, and `[DONE]` only for a complete answer.

--- a/crates/adapter/src/engine.rs
+++ b/crates/adapter/src/engine.rs
@@ -2,6 +2,7 @@
 use dogwoodlb_external::engine::{CompletionRequest, Load, Order, Report, Weights};
 use dogwoodlb_external::{Category, Cause, Error, Result};
 use dogwoodlb_http::sse::{EventReader, DONE};
+use serde::de::IgnoredAny;
 use serde::Deserialize;
 use serde_json::json;
 use std::io::{self, ErrorKind, Read};
@@ -32,9 +33,11 @@
     weights: Vec<Weights>,
 }
 
+/// The fields of an event that decide what it is. The others belong to the caller.
 #[derive(Deserialize)]
-struct FinalEvent {
+struct Event {
     dogwood: Option<Report>,
+    error: Option<IgnoredAny>,
 }
 
 #[derive(Deserialize)]
@@ -117,9 +120,10 @@
         let body = response.into_body().into_with_config();
         let body = IoErrorReader(body.limit(MAX_STREAM_BYTES).reader());
         let mut events = EventReader::new(body, MAX_EVENT_BYTES);
-        let last_event = forward_events(&exchange, &mut events, on_event)?;
-        let report = parse_report(&exchange, request.request_id, &last_event)?;
+        let report = forward_events(&exchange, request.request_id, &mut events, on_event)?;
         read_to_end(&exchange, &mut events)?;
+        // The stream is complete, so a `Break` has nothing to cancel.
+        let _ = on_event(DONE);
         Ok(report)
     }
 
@@ -169,40 +173,47 @@
     }
 }
 
-/// Forwards all events and returns the last one before `[DONE]`.
+/// Forwards the events before `[DONE]` and returns the report in the last one.
+///
+/// An event is forwarded only once it is known to belong to the request, because the caller can't
+/// be told to forget it when another engine continues the stream.
 fn forward_events<R: Read>(
     exchange: &Exchange<'_>,
+    request_id: &str,
     events: &mut EventReader<R>,
     on_event: &mut dyn FnMut(&str) -> ControlFlow<()>,
-) -> Result<String> {
-    let mut last_event = String::new();
+) -> Result<Report> {
+    let mut report = None;
     loop {
         let event = events
             .next_event()
             .map_err(|e| stream_error(exchange, &e))?;
         let event = event.ok_or_else(|| exchange.error(Category::Ambiguous, Cause::Truncated))?;
         if event == DONE {
-            // The stream is complete, so a `Break` has nothing to cancel.
-            let _ = on_event(&event);
-            return Ok(last_event);
+            let missing = Cause::Malformed("the report is missing");
+            return report.ok_or_else(|| exchange.error(Category::Ambiguous, missing));
         }
+        report = parse_event(exchange, request_id, &event)?;
         if on_event(&event).is_break() {
             return Err(exchange.error(Category::Cancelled, Cause::Cancelled));
         }
-        last_event = event;
     }
 }
 
-fn parse_report(exchange: &Exchange<'_>, request_id: &str, last_event: &str) -> Result<Report> {
-    let missing = || Cause::Malformed("the report is missing");
-    let report = serde_json::from_str::<FinalEvent>(last_event)
-        .ok()
-        .and_then(|event| event.dogwood)
-        .ok_or_else(|| exchange.error(Category::Ambiguous, missing()))?;
-    if report.request_id != request_id {
-        return Err(exchange.error(Category::Ambiguous, Cause::WrongRequest));
+/// Checks an event and returns its report, if it has one.
+fn parse_event(exchange: &Exchange<'_>, request_id: &str, event: &str) -> Result<Option<Report>> {
+    let malformed = |cause| exchange.error(Category::Ambiguous, Cause::Malformed(cause));
+    let event: Event =
+        serde_json::from_str(event).map_err(|_| malformed("an event is no completion chunk"))?;
+    if event.error.is_some() {
+        return Err(malformed("the engine reported an error in the stream"));
+    }
+    match event.dogwood {
+        Some(report) if report.request_id != request_id => {
+            Err(exchange.error(Category::Ambiguous, Cause::WrongRequest))
+        }
+        report => Ok(report),
     }
-    Ok(report)
 }
 
 /// Reads up to the end of the body, so that the connection can be reused.
