--- a/crates/client/src/error.rs
+++ b/crates/client/src/error.rs
@@ -38,6 +38,12 @@
         /// The reason why the response can't be used.
         reason: &'static str,
     },
+    /// A body without a stated length ended before its event stream was complete.
+    #[error("the event stream from {address} ended early")]
+    Truncated {
+        /// The address of the server.
+        address: SocketAddr,
+    },
     /// The response body exceeds the limit.
     #[error("response larger than {limit} bytes")]
     TooLarge {
