--- a/crates/client/src/framing.rs
+++ b/crates/client/src/framing.rs
@@ -28,6 +28,11 @@
     Ok(())
 }
 
+/// Returns whether the body of a checked response is chunked.
+pub(crate) fn is_chunked(head: &Parts) -> bool {
+    head.headers.contains_key(TRANSFER_ENCODING)
+}
+
 /// Returns whether the body is chunked and nothing else, or has no transfer coding.
 fn has_known_coding(headers: &HeaderMap) -> bool {
     let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
--- a/crates/client/src/response.rs
+++ b/crates/client/src/response.rs
@@ -3,7 +3,7 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
-use hyper::header::{HeaderMap, HeaderValue, TRANSFER_ENCODING};
+use hyper::header::HeaderValue;
 use hyper::http::response::Parts;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -48,7 +48,7 @@
         framing::check(&mut head).map_err(|reason| Error::Malformed { address, reason })?;
         let keep_alive = head.headers.get("keep-alive").and_then(keep_alive_timeout);
         let idle_timeout = keep_alive.unwrap_or(pool.settings.idle_timeout);
-        let is_delimited = incoming.size_hint().exact().is_some() || is_chunked(&head.headers);
+        let is_delimited = incoming.size_hint().exact().is_some() || framing::is_chunked(&head);
         let body = Body {
             incoming,
             address,
@@ -147,13 +147,6 @@
     }
 }
 
-/// Returns whether the last transfer coding is `chunked`.
-fn is_chunked(headers: &HeaderMap) -> bool {
-    let codings = headers.get_all(TRANSFER_ENCODING).iter().next_back();
-    let last = codings.and_then(|value| value.to_str().ok()?.rsplit(',').next());
-    last.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"))
-}
-
 /// Parses the `timeout` parameter of a `Keep-Alive` header.
 fn keep_alive_timeout(value: &HeaderValue) -> Option<Duration> {
     let text = value.to_str().ok()?;
