Refuse a request that a node sent to a node as a replica

**Seen.** Beside an entry that holds the address of a node, a request went from node to node, or round one node, until its time was over.

**Cause.** A node forwarded what it received, whoever the request was meant for; each round takes a connection.

**Change.** A node answers 421 to a request that names a replica whose entry has the address of this node. The sender then knows that it has not run.

**Conclusion.** At most one extra hop. Requests that name a replica with any other address are handled as before.

--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -15,6 +15,7 @@
 use dogwoodlb_config::RouteKind;
 use hyper::body::Incoming;
 use hyper::header::HOST;
+use hyper::http::request::Parts;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
@@ -22,6 +23,7 @@
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::Future;
+use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -55,6 +57,8 @@
 
 /// Handles the requests of callers.
 pub(crate) struct FrontHandler {
+    /// The address of the listener.
+    pub(crate) address: SocketAddr,
     pub(crate) protocol: Rc<dyn Protocol>,
     pub(crate) cluster: Rc<ClusterState>,
     pub(crate) forwarder: Forwarder,
@@ -100,6 +104,10 @@
 impl FrontHandler {
     async fn dispatch(&self, request: Request<Incoming>) -> Response<Body> {
         let (head, body) = request.into_parts();
+        if self.is_misdirected(&head) {
+            let reason = "this is a node, not the replica";
+            return reply::plain_text(StatusCode::MISDIRECTED_REQUEST, reason);
+        }
         match self.protocol.classify(&head) {
             RequestKind::Results { batch, after, wait } => {
                 self.reader.results(&batch, after, wait).await
@@ -110,6 +118,15 @@
         }
     }
 
+    /// Returns whether a node sent this request, because the entry of the replica that it is meant
+    /// for holds the address of this node. Forwarded, it could come back any number of times.
+    fn is_misdirected(&self, head: &Parts) -> bool {
+        let instance = header_str(&head.headers, &self.protocol.headers().instance);
+        let directory = self.cluster.directory();
+        let entry = instance.and_then(|instance| directory.get(instance));
+        entry.is_some_and(|entry| entry.address == self.address)
+    }
+
     async fn route(&self, request: Request<Incoming>) -> Response<Body> {
         let Some(config) = self.cluster.config() else {
             return reply::unavailable("no configuration is known yet", RETRY_AFTER);
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -205,6 +205,7 @@
 fn front_handler(context: &Rc<NodeContext>, routers: &Rc<ServiceRouters>) -> FrontHandler {
     let (protocol, cluster) = (context.protocol.clone(), context.cluster.clone());
     FrontHandler {
+        address: context.settings.front,
         forwarder: Forwarder {
             client: context.client.clone(),
             protocol: protocol.clone(),
