--- a/crates/client/src/client.rs
+++ b/crates/client/src/client.rs
@@ -106,8 +106,8 @@
     /// # Errors
     ///
     /// [`Error::Connect`] or [`Error::Unsent`] if the server can't have seen the request,
-    /// [`Error::Incomplete`] otherwise. There is no time-out; dropping the future closes the
-    /// connection.
+    /// [`Error::Incomplete`] or [`Error::Malformed`] otherwise. There is no time-out; dropping the
+    /// future closes the connection.
     pub async fn send(&self, address: SocketAddr, request: Request<Bytes>) -> Result<Response> {
         let request = request.map(|body| Either::Left(Full::new(body)));
         self.send_request(address, request).await
@@ -126,7 +126,8 @@
         self.send_request(address, request.map(Either::Right)).await
     }
 
-    /// Sends a request and reads the complete response.
+    /// Sends a request and reads the complete response. After a time-out, the idle connections to
+    /// the server are closed, because one that is silent is seldom the only one.
     ///
     /// # Errors
     ///
@@ -144,10 +145,13 @@
             Ok(hyper::Response::from_parts(response.head, body))
         };
         let outcome = timeout(time_limit, exchange).await;
-        outcome.unwrap_or(Err(Error::Timeout {
-            address,
-            time_limit,
-        }))
+        outcome.unwrap_or_else(|_| {
+            self.close_idle(address);
+            Err(Error::Timeout {
+                address,
+                time_limit,
+            })
+        })
     }
 
     /// Closes the idle connections to a server, for instance after a request to it timed out.
@@ -170,7 +174,7 @@
             let mut error = match sender.try_send_request(request).await {
                 Ok(response) => {
                     let pool = self.pool.clone();
-                    return Ok(Response::new(response, sender, address, pool));
+                    return Response::new(response, sender, address, pool);
                 }
                 Err(error) => error,
             };
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -3,6 +3,7 @@
 use crate::clock;
 use crate::event;
 use crate::headers::{header_str, is_not_run};
+use crate::permit::{Permit, RequestKind};
 use crate::protocol::{HeaderNames, Protocol};
 use bytes::Bytes;
 use dogwoodlb_batch::{Item, Planner, RunEnd, WorkId};
@@ -53,10 +54,14 @@
     work: WorkId,
     item: &Item,
     target: &Target,
+    permit: &Permit,
 ) -> RunResult {
     let headers = protocol.headers();
     let last_event = planner.borrow().progress(work).map_or(0, |p| p.last_event);
     let request = build_request(headers, item, target, last_event);
+    if !permit.allows(RequestKind::Run, &item.id) {
+        return RunResult::Ended(RunEnd::Stopped);
+    }
     let response = match timeout(HEAD_TIMEOUT, client.send(target.address, request)).await {
         Ok(Ok(response)) => response,
         Ok(Err(error)) => {
@@ -194,7 +199,7 @@
     Ok(())
 }
 
-/// Aborts the task of a run when dropped.
+/// Aborts a task when dropped.
 pub(crate) struct AbortOnDrop(pub(crate) tokio::task::AbortHandle);
 
 impl Drop for AbortOnDrop {
--- a/crates/edge/src/score.rs
+++ b/crates/edge/src/score.rs
@@ -3,6 +3,7 @@
 use crate::clock;
 use crate::cluster::ClusterState;
 use crate::headers::{header_number, header_str, is_not_run};
+use crate::permit::{Permit, RequestKind};
 use crate::protocol::Protocol;
 use crate::routing::ServiceRouters;
 use bytes::Bytes;
@@ -35,6 +36,8 @@
     Failed,
     /// The deadline passed.
     TimedOut,
+    /// This node doesn't run the batch of the item any more.
+    Revoked,
 }
 
 /// The result of one scoring call.
@@ -45,6 +48,8 @@
     Failed,
     /// No replica gave a usable response. The call is repeated after a back-off.
     Retry,
+    /// The call was not sent, because this node doesn't run the batch of the item any more.
+    Revoked,
 }
 
 /// Sends scoring calls.
@@ -57,7 +62,12 @@
 
 impl ScoreClient {
     /// Calls the scorer until it returns a signature, fails permanently, or the deadline passes.
-    pub(crate) async fn score(&self, scorer: &Scorer, until: Instant) -> ScoreOutcome {
+    pub(crate) async fn score(
+        &self,
+        scorer: &Scorer,
+        permit: &Permit,
+        until: Instant,
+    ) -> ScoreOutcome {
         let mut failures = 0;
         let mut retry = MIN_RETRY_DELAY;
         let mut tried: Vec<id::Upstream> = Vec::new();
@@ -67,11 +77,12 @@
                 .as_ref()
                 .and_then(|c| c.route(&scorer.host, &scorer.path));
             let call = match route {
-                Some(route) => self.call(scorer, route, &mut tried).await,
+                Some(route) => self.call(scorer, permit, route, &mut tried).await,
                 None => Attempt::Retry,
             };
             match call {
                 Attempt::Signed(signature) => return ScoreOutcome::Signed(signature),
+                Attempt::Revoked => return ScoreOutcome::Revoked,
                 Attempt::Failed => {
                     failures += 1;
                     if route.is_some_and(|route| failures >= route.max_attempts) {
@@ -88,7 +99,13 @@
         ScoreOutcome::TimedOut
     }
 
-    async fn call(&self, scorer: &Scorer, route: &Route, tried: &mut Vec<id::Upstream>) -> Attempt {
+    async fn call(
+        &self,
+        scorer: &Scorer,
+        permit: &Permit,
+        route: &Route,
+        tried: &mut Vec<id::Upstream>,
+    ) -> Attempt {
         let Some(service) = route.select_service(rand::random()) else {
             return Attempt::Retry;
         };
@@ -122,6 +139,9 @@
             headers.deadline_ms.clone(),
             header_number(CALL_TIMEOUT.as_millis()),
         );
+        if !permit.allows(RequestKind::Score, &scorer.id) {
+            return Attempt::Revoked;
+        }
         let exchange = async {
             let mut response = self.client.send(selection.address, request).await?;
             let echoed = header_str(&response.head.headers, &headers.request_id);
--- a/crates/edge/src/table_watcher.rs
+++ b/crates/edge/src/table_watcher.rs
@@ -3,11 +3,14 @@
 use crate::clock;
 use crate::cluster::{ClusterState, NewestVersion};
 use crate::peers::Peers;
-use crate::protocol::{OperatorRow, Protocol};
+use crate::protocol::{DecodeError, OperatorRow, Protocol};
 use crate::storage::{Storage, SHARED};
 use dogwoodlb_batch::{BatchHeader, Record};
+use dogwoodlb_directory::Entry;
 use dogwoodlb_external::store::{KeyRange, Row, WatchResponse};
+use dogwoodlb_external::{Category, Error};
 use dogwoodlb_mirror::{Mirror, NextRequest};
+use dogwoodlb_types::id;
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -101,11 +104,7 @@
         MIN_POLL_DELAY.max(Duration::from_secs(1) * nodes / MAX_POLLS_PER_S)
     }
 
-    async fn poll(
-        &self,
-        table: Table,
-        empty_polls: &mut u32,
-    ) -> Result<(), dogwoodlb_external::Error> {
+    async fn poll(&self, table: Table, empty_polls: &mut u32) -> Result<(), Error> {
         let name = self.name(table).to_owned();
         let next = self.mirrors.of(table).borrow().next_request();
         match next {
@@ -119,7 +118,8 @@
                 self.apply_snapshot(table, page.rows, page.version);
             }
             NextRequest::Watch(after) => {
-                match self.storage.watch(&name, after, WATCH_TIMEOUT).await? {
+                let response = self.storage.watch(&name, after, WATCH_TIMEOUT).await;
+                match response.inspect_err(|error| self.on_watch_error(table, error))? {
                     WatchResponse::Rows(page) => {
                         *empty_polls = if page.rows.is_empty() {
                             *empty_polls + 1
@@ -143,6 +143,15 @@
         Ok(())
     }
 
+    /// Handles a failed watch. One whose response is too large or malformed would fail again, but
+    /// the table can be read in pages of a bounded size.
+    fn on_watch_error(&self, table: Table, error: &Error) {
+        if error.classify() == Category::InvalidResponse {
+            tracing::warn!(?table, %error, "change_feed_unreadable");
+            self.mirrors.of(table).borrow_mut().mark_stale();
+        }
+    }
+
     fn name(&self, table: Table) -> &str {
         match table {
             Table::Operator => self.protocol.operator_table(),
@@ -221,7 +230,7 @@
             }
             return;
         }
-        match self.protocol.decode_replica_entry(&row.value) {
+        match self.decode_replica_row(row) {
             Ok(entry) => {
                 let stage = format!("{:?}", entry.stage);
                 let (service, address) = (entry.service.clone(), entry.address);
@@ -232,12 +241,21 @@
             }
             Err(error) => {
                 // An entry that can't be decoded invalidates the previous entry of the replica.
-                directory.remove(replica, row.version, now);
+                directory.invalidate(replica, row.version);
+                self.mirrors.replicas.borrow_mut().clear_value(replica);
                 tracing::warn!(replica, row = row.version, %error, "replica_entry_not_decoded");
             }
         }
     }
 
+    /// Decodes the entry of a replica. Its key has to be an id that requests can name.
+    fn decode_replica_row(&self, row: &Row) -> Result<Entry, DecodeError> {
+        if let Err(error) = row.key.parse::<id::Upstream>() {
+            return Err(DecodeError::new("id of a replica", error));
+        }
+        self.protocol.decode_replica_entry(&row.value)
+    }
+
     fn apply_shared_row(&self, row: &Row) {
         let Some((kind, name)) = row.key.split_once('/') else {
             return;
