Carry out the end of a batch after its caller has left

Callers saw items of a batch start although they had ended it: their connection broke before the node had stored the end.

Cause: the future that ends a batch belongs to the connection, and is dropped with it. That is right for a request whose result only its caller wants. The end is about the batch; a caller that gets no response to it takes the batch for ended.

Evidence: `end_from_disconnected_caller`, on the old code:

timed out waiting for the end in the store

It repeats only conditional writes, and an end is never undone, so one that is late does no harm.

--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -98,18 +98,26 @@
 }
 
 impl FrontHandler {
-    async fn dispatch(&self, request: Request<Incoming>) -> Response<Body> {
+    async fn dispatch(self: &Rc<Self>, request: Request<Incoming>) -> Response<Body> {
         let (head, body) = request.into_parts();
         match self.protocol.classify(&head) {
             RequestKind::Results { batch, after, wait } => {
                 self.reader.results(&batch, after, wait).await
             }
             RequestKind::ItemBody { batch, item } => self.reader.body(&batch, &item).await,
-            RequestKind::EndBatch { batch } => self.submitter.end(&batch).await,
+            RequestKind::EndBatch { batch } => self.end_batch(batch).await,
             RequestKind::Route => self.route(Request::from_parts(head, body)).await,
         }
     }
 
+    /// Ends a batch, even if the caller disconnects: the batch is no longer wanted.
+    async fn end_batch(self: &Rc<Self>, batch: String) -> Response<Body> {
+        let this = self.clone();
+        let end = tokio::task::spawn_local(async move { this.submitter.end(&batch).await });
+        // Fails only if the task panicked.
+        end.await.unwrap_or_else(|_| forward::gateway_timeout())
+    }
+
     async fn route(&self, request: Request<Incoming>) -> Response<Body> {
         let Some(config) = self.cluster.config() else {
             return reply::unavailable("no configuration is known yet", RETRY_AFTER);
