Retire the lease of a trainer that leaves the manifest

Callers saw every call of a trainer answered with 421 by all nodes after the trainer had been removed from the manifest and added again.

Cause: the thread that renews a lease asked whether the manifest lists the name. If the name came back before it asked, during a slow call to the table, it went on for an owner that had ended, and the lease of the new owner could never be taken, on this node or any other. A thread that rolls out weights did the same with its model.

Change: a lease manager is retired when its entry leaves the manifest, and stays so. An entry of the same name gets another one. The tests of whole nodes share their stand-ins in one module now.

--- a/crates/node/src/cleaner.rs
+++ b/crates/node/src/cleaner.rs
@@ -29,7 +29,7 @@
 /// Deletes expired rows while this node holds the cleanup lease, until the node stops.
 pub(crate) fn run(shared: &Arc<Shared>) {
     let name = LEASE.parse().map(LeaseName::Other);
-    let Ok(lease) = name.and_then(|name| LeaseManager::new(shared, name, || true)) else {
+    let Ok(lease) = name.and_then(|name| LeaseManager::new(shared, name)) else {
         return;
     };
     let lease = Arc::new(lease);
--- a/crates/node/src/lease_manager.rs
+++ b/crates/node/src/lease_manager.rs
@@ -22,18 +22,16 @@
     name: LeaseName,
     label: id::Lease,
     lease: Mutex<Lease>,
-    is_needed: Box<dyn Fn() -> bool + Send + Sync>,
+    /// Whether the manifest no longer requires the lease. A name that is listed again later gets
+    /// another manager.
+    retired: AtomicBool,
     /// Whether a call that needs the lease is in progress; a shutdown then keeps the lease.
     busy: AtomicBool,
 }
 
 impl LeaseManager {
-    /// Creates the manager of a lease; `is_needed` returns whether the manifest still requires it.
-    pub(crate) fn new(
-        shared: &Shared,
-        name: LeaseName,
-        is_needed: impl Fn() -> bool + Send + Sync + 'static,
-    ) -> Result<Self, Error> {
+    /// Creates the manager of a lease.
+    pub(crate) fn new(shared: &Shared, name: LeaseName) -> Result<Self, Error> {
         // Timeline events show a lease as `trainer.weld`, truncated to the maximum name length.
         let label: String = name
             .to_string()
@@ -49,7 +47,7 @@
             name,
             label,
             lease: Mutex::new(lease),
-            is_needed: Box::new(is_needed),
+            retired: AtomicBool::new(false),
             busy: AtomicBool::new(false),
         })
     }
@@ -74,7 +72,16 @@
         self.name.fence_key()
     }
 
-    /// Maintains the lease until the node shuts down or the manifest no longer requires it.
+    /// Releases the lease for good, because the manifest no longer requires it.
+    pub(crate) fn retire(&self) {
+        self.retired.store(true, Ordering::SeqCst);
+    }
+
+    pub(crate) fn is_retired(&self) -> bool {
+        self.retired.load(Ordering::SeqCst)
+    }
+
+    /// Maintains the lease until the node shuts down or the manager is retired.
     pub(crate) fn run(&self, shared: &Arc<Shared>) {
         let mut last_fence = None;
         let mut next_rank_at = Instant::default();
@@ -85,7 +92,7 @@
                 self.set_rank(shared);
             }
             let busy = self.busy.load(Ordering::SeqCst);
-            if (shared.is_releasing() && !busy) || !(self.is_needed)() {
+            if (shared.is_releasing() && !busy) || self.is_retired() {
                 lock(&self.lease).release();
             }
             self.poll_lease(shared);
--- a/crates/node/src/swapper.rs
+++ b/crates/node/src/swapper.rs
@@ -35,24 +35,23 @@
 /// Starts a swapper thread for each model of the manifest that doesn't have one.
 pub(crate) fn start(shared: &Arc<Shared>, manifest: &Manifest) {
     let mut running = lock(&shared.swappers);
-    running.retain(|name| manifest.models.iter().any(|entry| entry.model == *name));
+    running.retain(|name, lease| {
+        let is_listed = manifest.models.iter().any(|entry| entry.model == *name);
+        if !is_listed {
+            lease.retire();
+        }
+        is_listed
+    });
     for model in &manifest.models {
-        if !running.insert(model.model.clone()) {
+        let name = model.model.clone();
+        if running.contains_key(&name) {
             continue;
         }
-        let name = model.model.clone();
-        let is_needed = {
-            let (shared, name) = (Arc::downgrade(shared), name.clone());
-            move || {
-                shared
-                    .upgrade()
-                    .is_some_and(|shared| lock(&shared.swappers).contains(&name))
-            }
-        };
-        let Ok(lease) = LeaseManager::new(shared, LeaseName::Model(name.clone()), is_needed) else {
+        let Ok(lease) = LeaseManager::new(shared, LeaseName::Model(name.clone())) else {
             continue;
         };
         let lease = Arc::new(lease);
+        running.insert(name.clone(), lease.clone());
         shared.start_lease(&lease);
         let shared = shared.clone();
         let spawned = thread::Builder::new()
@@ -101,7 +100,7 @@
     }
 
     fn run(mut self) {
-        while !self.shared.is_stopped() && lock(&self.shared.swappers).contains(&self.model) {
+        while !self.shared.is_stopped() && !self.lease.is_retired() {
             while let Ok(report) = self.reports.1.try_recv() {
                 self.on_report(report);
             }
@@ -338,5 +337,5 @@
     outcome
 }
 
-/// The models that have a swapper thread on this node.
-pub(crate) type RunningSwappers = Mutex<HashSet<id::Model>>;
+/// The models that have a swapper thread on this node, with the leases of the threads.
+pub(crate) type RunningSwappers = Mutex<HashMap<id::Model, Arc<LeaseManager>>>;
--- a/crates/node/src/trainer_calls.rs
+++ b/crates/node/src/trainer_calls.rs
@@ -65,22 +65,19 @@
 /// Starts an owner thread for each trainer of the manifest that doesn't have one.
 pub(crate) fn start_owners(shared: &Arc<Shared>, manifest: &Manifest) {
     let mut trainers = lock(&shared.trainers);
-    trainers.retain(|name, _| manifest.trainers.iter().any(|entry| entry.trainer == *name));
+    trainers.retain(|name, mailbox| {
+        let is_listed = manifest.trainers.iter().any(|entry| entry.trainer == *name);
+        if !is_listed {
+            mailbox.lease.retire();
+        }
+        is_listed
+    });
     for trainer in &manifest.trainers {
         if trainers.contains_key(&trainer.trainer) {
             continue;
         }
         let name = trainer.trainer.clone();
-        let is_needed = {
-            let (shared, name) = (Arc::downgrade(shared), name.clone());
-            move || {
-                shared
-                    .upgrade()
-                    .is_some_and(|shared| is_listed(&shared, &name))
-            }
-        };
-        let Ok(lease) = LeaseManager::new(shared, LeaseName::Trainer(name.clone()), is_needed)
-        else {
+        let Ok(lease) = LeaseManager::new(shared, LeaseName::Trainer(name.clone())) else {
             continue;
         };
         let lease = Arc::new(lease);
@@ -105,12 +102,6 @@
     }
 }
 
-fn is_listed(shared: &Shared, name: &id::Trainer) -> bool {
-    let adoption = lock(&shared.adoption);
-    let manifest = adoption.manifest();
-    manifest.is_some_and(|manifest| manifest.trainers.iter().any(|entry| entry.trainer == *name))
-}
-
 impl Shared {
     /// Returns the refusal that redirects a call to the trainer's owner, if it is known.
     pub(crate) fn wrong_node(&self, lease: &LeaseManager) -> Refusal {
--- a/crates/node/tests/unwanted_calls.rs
+++ b/crates/node/tests/nodes/cluster.rs
@@ -1,16 +1,15 @@
-//! Guards against requests to engines and services whose results no one waits for any more.
+//! A node with one engine, stand-ins of the platform and a trainer.
 
 use dogwoodlb_adapter as adapter;
 use dogwoodlb_external::engine::{CompletionRequest, Load, Order, Report, Weights};
 use dogwoodlb_external::service;
-use dogwoodlb_external::{Category, Cause, Engine, Error, Result, Service};
+use dogwoodlb_external::table::{Outcome, Row, Txn};
+use dogwoodlb_external::{Category, Cause, Engine, Error, Result, Service, Table};
 use dogwoodlb_manifest::settings::Settings;
 use dogwoodlb_node::{Node, Platform, SystemClock};
 use dogwoodlb_standin::{bind_loopback, free_address, objects, table, vms};
-use rstest::rstest;
 use serde_json::{json, Value};
-use std::io::Write;
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::ops::ControlFlow;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -18,23 +17,23 @@
 use std::time::{Duration, Instant};
 
 /// The number of samples in a step.
-const SAMPLES: u32 = 64;
+pub(crate) const SAMPLES: u32 = 64;
 const TIMEOUT: Duration = Duration::from_secs(60);
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Longer than it takes an owner to notice that its trainer is gone.
-const SETTLE_TIME: Duration = Duration::from_millis(500);
+pub(crate) const SETTLE_TIME: Duration = Duration::from_millis(500);
 
 /// An upstream that responds once it is released: as an engine with a refusal, as a scorer with a
 /// score.
 #[derive(Default)]
-struct Blocking {
+pub(crate) struct Blocking {
     /// The ids of the requests received.
     requests: Mutex<Vec<String>>,
     released: AtomicBool,
 }
 
 impl Blocking {
-    fn count(&self) -> usize {
+    pub(crate) fn count(&self) -> usize {
         self.requests.lock().unwrap().len()
     }
 
@@ -115,7 +114,13 @@
 }
 
 /// Repeats a call until its status is as expected, and returns the response.
-fn call_until(address: SocketAddr, method: &str, path: &str, body: &Value, status: u16) -> Value {
+pub(crate) fn call_until(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    body: &Value,
+    status: u16,
+) -> Value {
     let deadline = Instant::now() + TIMEOUT;
     loop {
         let reply = call(address, method, path, body);
@@ -127,7 +132,7 @@
     }
 }
 
-fn wait_for(what: &str, condition: impl Fn() -> bool) {
+pub(crate) fn wait_for(what: &str, condition: impl Fn() -> bool) {
     let deadline = Instant::now() + TIMEOUT;
     while !condition() {
         assert!(Instant::now() < deadline, "timed out waiting for {what}");
@@ -152,18 +157,59 @@
     .to_string()
 }
 
-fn commit(address: SocketAddr, base: u64, text: &str) {
+pub(crate) fn commit(address: SocketAddr, base: u64, text: &str) {
     let body = json!({"base": base, "operator": "ana", "text": text});
     call_until(address, "POST", "/v1/manifest", &body, 200);
 }
 
-struct Cluster {
-    node: Node,
+/// A table service whose calls about the leases of trainers can be slow.
+pub(crate) struct LeaseTable {
+    inner: adapter::TableClient,
+    /// Whether such calls take [`SLOW_CALL`].
+    pub(crate) is_slow: AtomicBool,
+    /// Whether such a call is in progress.
+    pub(crate) is_waiting: AtomicBool,
+}
+
+/// Longer than it takes to commit and adopt two manifests, and shorter than a lease.
+pub(crate) const SLOW_CALL: Duration = Duration::from_secs(3);
+const LEASE_PREFIX: &str = "lease/trainer/";
+
+impl LeaseTable {
+    fn delay(&self, key: &str) {
+        if key.starts_with(LEASE_PREFIX) && self.is_slow.load(Ordering::SeqCst) {
+            self.is_waiting.store(true, Ordering::SeqCst);
+            thread::sleep(SLOW_CALL);
+        }
+    }
+}
+
+impl Table for LeaseTable {
+    fn read(&self, key: &str, timeout: Duration) -> Result<Option<Row>> {
+        self.delay(key);
+        self.inner.read(key, timeout)
+    }
+
+    fn scan(&self, prefix: &str, timeout: Duration) -> Result<Vec<Row>> {
+        self.delay(prefix);
+        self.inner.scan(prefix, timeout)
+    }
+
+    fn commit(&self, txn: &Txn, timeout: Duration) -> Result<Outcome> {
+        let first = txn.puts.first().map(|put| put.key.as_str());
+        self.delay(first.unwrap_or_default());
+        self.inner.commit(txn, timeout)
+    }
+}
+
+pub(crate) struct Cluster {
+    pub(crate) node: Node,
     /// The upstream that blocks: the engine, or the scorer of the trainer.
-    upstream: Arc<Blocking>,
-    address: SocketAddr,
+    pub(crate) upstream: Arc<Blocking>,
+    pub(crate) leases: Arc<LeaseTable>,
+    pub(crate) address: SocketAddr,
     /// The manifests with and without a trainer.
-    manifests: [String; 2],
+    pub(crate) manifests: [String; 2],
     _table: table::Table,
     _objects: objects::Objects,
     _vms: vms::Vms,
@@ -171,7 +217,7 @@
 
 impl Cluster {
     /// Starts a node with one engine and a trainer, which has a scorer if `is_scored`.
-    fn start(is_scored: bool) -> Self {
+    pub(crate) fn start(is_scored: bool) -> Self {
         let table = table::Table::start(bind_loopback().unwrap()).unwrap();
         let objects = objects::Objects::start(bind_loopback().unwrap()).unwrap();
         let vms = vms::Vms::start(bind_loopback().unwrap(), &[]).unwrap();
@@ -192,12 +238,17 @@
             true => TestEngine::Completing,
             false => TestEngine::Blocking(upstream.clone()),
         };
+        let leases = Arc::new(LeaseTable {
+            inner: adapter::TableClient::new(settings.table),
+            is_slow: AtomicBool::new(false),
+            is_waiting: AtomicBool::new(false),
+        });
         let platform = Platform {
             clock: Arc::new(SystemClock::new()),
             engine: Arc::new(engine),
             objects: Arc::new(adapter::ObjectStoreClient::new(settings.objects)),
             service: upstream.clone(),
-            table: Arc::new(adapter::TableClient::new(settings.table)),
+            table: leases.clone(),
             vms: Arc::new(adapter::VmListClient::new(settings.vms)),
         };
         let address = settings.address;
@@ -214,6 +265,7 @@
         Self {
             node,
             upstream,
+            leases,
             address,
             manifests,
             _table: table,
@@ -223,74 +275,14 @@
     }
 
     /// Waits until the upstream has received as many requests as it takes.
-    fn wait_until_full(&self) {
+    pub(crate) fn wait_until_full(&self) {
         wait_for("the first requests", || self.upstream.count() > 0);
         thread::sleep(SETTLE_TIME);
     }
 
     /// Lets the upstream respond, and waits until others could have been sent.
-    fn release(&self) {
+    pub(crate) fn release(&self) {
         self.upstream.released.store(true, Ordering::SeqCst);
         thread::sleep(SETTLE_TIME * 2);
     }
 }
-
-/// The samples of a trainer that waited for an engine or for the scorer, or that an engine
-/// refused, were sent after the node had lost the trainer.
-#[rstest]
-#[case::generation(false)]
-#[case::scoring(true)]
-fn lost_trainer(#[case] is_scored: bool) {
-    let cluster = Cluster::start(is_scored);
-    let address = cluster.address;
-    let sessions = "/v1/trainers/weld/sessions";
-    let session = call_until(address, "POST", sessions, &json!({}), 200)["session"].clone();
-    let step = json!({"session": session, "max_tokens": 8,
-        "groups": [{"prompt": "weld the frame", "size": SAMPLES}]});
-    call_until(address, "PUT", "/v1/trainers/weld/steps/1", &step, 202);
-    cluster.wait_until_full();
-    let sent = cluster.upstream.count();
-    assert!(sent < SAMPLES as usize, "no sample waits");
-    commit(address, 1, &cluster.manifests[1]);
-    call_until(address, "POST", sessions, &json!({}), 404);
-    thread::sleep(SETTLE_TIME);
-    cluster.release();
-    assert_eq!(cluster.upstream.count(), sent, "samples sent for it");
-    cluster.node.kill();
-}
-
-/// Sends a model call and returns its connection.
-fn send_call(address: SocketAddr, id: &str, stream: bool) -> TcpStream {
-    let body = json!({"model": "scorer", "prompt": "a", "stream": stream}).to_string();
-    let mut connection = TcpStream::connect(address).unwrap();
-    write!(
-        connection,
-        "POST /v1/completions HTTP/1.1\r\nhost: a\r\nx-caller: quotes\r\nx-request-id: {id}\r\n\
-         content-length: {}\r\n\r\n{body}",
-        body.len()
-    )
-    .unwrap();
-    connection
-}
-
-/// A model call that waited for an engine was sent after its caller had disconnected.
-#[rstest]
-#[case::whole(false)]
-#[case::streamed(true)]
-fn disconnected_caller(#[case] stream: bool) {
-    const CALLS: usize = 40;
-    let cluster = Cluster::start(false);
-    let sessions = "/v1/trainers/weld/sessions";
-    call_until(cluster.address, "POST", sessions, &json!({}), 200);
-    let calls: Vec<TcpStream> = (0..CALLS)
-        .map(|number| send_call(cluster.address, &format!("call-{number}"), stream))
-        .collect();
-    cluster.wait_until_full();
-    let sent = cluster.upstream.count();
-    assert!((1..CALLS).contains(&sent), "{sent} calls sent");
-    drop(calls);
-    thread::sleep(SETTLE_TIME);
-    cluster.release();
-    assert_eq!(cluster.upstream.count(), sent, "calls sent for no one");
-    cluster.node.kill();
-}
