--- a/crates/weights/src/scheduler.rs
+++ b/crates/weights/src/scheduler.rs
@@ -241,7 +241,8 @@
         let needed = self.needed_replicas(index, demand.open_items, replicas, now);
         let loaded = self.loaded_weights(index, replicas, newest, now);
         // Without demand, consider the replicas that could serve the last step.
-        let serves_last_step = |weights: &&LoadedWeights| weights.version + 1 >= newest;
+        let serves_last_step =
+            |weights: &&LoadedWeights| newest.saturating_sub(weights.version) <= 1;
         let needed = match needed {
             0 => loaded
                 .iter()
@@ -281,7 +282,8 @@
         wanted_slots.div_ceil(slots_per_replica)
     }
 
-    /// Returns the loaded weights of the replicas that are assigned to a model.
+    /// Returns the loaded weights of the replicas that are assigned to a model. A replica whose
+    /// version was never announced is left out.
     fn loaded_weights(
         &self,
         index: usize,
@@ -294,6 +296,9 @@
             assigned.filter(|replica| self.assignments.assigned_model(replica.name) == Some(index));
         let weights = |replica: &Replica<'_>| {
             let version = self.loaded_version(replica, index)?;
+            if version > newest {
+                return None;
+            }
             let retry_at = self.retry_at.get(replica.name);
             let is_in_backoff = retry_at.is_some_and(|at| now < *at);
             // A replica gets one order at a time, whatever the model.
