--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -102,7 +102,7 @@
 }
 
 impl FrontHandler {
-    async fn dispatch(&self, request: Request<Incoming>) -> Response<Body> {
+    async fn dispatch(self: &Rc<Self>, request: Request<Incoming>) -> Response<Body> {
         let (head, body) = request.into_parts();
         if self.is_misdirected(&head) {
             let reason = "this is a node, not the replica";
@@ -113,7 +113,7 @@
                 self.reader.results(&batch, after, wait).await
             }
             RequestKind::ItemBody { batch, item } => self.reader.body(&batch, &item).await,
-            RequestKind::EndBatch { batch } => self.submitter.end(&batch).await,
+            RequestKind::EndBatch { batch } => self.end_batch(batch).await,
             RequestKind::Route => self.route(Request::from_parts(head, body)).await,
         }
     }
@@ -127,6 +127,14 @@
         entry.is_some_and(|entry| entry.address == self.address)
     }
 
+    /// Ends a batch, even if the caller disconnects: the batch is no longer wanted.
+    async fn end_batch(self: &Rc<Self>, batch: String) -> Response<Body> {
+        let this = self.clone();
+        let end = tokio::task::spawn_local(async move { this.submitter.end(&batch).await });
+        // Fails only if the task panicked.
+        end.await.unwrap_or_else(|_| forward::gateway_timeout())
+    }
+
     async fn route(&self, request: Request<Incoming>) -> Response<Body> {
         let Some(config) = self.cluster.config() else {
             return reply::unavailable("no configuration is known yet", RETRY_AFTER);
