--- a/crates/client/src/response.rs
+++ b/crates/client/src/response.rs
@@ -29,6 +29,8 @@
 pub struct Body {
     incoming: Incoming,
     address: SocketAddr,
+    /// Whether the body ends with its connection, because the head states no other end.
+    ends_with_connection: bool,
     /// The connection, with the time for which it may stay idle, unless it must not be reused.
     reusable: Option<(Sender, Duration)>,
     pool: Rc<Pool>,
@@ -46,9 +48,11 @@
         framing::check(&mut head).map_err(|reason| Error::Malformed { address, reason })?;
         let keep_alive = head.headers.get("keep-alive").and_then(keep_alive_timeout);
         let idle_timeout = keep_alive.unwrap_or(pool.settings.idle_timeout);
+        let is_delimited = incoming.size_hint().exact().is_some() || framing::is_chunked(&head);
         let body = Body {
             incoming,
             address,
+            ends_with_connection: !is_delimited,
             reusable: Some((sender, idle_timeout)),
             pool,
         };
@@ -96,8 +100,9 @@
     ///
     /// # Errors
     ///
-    /// As [`next`](Self::next), and [`Error::Stalled`] once the monitor permits no more waiting,
-    /// even while data arrives.
+    /// As [`next`](Self::next), [`Error::Stalled`] once the monitor permits no more waiting, even
+    /// while data arrives, and [`Error::Truncated`] if the connection closes where the monitor
+    /// permits no end.
     pub async fn next_monitored(&mut self, monitor: &mut ProgressMonitor) -> Result<Option<Bytes>> {
         let address = self.address;
         let began = Instant::now();
@@ -107,8 +112,12 @@
             None => Ok(self.next().await),
         };
         let data = next.unwrap_or(Err(Error::Stalled { address }))?;
-        if let Some(data) = &data {
-            monitor.on_data(data, began.elapsed());
+        match &data {
+            Some(data) => monitor.on_data(data, began.elapsed()),
+            None if self.ends_with_connection && !monitor.may_end() => {
+                return Err(Error::Truncated { address });
+            }
+            None => {}
         }
         Ok(data)
     }
