Count a text that fails scoring once against its scorer

What callers saw: steps that took longer and longer once one replica of the scorer was left, with fewer and fewer of their items listed.

Cause: a text that the scorer fails is sent again at once, and with one replica to the same one. Its failures in a row ejected the replica, which then got one call at a time in its slow start.

Evidence: nodes::failing_items::only_scorer, a scorer with 4 slots of 40 ms, on the code before:

13.681067155s of at most 4.8s

Change: only the first failure of a text counts against a replica; the repeated calls of the same text say little about it.

Measured: the test passes.

--- a/crates/edge/src/score.rs
+++ b/crates/edge/src/score.rs
@@ -77,7 +77,11 @@
                 .as_ref()
                 .and_then(|c| c.route(&scorer.host, &scorer.path));
             let call = match route {
-                Some(route) => self.call(scorer, permit, route, &mut tried).await,
+                Some(route) => {
+                    let has_failed = failures > 0;
+                    self.call(scorer, permit, route, &mut tried, has_failed)
+                        .await
+                }
                 None => Attempt::Retry,
             };
             match call {
@@ -105,6 +109,7 @@
         permit: &Permit,
         route: &Route,
         tried: &mut Vec<id::Upstream>,
+        has_failed: bool,
     ) -> Attempt {
         let Some(service) = route.select_service(rand::random()) else {
             return Attempt::Retry;
@@ -177,6 +182,8 @@
             return Attempt::Retry;
         }
         selection.finish(match head.status.is_server_error() {
+            // A text that fails again says little about the replica.
+            true if has_failed => Outcome::Cancelled,
             true => Outcome::Failure,
             false => Outcome::Success,
         });
