Eject a replica in slow start for one failure only at its start

What callers saw: a replica that was ejected once got a tenth of its slots from then on, as long as some requests failed at it.

Cause: each single failure within the 10 s of the slow start ejected the replica again. At a replica that fails one request in 25, there is one in every slow start, so it never returned to its full weight.

Evidence: replica_ejection::failures_in_slow_start on the code before:

left: 1 right: 10 (slots used after 12 s)

Change: a single failure ejects the replica again only while no request has succeeded since the ejection. After that, as at full weight, it takes three in a row, because one may be caused by the request itself.

Measured: the test passes.

--- a/crates/route/src/health.rs
+++ b/crates/route/src/health.rs
@@ -30,6 +30,8 @@
 struct Ejection {
     since: Instant,
     until: Instant,
+    /// Whether a request has succeeded since.
+    has_succeeded: bool,
 }
 
 impl Health {
@@ -74,6 +76,7 @@
         // one works, and ends its ejection early.
         if let Some(ejection) = &mut self.ejection {
             ejection.until = ejection.until.min(now);
+            ejection.has_succeeded = true;
         }
         if self.weight(now) == FULL_WEIGHT {
             self.ejections = 0;
@@ -86,14 +89,18 @@
             return;
         }
         self.failures += 1;
-        // A failure during slow start means that the replica has not recovered.
-        if self.failures >= EJECTION_THRESHOLD || self.weight(now) < FULL_WEIGHT {
+        // A failure during slow start means that the replica has not recovered, unless a request has
+        // succeeded since the ejection.
+        let has_succeeded = self.ejection.is_some_and(|ejection| ejection.has_succeeded);
+        let is_unproven = self.weight(now) < FULL_WEIGHT && !has_succeeded;
+        if self.failures >= EJECTION_THRESHOLD || is_unproven {
             let duration = BASE_EJECTION_TIME * (1 << self.ejections.min(6));
             self.ejections = self.ejections.saturating_add(1);
             self.failures = 0;
             self.ejection = Some(Ejection {
                 since: now,
                 until: now + duration.min(MAX_EJECTION_TIME),
+                has_succeeded: false,
             });
         }
     }
--- a/crates/route/tests/replica_ejection.rs
+++ b/crates/route/tests/replica_ejection.rs
@@ -97,3 +97,35 @@
     router.on_end(pick.ticket, Outcome::Success, at(2)).unwrap();
     assert!(!router.is_ejected(&list[0].upstream, at(2)));
 }
+
+/// A replica that some requests fail was ejected at each of them during slow start, so that it
+/// never returned to its full weight.
+#[test]
+fn failures_in_slow_start() {
+    const FULL_WEIGHT_MS: u64 = 12_000;
+    const REQUEST_MS: u64 = 20;
+    /// One in this many requests fails.
+    const FAILING_DIVISOR: u64 = 25;
+    let mut rng = StdRng::seed_from_u64(1);
+    let list = replicas("lj", "lj-a", 1);
+    let mut router = router(&list);
+    eject(&mut router, &list[0].upstream, &[], 0);
+    let request = Request::new(Class::Customer);
+    for number in 1..FULL_WEIGHT_MS / REQUEST_MS {
+        let now = at(number * REQUEST_MS);
+        let pick = router.pick(&request, now, &mut rng).unwrap();
+        let outcome = match number % FAILING_DIVISOR {
+            0 => Outcome::Failure,
+            _ => Outcome::Success,
+        };
+        router.on_end(pick.ticket, outcome, now).unwrap();
+    }
+    let slots = list[0].slots as usize;
+    let picks = || router.pick(&request, at(FULL_WEIGHT_MS), &mut rng).ok();
+    assert_eq!(
+        std::iter::repeat_with(picks)
+            .take_while(Option::is_some)
+            .count(),
+        slots
+    );
+}
