--- a/crates/edge/src/routing.rs
+++ b/crates/edge/src/routing.rs
@@ -29,10 +29,16 @@
             return;
         };
         let mut routers = self.routers.by_service.borrow_mut();
-        if let Some(router) = routers.get_mut(&self.service) {
-            if let Err(error) = router.on_end(ticket, outcome, clock::now()) {
-                tracing::debug!(replica = %self.replica, %error, "ticket_unknown");
-            }
+        let Some(router) = routers.get_mut(&self.service) else {
+            return;
+        };
+        let now = clock::now();
+        let was_ejected = router.is_ejected(&self.replica, now);
+        if let Err(error) = router.on_end(ticket, outcome, now) {
+            tracing::debug!(replica = %self.replica, %error, "ticket_unknown");
+        }
+        if !was_ejected && router.is_ejected(&self.replica, now) {
+            tracing::info!(replica = %self.replica, service = self.service, "replica_ejected");
         }
     }
 }
