Return the results that were read, whatever the cache has evicted

Cause: the node took the first results from its cache, read the others from the store, added them to the cache and took all from the cache again. Reads of twelve other batches meanwhile evict the batch, so that the results from the requested position on have a gap at their start.

Evidence: nodes::evicted_results::evicted_during_read on the code before:

HttpResponse { status: 200, .. "{\"Total\":4,\"Next\":0,\"Results\":[]}" }

Change: the result is what was cached at the start and what was read; the cache is only filled.

Conclusion: the cache can cost reads, and no longer results.

--- a/crates/edge/src/batch_store.rs
+++ b/crates/edge/src/batch_store.rs
@@ -88,23 +88,36 @@
         Ok(submission)
     }
 
-    /// Returns the outcomes from position `from` up to the first position that is not cached. If
-    /// the cached outcomes do not reach `until`, all further ones are first read from the store
-    /// into the cache. The result can extend beyond `until`.
+    /// Returns the outcomes from position `from`. If the cached ones do not reach `until`, all further
+    /// ones are read from the store, and cached. The result can extend beyond `until`.
     pub(crate) async fn outcomes(
         &self,
         batch: &str,
         from: u32,
         until: u32,
     ) -> Result<Vec<Rc<Outcome>>, Error> {
-        let cached = self.cache.outcomes(batch, from);
-        let next = from + u32::try_from(cached.len()).unwrap_or(u32::MAX);
+        let mut outcomes = self.cache.outcomes(batch, from);
+        let mut next = from + u32::try_from(outcomes.len()).unwrap_or(u32::MAX);
         if next >= until || from >= until {
-            return Ok(cached);
+            return Ok(outcomes);
         }
+        // The cache may evict the batch meanwhile, so the result is not read from it again.
+        for (position, outcome) in self.read_outcomes(batch, next).await? {
+            let outcome = Rc::new(outcome);
+            self.cache.put_outcome(batch, position, outcome.clone());
+            if position == next {
+                outcomes.push(outcome);
+                next += 1;
+            }
+        }
+        Ok(outcomes)
+    }
+
+    /// Reads the outcomes from a position on from the store, in order of their positions.
+    async fn read_outcomes(&self, batch: &str, from: u32) -> Result<Vec<(u32, Outcome)>, Error> {
         let range = KeyRange {
             table: OUTCOMES.to_owned(),
-            from: storage::numbered_key(batch, next),
+            from: storage::numbered_key(batch, from),
             to: format!("{batch}0"),
         };
         let page = self.storage.read(&range).await?;
@@ -119,6 +132,7 @@
                 .unwrap_or(&row.key);
             values.entry(key).or_default().push(&row.value);
         }
+        let mut outcomes = Vec::new();
         for (key, row_values) in values {
             let position = key
                 .rsplit('/')
@@ -126,10 +140,9 @@
                 .and_then(|number| number.parse().ok());
             let Some(position) = position else { continue };
             let value = parts::join(row_values.into_iter());
-            let outcome = Rc::new(Outcome::from_slice(&value)?);
-            self.cache.put_outcome(batch, position, outcome);
+            outcomes.push((position, Outcome::from_slice(&value)?));
         }
-        Ok(self.cache.outcomes(batch, from))
+        Ok(outcomes)
     }
 
     /// Returns the texts of unfinished items that a previous owner of the batch stored.
