Show the processes and the cluster's state when a process test fails

**Change** A thread reads each stream of a child process, so its output is kept and never blocks the child. A test that fails prints, for each process, whether it still ran, its exit status and the end of both streams, and for the cluster the rows of leases and trainers and each node's status and last timeline events. `Process::wait` and `Cluster::ctl` return a typed exit with both streams. The trainer stand-in names the request, the node and the last failure in its report. No check changed.

--- a/crates/dogwoodlb/tests/processes.rs
+++ b/crates/dogwoodlb/tests/processes.rs
@@ -2,6 +2,8 @@
 
 #[path = "processes/bad_input.rs"]
 mod bad_input;
+#[path = "processes/capture.rs"]
+mod capture;
 #[path = "processes/cluster.rs"]
 mod cluster;
 #[path = "processes/engine_faults.rs"]
@@ -18,6 +20,8 @@
 mod process;
 #[path = "processes/refused_submit.rs"]
 mod refused_submit;
+#[path = "processes/state.rs"]
+mod state;
 #[path = "processes/store_outage.rs"]
 mod store_outage;
 #[path = "processes/two_operators.rs"]
--- a/crates/dogwoodlb/tests/processes/cluster.rs
+++ b/crates/dogwoodlb/tests/processes/cluster.rs
@@ -1,6 +1,6 @@
 //! Nodes and stand-ins, each in a process of its own.
 
-use crate::process::{binary, standin, wait_for, Process};
+use crate::process::{binary, standin, wait_for, Exit, Process};
 use dogwoodlb_standin::free_address;
 use serde_json::{json, Value};
 use std::net::SocketAddr;
@@ -167,7 +167,7 @@
     pub(crate) fn commit(&self, base: u64) {
         let file = self.write_manifest("first").display().to_string();
         let base = base.to_string();
-        let (code, output) = self.ctl(&[
+        let exit = self.ctl(&[
             "commit",
             &file,
             "--base",
@@ -177,7 +177,7 @@
             "--wait-ms",
             "60000",
         ]);
-        assert_eq!(code, Some(0), "{output}");
+        assert!(exit.status.success(), "{exit}");
     }
 
     /// Writes the manifest to a file.
@@ -187,15 +187,14 @@
         file
     }
 
-    /// Runs `dogwoodctl` and returns its exit code and output.
-    pub(crate) fn ctl(&self, args: &[&str]) -> (Option<i32>, String) {
+    /// Runs `dogwoodctl` to its end.
+    pub(crate) fn ctl(&self, args: &[&str]) -> Exit {
         let mut all = Vec::new();
         for address in self.addresses() {
             all.extend(["--node".to_owned(), address.to_string()]);
         }
         all.extend(args.iter().map(|one| one.to_string()));
-        let (status, output) = Process::start(binary("dogwoodctl"), &all).wait();
-        (status.code(), output)
+        Process::start(binary("dogwoodctl"), &all).wait()
     }
 
     pub(crate) fn wait_in_force(&self, revision: u64) {
@@ -261,9 +260,9 @@
 
     /// Waits for a trainer's end and checks that nothing was lost, doubled or too old.
     pub(crate) fn check_trainer(trainer: Process) -> Value {
-        let (status, output) = trainer.wait();
-        assert!(status.success(), "{output}");
-        serde_json::from_str(&output).unwrap()
+        let exit = trainer.wait();
+        assert!(exit.status.success(), "the trainer ended: {exit}");
+        serde_json::from_str(&exit.stdout).unwrap()
     }
 
     /// Asks the model for a streamed answer.
@@ -315,6 +314,9 @@
 
 impl Drop for Cluster {
     fn drop(&mut self) {
+        if std::thread::panicking() {
+            self.print_state();
+        }
         // The directory is in the system's place for temporary files.
         let _ = std::fs::remove_dir_all(&self.directory);
     }
--- a/crates/dogwoodlb/tests/processes/graceful_drain.rs
+++ b/crates/dogwoodlb/tests/processes/graceful_drain.rs
@@ -51,8 +51,8 @@
         let answer = cluster.stream(address, &format!("late-{number}"));
         check_refusal(&answer.expect("a caller between two requests met a closed port"));
     }
-    let (status, _) = node.wait();
-    assert!(status.success());
+    let exit = node.wait();
+    assert!(exit.status.success(), "{exit}");
     let report = Cluster::check_trainer(trainer);
     assert_eq!(report["delivered"], 80);
 }
--- a/crates/dogwoodlb/tests/processes/store_outage.rs
+++ b/crates/dogwoodlb/tests/processes/store_outage.rs
@@ -40,8 +40,8 @@
             order.text
         );
     }
-    let (code, output) = cluster.ctl(&["status"]);
-    assert_eq!(code, Some(0), "{output}");
+    let exit = cluster.ctl(&["status"]);
+    assert!(exit.status.success(), "{exit}");
     cluster.clear_faults(cluster.table);
     let report = Cluster::check_trainer(trainer);
     assert_eq!(report["delivered"], 64);
--- a/crates/dogwoodlb/tests/processes/two_operators.rs
+++ b/crates/dogwoodlb/tests/processes/two_operators.rs
@@ -23,7 +23,7 @@
         ];
         Process::start(binary("dogwoodctl"), &args.map(str::to_owned))
     });
-    let mut codes = commits.map(|commit| commit.wait().0.code());
+    let mut codes = commits.map(|commit| commit.wait().status.code());
     codes.sort_unstable();
     assert_eq!(codes, [Some(0), Some(1)]);
     cluster.wait_in_force(2);
--- a/crates/dogwoodlb/tests/processes/whole_path.rs
+++ b/crates/dogwoodlb/tests/processes/whole_path.rs
@@ -38,16 +38,16 @@
 
     let node = cluster.nodes[1].process.take().unwrap();
     node.signal(Signal::TERM);
-    let (status, _) = node.wait();
-    assert!(status.success());
+    let exit = node.wait();
+    assert!(exit.status.success(), "{exit}");
 }
 
 /// Guards against a refusal without a reason that the operator can act on.
 #[test]
 fn operator_errors() {
     let cluster = Cluster::start("operator-errors", 1);
-    let (code, _) = cluster.ctl(&["status"]);
-    assert_eq!(code, Some(0));
+    let exit = cluster.ctl(&["status"]);
+    assert!(exit.status.success(), "{exit}");
     let body = r#"{"base": 0, "operator": "ana", "text": "{}"}"#;
     let answer = cluster.call(
         cluster.nodes[0].address,
@@ -73,16 +73,17 @@
         &["show"],
         &["--json", "status"],
     ] {
-        let (code, output) = cluster.ctl(args);
-        assert_eq!(code, Some(0), "{args:?} {output}");
+        let exit = cluster.ctl(args);
+        assert!(exit.status.success(), "{args:?} {exit}");
     }
-    let (code, events) = cluster.ctl(&["--json", "timeline", "--trainer", "weld"]);
-    assert_eq!(code, Some(0));
-    assert!(events.contains("ledger_loaded"), "{events}");
-    assert!(!events.contains("node_started"), "{events}");
+    let exit = cluster.ctl(&["--json", "timeline", "--trainer", "weld"]);
+    assert!(exit.status.success(), "{exit}");
+    assert!(exit.stdout.contains("ledger_loaded"), "{exit}");
+    assert!(!exit.stdout.contains("node_started"), "{exit}");
 
-    let (code, output) = cluster.ctl(&["drain", "entry-2"]);
-    assert_eq!(code, Some(0), "{output}");
+    let exit = cluster.ctl(&["drain", "entry-2"]);
+    assert!(exit.status.success(), "{exit}");
     let node = cluster.nodes[1].process.take().unwrap();
-    assert!(node.wait().0.success());
+    let exit = node.wait();
+    assert!(exit.status.success(), "{exit}");
 }
--- a/crates/standin/src/trainer/client.rs
+++ b/crates/standin/src/trainer/client.rs
@@ -21,6 +21,8 @@
     current: SocketAddr,
     deadline: Instant,
     call_count: u64,
+    /// The address and the outcome of the last attempt that was retried.
+    last_failure: Option<String>,
     pub(super) redirected: u64,
     pub(super) retried: u64,
 }
@@ -37,21 +39,27 @@
     pub(super) status: u16,
     /// Whether an earlier attempt of the request may have taken effect.
     pub(super) repeated: bool,
+    /// The method, the path and the node that responded.
+    request: String,
     body: Vec<u8>,
 }
 
 impl Reply {
     pub(super) fn json<T: DeserializeOwned>(&self) -> Result<T, StopReason> {
         self.expect_status(&[200, 201])?;
-        serde_json::from_slice(&self.body)
-            .map_err(|error| StopReason::Failed(format!("malformed response: {error}")))
+        serde_json::from_slice(&self.body).map_err(|error| {
+            StopReason::Failed(format!("{}: malformed response: {error}", self.request))
+        })
     }
 
     pub(super) fn u64_field(&self, field: &str) -> Result<u64, StopReason> {
         let value: Value = self.json()?;
         let number = value[field].as_u64();
         number.ok_or_else(|| {
-            StopReason::Failed(format!("the response lacks the numeric field {field}"))
+            StopReason::Failed(format!(
+                "{}: the response lacks the numeric field {field}",
+                self.request
+            ))
         })
     }
 
@@ -61,8 +69,8 @@
         }
         let body = String::from_utf8_lossy(&self.body);
         Err(StopReason::Failed(format!(
-            "status {}: {body}",
-            self.status
+            "{}: status {}: {body}",
+            self.request, self.status
         )))
     }
 }
@@ -88,6 +96,7 @@
             current: config.addresses.first().copied().unwrap_or(unset),
             deadline: Instant::now() + config.timeout,
             call_count: 0,
+            last_failure: None,
             redirected: 0,
             retried: 0,
         }
@@ -108,6 +117,7 @@
                     return Ok(Reply {
                         status,
                         repeated,
+                        request: format!("{method} {path} at {}", self.current),
                         body,
                     });
                 }
@@ -131,7 +141,10 @@
                 }
             }
         }
-        let reason = format!("{method} {path} got no final response before the deadline");
+        let last = self.last_failure.as_deref().unwrap_or("none");
+        let reason = format!(
+            "{method} {path} got no final response before the deadline; last failure: {last}"
+        );
         Err(StopReason::Failed(reason))
     }
 
@@ -162,16 +175,31 @@
             timeout: CALL_TIMEOUT,
         });
         match result {
-            Ok(reply) => classify_response(reply.status, reply.body),
-            Err(error) => NextAction::Retry(error.classify() != Category::NotSent),
+            Ok(reply) => {
+                if is_refusal(reply.status) {
+                    let body = String::from_utf8_lossy(&reply.body);
+                    self.last_failure =
+                        Some(format!("{} status {}: {body}", self.current, reply.status));
+                }
+                classify_response(reply.status, reply.body)
+            }
+            Err(error) => {
+                self.last_failure = Some(error.to_string());
+                NextAction::Retry(error.classify() != Category::NotSent)
+            }
         }
     }
 }
 
+/// Returns whether a response with this status may carry a refusal to act on.
+fn is_refusal(status: u16) -> bool {
+    matches!(status, 409 | 421 | 429 | 500..)
+}
+
 fn classify_response(status: u16, body: Vec<u8>) -> NextAction {
-    let refusal: Value = match status {
-        409 | 421 | 429 | 500.. => serde_json::from_slice(&body).unwrap_or_default(),
-        _ => Value::Null,
+    let refusal: Value = match is_refusal(status) {
+        true => serde_json::from_slice(&body).unwrap_or_default(),
+        false => Value::Null,
     };
     let error = &refusal["error"];
     let owner = error["owner"].as_str().and_then(|owner| owner.parse().ok());
