Refuse a trainer's call for later while its owner is being started

Once in some 50 runs beside load `killed_owner::restart_all` failed: the trainer ended with "status 404: unknown_trainer: trainer `weld` is not in the manifest", although the manifest listed it, or the test waited 90 s for a step of a trainer that had ended.

**Cause** A manifest is in force as soon as the adoption core has read it; the owners of its trainers are started a little later, by the thread that applies it. In between `call_owner` found no mailbox and answered that the trainer is not in the manifest. That is untrue, and final: a caller that gets 404 doesn't retry. Under load the thread can be off the processor in that moment, in particular when a node restarts while a trainer calls it.

**Change** A listed trainer without a mailbox is refused as by any node that doesn't own it: 421 `wrong_node`, not run, with a time to retry. The test halts the applying thread with its clock. It failed before the change: `left: 404, right: 421`, `unknown_trainer`.

--- a/crates/node/src/trainer_calls.rs
+++ b/crates/node/src/trainer_calls.rs
@@ -8,6 +8,7 @@
 use dogwoodlb_ledger::{Content, Delivery};
 use dogwoodlb_manifest::Manifest;
 use dogwoodlb_types::{id, Code, Instant, Refusal};
+use std::net::SocketAddr;
 use std::sync::mpsc::{sync_channel, SyncSender};
 use std::sync::Arc;
 use std::thread;
@@ -114,9 +115,14 @@
                 .find(|entry| entry.vm == vm)
                 .map(|entry| entry.address)
         });
-        let message =
-            "this node does not own the trainer: call its owner, or retry if it has none yet";
-        let refusal = Refusal::not_run(Code::WrongNode, message).owner(owner);
-        refusal.retry_after(Duration::from_millis(500))
+        not_owner(owner)
     }
 }
+
+/// Returns the refusal of a call to a node that doesn't own the trainer; `owner` is the address of
+/// the node that does, if it is known.
+pub(crate) fn not_owner(owner: Option<SocketAddr>) -> Refusal {
+    let message = "this node does not own the trainer: call its owner, or retry if it has none yet";
+    let refusal = Refusal::not_run(Code::WrongNode, message).owner(owner);
+    refusal.retry_after(Duration::from_millis(500))
+}
--- a/crates/node/src/trainers.rs
+++ b/crates/node/src/trainers.rs
@@ -5,7 +5,7 @@
 use crate::sampling::SampleBody;
 use crate::shared::Shared;
 use crate::store;
-use crate::trainer_calls::{Call, Command, Reply};
+use crate::trainer_calls::{self, Call, Command, Reply};
 use dogwoodlb_http::{Request, Response};
 use dogwoodlb_ledger::{decode_bodies, Content, Delivery, Group};
 use dogwoodlb_types::{id, Code, Refusal, Span};
@@ -146,14 +146,14 @@
 /// Sends a call to the trainer's owner thread on this node and waits for the reply.
 fn call_owner(shared: &Shared, trainer: &id::Trainer, command: Command) -> Result<Reply, Refusal> {
     let manifest = shared.manifest()?;
-    let mailbox = lock(&shared.trainers).get(trainer).cloned();
-    let listed = manifest
-        .trainers
-        .iter()
-        .any(|entry| entry.trainer == *trainer);
-    let Some(mailbox) = mailbox.filter(|_| listed) else {
+    let mut entries = manifest.trainers.iter();
+    if !entries.any(|entry| entry.trainer == *trainer) {
         let message = format!("trainer `{trainer}` is not in the manifest");
         return Err(Refusal::not_run(Code::UnknownTrainer, message));
+    }
+    // A manifest is in force slightly before the owners of its trainers are started.
+    let Some(mailbox) = lock(&shared.trainers).get(trainer).cloned() else {
+        return Err(trainer_calls::not_owner(None));
     };
     if mailbox.lease.guard(shared.now()).is_none() {
         return Err(shared.wrong_node(&mailbox.lease));
--- a/crates/node/tests/nodes.rs
+++ b/crates/node/tests/nodes.rs
@@ -3,5 +3,6 @@
 mod nodes {
     mod cluster;
     mod readded_trainer;
+    mod unapplied_manifest;
     mod unwanted_calls;
 }
--- a/crates/node/tests/nodes/cluster.rs
+++ b/crates/node/tests/nodes/cluster.rs
@@ -8,6 +8,7 @@
 use dogwoodlb_manifest::settings::Settings;
 use dogwoodlb_node::{Node, Platform, SystemClock};
 use dogwoodlb_standin::{bind_loopback, free_address, objects, table, vms};
+use dogwoodlb_types::Clock;
 use serde_json::{json, Value};
 use std::net::SocketAddr;
 use std::ops::ControlFlow;
@@ -99,7 +100,7 @@
     }
 }
 
-fn call(address: SocketAddr, method: &str, path: &str, body: &Value) -> service::Reply {
+pub(crate) fn call(address: SocketAddr, method: &str, path: &str, body: &Value) -> service::Reply {
     let body = body.to_string();
     let call = service::Call {
         address,
@@ -218,6 +219,11 @@
 impl Cluster {
     /// Starts a node with one engine and a trainer, which has a scorer if `is_scored`.
     pub(crate) fn start(is_scored: bool) -> Self {
+        Self::start_with(is_scored, Arc::new(SystemClock::new()))
+    }
+
+    /// Starts a node as [`Cluster::start`] does, with a clock.
+    pub(crate) fn start_with(is_scored: bool, clock: Arc<dyn Clock>) -> Self {
         let table = table::Table::start(bind_loopback().unwrap()).unwrap();
         let objects = objects::Objects::start(bind_loopback().unwrap()).unwrap();
         let vms = vms::Vms::start(bind_loopback().unwrap(), &[]).unwrap();
@@ -244,7 +250,7 @@
             is_waiting: AtomicBool::new(false),
         });
         let platform = Platform {
-            clock: Arc::new(SystemClock::new()),
+            clock,
             engine: Arc::new(engine),
             objects: Arc::new(adapter::ObjectStoreClient::new(settings.objects)),
             service: upstream.clone(),
