Wait for a state that lasts in the process tests

`wait_delivered` looked every 20 ms for the text `"delivery":1` in the trainer's row, `wait_accepted` for rows that the node deletes once the step is acknowledged. Both states pass: a poll that comes too late, on a machine where a process is off the processor for some 100 ms, waits 90 s in vain ("gave up waiting: a delivered step").

**Change** The waits end when the step was reached, also if the trainer has gone on since: at least one delivery, and stored samples or a later acknowledgement. What a test checks afterwards is unchanged.

The new test waits after the trainer's end. It failed before the change after 90 s: "gave up waiting: an accepted sample".

--- a/crates/dogwoodlb/tests/processes.rs
+++ b/crates/dogwoodlb/tests/processes.rs
@@ -14,6 +14,8 @@
 mod graceful_drain;
 #[path = "processes/killed_owner.rs"]
 mod killed_owner;
+#[path = "processes/late_wait.rs"]
+mod late_wait;
 #[path = "processes/lost_replies.rs"]
 mod lost_replies;
 #[path = "processes/process.rs"]
--- a/crates/dogwoodlb/tests/processes/cluster.rs
+++ b/crates/dogwoodlb/tests/processes/cluster.rs
@@ -218,25 +218,36 @@
         })
     }
 
-    /// Waits until a sample of a step of the trainer is in the table.
-    pub(crate) fn wait_accepted(&self, step: u32) {
+    /// Waits until a sample of a step of the trainer is in the table, or was until the step was
+    /// acknowledged.
+    pub(crate) fn wait_accepted(&self, step: u64) {
         let path = format!("/rows?prefix=trainer%2Fweld%2Fstep%2F{step}%2Fbatch");
         wait_for("an accepted sample", || {
             let rows = self.get(self.table, &path)?;
-            let rows = rows["rows"].as_array()?;
-            (!rows.is_empty()).then_some(())
+            let is_stored = !rows["rows"].as_array()?.is_empty();
+            (is_stored || self.acknowledged() >= Some(step)).then_some(())
         });
     }
 
     /// Waits until a step was delivered to the trainer.
     pub(crate) fn wait_delivered(&self) {
         wait_for("a delivered step", || {
-            let head = self.get(self.table, "/rows?key=trainer%2Fweld%2Fhead")?;
-            let value = head["rows"][0]["value"].as_str()?;
-            value.contains(r#""delivery":1"#).then_some(())
+            let delivery = self.trainer_head()?["delivery"].as_u64()?;
+            (delivery >= 1).then_some(())
         });
     }
 
+    /// Returns the last step that the trainer acknowledged.
+    fn acknowledged(&self) -> Option<u64> {
+        self.trainer_head()?["acknowledged"]["step"].as_u64()
+    }
+
+    /// Returns the row of the trainer's progress.
+    fn trainer_head(&self) -> Option<Value> {
+        let rows = self.get(self.table, "/rows?key=trainer%2Fweld%2Fhead")?;
+        serde_json::from_str(rows["rows"][0]["value"].as_str()?).ok()
+    }
+
     /// Starts a trainer in a process of its own.
     pub(crate) fn trainer(&self, steps: u32, train_ms: u32) -> Process {
         let mut args = vec![
