--- a/crates/directory/src/directory.rs
+++ b/crates/directory/src/directory.rs
@@ -1,3 +1,4 @@
+use crate::departures::Departures;
 use crate::{Entry, Stage};
 use dogwoodlb_types::Instant;
 use std::collections::{BTreeMap, BTreeSet};
@@ -13,6 +14,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
     replicas: BTreeMap<String, Record>,
+    departures: Departures,
     /// The time of the last contact with the store.
     last_contact: Option<Instant>,
     /// The time until which the replica of a removed entry may register again.
@@ -129,9 +131,34 @@
             self.replicas.remove(id);
             self.revision += 1;
         }
+        let replicas = &self.replicas;
+        self.departures.expire(now, |id, born_ms| {
+            let record = replicas.get(id);
+            record.is_some_and(|record| record.entry.born_ms == born_ms)
+        });
         expired
     }
 
+    /// Records that an incarnation of a replica has said itself that it is leaving. No later entry
+    /// of this incarnation makes it ready again, and another incarnation is not affected. Returns
+    /// whether this was unknown.
+    pub fn mark_leaving(&mut self, id: &str, born_ms: i64, now: Instant) -> bool {
+        let is_new = self.departures.insert(id, born_ms, now);
+        self.revision += u64::from(is_new);
+        is_new
+    }
+
+    /// Returns whether an incarnation of a replica accepts new work: its entry says so, and the
+    /// replica has not said otherwise.
+    pub fn accepts_work(&self, id: &str, born_ms: i64) -> bool {
+        let entry = self.get(id).filter(|entry| entry.born_ms == born_ms);
+        entry.is_some_and(|entry| self.is_ready(id, entry))
+    }
+
+    fn is_ready(&self, id: &str, entry: &Entry) -> bool {
+        entry.stage == Stage::Ready && !self.departures.contains(id, entry.born_ms)
+    }
+
     /// Returns a number that increases with each change of the replicas.
     pub fn revision(&self) -> u64 {
         self.revision
@@ -155,6 +182,7 @@
         &'a self,
         service: &'a str,
     ) -> impl Iterator<Item = (&'a str, &'a Entry)> {
-        self.replicas(service).filter(|(_, entry)| entry.is_ready())
+        let replicas = self.replicas(service);
+        replicas.filter(|(id, entry)| self.is_ready(id, entry))
     }
 }
--- a/crates/directory/src/entry.rs
+++ b/crates/directory/src/entry.rs
@@ -20,11 +20,6 @@
 }
 
 impl Entry {
-    /// Returns whether the replica accepts new work.
-    pub fn is_ready(&self) -> bool {
-        self.stage == Stage::Ready
-    }
-
     /// Returns the loaded weight version of a model.
     pub fn version(&self, model: &str) -> Option<u64> {
         let mut models = self.models.iter();
--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -3,7 +3,8 @@
 //! The [`Directory`] receives each entry with its row version and ignores older versions. A
 //! replica whose entry expired during an outage of the store is kept for
 //! [`REREGISTRATION_TIME`] after the store has recovered, because a live replica registers again
-//! within this time.
+//! within this time. A replica may also say itself that it is leaving
+//! ([`Directory::mark_leaving`]), which holds for its incarnation whatever its entry says.
 //!
 //! # Examples
 //!
@@ -29,8 +30,10 @@
 //! # Ok::<(), std::net::AddrParseError>(())
 //! ```
 
+mod departures;
 mod directory;
 mod entry;
 
+pub use departures::DEPARTURE_TTL;
 pub use directory::{Directory, REREGISTRATION_TIME};
 pub use entry::{Entry, Stage, Weights};
--- a/crates/edge/src/coordinator/replica_scan.rs
+++ b/crates/edge/src/coordinator/replica_scan.rs
@@ -77,7 +77,9 @@
         }
         planner.retain_replicas(|id| {
             let entry = directory.get(id);
-            entry.is_some_and(|entry| entry.service == self.service && entry.is_ready())
+            entry.is_some_and(|entry| {
+                entry.service == self.service && directory.accepts_work(id, entry.born_ms)
+            })
         });
     }
 }
