Let a check decide right before a request is written

**Cause.** `Client::send` may wait up to 0.9 s for a connection; whoever checked before the call (the permit of a batch, the window of an order, soon the departure of a replica) sent on a reason that could be gone. **Change.** `Client::checked` returns a view whose check runs once a connection is ready, again before a retry on another one.

--- a/crates/client/src/client.rs
+++ b/crates/client/src/client.rs
@@ -1,4 +1,4 @@
-use crate::{Error, Response, Result};
+use crate::{CheckedClient, Error, Response, Result};
 use bytes::Bytes;
 use http_body_util::{Either, Full};
 use hyper::body::Incoming;
@@ -62,6 +62,7 @@
     opened: Cell<u64>,
 }
 
+/// A connection without a request.
 #[derive(Debug)]
 struct IdleConnection {
     sender: Sender,
@@ -74,15 +75,25 @@
         let Some(lifetime) = idle_timeout.checked_sub(IDLE_MARGIN) else {
             return;
         };
+        let expires = Instant::now() + lifetime;
+        self.put_back(address, IdleConnection { sender, expires });
+    }
+
+    /// Keeps a connection that is already idle until it expires, unless too many are idle.
+    fn put_back(&self, address: SocketAddr, connection: IdleConnection) {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(address).or_default();
-        if connections.len() < self.settings.max_idle_per_server && !sender.is_closed() {
-            let expires = Instant::now() + lifetime;
-            connections.push(IdleConnection { sender, expires });
+        if connections.len() < self.settings.max_idle_per_server && !connection.sender.is_closed() {
+            connections.push(connection);
         }
     }
 }
 
+/// The check of requests that are sent in any case.
+fn always() -> bool {
+    true
+}
+
 impl Client {
     /// Creates a client with an empty connection pool.
     pub fn new(settings: Settings) -> Self {
@@ -109,21 +120,7 @@
     /// [`Error::Incomplete`] or [`Error::Malformed`] otherwise. There is no time-out; dropping the
     /// future closes the connection.
     pub async fn send(&self, address: SocketAddr, request: Request<Bytes>) -> Result<Response> {
-        let request = request.map(|body| Either::Left(Full::new(body)));
-        self.send_request(address, request).await
-    }
-
-    /// Sends a request whose body is streamed as it arrives.
-    ///
-    /// # Errors
-    ///
-    /// As [`send`](Self::send).
-    pub async fn send_streaming(
-        &self,
-        address: SocketAddr,
-        request: Request<Incoming>,
-    ) -> Result<Response> {
-        self.send_request(address, request.map(Either::Right)).await
+        self.checked(&always).send(address, request).await
     }
 
     /// Sends a request and reads the complete response. After a time-out, the idle connections to
@@ -139,19 +136,20 @@
         time_limit: Duration,
         max_body_bytes: usize,
     ) -> Result<hyper::Response<Bytes>> {
-        let exchange = async {
-            let response = self.send(address, request).await?;
-            let body = response.body.collect(max_body_bytes).await?;
-            Ok(hyper::Response::from_parts(response.head, body))
-        };
-        let outcome = timeout(time_limit, exchange).await;
-        outcome.unwrap_or_else(|_| {
-            self.close_idle(address);
-            Err(Error::Timeout {
-                address,
-                time_limit,
-            })
-        })
+        let checked = self.checked(&always);
+        checked
+            .call(address, request, time_limit, max_body_bytes)
+            .await
+    }
+
+    /// Returns a view of this client that sends a request only if `check` returns true once a
+    /// connection is ready, immediately before the request is written. Otherwise the request ends
+    /// with [`Error::Revoked`].
+    pub fn checked<'a>(&'a self, check: &'a dyn Fn() -> bool) -> CheckedClient<'a> {
+        CheckedClient {
+            client: self,
+            check,
+        }
     }
 
     /// Closes the idle connections to a server, for instance after a request to it timed out.
@@ -159,18 +157,24 @@
         self.pool.idle.borrow_mut().remove(&address);
     }
 
-    async fn send_request(
+    pub(crate) async fn send_request(
         &self,
         address: SocketAddr,
         mut request: Request<Outgoing>,
+        check: &dyn Fn() -> bool,
     ) -> Result<Response> {
         loop {
             let reused = self.take_idle(address).await;
             let is_reused = reused.is_some();
-            let mut sender = match reused {
-                Some(sender) => sender,
+            let connection = match reused {
+                Some(connection) => connection,
                 None => self.connect(address).await?,
             };
+            if !check() {
+                self.pool.put_back(address, connection);
+                return Err(Error::Revoked { address });
+            }
+            let mut sender = connection.sender;
             let mut error = match sender.try_send_request(request).await {
                 Ok(response) => {
                     let pool = self.pool.clone();
@@ -190,7 +194,7 @@
     }
 
     /// Takes the most recently used idle connection that is still open.
-    async fn take_idle(&self, address: SocketAddr) -> Option<Sender> {
+    async fn take_idle(&self, address: SocketAddr) -> Option<IdleConnection> {
         loop {
             let mut connection = {
                 let mut by_address = self.pool.idle.borrow_mut();
@@ -202,15 +206,15 @@
                 connections.pop()?
             };
             if connection.sender.is_ready() {
-                return Some(connection.sender);
+                return Some(connection);
             }
             if let Ok(Ok(())) = timeout(READY_TIMEOUT, connection.sender.ready()).await {
-                return Some(connection.sender);
+                return Some(connection);
             }
         }
     }
 
-    async fn connect(&self, address: SocketAddr) -> Result<Sender> {
+    async fn connect(&self, address: SocketAddr) -> Result<IdleConnection> {
         let connect_error = |cause| Error::Connect { address, cause };
         let settings = &self.pool.settings;
         let stream = timeout(settings.connect_timeout, TcpStream::connect(address)).await;
@@ -230,6 +234,8 @@
                 tracing::debug!(%address, %error, "connection_failed");
             }
         });
-        Ok(sender)
+        let lifetime = settings.idle_timeout.saturating_sub(IDLE_MARGIN);
+        let expires = Instant::now() + lifetime;
+        Ok(IdleConnection { sender, expires })
     }
 }
--- a/crates/client/src/error.rs
+++ b/crates/client/src/error.rs
@@ -21,6 +21,12 @@
         /// The error of the HTTP library.
         cause: hyper::Error,
     },
+    /// The check of a [`CheckedClient`](crate::CheckedClient) did not permit the request.
+    #[error("the request to {address} may not be sent any more")]
+    Revoked {
+        /// The address of the server.
+        address: SocketAddr,
+    },
     /// The connection failed or the response was malformed. The server may have seen the request.
     #[error("incomplete response from {address}: {cause}")]
     Incomplete {
@@ -69,6 +75,9 @@
 impl Error {
     /// Returns whether the server certainly did not see the request.
     pub fn is_unsent(&self) -> bool {
-        matches!(self, Self::Connect { .. } | Self::Unsent { .. })
+        matches!(
+            self,
+            Self::Connect { .. } | Self::Revoked { .. } | Self::Unsent { .. }
+        )
     }
 }
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -5,12 +5,14 @@
 //! sent is retried on another connection if the failed one was reused; any other failure is
 //! returned, because the server may have seen the request.
 
+mod checked;
 mod client;
 mod error;
 mod framing;
 mod progress;
 mod response;
 
+pub use checked::CheckedClient;
 pub use client::{Client, Settings};
 pub use error::Error;
 pub use progress::{Progress, ProgressMonitor};
