Stop sending to a replica whose response says that it is leaving

A replica that leaves sets `Server-Leaving: 1` in all its responses. Callers saw the node go on sending to it, until the store said so: longer than `DrainMs` if the node could not reach the store, and always if the replica's entry stayed `ready`.

**Cause.** Departures came from the directory only, and were checked when a replica was chosen, not when the request was written. **Change.** Every reader of a response (requests with their streams, items, scoring calls, status and orders) marks the incarnation to which the request was sent, if the response is the replica's own. Every sender checks directly before the bytes are written that this incarnation still takes work; otherwise the request is unsent, costs no attempt and no health, and goes elsewhere. A service whose replicas are all leaving is refused at once with 503 and `Retry-After`. The planner loses a leaving replica in the round that follows, not in the next scan, which may be later. Not tested: the checks of a scoring call and of an order while they wait for a connection.

--- a/crates/batch/src/planner/action.rs
+++ b/crates/batch/src/planner/action.rs
@@ -33,7 +33,8 @@
     Refused,
     /// The replica reported a failure of the run.
     Failed,
-    /// The run was cancelled by [`Action::Stop`].
+    /// The run was cancelled by [`Action::Stop`], or was not sent because the replica began to leave
+    /// or this node doesn't run the batch any more.
     Stopped,
 }
 
--- a/crates/edge/src/cluster.rs
+++ b/crates/edge/src/cluster.rs
@@ -1,6 +1,7 @@
 //! The node's in-memory view of the cluster: configuration, weight versions, replicas, batches
 //! and leaders.
 
+use crate::metrics::Metrics;
 use dogwoodlb_batch::BatchHeader;
 use dogwoodlb_config::Snapshot;
 use dogwoodlb_directory::Directory;
@@ -33,19 +34,21 @@
     pub(crate) batch_headers: RefCell<BTreeMap<String, Versioned<BatchHeader>>>,
     /// The leader of each service that has models.
     pub(crate) leaders: RefCell<BTreeMap<String, Versioned<String>>>,
+    pub(crate) metrics: Rc<Metrics>,
     changes: watch::Sender<u64>,
     /// The last time at which the configuration was confirmed to be current.
     config_confirmed_at: Cell<Option<Instant>>,
 }
 
 impl ClusterState {
-    pub(crate) fn new() -> Self {
+    pub(crate) fn new(metrics: Rc<Metrics>) -> Self {
         Self {
             config: RefCell::default(),
             versions: RefCell::default(),
             directory: RefCell::default(),
             batch_headers: RefCell::default(),
             leaders: RefCell::default(),
+            metrics,
             changes: watch::Sender::new(0),
             config_confirmed_at: Cell::new(None),
         }
@@ -119,6 +122,11 @@
         self.directory.borrow()
     }
 
+    /// Returns whether new work may be sent to an incarnation of a replica.
+    pub(crate) fn accepts_work(&self, replica: &str, born_ms: i64) -> bool {
+        self.directory().accepts_work(replica, born_ms)
+    }
+
     /// Returns the highest version of the rows that announced weight versions, over all models.
     pub(crate) fn newest_row_version(&self) -> u64 {
         let versions = self.versions.borrow();
--- a/crates/edge/src/coordinator.rs
+++ b/crates/edge/src/coordinator.rs
@@ -69,6 +69,8 @@
     /// adopted.
     adoption_deadline: Cell<Option<Instant>>,
     replica_scan: Cell<ReplicaScan>,
+    /// The revision of the directory up to which the planner knows which replicas have left.
+    planner_revision: Cell<u64>,
 }
 
 impl Coordinator {
@@ -96,6 +98,7 @@
             checkpointing: Cell::new(false),
             adoption_deadline: Cell::new(Some(clock::now() + ADOPTION_TIMEOUT)),
             replica_scan: Cell::default(),
+            planner_revision: Cell::default(),
         }
     }
 
@@ -142,6 +145,7 @@
         };
         self.sync_batches();
         self.scan_replicas(service, engine);
+        self.remove_leaving();
         self.abandon_overdue();
         if self.is_adopting() {
             return;
--- a/crates/edge/src/coordinator/items.rs
+++ b/crates/edge/src/coordinator/items.rs
@@ -39,11 +39,12 @@
     }
 
     pub(super) fn start(self: &Rc<Self>, work: WorkId, replica: String) {
-        let address = {
+        let location = {
             let directory = self.context.cluster.directory();
-            directory.get(&replica).map(|entry| entry.address)
+            let entry = directory.get(&replica);
+            entry.map(|entry| (entry.address, entry.born_ms))
         };
-        let (Some((batch, index)), Some(address)) = (self.batch(work), address) else {
+        let (Some((batch, index)), Some((address, born_ms))) = (self.batch(work), location) else {
             self.planner
                 .borrow_mut()
                 .on_run_end(work, RunEnd::Refused, clock::now());
@@ -53,20 +54,13 @@
         let task = tokio::task::spawn_local(async move {
             let target = Target {
                 replica,
+                born_ms,
                 address,
                 host: batch.submission.host.clone(),
             };
             let item = &batch.submission.items[index as usize];
             let context = &this.context;
-            let result = run::run_item(
-                &context.client,
-                &*context.protocol,
-                &this.planner,
-                work,
-                item,
-                &target,
-                &batch.permit,
-            );
+            let result = run::run_item(context, &this.planner, work, item, &target, &batch.permit);
             let result = result.await;
             this.on_run_end(work, result, &target.replica, &batch.submission);
         });
--- a/crates/edge/src/coordinator/replica_scan.rs
+++ b/crates/edge/src/coordinator/replica_scan.rs
@@ -75,7 +75,17 @@
             };
             planner.set_replica(replica, view);
         }
-        planner.retain_replicas(|id| {
+    }
+
+    /// Removes the replicas that don't accept work any more from the planner. It does not wait for
+    /// the next scan, so that no item is placed on them until then.
+    pub(super) fn remove_leaving(&self) {
+        let directory = self.context.cluster.directory();
+        let revision = directory.revision();
+        if self.planner_revision.replace(revision) == revision {
+            return;
+        }
+        self.planner.borrow_mut().retain_replicas(|id| {
             let entry = directory.get(id);
             entry.is_some_and(|entry| {
                 entry.service == self.service && directory.accepts_work(id, entry.born_ms)
--- /dev/null
+++ b/crates/edge/src/departure.rs
@@ -0,0 +1,60 @@
+//! Replicas that leave, as their own responses say.
+
+use crate::clock;
+use crate::cluster::ClusterState;
+use crate::headers::{is_leaving, is_misdirected};
+use crate::protocol::HeaderNames;
+use hyper::http::response::Parts;
+
+/// How a node learned that a replica is leaving.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Source {
+    /// From the replica's entry in the store.
+    Directory,
+    /// From a response of the replica to this node.
+    Response,
+}
+
+impl Source {
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Directory => "directory",
+            Self::Response => "response",
+        }
+    }
+}
+
+/// Logs and counts a replica that became known as leaving.
+pub(crate) fn record(cluster: &ClusterState, replica: &str, service: &str, source: Source) {
+    let source = source.as_str();
+    cluster.metrics.count_departure(source);
+    tracing::info!(replica, service, source, "replica_leaving");
+}
+
+/// Reads from a response whether the replica that sent it is leaving. `born_ms` is the incarnation
+/// that the request was addressed to. The caller has checked that the response answers the request.
+pub(crate) fn observe(
+    cluster: &ClusterState,
+    names: &HeaderNames,
+    replica: &str,
+    born_ms: i64,
+    response: &Parts,
+) {
+    if is_misdirected(names, response) || !is_leaving(names, &response.headers) {
+        return;
+    }
+    let service = {
+        let mut directory = cluster.directory.borrow_mut();
+        if !directory.mark_leaving(replica, born_ms, clock::now()) {
+            return;
+        }
+        directory.get(replica).map(|entry| entry.service.clone())
+    };
+    record(
+        cluster,
+        replica,
+        &service.unwrap_or_default(),
+        Source::Response,
+    );
+    cluster.notify_changed();
+}
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -2,10 +2,10 @@
 //! response.
 
 use crate::clock;
-use crate::headers::{header_millis, header_number, header_str, is_not_run, remove_hop_by_hop};
+use crate::cluster::ClusterState;
+use crate::headers::{header_millis, header_number, header_str, remove_hop_by_hop};
 use crate::metrics::Metrics;
 use crate::protocol::Protocol;
-use crate::relay;
 use crate::reply::{self, Body};
 use crate::routing::{Selection, ServiceRouters};
 use bytes::Bytes;
@@ -16,11 +16,13 @@
 use hyper::body::{Body as _, Incoming};
 use hyper::header::{HeaderValue, CONTENT_LENGTH, HOST};
 use hyper::http::request::Parts;
-use hyper::{Request, Response, StatusCode, Version};
+use hyper::{Request, Response, StatusCode};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{sleep, timeout};
 
+mod exchange;
+
 /// Bodies whose content length is at most this are buffered, so that a request can be retried and
 /// a response can be verified before it is passed on. Bodies with a larger content length are
 /// streamed. Without a content length, a request body is buffered up to the configured
@@ -47,6 +49,7 @@
 /// Forwards requests to the replicas of plain services.
 pub(crate) struct Forwarder {
     pub(crate) client: Client,
+    pub(crate) cluster: Rc<ClusterState>,
     pub(crate) protocol: Rc<dyn Protocol>,
     pub(crate) routers: Rc<ServiceRouters>,
     pub(crate) metrics: Rc<Metrics>,
@@ -69,6 +72,8 @@
     Responded(Response<Body>),
     /// The replica did not run the request.
     NotRun,
+    /// The request was not sent, because the replica began to leave.
+    Unsent,
     /// The request may have run. The response, if any, is a server error of the replica.
     Failed(Option<Response<Body>>),
     /// The deadline of the request passed; it may have run.
@@ -133,6 +138,9 @@
             match self.attempt(proxied, selection, tried.len(), is_last).await {
                 Attempt::Responded(response) => return response,
                 Attempt::NotRun => {}
+                Attempt::Unsent => {
+                    tried.pop();
+                }
                 Attempt::TimedOut => return self.time_out(proxied, tried.len()),
                 Attempt::Failed(response) => {
                     may_have_run = true;
@@ -169,6 +177,9 @@
             if selection.is_some() || clock::now() >= until {
                 return selection;
             }
+            if self.routers.is_leaving(proxied.service) {
+                return None;
+            }
             sleep(SELECT_POLL).await;
         }
     }
@@ -213,91 +224,6 @@
         }
     }
 
-    async fn exchange(
-        &self,
-        proxied: &ProxiedRequest<'_>,
-        request: Request<Bytes>,
-        selection: &mut Selection,
-    ) -> Attempt {
-        let response = match self.client.send(selection.address, request).await {
-            Ok(response) => response,
-            Err(error) => {
-                selection.finish(Outcome::Failure);
-                let replica = &selection.replica;
-                tracing::info!(request = proxied.request_id, %replica, %error, "attempt_failed");
-                return if error.is_unsent() {
-                    Attempt::NotRun
-                } else {
-                    Attempt::Failed(None)
-                };
-            }
-        };
-        self.handle_response(proxied, response, selection).await
-    }
-
-    /// Classifies a response, and reads its body if it is short.
-    async fn handle_response(
-        &self,
-        proxied: &ProxiedRequest<'_>,
-        mut response: dogwoodlb_client::Response,
-        selection: &mut Selection,
-    ) -> Attempt {
-        let headers = self.protocol.headers();
-        let echoed = header_str(&response.head.headers, &headers.request_id);
-        let is_not_run = is_not_run(headers, &response.head);
-        // A response without an id can be anything, also one to an earlier request. A refusal may
-        // come from a replica that has not read the id.
-        let is_own = echoed.map_or(is_not_run, |echoed| echoed == proxied.request_id);
-        if !is_own {
-            tracing::warn!(request = proxied.request_id, replica = %selection.replica, "request_id_mismatch");
-            response.body.prevent_reuse();
-            selection.finish(Outcome::Failure);
-            return Attempt::Failed(None);
-        }
-        if is_not_run {
-            let status = response.head.status.as_u16();
-            tracing::debug!(request = proxied.request_id, replica = %selection.replica, status, "not_run");
-            response.body.discard().await;
-            selection.finish(Outcome::Cancelled);
-            return Attempt::NotRun;
-        }
-        let is_failure = response.head.status.is_server_error();
-        // A replica can fail requests while its health check succeeds.
-        let outcome = match is_failure {
-            true => Outcome::Failure,
-            false => Outcome::Success,
-        };
-        if !is_buffered(proxied.head, &response.body) {
-            // A streamed response is final, also with a 5xx status: it is passed on without a retry.
-            selection.finish(outcome);
-            let monitor = relay::body_monitor(
-                headers,
-                proxied.route,
-                proxied.head,
-                proxied.began,
-                &response.head,
-            );
-            return Attempt::Responded(relay::stream_body(response, monitor));
-        }
-        let (head, body) = (response.head, response.body);
-        match body.collect(MAX_BUFFERED_BYTES).await {
-            Ok(body) if is_failure => {
-                selection.finish(outcome);
-                Attempt::Failed(Some(relay::build_response(head, reply::full_body(body))))
-            }
-            Ok(body) => {
-                selection.finish(outcome);
-                self.metrics.observe_request(proxied.began);
-                Attempt::Responded(relay::build_response(head, reply::full_body(body)))
-            }
-            Err(error) => {
-                tracing::info!(request = proxied.request_id, replica = %selection.replica, %error, "response_incomplete");
-                selection.finish(Outcome::Failure);
-                Attempt::Failed(None)
-            }
-        }
-    }
-
     /// Forwards a request whose body is too large to be buffered, in a single attempt.
     async fn serve_streaming(
         &self,
@@ -314,7 +240,9 @@
             request.headers_mut().insert(CONTENT_LENGTH, length.into());
         }
         let exchange = async {
-            let sent = self.client.send_streaming(selection.address, request).await;
+            let may_send = || selection.may_send();
+            let client = self.client.checked(&may_send);
+            let sent = client.send_streaming(selection.address, request).await;
             let mut response = match sent {
                 Ok(response) => response,
                 Err(error) if error.is_unsent() => return Attempt::NotRun,
@@ -328,7 +256,7 @@
         };
         match timeout(left, exchange).await {
             Ok(Attempt::Responded(response) | Attempt::Failed(Some(response))) => response,
-            Ok(Attempt::NotRun) => {
+            Ok(Attempt::NotRun | Attempt::Unsent) => {
                 reply::unavailable("the replica did not run the request", RETRY_AFTER)
             }
             Ok(Attempt::Failed(None)) => reply::plain_text(
@@ -353,6 +281,7 @@
         headers.clone_from(&proxied.head.headers);
         remove_hop_by_hop(headers);
         headers.remove(CONTENT_LENGTH);
+        headers.remove(&names.leaving);
         let left = left.saturating_sub(RETURN_MARGIN).as_millis();
         headers.insert(names.deadline_ms.clone(), header_number(left));
         if let Ok(replica) = HeaderValue::from_str(selection.replica.as_str()) {
@@ -381,15 +310,6 @@
     }
 }
 
-/// Returns whether a response is read to its end before it is passed on. A caller of HTTP/1.0 knows
-/// no chunks, so it would take a body without a length that breaks off for a whole one.
-fn is_buffered(request: &Parts, body: &dogwoodlb_client::Body) -> bool {
-    match body.content_length() {
-        Some(length) => length <= MAX_BUFFERED_BYTES as u64,
-        None => request.version < Version::HTTP_11,
-    }
-}
-
 /// Returns the response to a request whose deadline has passed.
 pub(crate) fn gateway_timeout() -> Response<Body> {
     let reason = "no answer in time; it may have run";
--- /dev/null
+++ b/crates/edge/src/forward/exchange.rs
@@ -0,0 +1,122 @@
+//! One exchange with a replica: sends the request and classifies the response.
+
+use super::{Attempt, Forwarder, ProxiedRequest, MAX_BUFFERED_BYTES};
+use crate::departure;
+use crate::headers::{header_str, is_not_run};
+use crate::relay;
+use crate::reply;
+use crate::routing::Selection;
+use bytes::Bytes;
+use dogwoodlb_route::Outcome;
+use hyper::http::request::Parts;
+use hyper::{Request, Version};
+
+impl Forwarder {
+    pub(super) async fn exchange(
+        &self,
+        proxied: &ProxiedRequest<'_>,
+        request: Request<Bytes>,
+        selection: &mut Selection,
+    ) -> Attempt {
+        let may_send = || selection.may_send();
+        let client = self.client.checked(&may_send);
+        let response = match client.send(selection.address, request).await {
+            Ok(response) => response,
+            Err(dogwoodlb_client::Error::Revoked { .. }) => {
+                selection.finish(Outcome::Cancelled);
+                return Attempt::Unsent;
+            }
+            Err(error) => {
+                selection.finish(Outcome::Failure);
+                let replica = &selection.replica;
+                tracing::info!(request = proxied.request_id, %replica, %error, "attempt_failed");
+                return if error.is_unsent() {
+                    Attempt::NotRun
+                } else {
+                    Attempt::Failed(None)
+                };
+            }
+        };
+        self.handle_response(proxied, response, selection).await
+    }
+
+    /// Classifies a response, and reads its body if it is short.
+    pub(super) async fn handle_response(
+        &self,
+        proxied: &ProxiedRequest<'_>,
+        mut response: dogwoodlb_client::Response,
+        selection: &mut Selection,
+    ) -> Attempt {
+        let headers = self.protocol.headers();
+        let echoed = header_str(&response.head.headers, &headers.request_id);
+        let is_not_run = is_not_run(headers, &response.head);
+        // A response without an id can be anything, also one to an earlier request. A refusal may
+        // come from a replica that has not read the id.
+        let is_own = echoed.map_or(is_not_run, |echoed| echoed == proxied.request_id);
+        if !is_own {
+            tracing::warn!(request = proxied.request_id, replica = %selection.replica, "request_id_mismatch");
+            response.body.prevent_reuse();
+            selection.finish(Outcome::Failure);
+            return Attempt::Failed(None);
+        }
+        let replica = selection.replica.as_str();
+        departure::observe(
+            &self.cluster,
+            headers,
+            replica,
+            selection.born_ms,
+            &response.head,
+        );
+        if is_not_run {
+            let status = response.head.status.as_u16();
+            tracing::debug!(request = proxied.request_id, replica = %selection.replica, status, "not_run");
+            response.body.discard().await;
+            selection.finish(Outcome::Cancelled);
+            return Attempt::NotRun;
+        }
+        let is_failure = response.head.status.is_server_error();
+        // A replica can fail requests while its health check succeeds.
+        let outcome = match is_failure {
+            true => Outcome::Failure,
+            false => Outcome::Success,
+        };
+        if !is_buffered(proxied.head, &response.body) {
+            // A streamed response is final, also with a 5xx status: it is passed on without a retry.
+            selection.finish(outcome);
+            let monitor = relay::body_monitor(
+                headers,
+                proxied.route,
+                proxied.head,
+                proxied.began,
+                &response.head,
+            );
+            return Attempt::Responded(relay::stream_body(response, monitor));
+        }
+        let (head, body) = (response.head, response.body);
+        match body.collect(MAX_BUFFERED_BYTES).await {
+            Ok(body) if is_failure => {
+                selection.finish(outcome);
+                Attempt::Failed(Some(relay::build_response(head, reply::full_body(body))))
+            }
+            Ok(body) => {
+                selection.finish(outcome);
+                self.metrics.observe_request(proxied.began);
+                Attempt::Responded(relay::build_response(head, reply::full_body(body)))
+            }
+            Err(error) => {
+                tracing::info!(request = proxied.request_id, replica = %selection.replica, %error, "response_incomplete");
+                selection.finish(Outcome::Failure);
+                Attempt::Failed(None)
+            }
+        }
+    }
+}
+
+/// Returns whether a response is read to its end before it is passed on. A caller of HTTP/1.0 knows
+/// no chunks, so it would take a body without a length that breaks off for a whole one.
+fn is_buffered(request: &Parts, body: &dogwoodlb_client::Body) -> bool {
+    match body.content_length() {
+        Some(length) => length <= MAX_BUFFERED_BYTES as u64,
+        None => request.version < Version::HTTP_11,
+    }
+}
--- a/crates/edge/src/headers.rs
+++ b/crates/edge/src/headers.rs
@@ -19,6 +19,9 @@
     "upgrade",
 ];
 
+/// The value of the header by which a replica says that it is leaving.
+const LEAVING: &[u8] = b"1";
+
 /// Removes the hop-by-hop headers, including those named by `Connection`.
 pub(crate) fn remove_hop_by_hop(headers: &mut HeaderMap) {
     let named: Vec<HeaderName> = headers
@@ -50,9 +53,21 @@
 /// Returns whether a response means that the request was not run: either the replica states it with
 /// the `not_run` header, or the status is 421 and the response has no signature of a replica.
 pub(crate) fn is_not_run(headers: &HeaderNames, response: &Parts) -> bool {
-    response.headers.contains_key(&headers.not_run)
-        || (response.status == StatusCode::MISDIRECTED_REQUEST
-            && !response.headers.contains_key(&headers.signature))
+    response.headers.contains_key(&headers.not_run) || is_misdirected(headers, response)
+}
+
+/// Returns whether another process at the replica's address declines the request. The replica itself
+/// signs a response with this status.
+pub(crate) fn is_misdirected(headers: &HeaderNames, response: &Parts) -> bool {
+    response.status == StatusCode::MISDIRECTED_REQUEST
+        && !response.headers.contains_key(&headers.signature)
+}
+
+/// Returns whether the headers of a response say that the replica is leaving: the header is there,
+/// and each of its values is `1`.
+pub(crate) fn is_leaving(names: &HeaderNames, headers: &HeaderMap) -> bool {
+    let mut values = headers.get_all(&names.leaving).iter().peekable();
+    values.peek().is_some() && values.all(|value| value.as_bytes().trim_ascii() == LEAVING)
 }
 
 /// Returns a header value with a number, saturated to 64 bits.
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -20,6 +20,7 @@
 mod cluster;
 mod context;
 mod coordinator;
+mod departure;
 mod error;
 mod event;
 mod forward;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -19,6 +19,7 @@
     pub(crate) orders: IntCounterVec,
     pub(crate) batches: IntCounterVec,
     item_requests: IntCounterVec,
+    replicas_leaving: IntCounterVec,
     pub(crate) connections: IntGauge,
     pub(crate) store_calls: IntGauge,
     pub(crate) store_failures: IntGauge,
@@ -45,6 +46,11 @@
             &["kind", "batch"],
         )?;
         registry.register(Box::new(item_requests.clone()))?;
+        let replicas_leaving = IntCounterVec::new(
+            Opts::new("replicas_leaving", "Replicas that became known as leaving."),
+            &["source"],
+        )?;
+        registry.register(Box::new(replicas_leaving.clone()))?;
         let gauge = |name: &str, help: &str| {
             let gauge = IntGauge::new(name, help)?;
             registry.register(Box::new(gauge.clone()))?;
@@ -63,6 +69,7 @@
             store_calls: gauge("store_calls", "Calls to the metadata store.")?,
             store_failures: gauge("store_failures", "Failed calls to the metadata store.")?,
             item_requests,
+            replicas_leaving,
             requests,
             registry,
         })
@@ -90,6 +97,11 @@
         self.item_requests.with_label_values(&[kind, batch]).inc();
     }
 
+    /// Counts a replica that became known as leaving, by the source of the knowledge.
+    pub(crate) fn count_departure(&self, source: &str) {
+        self.replicas_leaving.with_label_values(&[source]).inc();
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     pub(crate) fn encode(&self) -> Vec<u8> {
         let mut text = Vec::new();
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -110,8 +110,8 @@
         let settings = Rc::new(dependencies.settings);
         let boot = clock::wall_clock_ms();
         tracing::info!(node = settings.node, boot, front = %settings.front, "started");
-        let cluster = Rc::new(ClusterState::new());
         let metrics = Rc::new(Metrics::new()?);
+        let cluster = Rc::new(ClusterState::new(metrics.clone()));
         let storage = Rc::new(Storage::new(dependencies.store));
         let peers = Rc::new(Peers::new(&settings, boot));
         let routers = Rc::new(ServiceRouters::new(&settings, cluster.clone())?);
@@ -199,6 +199,7 @@
         address: context.settings.front,
         forwarder: Forwarder {
             client: context.client.clone(),
+            cluster: cluster.clone(),
             protocol: protocol.clone(),
             routers: routers.clone(),
             metrics: context.metrics.clone(),
--- a/crates/edge/src/orders.rs
+++ b/crates/edge/src/orders.rs
@@ -94,6 +94,7 @@
                 loads: self.clone(),
                 context: context.clone(),
                 address: entry.address,
+                born_ms: entry.born_ms,
                 replica: due.replica,
                 model: model.clone(),
                 version: due.version,
--- a/crates/edge/src/orders/load.rs
+++ b/crates/edge/src/orders/load.rs
@@ -3,6 +3,7 @@
 use super::WeightLoads;
 use crate::clock;
 use crate::context::NodeContext;
+use crate::departure;
 use crate::protocol::{LoadOrder, ReplicaStatus};
 use crate::storage::{self, SHARED};
 use bytes::Bytes;
@@ -49,6 +50,8 @@
     ClaimConflict,
     #[error("the claim expired before the order was sent")]
     ClaimExpired,
+    #[error("the replica is leaving")]
+    Leaving,
     #[error("cannot encode or decode the claim: {0}")]
     Codec(#[from] postcard::Error),
     #[error("the replica responded with status {0}")]
@@ -63,6 +66,8 @@
     pub(super) context: Rc<NodeContext>,
     pub(super) replica: String,
     pub(super) address: SocketAddr,
+    /// The start of the replica's process, which tells its incarnations apart.
+    pub(super) born_ms: i64,
     pub(super) model: String,
     pub(super) version: u64,
     pub(super) finish_runs: bool,
@@ -117,13 +122,18 @@
         if self.has_version(&status) {
             return Ok(());
         }
-        let (fence, sent) = self.claim().await?;
-        if clock::now().saturating_since(sent) >= ORDER_WINDOW {
-            return Err(Error::ClaimExpired);
+        if !self.accepts_work() {
+            return Err(Error::Leaving);
         }
-        let acknowledged = match self.send_order(fence, status.accepted_orders).await {
+        let (fence, sent) = self.claim().await?;
+        let order = self.send_order(fence, status.accepted_orders, sent + ORDER_WINDOW);
+        let acknowledged = match order.await {
             Ok(StatusCode::ACCEPTED | StatusCode::OK) => true,
             Ok(status) => return Err(Error::Refused(status)),
+            Err(dogwoodlb_client::Error::Revoked { .. }) if self.accepts_work() => {
+                return Err(Error::ClaimExpired);
+            }
+            Err(dogwoodlb_client::Error::Revoked { .. }) => return Err(Error::Leaving),
             Err(error) if error.is_unsent() => return Err(Error::Unreachable(error)),
             // The order may have been accepted, or may still be executed.
             Err(_) => false,
@@ -132,6 +142,20 @@
             .await
     }
 
+    fn accepts_work(&self) -> bool {
+        let cluster = &self.context.cluster;
+        cluster.accepts_work(&self.replica, self.born_ms)
+    }
+
+    /// Reads from a response whether the replica is leaving.
+    fn observe<T>(&self, response: hyper::Response<T>) -> hyper::Response<T> {
+        let (head, body) = response.into_parts();
+        let headers = self.context.protocol.headers();
+        let cluster = &self.context.cluster;
+        departure::observe(cluster, headers, &self.replica, self.born_ms, &head);
+        hyper::Response::from_parts(head, body)
+    }
+
     fn has_version(&self, status: &ReplicaStatus) -> bool {
         let mut models = status.models.iter();
         models.any(|weights| weights.model == self.model && weights.version >= self.version)
@@ -194,7 +218,7 @@
         let request = self.build_request(Method::GET, path, Bytes::new());
         let client = &self.context.client;
         let call = client.call(self.address, request, CALL_TIMEOUT, MAX_STATUS_BYTES);
-        let response = call.await.map_err(Error::Unreachable)?;
+        let response = self.observe(call.await.map_err(Error::Unreachable)?);
         if response.status() != StatusCode::OK {
             return Err(Error::Refused(response.status()));
         }
@@ -230,10 +254,12 @@
         }
     }
 
+    /// Sends the order, unless the claim has expired or the replica is leaving.
     async fn send_order(
         &self,
         fence: u64,
         accepted_orders: u64,
+        until: Instant,
     ) -> Result<StatusCode, dogwoodlb_client::Error> {
         let order = LoadOrder {
             model: &self.model,
@@ -245,8 +271,9 @@
         };
         let (path, body) = self.context.protocol.encode_order(&order);
         let request = self.build_request(Method::POST, path, body);
-        let client = &self.context.client;
+        let may_send = || clock::now() < until && self.accepts_work();
+        let client = self.context.client.checked(&may_send);
         let call = client.call(self.address, request, CALL_TIMEOUT, MAX_STATUS_BYTES);
-        Ok(call.await?.status())
+        Ok(self.observe(call.await?).status())
     }
 }
--- a/crates/edge/src/protocol.rs
+++ b/crates/edge/src/protocol.rs
@@ -52,6 +52,8 @@
     pub weight_version: HeaderName,
     /// The id of the last event received, from which a stream resumes.
     pub last_event: HeaderName,
+    /// Set by a replica that is leaving, in all its responses.
+    pub leaving: HeaderName,
 }
 
 /// The kinds of requests that callers send to a front address.
--- a/crates/edge/src/routing.rs
+++ b/crates/edge/src/routing.rs
@@ -17,12 +17,21 @@
 pub(crate) struct Selection {
     pub(crate) replica: id::Upstream,
     pub(crate) address: SocketAddr,
+    /// The start of the replica's process, which tells its incarnations apart.
+    pub(crate) born_ms: i64,
     ticket: Option<Ticket>,
     service: String,
     routers: Rc<ServiceRouters>,
 }
 
 impl Selection {
+    /// Returns whether the request may be sent: the replica may have begun to leave since it was
+    /// selected.
+    pub(crate) fn may_send(&self) -> bool {
+        let cluster = &self.routers.cluster;
+        cluster.accepts_work(self.replica.as_str(), self.born_ms)
+    }
+
     /// Reports the outcome of the request to the router. Only the first call has an effect.
     pub(crate) fn finish(&mut self, outcome: Outcome) {
         let Some(ticket) = self.ticket.take() else {
@@ -140,12 +149,21 @@
         })
     }
 
+    /// Returns whether a service has replicas, and all of them are leaving. None can serve until
+    /// another one registers.
+    pub(crate) fn is_leaving(&self, service: &str) -> bool {
+        let directory = self.cluster.directory();
+        let mut replicas = directory.replicas(service);
+        replicas.next().is_some() && directory.ready_replicas(service).next().is_none()
+    }
+
     /// Selects a replica of a service.
     pub(crate) fn select(
         self: &Rc<Self>,
         service: &str,
         tried: &[id::Upstream],
     ) -> Option<Selection> {
+        self.update();
         let mut routers = self.by_service.borrow_mut();
         let router = routers.get_mut(service)?;
         let request = Request::new(Class::Customer).exclude(tried);
@@ -153,16 +171,18 @@
         // Fails only for a ticket that this router did not issue.
         let _ = router.on_start(pick.ticket);
         let directory = self.cluster.directory();
-        let address = directory
-            .get(pick.upstream.as_str())
-            .map(|entry| entry.address);
-        let Some(address) = address else {
+        let replica = pick.upstream.as_str();
+        let entry = directory.get(replica);
+        // The router of a service that the configuration has dropped since is not updated.
+        let ready = entry.filter(|entry| directory.accepts_work(replica, entry.born_ms));
+        let Some(entry) = ready else {
             let _ = router.on_end(pick.ticket, Outcome::Cancelled, clock::now());
             return None;
         };
         Some(Selection {
             replica: pick.upstream,
-            address,
+            address: entry.address,
+            born_ms: entry.born_ms,
             ticket: Some(pick.ticket),
             service: service.to_owned(),
             routers: self.clone(),
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -1,13 +1,14 @@
 //! Runs one item on a replica: sends the request and passes its events to the planner.
 
 use crate::clock;
+use crate::context::NodeContext;
+use crate::departure;
 use crate::event;
 use crate::headers::{header_str, is_not_run};
 use crate::permit::{Permit, RequestKind};
-use crate::protocol::{HeaderNames, Protocol};
+use crate::protocol::HeaderNames;
 use bytes::Bytes;
 use dogwoodlb_batch::{Item, Planner, RunEnd, WorkId};
-use dogwoodlb_client::Client;
 use hyper::header::{HeaderName, HeaderValue, HOST};
 use hyper::{Method, Request, StatusCode};
 use std::cell::RefCell;
@@ -26,6 +27,8 @@
 /// The replica on which an item runs.
 pub(crate) struct Target {
     pub(crate) replica: String,
+    /// The start of the replica's process, which tells its incarnations apart.
+    pub(crate) born_ms: i64,
     pub(crate) address: SocketAddr,
     pub(crate) host: String,
 }
@@ -48,33 +51,38 @@
 
 /// Runs an item and passes its events to the planner as they arrive.
 pub(crate) async fn run_item(
-    client: &Client,
-    protocol: &dyn Protocol,
+    context: &NodeContext,
     planner: &RefCell<Planner>,
     work: WorkId,
     item: &Item,
     target: &Target,
     permit: &Permit,
 ) -> RunResult {
-    let headers = protocol.headers();
+    let headers = context.protocol.headers();
     let last_event = planner.borrow().progress(work).map_or(0, |p| p.last_event);
     let request = build_request(headers, item, target, last_event);
-    if !permit.allows(RequestKind::Run, &item.id) {
-        return RunResult::Ended(RunEnd::Stopped);
-    }
+    let may_send = || {
+        let cluster = &context.cluster;
+        let accepts_work = cluster.accepts_work(&target.replica, target.born_ms);
+        accepts_work && permit.allows(RequestKind::Run, &item.id)
+    };
+    let client = context.client.checked(&may_send);
     let response = match timeout(HEAD_TIMEOUT, client.send(target.address, request)).await {
         Ok(Ok(response)) => response,
+        Ok(Err(dogwoodlb_client::Error::Revoked { .. })) => {
+            return RunResult::Ended(RunEnd::Stopped);
+        }
         Ok(Err(error)) => {
             tracing::info!(item = item.id, replica = target.replica, %error, "run_failed");
             return RunResult::Ended(RunEnd::Interrupted);
         }
         Err(_) => {
             tracing::info!(item = item.id, replica = target.replica, "run_head_timeout");
-            client.close_idle(target.address);
+            context.client.close_idle(target.address);
             return RunResult::Ended(RunEnd::Interrupted);
         }
     };
-    read_response(headers, planner, work, item, target, response).await
+    read_response(context, planner, work, item, target, response).await
 }
 
 fn build_request(
@@ -98,6 +106,8 @@
     };
     for (name, value) in &item.headers {
         match name.parse() {
+            // Only a replica may set it.
+            Ok(name) if name == headers.leaving => {}
             Ok(name) => set(name, value),
             Err(_) => tracing::warn!(item = item.id, name, "header_invalid"),
         }
@@ -112,13 +122,14 @@
 }
 
 async fn read_response(
-    headers: &HeaderNames,
+    context: &NodeContext,
     planner: &RefCell<Planner>,
     work: WorkId,
     item: &Item,
     target: &Target,
     mut response: dogwoodlb_client::Response,
 ) -> RunResult {
+    let headers = context.protocol.headers();
     let echoed = header_str(&response.head.headers, &headers.request_id);
     let not_run = is_not_run(headers, &response.head);
     // A refusal may come from a replica that has not read the id.
@@ -130,6 +141,13 @@
         );
         return RunResult::Ended(RunEnd::Interrupted);
     }
+    departure::observe(
+        &context.cluster,
+        headers,
+        &target.replica,
+        target.born_ms,
+        &response.head,
+    );
     let status = response.head.status;
     if status != StatusCode::OK {
         response.body.discard().await;
--- a/crates/edge/src/score.rs
+++ b/crates/edge/src/score.rs
@@ -2,6 +2,7 @@
 
 use crate::clock;
 use crate::cluster::ClusterState;
+use crate::departure;
 use crate::headers::{header_number, header_str, is_not_run};
 use crate::permit::{Permit, RequestKind};
 use crate::protocol::Protocol;
@@ -48,6 +49,8 @@
     Failed,
     /// No replica gave a usable response. The call is repeated after a back-off.
     Retry,
+    /// The call was not sent, because the replica began to leave. Another one is tried at once.
+    Unsent,
     /// The call was not sent, because this node doesn't run the batch of the item any more.
     Revoked,
 }
@@ -87,6 +90,7 @@
             match call {
                 Attempt::Signed(signature) => return ScoreOutcome::Signed(signature),
                 Attempt::Revoked => return ScoreOutcome::Revoked,
+                Attempt::Unsent => {}
                 Attempt::Failed => {
                     failures += 1;
                     if route.is_some_and(|route| failures >= route.max_attempts) {
@@ -144,17 +148,25 @@
             headers.deadline_ms.clone(),
             header_number(CALL_TIMEOUT.as_millis()),
         );
-        if !permit.allows(RequestKind::Score, &scorer.id) {
-            return Attempt::Revoked;
-        }
+        let may_send = || selection.may_send() && permit.allows(RequestKind::Score, &scorer.id);
+        let client = self.client.checked(&may_send);
         let exchange = async {
-            let mut response = self.client.send(selection.address, request).await?;
+            let mut response = client.send(selection.address, request).await?;
             let echoed = header_str(&response.head.headers, &headers.request_id);
             // A refusal may come from a replica that has not read the id.
             let is_refusal = is_not_run(headers, &response.head);
             let id_matches = echoed.map_or(is_refusal, |echoed| echoed == scorer.id);
             if !id_matches {
                 response.body.prevent_reuse();
+            } else {
+                let replica = selection.replica.as_str();
+                departure::observe(
+                    &self.cluster,
+                    headers,
+                    replica,
+                    selection.born_ms,
+                    &response.head,
+                );
             }
             let head = response.head;
             response.body.collect(MAX_RESPONSE_BYTES).await?;
@@ -162,6 +174,15 @@
         };
         let (head, id_matches) = match timeout(CALL_TIMEOUT, exchange).await {
             Ok(Ok(response)) => response,
+            Ok(Err(dogwoodlb_client::Error::Revoked { .. })) => {
+                let is_left = !selection.may_send();
+                selection.finish(Outcome::Cancelled);
+                tried.pop();
+                return match is_left {
+                    true => Attempt::Unsent,
+                    false => Attempt::Revoked,
+                };
+            }
             Ok(Err(error)) => {
                 tracing::info!(request = scorer.id, replica = %selection.replica, %error, "score_call_failed");
                 selection.finish(Outcome::Failure);
--- a/crates/edge/src/table_watcher.rs
+++ b/crates/edge/src/table_watcher.rs
@@ -2,6 +2,7 @@
 
 use crate::clock;
 use crate::cluster::{ClusterState, NewestVersion};
+use crate::departure::{self, Source};
 use crate::peers::Peers;
 use crate::protocol::{DecodeError, OperatorRow, Protocol};
 use crate::storage::{Storage, SHARED};
@@ -234,10 +235,15 @@
             Ok(entry) => {
                 let stage = format!("{:?}", entry.stage);
                 let (service, address) = (entry.service.clone(), entry.address);
+                let born_ms = entry.born_ms;
+                let was_ready = directory.accepts_work(replica, born_ms);
                 if directory.put(replica, row.version, entry, now) {
                     let row = row.version;
                     tracing::info!(replica, service, %address, stage, row, "replica_updated");
                 }
+                if was_ready && !directory.accepts_work(replica, born_ms) {
+                    departure::record(&self.cluster, replica, &service, Source::Directory);
+                }
             }
             Err(error) => {
                 // An entry that can't be decoded invalidates the previous entry of the replica.
