--- a/crates/directory/src/departures.rs
+++ b/crates/directory/src/departures.rs
@@ -15,25 +15,39 @@
 #[derive(Clone, Debug)]
 struct Departure {
     born_ms: i64,
-    /// The last time at which the directory had an entry of the incarnation, or else the time of
-    /// the announcement.
-    last_seen: Instant,
+    /// Since when the directory is known to have no entry of the incarnation. Set by
+    /// [`Departures::expire`], so that time in which the process was paused is not counted.
+    absent_since: Option<Instant>,
 }
 
 impl Departures {
-    /// Records the departure of an incarnation. Returns whether it is new.
-    pub(crate) fn insert(&mut self, id: &str, born_ms: i64, now: Instant) -> bool {
-        if self.contains(id, born_ms) {
+    /// Records the departure of an incarnation, which may be absent from the directory. Returns
+    /// whether it is new.
+    pub(crate) fn insert(&mut self, id: &str, born_ms: i64, absent_since: Option<Instant>) -> bool {
+        if let Some(known) = self.get_mut(id, born_ms) {
+            known.absent_since = absent_since;
             return false;
         }
         let departures = self.by_replica.entry(id.to_owned()).or_default();
         departures.push(Departure {
             born_ms,
-            last_seen: now,
+            absent_since,
         });
         true
     }
 
+    /// Records that the directory has an entry of an incarnation.
+    pub(crate) fn on_entry(&mut self, id: &str, born_ms: i64) {
+        if let Some(known) = self.get_mut(id, born_ms) {
+            known.absent_since = None;
+        }
+    }
+
+    fn get_mut(&mut self, id: &str, born_ms: i64) -> Option<&mut Departure> {
+        let departures = self.by_replica.get_mut(id)?;
+        departures.iter_mut().find(|one| one.born_ms == born_ms)
+    }
+
     /// Returns whether an incarnation is leaving.
     pub(crate) fn contains(&self, id: &str, born_ms: i64) -> bool {
         let departures = self.by_replica.get(id);
@@ -45,11 +59,14 @@
     pub(crate) fn expire(&mut self, now: Instant, is_present: impl Fn(&str, i64) -> bool) {
         self.by_replica.retain(|id, departures| {
             for one in departures.iter_mut() {
-                if is_present(id, one.born_ms) {
-                    one.last_seen = now;
+                if !is_present(id, one.born_ms) {
+                    one.absent_since.get_or_insert(now);
                 }
             }
-            departures.retain(|one| now.saturating_since(one.last_seen) < DEPARTURE_TTL);
+            departures.retain(|one| {
+                let absent_since = one.absent_since.unwrap_or(now);
+                now.saturating_since(absent_since) < DEPARTURE_TTL
+            });
             !departures.is_empty()
         });
     }
--- a/crates/directory/src/directory.rs
+++ b/crates/directory/src/directory.rs
@@ -54,6 +54,7 @@
             return false;
         }
         let changed = known.is_none_or(|known| known.entry != entry || known.expires_at.is_some());
+        self.departures.on_entry(id, entry.born_ms);
         let record = Record {
             row_version,
             entry,
@@ -143,7 +144,9 @@
     /// of this incarnation makes it ready again, and another incarnation is not affected. Returns
     /// whether this was unknown.
     pub fn mark_leaving(&mut self, id: &str, born_ms: i64, now: Instant) -> bool {
-        let is_new = self.departures.insert(id, born_ms, now);
+        let is_present = self.get(id).is_some_and(|entry| entry.born_ms == born_ms);
+        let absent_since = (!is_present).then_some(now);
+        let is_new = self.departures.insert(id, born_ms, absent_since);
         self.revision += u64::from(is_new);
         is_new
     }
