Define the departures that follow a heartbeat

**Cause.** A node that has had no response of a leaving replica goes on using it until its own first response, or until the directory says so, which it may not while the store is away. **Change.** `liveness::Message` is a heartbeat followed by up to four departures, which `Outbox` keeps for 2 s, or for two heartbeats if these are further apart. More of them take turns; of more than 16 the oldest are dropped. Nothing is forwarded. `Quota` limits what a node believes others to 128 departures a minute.

--- a/crates/liveness/src/lib.rs
+++ b/crates/liveness/src/lib.rs
@@ -5,6 +5,9 @@
 //! one. The SWIM implementation of the `member` crate needs two to three seconds to detect a dead
 //! node. A training step takes about four seconds, so that is too slow for a node that runs one.
 //!
+//! A [`Message`] adds the replicas that have lately told the sender that they are leaving, so that
+//! the other nodes stop using them sooner. No node depends on it.
+//!
 //! # Examples
 //!
 //! ```
@@ -21,7 +24,13 @@
 //! ```
 
 mod heartbeat;
+mod message;
+mod outbox;
 mod peers;
+mod quota;
 
 pub use heartbeat::{Heartbeat, MIN_INTERVAL};
+pub use message::{Departure, Message, MAX_DEPARTURES, MAX_MESSAGE_BYTES};
+pub use outbox::Outbox;
 pub use peers::{interval, Peers};
+pub use quota::Quota;
