Tell the other nodes of a replica that is leaving

**Cause.** Each node had to get a response of a leaving replica itself. In an outage of the store, a node that seldom used the replica sent it work until then. **Change.** A departure that a node learns of from a response goes with its heartbeats for 2 s, or two heartbeats: at most four in one, the oldest dropped beyond 16 waiting. A node that receives one marks the incarnation (source `peer`), also if it has no entry of it yet, which is then kept for 60 s as from a response.

--- a/crates/directory/src/directory.rs
+++ b/crates/directory/src/directory.rs
@@ -158,8 +158,13 @@
         entry.is_some_and(|entry| self.is_ready(id, entry))
     }
 
+    /// Returns whether an incarnation of a replica is known to have said that it is leaving.
+    pub fn is_leaving(&self, id: &str, born_ms: i64) -> bool {
+        self.departures.contains(id, born_ms)
+    }
+
     fn is_ready(&self, id: &str, entry: &Entry) -> bool {
-        entry.stage == Stage::Ready && !self.departures.contains(id, entry.born_ms)
+        entry.stage == Stage::Ready && !self.is_leaving(id, entry.born_ms)
     }
 
     /// Returns a number that increases with each change of the replicas.
--- a/crates/edge/src/cluster.rs
+++ b/crates/edge/src/cluster.rs
@@ -5,6 +5,7 @@
 use dogwoodlb_batch::BatchHeader;
 use dogwoodlb_config::Snapshot;
 use dogwoodlb_directory::Directory;
+use dogwoodlb_liveness::Outbox;
 use dogwoodlb_types::Instant;
 use std::cell::{Cell, Ref, RefCell};
 use std::collections::BTreeMap;
@@ -34,6 +35,8 @@
     pub(crate) batch_headers: RefCell<BTreeMap<String, Versioned<BatchHeader>>>,
     /// The leader of each service that has models.
     pub(crate) leaders: RefCell<BTreeMap<String, Versioned<String>>>,
+    /// The departures that the other nodes are told of.
+    pub(crate) outbox: RefCell<Outbox>,
     pub(crate) metrics: Rc<Metrics>,
     changes: watch::Sender<u64>,
     /// The last time at which the configuration was confirmed to be current.
@@ -48,6 +51,7 @@
             directory: RefCell::default(),
             batch_headers: RefCell::default(),
             leaders: RefCell::default(),
+            outbox: RefCell::default(),
             metrics,
             changes: watch::Sender::new(0),
             config_confirmed_at: Cell::new(None),
--- a/crates/edge/src/departure.rs
+++ b/crates/edge/src/departure.rs
@@ -4,6 +4,7 @@
 use crate::cluster::ClusterState;
 use crate::headers::{is_leaving, is_misdirected};
 use crate::protocol::HeaderNames;
+use dogwoodlb_liveness::Departure;
 use hyper::http::response::Parts;
 
 /// How a node learned that a replica is leaving.
@@ -13,6 +14,8 @@
     Directory,
     /// From a response of the replica to this node.
     Response,
+    /// From another node, which had a response of the replica.
+    Peer,
 }
 
 impl Source {
@@ -20,6 +23,7 @@
         match self {
             Self::Directory => "directory",
             Self::Response => "response",
+            Self::Peer => "peer",
         }
     }
 }
@@ -43,18 +47,30 @@
     if is_misdirected(names, response) || !is_leaving(names, &response.headers) {
         return;
     }
+    if mark(cluster, replica, born_ms, Source::Response) {
+        let mut outbox = cluster.outbox.borrow_mut();
+        outbox.push(replica, born_ms, clock::now());
+    }
+}
+
+/// Believes another node that a replica is leaving.
+pub(crate) fn on_report(cluster: &ClusterState, departure: &Departure) {
+    let Departure {
+        replica, born_ms, ..
+    } = departure;
+    mark(cluster, replica, *born_ms, Source::Peer);
+}
+
+/// Marks an incarnation of a replica as leaving. Returns whether this was unknown.
+fn mark(cluster: &ClusterState, replica: &str, born_ms: i64, source: Source) -> bool {
     let service = {
         let mut directory = cluster.directory.borrow_mut();
         if !directory.mark_leaving(replica, born_ms, clock::now()) {
-            return;
+            return false;
         }
         directory.get(replica).map(|entry| entry.service.clone())
     };
-    record(
-        cluster,
-        replica,
-        &service.unwrap_or_default(),
-        Source::Response,
-    );
+    record(cluster, replica, &service.unwrap_or_default(), source);
     cluster.notify_changed();
+    true
 }
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -294,8 +294,8 @@
             .send_heartbeats(&socket, &context.storage, &context.cluster)
             .await
     });
-    let peers = watcher.peers.clone();
-    spawn(async move { peers.receive_heartbeats(&heartbeats).await });
+    let (peers, cluster) = (watcher.peers.clone(), cluster.clone());
+    spawn(async move { peers.receive_heartbeats(&heartbeats, &cluster).await });
 }
 
 fn serve<H: Handler + 'static>(
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -2,9 +2,10 @@
 
 use crate::clock;
 use crate::cluster::ClusterState;
+use crate::departure;
 use crate::settings::Settings;
 use crate::storage::Storage;
-use dogwoodlb_liveness::{interval, Heartbeat, MIN_INTERVAL};
+use dogwoodlb_liveness::{interval, Heartbeat, Message, Quota, MAX_MESSAGE_BYTES, MIN_INTERVAL};
 use rand::seq::IteratorRandom;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -15,13 +16,12 @@
 
 pub(crate) use requests::{serve, sync_tables, MAX_RELAY_BYTES};
 
-/// The maximum size of a heartbeat.
-const MAX_HEARTBEAT_BYTES: usize = 1_200;
-
 /// The other nodes, as known from their heartbeats.
 pub(crate) struct Peers {
     own: RefCell<Heartbeat>,
     peers: RefCell<dogwoodlb_liveness::Peers>,
+    /// Limits the departures that other nodes report.
+    quota: RefCell<Quota>,
     is_leading: Cell<bool>,
     is_closing: Cell<bool>,
 }
@@ -41,6 +41,7 @@
         Self {
             own: RefCell::new(own),
             peers: RefCell::new(peers),
+            quota: RefCell::default(),
             is_leading: Cell::new(false),
             is_closing: Cell::new(false),
         }
@@ -135,7 +136,7 @@
     ) {
         loop {
             let now = clock::now();
-            let (heartbeat, targets, pause) = {
+            let (message, targets, pause) = {
                 let peers = self.peers.borrow();
                 let targets: Vec<SocketAddr> = peers.targets().collect();
                 let default_interval = interval(targets.len() + 1);
@@ -150,14 +151,18 @@
                 own.has_store = storage.is_reachable(now);
                 own.near_store = storage.is_same_region();
                 own.serving = cluster.config().is_some();
-                (postcard::to_stdvec(&*own), targets, pause)
+                let message = Message {
+                    heartbeat: own.clone(),
+                    departures: cluster.outbox.borrow_mut().take(now, pause),
+                };
+                (message.encode(), targets, pause)
             };
             self.peers.borrow_mut().tick(now, pause);
-            match heartbeat {
-                Ok(heartbeat) => {
+            match message {
+                Ok(message) => {
                     for target in targets {
                         // Send errors are ignored: the next heartbeat replaces a lost one.
-                        let _ = socket.try_send_to(&heartbeat, target);
+                        let _ = socket.try_send_to(&message, target);
                     }
                 }
                 Err(error) => tracing::error!(%error, "heartbeat_not_encoded"),
@@ -167,8 +172,8 @@
     }
 
     /// Receives heartbeats until the task is aborted.
-    pub(crate) async fn receive_heartbeats(&self, socket: &UdpSocket) {
-        let mut buffer = [0; MAX_HEARTBEAT_BYTES];
+    pub(crate) async fn receive_heartbeats(&self, socket: &UdpSocket, cluster: &ClusterState) {
+        let mut buffer = [0; MAX_MESSAGE_BYTES];
         loop {
             let length = match socket.recv_from(&mut buffer).await {
                 Ok((length, _)) => length,
@@ -178,22 +183,31 @@
                     continue;
                 }
             };
-            match postcard::from_bytes::<Heartbeat>(&buffer[..length]) {
-                Ok(heartbeat) => {
-                    let (node, boot) = (heartbeat.node.clone(), heartbeat.boot);
-                    if self
-                        .peers
-                        .borrow_mut()
-                        .on_heartbeat(heartbeat, clock::now())
-                    {
-                        tracing::info!(node, boot, "peer_discovered");
-                    }
-                }
+            match Message::decode(&buffer[..length]) {
+                Ok(message) => self.on_message(message, cluster),
                 Err(error) => tracing::debug!(%error, "heartbeat_not_decoded"),
             }
         }
     }
 
+    fn on_message(&self, message: Message, cluster: &ClusterState) {
+        let now = clock::now();
+        let (node, boot) = (message.heartbeat.node.clone(), message.heartbeat.boot);
+        if node == self.own.borrow().node {
+            return;
+        }
+        if self.peers.borrow_mut().on_heartbeat(message.heartbeat, now) {
+            tracing::info!(node, boot, "peer_discovered");
+        }
+        for departure in &message.departures {
+            let (replica, born_ms) = (departure.replica.as_str(), departure.born_ms);
+            let is_known = cluster.directory().is_leaving(replica, born_ms);
+            if !is_known && self.quota.borrow_mut().accept(now) {
+                departure::on_report(cluster, departure);
+            }
+        }
+    }
+
     /// Returns whether there are live peers and none of them reaches the store. Without live peers
     /// it returns `false`.
     pub(crate) fn is_store_down(&self) -> bool {
