Probe test ports at all loopback addresses

`free_address` probed a port at 127.0.0.1 only, where these nodes don't listen, so two processes could be given the same port. **Ruled out.** The code under test: no node had come as far as its listeners. **Change.** The port is probed at the unspecified address, which fails if it is taken at any. **Measured.** With a listener at 127.0.0.10 a bind to the port succeeds at 127.0.0.1 and fails at 0.0.0.0, for TCP and for UDP. **Conclusion.** Two processes may still probe a port in the same moment.

--- a/crates/standin/src/port.rs
+++ b/crates/standin/src/port.rs
@@ -19,7 +19,9 @@
             process_offset.wrapping_add(NEXT_OFFSET.fetch_add(1, Ordering::Relaxed)) % PORT_COUNT;
         let port = FIRST_PORT + u16::try_from(offset).unwrap_or_default();
         let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
-        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+        // Tests also listen on the port at other loopback addresses.
+        let any = SocketAddr::from((Ipv4Addr::UNSPECIFIED, port));
+        if TcpListener::bind(any).is_ok() && UdpSocket::bind(any).is_ok() {
             return address;
         }
     }
