--- a/crates/standin/src/port.rs
+++ b/crates/standin/src/port.rs
@@ -29,9 +29,11 @@
     static POOL: Mutex<Pool> = Mutex::new(Pool::new());
     let mut pool = POOL.lock().unwrap_or_else(PoisonError::into_inner);
     loop {
-        let address = loopback(pool.next_port());
-        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
-            return address;
+        let port = pool.next_port();
+        // Tests also listen on the port at other loopback addresses.
+        let any = SocketAddr::from((Ipv4Addr::UNSPECIFIED, port));
+        if TcpListener::bind(any).is_ok() && UdpSocket::bind(any).is_ok() {
+            return loopback(port);
         }
     }
 }
