Store the end of a batch before a stopping node exits

What callers saw: nothing at once. A caller that disconnects after the end of its batch was read gets no acknowledgement; the items went on, as if the end had never been sent. The platform counts such an end as acknowledged after its time-out, so later requests for the items break UNASKED, and their replicas work for nobody.

Cause: the task that stores the end outlives its connection on purpose (end_from_disconnected_caller), but the drain of a node waits for open connections only. Without any, the process exits within milliseconds, and the task is dropped with it.

Evidence: nodes::ended_work::end_at_stopping_node, before:

panicked at platform/tests/nodes/ended_work.rs:176:5: assertion failed: BatchHeader::from_slice(&header).unwrap().ended

Change: the tasks that store ends are counted, and the drain waits for them as it does for connections, within the grace time.

Measured: the test fails before (1 of 1 run) and passes after; the 11 tests of nodes::ended_work pass.

Conclusion: an end that was read is lost only if the store can't be reached until the end of the grace time, or the process is killed.

--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -66,6 +66,8 @@
     pub(crate) submitter: Submitter,
     /// The number of requests being handled.
     pub(crate) in_flight: Cell<usize>,
+    /// The number of batch ends being stored. They continue if their callers disconnect.
+    pub(crate) pending_ends: Cell<usize>,
     /// The number of open connections.
     pub(crate) open_connections: Rc<Cell<usize>>,
     /// Whether pending requests are answered with a time-out at once, because the process is
@@ -73,7 +75,7 @@
     pub(crate) aborting: watch::Sender<bool>,
 }
 
-/// Counts a request until the head of its response is ready.
+/// Counts a request or a task until it is dropped.
 struct InFlight<'a>(&'a Cell<usize>);
 
 impl<'a> InFlight<'a> {
@@ -102,6 +104,11 @@
 }
 
 impl FrontHandler {
+    /// Returns whether no caller is connected and no work for a disconnected caller remains.
+    pub(crate) fn is_drained(&self) -> bool {
+        self.open_connections.get() == 0 && self.pending_ends.get() == 0
+    }
+
     async fn dispatch(self: &Rc<Self>, request: Request<Incoming>) -> Response<Body> {
         let (head, body) = request.into_parts();
         if self.is_misdirected(&head) {
@@ -130,7 +137,10 @@
     /// Ends a batch, even if the caller disconnects: the batch is no longer wanted.
     async fn end_batch(self: &Rc<Self>, batch: String) -> Response<Body> {
         let this = self.clone();
-        let end = tokio::task::spawn_local(async move { this.submitter.end(&batch).await });
+        let end = tokio::task::spawn_local(async move {
+            let _counted = InFlight::new(&this.pending_ends);
+            this.submitter.end(&batch).await
+        });
         // Fails only if the task panicked.
         end.await.unwrap_or_else(|_| forward::gateway_timeout())
     }
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -223,6 +223,7 @@
         protocol,
         cluster,
         in_flight: Cell::new(0),
+        pending_ends: Cell::new(0),
         open_connections: Rc::default(),
         aborting: watch::channel(false).0,
     }
--- a/crates/edge/src/node/drain.rs
+++ b/crates/edge/src/node/drain.rs
@@ -42,11 +42,12 @@
     shutdown.send_replace(true);
     // A forwarded request may take as long as its route allows, and its caller may read the
     // response slowly.
-    wait_until(until - ABORT_MARGIN, || front.open_connections.get() == 0).await;
+    wait_until(until - ABORT_MARGIN, || front.is_drained()).await;
     front.aborting.send_replace(true);
-    wait_until(until, || front.open_connections.get() == 0).await;
+    wait_until(until, || front.is_drained()).await;
     tracing::info!(
         in_flight = front.in_flight.get(),
+        pending_ends = front.pending_ends.get(),
         connections = front.open_connections.get(),
         took_ms = clock::now().saturating_since(began).as_millis(),
         "stopped"
