Drop a removed leader row, and no value that is newer than its removal

What callers saw: nothing; no node removes leader rows. If an operator removed one, the service had no leader any more.

Cause: the removal of a leader row was ignored. The former leader went on with a term whose checks fail in the store, and the claims of the other nodes expect the version of the removed row. The removal of a batch header was applied whatever its version: one that the feed delivers after a newer header of the same id was written dropped the newer one, until the next answer of the feed.

For batch headers, a test of complete nodes reached the late removal only by accepting an id again after its results had expired, which the platform rules out, so the rule is tested in the core (mirror late_rows::late_removal).

Change: VersionedMap in crates/mirror keeps the newest value of a row and ignores older values and removals. Batch headers and leaders are both kept in one, in place of two copies of the comparison. A removed leader row is logged (leader_removed) and leaves the service to the next claim.

Conclusion: nodes follow the store in both directions. A batch accepted again under an expired id is still taken for finished if its old outcomes are in the cache; ids are not used again by then.

--- a/crates/edge/src/batch_store.rs
+++ b/crates/edge/src/batch_store.rs
@@ -1,10 +1,11 @@
 //! Typed reads and writes of the rows of batches in the metadata store.
 
 use crate::cache::Cache;
-use crate::cluster::{ClusterState, Versioned};
+use crate::cluster::ClusterState;
 use crate::storage::{self, Storage, BODIES, MAX_TXN_BYTES, MAX_TXN_ROWS, OUTCOMES, SHARED, TEXTS};
 use dogwoodlb_batch::{parts, BatchHeader, ItemText, Outcome, Record, Submission};
 use dogwoodlb_external::store::{self, KeyRange, Row, Txn};
+use dogwoodlb_mirror::Versioned;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
--- a/crates/edge/src/cluster.rs
+++ b/crates/edge/src/cluster.rs
@@ -5,6 +5,7 @@
 use dogwoodlb_batch::BatchHeader;
 use dogwoodlb_config::Snapshot;
 use dogwoodlb_directory::Directory;
+use dogwoodlb_mirror::{Versioned, VersionedMap};
 use dogwoodlb_types::Instant;
 use std::cell::{Cell, Ref, RefCell};
 use std::collections::BTreeMap;
@@ -18,22 +19,15 @@
     pub(crate) row_version: u64,
 }
 
-/// A value with the version of its row in the store.
-#[derive(Clone, Debug)]
-pub(crate) struct Versioned<T> {
-    pub(crate) row_version: u64,
-    pub(crate) value: T,
-}
-
 /// The node's view of the cluster. The table watcher and the writers of rows update it; all other
 /// parts read it.
 pub(crate) struct ClusterState {
     config: RefCell<Option<Rc<Snapshot>>>,
     pub(crate) versions: RefCell<BTreeMap<String, NewestVersion>>,
     pub(crate) directory: RefCell<Directory>,
-    pub(crate) batch_headers: RefCell<BTreeMap<String, Versioned<BatchHeader>>>,
+    pub(crate) batch_headers: RefCell<VersionedMap<BatchHeader>>,
     /// The leader of each service that has models.
-    pub(crate) leaders: RefCell<BTreeMap<String, Versioned<String>>>,
+    leaders: RefCell<VersionedMap<String>>,
     pub(crate) metrics: Rc<Metrics>,
     changes: watch::Sender<u64>,
     /// The last time at which the configuration was confirmed to be current.
@@ -89,18 +83,13 @@
     /// Stores the header of a batch unless a newer one is present.
     pub(crate) fn put_batch_header(&self, batch: &str, row_version: u64, header: BatchHeader) {
         let mut headers = self.batch_headers.borrow_mut();
-        if headers
-            .get(batch)
-            .is_none_or(|current| current.row_version < row_version)
-        {
-            headers.insert(
-                batch.to_owned(),
-                Versioned {
-                    row_version,
-                    value: header,
-                },
-            );
-        }
+        headers.put(batch, row_version, header);
+    }
+
+    /// Forgets a batch whose header was removed at a version, unless its header is newer.
+    pub(crate) fn remove_batch_header(&self, batch: &str, row_version: u64) {
+        let mut headers = self.batch_headers.borrow_mut();
+        headers.remove(batch, row_version);
     }
 
     pub(crate) fn leader(&self, service: &str) -> Option<Versioned<String>> {
@@ -109,13 +98,14 @@
 
     pub(crate) fn put_leader(&self, service: &str, row_version: u64, node: &str) {
         let mut leaders = self.leaders.borrow_mut();
-        if leaders
-            .get(service)
-            .is_none_or(|current| current.row_version < row_version)
-        {
-            let value = node.to_owned();
-            leaders.insert(service.to_owned(), Versioned { row_version, value });
-        }
+        leaders.put(service, row_version, node.to_owned());
+    }
+
+    /// Forgets the leader of a service whose row was removed at a version, unless a newer one is
+    /// known. Without a row, any eligible node may claim the service.
+    pub(crate) fn remove_leader(&self, service: &str, row_version: u64) {
+        let mut leaders = self.leaders.borrow_mut();
+        leaders.remove(service, row_version);
     }
 
     pub(crate) fn directory(&self) -> Ref<'_, Directory> {
--- a/crates/edge/src/coordinator.rs
+++ b/crates/edge/src/coordinator.rs
@@ -1,7 +1,6 @@
 //! Runs the batches of one service while this node is its leader.
 
 use crate::clock;
-use crate::cluster::Versioned;
 use crate::context::NodeContext;
 use crate::orders::WeightLoads;
 use crate::outcome_writer::OutcomeWriter;
@@ -10,6 +9,7 @@
 use dogwoodlb_batch::{Action, BatchHeader, ItemText, Ownership, Planner, Submission};
 use dogwoodlb_config::Route;
 use dogwoodlb_external::store::Txn;
+use dogwoodlb_mirror::Versioned;
 use dogwoodlb_types::Instant;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
--- a/crates/edge/src/reader.rs
+++ b/crates/edge/src/reader.rs
@@ -2,12 +2,13 @@
 
 use crate::batch_store::{BatchStore, Error};
 use crate::clock;
-use crate::cluster::{ClusterState, Versioned};
+use crate::cluster::ClusterState;
 use crate::peers::Peers;
 use crate::protocol::Protocol;
 use crate::reply::{self, Body};
 use crate::storage::Storage;
 use dogwoodlb_batch::{BatchHeader, Outcome};
+use dogwoodlb_mirror::Versioned;
 use dogwoodlb_types::Instant;
 use hyper::{Response, StatusCode};
 use serde::{Deserialize, Serialize};
--- a/crates/edge/src/retention.rs
+++ b/crates/edge/src/retention.rs
@@ -54,7 +54,7 @@
     if let Outcome::Conflict { .. } = context.storage.commit(&txn).await? {
         return Ok(0);
     }
-    context.cluster.batch_headers.borrow_mut().remove(batch);
+    context.cluster.remove_batch_header(batch, row_version);
     let mut keys = Vec::new();
     for table in [BODIES, OUTCOMES, TEXTS] {
         let rows = context.storage.list(table, &format!("{batch}/")).await?;
--- a/crates/edge/src/submit/end.rs
+++ b/crates/edge/src/submit/end.rs
@@ -3,12 +3,12 @@
 use super::{Submitter, RETRY_INTERVAL};
 use crate::batch_store::Error;
 use crate::clock;
-use crate::cluster::Versioned;
 use crate::reply::{self, Body};
 use crate::storage::{self, SHARED};
 use bytes::Bytes;
 use dogwoodlb_batch::{BatchHeader, Record};
 use dogwoodlb_external::store::{Outcome, Txn};
+use dogwoodlb_mirror::Versioned;
 use hyper::{Response, StatusCode};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
--- a/crates/edge/src/table_watcher.rs
+++ b/crates/edge/src/table_watcher.rs
@@ -268,12 +268,16 @@
         };
         match (kind, row.removed) {
             ("batch", true) => {
-                self.cluster.batch_headers.borrow_mut().remove(name);
+                self.cluster.remove_batch_header(name, row.version);
             }
             ("batch", false) => match BatchHeader::from_slice(&row.value) {
                 Ok(header) => self.cluster.put_batch_header(name, row.version, header),
                 Err(error) => tracing::error!(key = row.key, %error, "row_not_decoded"),
             },
+            ("leader", true) => {
+                tracing::warn!(service = name, row = row.version, "leader_removed");
+                self.cluster.remove_leader(name, row.version);
+            }
             ("leader", false) => {
                 let node = String::from_utf8_lossy(&row.value);
                 tracing::info!(service = name, %node, row = row.version, "leader_known");
--- a/crates/mirror/src/lib.rs
+++ b/crates/mirror/src/lib.rs
@@ -4,6 +4,9 @@
 //! is older than the known row is ignored. Removals are not remembered, so an older version of a
 //! row that arrives after its removal is accepted.
 //!
+//! A [`VersionedMap`] holds what a node derives from such rows, and from its own reads and writes of
+//! them.
+//!
 //! # Examples
 //!
 //! ```
@@ -21,5 +24,7 @@
 //! ```
 
 mod mirror;
+mod versioned;
 
 pub use mirror::{Mirror, NextRequest};
+pub use versioned::{Versioned, VersionedMap};
--- a/crates/mirror/tests/late_rows.rs
+++ b/crates/mirror/tests/late_rows.rs
@@ -1,7 +1,7 @@
 //! Guards against a copy that reverts to older rows or misses the removal of a row.
 
 use dogwoodlb_external::store::Row;
-use dogwoodlb_mirror::{Mirror, NextRequest};
+use dogwoodlb_mirror::{Mirror, NextRequest, VersionedMap};
 
 fn row(key: &str, version: u64) -> Row {
     Row {
@@ -93,3 +93,24 @@
     assert!(mirror.replace(vec![odd(4)], 6).is_empty());
     assert_eq!(mirror.apply(vec![odd(7)], 7), [odd(7)]);
 }
+
+/// A removal that was reported after the row had been written again dropped the new value.
+#[test]
+fn late_removal() {
+    let mut values = VersionedMap::default();
+    values.put("a", 3, "old");
+    values.put("a", 6, "new");
+    values.remove("a", 5);
+    assert_eq!(values.get("a").map(|known| known.value), Some("new"));
+    values.remove("a", 7);
+    assert_eq!(values.get("a"), None);
+}
+
+/// A value that was read before a later write must not replace the written one.
+#[test]
+fn late_value() {
+    let mut values = VersionedMap::default();
+    values.put("a", 6, "new");
+    values.put("a", 3, "old");
+    assert_eq!(values.get("a").map(|known| known.value), Some("new"));
+}
