Complete a text whose end a failing replica can't confirm

What callers saw: an item whose text was whole was not listed. Its stream had broken off after the last event, and the only other replica that could confirm the end failed every run; the item waited until that replica was removed, or until its lifetime was over.

Cause: the end of a resumed stream without an event counts only if a second replica reports it too. Whether that replica serves at all was not considered.

Change: if the same replica reports the end a second time, the last event is removed from the text. A run that generates it again ends with an event, which proves the end by itself, whichever replica it is on. A faulty replica that never sends an event completes nothing and costs a text one event. The length of the last event is not stored; a text that came from another node is generated again.

stream_end::faulty_replica_twice: the sound replica now resumes after event 1 instead of 2, because the second report removes event 2. What the test demands is the same: two reports of the faulty replica complete nothing, and the text has four events in the end.

Conclusion: the wait no longer depends on the other replica's removal.

--- a/crates/batch/src/planner.rs
+++ b/crates/batch/src/planner.rs
@@ -137,7 +137,7 @@
             min_version: new.min_version,
             single_version: new.single_version,
             phase: old.as_ref().map_or(Phase::Waiting, |old| old.phase.clone()),
-            end_reported_by: old.as_ref().and_then(|old| old.end_reported_by.clone()),
+            end_report: old.as_ref().and_then(|old| old.end_report.clone()),
             progress: old.map(|old| old.progress).unwrap_or_default(),
             failures: 0,
             expires_at: None,
@@ -278,7 +278,7 @@
         let is_longer = text.progress.last_event > work.progress.last_event;
         if is_valid && is_longer && work.phase == Phase::Waiting {
             work.progress = text.progress.clone();
-            work.end_reported_by = None;
+            work.end_report = None;
             if text.is_complete {
                 work.phase = Phase::Generated;
             }
--- a/crates/batch/src/planner/runs.rs
+++ b/crates/batch/src/planner/runs.rs
@@ -2,10 +2,14 @@
 
 use super::candidates::has_suitable_version;
 use super::{Planner, RunEnd};
-use crate::work::{Phase, WorkId};
+use crate::work::{EndReport, Phase, WorkId};
 use crate::Progress;
 use dogwoodlb_types::Instant;
 
+/// The number of reports of an end by one replica after which no confirmation by another replica is
+/// expected any more.
+const MAX_END_REPORTS: u32 = 2;
+
 impl Planner {
     /// Records an event of a run. Returns `false` if the item has no run, or if the event is out of
     /// sequence or violates the version constraints of the batch; the run must then be cancelled.
@@ -27,7 +31,7 @@
         if version < work.min_version || !work.progress.push(event, data, version) {
             return false;
         }
-        work.end_reported_by = None;
+        work.end_report = None;
         let is_valid = work
             .progress
             .satisfies(work.min_version, work.single_version);
@@ -79,7 +83,7 @@
             .satisfies(work.min_version, work.single_version)
         {
             work.progress = Progress::default();
-            work.end_reported_by = None;
+            work.end_report = None;
             work.phase = Phase::Waiting;
         }
         work.failures += u32::from(end == RunEnd::Failed);
@@ -93,6 +97,10 @@
     /// can be empty. It is also the response of a sound replica if the previous run was interrupted
     /// after its last event. So the text is complete if a second replica responds in the same way,
     /// or the same one if no other can continue the text.
+    ///
+    /// A replica that could confirm the end may fail every run. Its confirmation is not waited for
+    /// until it is removed or the item is abandoned: after [`MAX_END_REPORTS`] the last event is
+    /// removed from the text, and a run that generates it again proves the end by itself.
     fn confirm_end(&mut self, id: WorkId) -> bool {
         let Some(work) = self.work_items.get_mut(&id) else {
             return false;
@@ -107,9 +115,20 @@
             return false;
         }
         let replica = run.replica.clone();
-        let earlier = work.end_reported_by.replace(replica.clone());
         let mut others = self.replicas.iter().filter(|(name, _)| ***name != *replica);
         let has_other = others.any(|(_, other)| has_suitable_version(work, other));
-        earlier.is_some_and(|earlier| earlier != replica || !has_other)
+        let earlier = work.end_report.take();
+        if earlier
+            .as_ref()
+            .is_some_and(|earlier| earlier.replica != replica || !has_other)
+        {
+            return true;
+        }
+        let count = earlier.map_or(0, |earlier| earlier.count) + 1;
+        if count == MAX_END_REPORTS {
+            work.progress.pop();
+        }
+        work.end_report = Some(EndReport { replica, count });
+        false
     }
 }
--- a/crates/batch/src/progress.rs
+++ b/crates/batch/src/progress.rs
@@ -10,6 +10,18 @@
     pub text: String,
     /// The weight versions that generated the events, in ascending order.
     pub versions: Vec<u64>,
+    /// What the last event added. It is not stored or sent to other nodes.
+    #[serde(skip)]
+    last_added: Option<Added>,
+}
+
+/// What an event added to a text.
+#[derive(Clone, Debug, Eq, PartialEq)]
+struct Added {
+    /// The length of the text before the event.
+    text_bytes_before: usize,
+    /// The weight version of the event, if no earlier event has it.
+    version: Option<u64>,
 }
 
 impl Progress {
@@ -18,17 +30,36 @@
         if event != self.last_event + 1 {
             return false;
         }
+        let text_bytes_before = self.text.len();
         if self.last_event > 0 {
             self.text.push('\n');
         }
         self.text.push_str(data);
         self.last_event = event;
-        if let Err(index) = self.versions.binary_search(&version) {
+        let known = self.versions.binary_search(&version);
+        if let Err(index) = known {
             self.versions.insert(index, version);
         }
+        self.last_added = Some(Added {
+            text_bytes_before,
+            version: known.is_err().then_some(version),
+        });
         true
     }
 
+    /// Removes the last event, so that the next run generates it again. If this node did not receive
+    /// that event itself, its length is not known, and all events are removed.
+    pub fn pop(&mut self) {
+        let Some(added) = self.last_added.take() else {
+            *self = Self::default();
+            return;
+        };
+        self.text.truncate(added.text_bytes_before);
+        self.versions
+            .retain(|version| Some(*version) != added.version);
+        self.last_event -= 1;
+    }
+
     /// Returns whether the text meets the version constraints of a batch.
     pub fn satisfies(&self, min_version: u64, single_version: bool) -> bool {
         let is_recent = self
--- a/crates/batch/src/work.rs
+++ b/crates/batch/src/work.rs
@@ -21,14 +21,23 @@
     pub(crate) single_version: bool,
     pub(crate) phase: Phase,
     pub(crate) progress: Progress,
-    /// The replica whose run ended without an event after the current text, if there was one.
-    pub(crate) end_reported_by: Option<String>,
+    /// The last report that the current text is complete, if there was one.
+    pub(crate) end_report: Option<EndReport>,
     /// The number of runs that ended with [`RunEnd::Failed`](crate::RunEnd::Failed).
     pub(crate) failures: u32,
     /// The time at which the item is dropped, set once its batch has ended.
     pub(crate) expires_at: Option<Instant>,
 }
 
+/// A report that a text is complete: a run ended without an event after it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct EndReport {
+    /// The replica of the run.
+    pub(crate) replica: String,
+    /// The number of such runs on the replica, without one on another replica in between.
+    pub(crate) count: u32,
+}
+
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) enum Phase {
     /// The item is not assigned to a replica.
--- a/crates/batch/tests/stream_end.rs
+++ b/crates/batch/tests/stream_end.rs
@@ -1,7 +1,9 @@
 //! Guards against a text that counts as complete although the end of its stream proves nothing: a
 //! faulty replica answered without an event.
 
-use dogwoodlb_batch::{Action, Item, NewBatch, Planner, ReplicaState, RunEnd, WorkId};
+use dogwoodlb_batch::{
+    Action, Item, ItemText, NewBatch, Planner, Progress, Record, ReplicaState, RunEnd, WorkId,
+};
 use dogwoodlb_types::Instant;
 use rstest::rstest;
 use std::collections::BTreeSet;
@@ -118,7 +120,8 @@
         assert!(!run.end(RunEnd::Completed));
     }
     run.start_on("sound", &["faulty"]);
-    run.receive(3..=4);
+    // The second report removes the last event, and the replica resumes after the one before it.
+    run.receive(2..=4);
     assert!(run.end(RunEnd::Completed));
     assert_eq!(run.last_event(), 4);
 }
@@ -172,3 +175,93 @@
     run.start_on("r", &[]);
     assert!(run.end(RunEnd::Completed));
 }
+
+/// Runs the item where the planner starts it until its text is complete, and returns how long that
+/// took. Replica `sound` sends the events up to `last_event`. Each run on `broken` is interrupted, or
+/// never ends if that replica is silent.
+fn time_to_confirm(run: &mut Run, last_event: u64, is_silent: bool) -> Option<Duration> {
+    const ROUND: Duration = Duration::from_millis(40);
+    const LIFETIME: Duration = Duration::from_secs(60);
+    let began = run.now;
+    while run.now.saturating_since(began) < LIFETIME {
+        run.now = run.now + ROUND;
+        for action in run.planner.plan(run.now) {
+            let end = match action {
+                Action::Start { replica, .. } if replica == "sound" => {
+                    run.receive(run.last_event() + 1..=last_event);
+                    RunEnd::Completed
+                }
+                Action::Start { .. } if is_silent => continue,
+                Action::Start { .. } => RunEnd::Interrupted,
+                Action::Stop { .. } => RunEnd::Stopped,
+            };
+            if run.end(end) {
+                return Some(run.now.saturating_since(began));
+            }
+        }
+    }
+    None
+}
+
+/// An item whose text was complete waited for the confirmation of a replica that fails every run,
+/// until that replica was removed or the lifetime of the item was over.
+#[rstest]
+#[case::interrupting(false)]
+#[case::silent(true)]
+fn broken_second_replica(#[case] is_silent: bool) {
+    const MAX_DELAY: Duration = Duration::from_secs(10);
+    let mut run = Run::new(&["broken", "sound"]);
+    run.start_on("sound", &["broken"]);
+    run.receive(1..=2);
+    assert!(!run.end(RunEnd::Interrupted));
+    run.planner.set_replica("broken", state(MIN_VERSION));
+    let delay = time_to_confirm(&mut run, 2, is_silent);
+    assert!(delay.is_some_and(|delay| delay < MAX_DELAY), "{delay:?}");
+    let progress = run.planner.progress(WORK).unwrap();
+    assert_eq!((progress.last_event, progress.text.as_str()), (2, "x\nx"));
+    assert_eq!(progress.versions, [MIN_VERSION]);
+}
+
+/// A faulty replica that reports the end any number of times must not complete a text, and costs it
+/// one event at most.
+#[test]
+fn faulty_replica_repeatedly() {
+    let mut run = Run::new(&["faulty", "sound"]);
+    run.start_on("sound", &["faulty"]);
+    run.receive(1..=3);
+    assert!(!run.end(RunEnd::Interrupted));
+    for _ in 0..12 {
+        run.start_on("faulty", &["sound"]);
+        assert!(!run.end(RunEnd::Completed));
+    }
+    assert_eq!(run.last_event(), 2);
+    run.start_on("sound", &["faulty"]);
+    run.receive(3..=4);
+    assert!(run.end(RunEnd::Completed));
+}
+
+/// The weight version of a removed event must not stay in the versions of the text.
+#[test]
+fn version_of_removed_event() {
+    let mut progress = Progress::default();
+    assert!(progress.push(1, "a", 3) && progress.push(2, "b", 4));
+    progress.pop();
+    assert_eq!((progress.last_event, progress.text.as_str()), (1, "a"));
+    assert_eq!(progress.versions, [3]);
+    assert!(progress.push(2, "c", 5));
+    assert_eq!(progress.versions, [3, 5]);
+}
+
+/// The last event of a text from another node can't be told from the others, so none may stay.
+#[test]
+fn removed_event_of_other_node() {
+    let mut progress = Progress::default();
+    assert!(progress.push(1, "a", 3) && progress.push(2, "b", 3));
+    let text = ItemText {
+        progress,
+        ..ItemText::default()
+    };
+    let mut text = ItemText::from_slice(&text.to_vec().unwrap()).unwrap();
+    text.progress.pop();
+    assert_eq!(text.progress, Progress::default());
+}
