End a node whose background task panicked

What callers saw: a node that goes on half dead. The runtime keeps a panic to its task, and nothing waited for these tasks: a leader without its coordinator still sends heartbeats, so that nobody takes over and no batch of the service finishes; a node without a table watcher serves an old configuration, or old replicas, for good.

Cause: each place called spawn_local by itself and dropped the handle.

Change: all tasks of crates/edge are started through the module task. A Supervisor starts background tasks; one that panics leaves one line (task_panicked), Node::run returns Error::Panic, and the process ends with exit code 1 (the command's code for an error), so that the platform starts it again. Tasks that serve one connection or one request of a caller or of another node are isolated: a panic leaves the line and ends the connection, because a request that panics would otherwise end one node after the other as it is repeated. node.rs starts its tasks by name, and heartbeats in a function of their own.

Conclusion: a panic costs a restart of one node in place of a service. The exit code itself is not tested: no process can be made to panic from outside.

--- a/crates/dogwoodlb/src/edge.rs
+++ b/crates/dogwoodlb/src/edge.rs
@@ -53,7 +53,7 @@
         let node = Node::start(dependencies).await?;
         let signals = Signals::new()?;
         tokio::task::spawn_local(signals.pass_on(path, sender));
-        node.run(commands).await;
+        node.run(commands).await.map_err(Inner::EdgeEnded)?;
         Ok::<_, Error>(ExitCode::SUCCESS)
     })
 }
--- a/crates/dogwoodlb/src/error.rs
+++ b/crates/dogwoodlb/src/error.rs
@@ -27,6 +27,8 @@
     },
     #[error("the node can't start: {0}")]
     Edge(#[from] dogwoodlb_edge::Error),
+    #[error("the node ended: {0}")]
+    EdgeEnded(dogwoodlb_edge::Error),
     #[error("the runtime can't start: {0}")]
     Runtime(io::Error),
     #[error("the node can't start: {0}")]
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -7,6 +7,7 @@
 use crate::score::ScoreClient;
 use crate::settings::Settings;
 use crate::storage::Storage;
+use crate::task::Supervisor;
 use dogwoodlb_client::Client;
 use std::rc::Rc;
 
@@ -22,4 +23,5 @@
     pub(crate) score_client: ScoreClient,
     pub(crate) settings: Rc<Settings>,
     pub(crate) storage: Rc<Storage>,
+    pub(crate) supervisor: Supervisor,
 }
--- a/crates/edge/src/coordinator.rs
+++ b/crates/edge/src/coordinator.rs
@@ -232,7 +232,8 @@
 
     fn start_adoption(self: &Rc<Self>, id: String, row_version: u64, header: BatchHeader) {
         let (this, batch) = (self.clone(), id.clone());
-        let task = tokio::task::spawn_local(async move {
+        let supervisor = &self.context.supervisor;
+        let task = supervisor.spawn("adoption", async move {
             if let Err(error) = this.adopt(&batch, row_version, header).await {
                 tracing::info!(batch, %error, "batch_not_adopted");
                 sleep(ADOPTION_RETRY).await;
@@ -240,7 +241,7 @@
             this.adoptions.borrow_mut().remove(&batch);
             this.wake.notify_one();
         });
-        let task = AbortOnDrop(task.abort_handle());
+        let task = AbortOnDrop(task);
         self.adoptions.borrow_mut().insert(id, task);
     }
 
--- a/crates/edge/src/coordinator/adoption.rs
+++ b/crates/edge/src/coordinator/adoption.rs
@@ -128,7 +128,8 @@
             permit: self.permit(id),
             deadline,
         }));
-        running.spawn(self.clone().write_outcomes(writer));
+        let write = self.clone().write_outcomes(writer);
+        running.spawn(self.context.supervisor.supervise("outcome_writer", write));
         self.batches.borrow_mut().insert(id.to_owned(), running);
         let generated = self.planner.borrow().generated(id);
         for work in generated {
--- a/crates/edge/src/coordinator/handover.rs
+++ b/crates/edge/src/coordinator/handover.rs
@@ -103,7 +103,7 @@
         }
         self.checkpointing.set(true);
         let this = self.clone();
-        tokio::task::spawn_local(async move {
+        self.context.supervisor.spawn("checkpoint", async move {
             if let Err(error) = this
                 .context
                 .batch_store
--- a/crates/edge/src/coordinator/items.rs
+++ b/crates/edge/src/coordinator/items.rs
@@ -51,7 +51,7 @@
             return;
         };
         let this = self.clone();
-        let task = tokio::task::spawn_local(async move {
+        let task = self.context.supervisor.spawn("run", async move {
             let target = Target {
                 replica,
                 born_ms,
@@ -64,8 +64,7 @@
             let result = result.await;
             this.on_run_end(work, result, &target.replica, &batch.submission);
         });
-        let guard = AbortOnDrop(task.abort_handle());
-        self.run_tasks.borrow_mut().insert(work, guard);
+        self.run_tasks.borrow_mut().insert(work, AbortOnDrop(task));
     }
 
     pub(super) fn stop(&self, work: WorkId, reason: &str) {
@@ -135,7 +134,8 @@
         };
         let mut batches = self.batches.borrow_mut();
         if let Some(running) = batches.get_mut(&batch.submission.id) {
-            running.spawn(self.clone().score_item(batch, work, index));
+            let score = self.clone().score_item(batch, work, index);
+            running.spawn(self.context.supervisor.supervise("score", score));
         }
     }
 
--- a/crates/edge/src/error.rs
+++ b/crates/edge/src/error.rs
@@ -1,7 +1,7 @@
 use std::io;
 use std::net::SocketAddr;
 
-/// An error that prevents a node from starting.
+/// An error that prevents a node from starting, or ends it.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
     /// A listener could not be bound.
@@ -18,4 +18,10 @@
     /// The metrics could not be registered.
     #[error("cannot register the metrics: {0}")]
     Metrics(#[from] prometheus::Error),
+    /// A background task panicked, so that the node can't go on.
+    #[error("the task `{task}` panicked")]
+    Panic {
+        /// The name of the task.
+        task: &'static str,
+    },
 }
--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -11,6 +11,7 @@
 use crate::reply::{self, Body};
 use crate::settings::Settings;
 use crate::submit::Submitter;
+use crate::task;
 use bytes::Bytes;
 use dogwoodlb_config::RouteKind;
 use hyper::body::Incoming;
@@ -137,7 +138,7 @@
     /// Ends a batch, even if the caller disconnects: the batch is no longer wanted.
     async fn end_batch(self: &Rc<Self>, batch: String) -> Response<Body> {
         let this = self.clone();
-        let end = tokio::task::spawn_local(async move {
+        let end = task::spawn_isolated("batch_end", async move {
             let _counted = InFlight::new(&this.pending_ends);
             this.submitter.end(&batch).await
         });
@@ -280,7 +281,7 @@
             open_connections.clone(),
             shutdown.clone(),
         );
-        tokio::task::spawn_local(async move {
+        task::spawn_isolated("connection", async move {
             serve_connection(stream, handler, &cluster, shutdown).await;
             open_connections.set(open_connections.get() - 1);
         });
--- a/crates/edge/src/leader.rs
+++ b/crates/edge/src/leader.rs
@@ -164,10 +164,10 @@
         let coordinator = Rc::new(Coordinator::new(service, term, context, inherited));
         let retention = retention::run(self.context.clone(), service.to_owned());
         let run = coordinator.clone().run();
-        let task = tokio::task::spawn_local(async move {
+        let task = self.context.supervisor.spawn("coordinator", async move {
             tokio::join!(run, retention);
         });
-        self.tasks.insert(service.to_owned(), task.abort_handle());
+        self.tasks.insert(service.to_owned(), task);
         let mut led_services = self.led_services.0.borrow_mut();
         led_services.insert(service.to_owned(), coordinator);
     }
@@ -272,7 +272,7 @@
         }
         let (context, previous) = (self.context.clone(), previous.to_owned());
         let service = service.to_owned();
-        tokio::task::spawn_local(async move {
+        self.context.supervisor.spawn("texts_request", async move {
             let texts = context.peers.fetch_texts(&previous, &service, term).await;
             if !texts.is_empty() {
                 let count = texts.len();
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -45,6 +45,7 @@
 mod storage;
 mod submit;
 mod table_watcher;
+mod task;
 
 pub use error::Error;
 pub use node::{Command, Dependencies, Node};
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -22,6 +22,7 @@
 use crate::storage::{self, Storage, SHARED};
 use crate::submit::Submitter;
 use crate::table_watcher::{Mirrors, Table, TableWatcher};
+use crate::task::Supervisor;
 use dogwoodlb_client::Client;
 use dogwoodlb_external::store::Txn;
 use dogwoodlb_external::MetadataStore;
@@ -148,6 +149,7 @@
             },
             settings,
             storage,
+            supervisor: Supervisor::new(),
         });
         let front = Rc::new(front_handler(&context, &routers));
         Ok(Self {
@@ -160,7 +162,19 @@
     }
 
     /// Serves until it receives [`Command::Stop`] or the channel is closed, then drains.
-    pub async fn run(self, mut commands: mpsc::Receiver<Command>) {
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Panic`] at once if a background task panics. The caller should end the process.
+    pub async fn run(self, commands: mpsc::Receiver<Command>) -> Result<(), Error> {
+        let context = self.context.clone();
+        tokio::select! {
+            () = self.serve_until_stopped(commands) => Ok(()),
+            task = context.supervisor.panicked_task() => Err(Error::Panic { task }),
+        }
+    }
+
+    async fn serve_until_stopped(self, mut commands: mpsc::Receiver<Command>) {
         let (shutdown, _) = watch::channel(false);
         let Self {
             context,
@@ -178,10 +192,17 @@
             &watcher,
             &led_services,
         );
-        spawn(watch_tables(watcher));
-        spawn(register(context.clone()));
-        spawn(run_housekeeping(context.clone(), routers));
-        spawn(LeaderElection::new(context.clone(), led_services.clone()).run());
+        let supervisor = &context.supervisor;
+        for table in [Table::Operator, Table::Replicas, Table::Shared] {
+            supervisor.spawn("table_watcher", watcher.clone().run(table));
+        }
+        supervisor.spawn("table_copies", async move {
+            peers::sync_tables(&watcher).await;
+        });
+        supervisor.spawn("registration", register(context.clone()));
+        supervisor.spawn("housekeeping", run_housekeeping(context.clone(), routers));
+        let election = LeaderElection::new(context.clone(), led_services.clone());
+        supervisor.spawn("election", election.run());
         while let Some(Command::Reload(settings)) = commands.recv().await {
             reload(&context, &settings);
         }
@@ -189,10 +210,6 @@
     }
 }
 
-fn spawn(task: impl std::future::Future<Output = ()> + 'static) {
-    tokio::task::spawn_local(task);
-}
-
 fn front_handler(context: &Rc<NodeContext>, routers: &Rc<ServiceRouters>) -> FrontHandler {
     let (protocol, cluster) = (context.protocol.clone(), context.cluster.clone());
     FrontHandler {
@@ -237,10 +254,10 @@
     watcher: &Rc<TableWatcher>,
     led_services: &Rc<LedServices>,
 ) {
-    let (protocol, cluster) = (context.protocol.clone(), context.cluster.clone());
+    let protocol = context.protocol.clone();
     let readiness = ReadinessHandler {
         protocol: protocol.clone(),
-        cluster: cluster.clone(),
+        cluster: context.cluster.clone(),
         peers: context.peers.clone(),
     };
     let directory = DirectoryHandler {
@@ -253,73 +270,73 @@
     };
     let open_connections = front.open_connections.clone();
     serve(
+        context,
         listeners.front,
         front.clone(),
-        &cluster,
         shutdown,
         open_connections,
     );
     serve(
+        context,
         listeners.ready,
         Rc::new(readiness),
-        &cluster,
         shutdown,
         Rc::default(),
     );
     serve(
+        context,
         listeners.directory,
         Rc::new(directory),
-        &cluster,
         shutdown,
         Rc::default(),
     );
     serve(
+        context,
         listeners.metrics,
         Rc::new(metrics),
-        &cluster,
         shutdown,
         Rc::default(),
     );
     let mirrors = watcher.mirrors.clone();
-    spawn(peers::serve(
-        listeners.peers,
-        mirrors,
-        led_services.clone(),
-        front,
-    ));
-    let heartbeats = Rc::new(listeners.heartbeats);
-    let (context, socket) = (context.clone(), heartbeats.clone());
-    spawn(async move {
-        context
-            .peers
-            .send_heartbeats(&socket, &context.storage, &context.cluster)
-            .await
+    let peers = peers::serve(listeners.peers, mirrors, led_services.clone(), front);
+    context.supervisor.spawn("peer_listener", peers);
+    exchange_heartbeats(context, listeners.heartbeats);
+}
+
+fn exchange_heartbeats(context: &Rc<NodeContext>, socket: UdpSocket) {
+    let sender = (context.clone(), Rc::new(socket));
+    let receiver = sender.clone();
+    context.supervisor.spawn("heartbeat_sender", async move {
+        let (context, socket) = sender;
+        let NodeContext {
+            peers,
+            storage,
+            cluster,
+            ..
+        } = &*context;
+        peers.send_heartbeats(&socket, storage, cluster).await;
+    });
+    context.supervisor.spawn("heartbeat_receiver", async move {
+        let (context, socket) = receiver;
+        context.peers.receive_heartbeats(&socket).await;
     });
-    let peers = watcher.peers.clone();
-    spawn(async move { peers.receive_heartbeats(&heartbeats).await });
 }
 
 fn serve<H: Handler + 'static>(
+    context: &NodeContext,
     listener: TcpListener,
     handler: Rc<H>,
-    cluster: &Rc<ClusterState>,
     shutdown: &watch::Sender<bool>,
     open_connections: Rc<Cell<usize>>,
 ) {
-    spawn(front::serve(
+    let listener = front::serve(
         listener,
         handler,
-        cluster.clone(),
+        context.cluster.clone(),
         shutdown.subscribe(),
         open_connections,
-    ));
-}
-
-async fn watch_tables(watcher: Rc<TableWatcher>) {
-    for table in [Table::Operator, Table::Replicas, Table::Shared] {
-        spawn(watcher.clone().run(table));
-    }
-    peers::sync_tables(&watcher).await;
+    );
+    context.supervisor.spawn("listener", listener);
 }
 
 /// Registers the node in the store, so that the other nodes find it.
--- a/crates/edge/src/orders.rs
+++ b/crates/edge/src/orders.rs
@@ -101,7 +101,7 @@
                 finish_runs: single_version,
                 new_txn: new_txn.clone(),
             };
-            tasks.spawn_local(load.run());
+            tasks.spawn_local(context.supervisor.supervise("weight_load", load.run()));
         }
     }
 }
--- a/crates/edge/src/peers/requests.rs
+++ b/crates/edge/src/peers/requests.rs
@@ -9,6 +9,7 @@
 use crate::reader::Lookup;
 use crate::submit::{EndOutcome, RelayedBatch, SubmitOutcome};
 use crate::table_watcher::{Mirrors, Table, TableWatcher};
+use crate::task;
 use dogwoodlb_batch::ItemText;
 use dogwoodlb_external::store::Row;
 use serde::{Deserialize, Serialize};
@@ -183,7 +184,7 @@
             }
         };
         let (mirrors, led_services, front) = (mirrors.clone(), led_services.clone(), front.clone());
-        tokio::task::spawn_local(async move {
+        task::spawn_isolated("peer_connection", async move {
             if let Err(error) = respond(stream, &mirrors, &led_services, &front).await {
                 tracing::debug!(%error, "peer_response_failed");
             }
