--- a/crates/edge/src/coordinator.rs
+++ b/crates/edge/src/coordinator.rs
@@ -1,7 +1,6 @@
 //! Runs the batches of one service while this node is its leader.
 
 use crate::clock;
-use crate::cluster::Versioned;
 use crate::context::NodeContext;
 use crate::orders::WeightLoads;
 use crate::outcome_writer::OutcomeWriter;
@@ -10,6 +9,7 @@
 use dogwoodlb_batch::{Action, BatchHeader, ItemText, Ownership, Planner, Submission};
 use dogwoodlb_config::Route;
 use dogwoodlb_external::store::Txn;
+use dogwoodlb_mirror::Versioned;
 use dogwoodlb_types::Instant;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -232,7 +232,8 @@
 
     fn start_adoption(self: &Rc<Self>, id: String, row_version: u64, header: BatchHeader) {
         let (this, batch) = (self.clone(), id.clone());
-        let task = tokio::task::spawn_local(async move {
+        let supervisor = &self.context.supervisor;
+        let task = supervisor.spawn("adoption", async move {
             if let Err(error) = this.adopt(&batch, row_version, header).await {
                 tracing::info!(batch, %error, "batch_not_adopted");
                 sleep(ADOPTION_RETRY).await;
@@ -240,7 +241,7 @@
             this.adoptions.borrow_mut().remove(&batch);
             this.wake.notify_one();
         });
-        let task = AbortOnDrop(task.abort_handle());
+        let task = AbortOnDrop(task);
         self.adoptions.borrow_mut().insert(id, task);
     }
 
