Let the planner stop a run whose task panicked

**Cause.** With the supervision of background tasks, a panic in a run of an item ended the node. If the item is the cause, the next leader adopts it, runs it and ends as well: one item could end all nodes, one after the other. **Ruled out.** The same for a scoring call: a text whose task panicked would stay in scoring for good, so its panic still ends the node. **Change.** Runs are isolated tasks. The planner stops a run without events after `STALL_TIMEOUT`, whatever became of its task, and the item runs again until its lifetime is over. **Measured.** Read from the code only; no test makes a run panic.

--- a/crates/edge/src/coordinator/items.rs
+++ b/crates/edge/src/coordinator/items.rs
@@ -5,6 +5,7 @@
 use crate::clock;
 use crate::run::{self, AbortOnDrop, RunResult, Target};
 use crate::score::ScoreOutcome;
+use crate::task;
 use dogwoodlb_batch::{Outcome, OutcomeState, RunEnd, Submission, WorkId};
 use std::rc::Rc;
 
@@ -51,7 +52,8 @@
             return;
         };
         let this = self.clone();
-        let task = self.context.supervisor.spawn("run", async move {
+        // The planner stops a run without events, also one whose task panicked.
+        let task = task::spawn_isolated("run", async move {
             let target = Target {
                 replica,
                 born_ms,
@@ -64,7 +66,8 @@
             let result = result.await;
             this.on_run_end(work, result, &target.replica, &batch.submission);
         });
-        self.run_tasks.borrow_mut().insert(work, AbortOnDrop(task));
+        let guard = AbortOnDrop(task.abort_handle());
+        self.run_tasks.borrow_mut().insert(work, guard);
     }
 
     pub(super) fn stop(&self, work: WorkId, reason: &str) {
--- a/crates/edge/src/task.rs
+++ b/crates/edge/src/task.rs
@@ -3,7 +3,9 @@
 //! The runtime keeps a panic to the task in which it happens. A node that lost a background task
 //! would go on half dead: it would still be leader without running batches, or follow the store no
 //! more. So a [`Supervisor`] reports such a panic, the node ends, and the platform starts it again.
-//! A task that serves one connection is no such loss; its panic ends that connection.
+//! A task that serves one connection or runs one item is no such loss: its panic ends that
+//! connection, or the planner stops that run. If the item itself is the cause, each node that took
+//! it over would end.
 
 use std::future::Future;
 use tokio::sync::watch;
@@ -61,7 +63,7 @@
     }
 }
 
-/// Starts a task that serves one connection or request, whose panic does not end the node.
+/// Starts a task that serves one connection, request or item, whose panic does not end the node.
 pub(crate) fn spawn_isolated<T: 'static>(
     name: &'static str,
     task: impl Future<Output = T> + 'static,
