Handle signals before a node reads its settings

A node that got SIGHUP or SIGTERM right after its start was ended by the signal: its supervisor saw a process that ended by itself, callers a refused connection until the next start.

**Cause.** `dogwoodlb edge` read its settings, started its log and bound its listeners before it installed handlers. Until then the kernel's default action applies, which ends the process.

**Ruled out.** A signal before the program's first instruction can't be handled by any program, unless its parent ignores or blocks it.

**Change.** The handlers are installed first and handed over once the node runs, so that a signal in between is obeyed then. The soak waits after each start until the process handles SIGTERM and SIGHUP, and sends signals at any time after that; that the handlers come before the settings is what `early_signal` checks, without any timing: the settings are a pipe, and the signal is sent while the node waits for them.

--- a/crates/dogwoodlb/src/edge.rs
+++ b/crates/dogwoodlb/src/edge.rs
@@ -27,35 +27,48 @@
         .clone()
         .or_else(|| std::env::var_os(SETTINGS).map(PathBuf::from))
         .ok_or(Inner::NoSettings)?;
-    let settings = read(&path)?;
     if args.check {
-        println!("the settings at {} are valid", path.display());
-        return Ok(ExitCode::SUCCESS);
+        return check(&path);
     }
-    let _written = logs::start_bounded(&settings.log);
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(Inner::Runtime)?;
+    // Until its handler is installed, a signal ends the process, so nothing that takes time comes
+    // first. Signals that arrive before the node runs are obeyed once it does.
+    let signals = {
+        let _context = runtime.enter();
+        Signals::new()?
+    };
+    let settings = read(&path)?;
+    let _written = logs::start_bounded(&settings.log);
+    LocalSet::new().block_on(&runtime, async {
+        let (sender, commands) = mpsc::channel(1);
+        let node = Node::start(dependencies(settings)).await?;
+        tokio::task::spawn_local(signals.pass_on(path, sender));
+        node.run(commands).await;
+        Ok::<_, Error>(ExitCode::SUCCESS)
+    })
+}
+
+fn dependencies(settings: settings::Settings) -> Dependencies {
     let store = StoreClient::new(
         Client::new(Settings::default()),
         settings.store,
         STORE_TIMEOUT,
     );
-    let dependencies = Dependencies {
+    Dependencies {
         settings,
         protocol: Rc::new(PlatformProtocol::default()),
         store: Rc::new(store),
         client: Client::new(Settings::default()),
-    };
-    LocalSet::new().block_on(&runtime, async {
-        let (sender, commands) = mpsc::channel(1);
-        let node = Node::start(dependencies).await?;
-        let signals = Signals::new()?;
-        tokio::task::spawn_local(signals.pass_on(path, sender));
-        node.run(commands).await;
-        Ok::<_, Error>(ExitCode::SUCCESS)
-    })
+    }
+}
+
+fn check(path: &Path) -> Result<ExitCode, Error> {
+    read(path)?;
+    println!("the settings at {} are valid", path.display());
+    Ok(ExitCode::SUCCESS)
 }
 
 /// The signals that a node obeys.
@@ -66,6 +79,7 @@
 }
 
 impl Signals {
+    /// Installs the handlers. Must be called within the context of a runtime.
     fn new() -> Result<Self, Error> {
         let signal = |kind| signal(kind).map_err(Inner::Signal);
         Ok(Self {
--- a/crates/dogwoodlb/tests/processes.rs
+++ b/crates/dogwoodlb/tests/processes.rs
@@ -4,6 +4,8 @@
 mod bad_input;
 #[path = "processes/cluster.rs"]
 mod cluster;
+#[path = "processes/early_signal.rs"]
+mod early_signal;
 #[path = "processes/engine_faults.rs"]
 mod engine_faults;
 #[path = "processes/frozen_owner.rs"]
--- /dev/null
+++ b/crates/dogwoodlb/tests/processes/early_signal.rs
@@ -0,0 +1,102 @@
+//! Signals to a node that has not read its settings yet.
+
+use crate::process::{binary, wait_for, Process};
+use dogwoodlb_standin::free_address;
+use rustix::fs::{mkfifoat, open, Mode, OFlags, CWD};
+use rustix::process::Signal;
+use serde_json::json;
+use std::fs::File;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+/// A settings file that is a named pipe: the node waits for each read of it to be answered.
+struct SettingsPipe(PathBuf);
+
+impl SettingsPipe {
+    fn new(name: &str) -> Self {
+        let name = format!("dogwoodlb-{name}-{}.json", std::process::id());
+        let settings = Self(std::env::temp_dir().join(name));
+        settings.create();
+        settings
+    }
+
+    fn create(&self) {
+        mkfifoat(CWD, &self.0, Mode::RUSR | Mode::WUSR).unwrap();
+    }
+
+    /// Waits until the node reads its settings. The node then waits for them.
+    fn wait_for_reader(&self, node: &mut Process) -> File {
+        let pipe = wait_for("a node that reads its settings", || {
+            assert!(node.is_running(), "the node has ended");
+            // Fails while the pipe has no reader.
+            let pipe = open(&self.0, OFlags::WRONLY | OFlags::NONBLOCK, Mode::empty());
+            pipe.ok()
+        });
+        // The next read opens another pipe, because it must not end with the bytes of this one.
+        std::fs::remove_file(&self.0).unwrap();
+        self.create();
+        pipe.into()
+    }
+}
+
+impl Drop for SettingsPipe {
+    fn drop(&mut self) {
+        // A file in the system's temporary directory does no harm.
+        let _ = std::fs::remove_file(&self.0);
+    }
+}
+
+fn start_node(settings: &SettingsPipe) -> Process {
+    let path = settings.0.display().to_string();
+    let args = ["edge", "--settings", &path].map(str::to_owned);
+    Process::start(binary("dogwoodlb"), &args)
+}
+
+/// Returns the settings of a node whose store can't be reached.
+fn settings_text() -> String {
+    let [front, ready, directory, peer, metrics, store]: [SocketAddr; 6] =
+        std::array::from_fn(|_| free_address());
+    let settings = json!({
+        "node": "edge-0", "region": "a", "centre": "a1", "front": front, "ready": ready,
+        "directory": directory, "peer": peer, "metrics": metrics, "seeds": [], "store": store,
+        "centres": {"a1": "a"}, "cpu_share": 0.5, "address_ttl_s": 0.1, "grace_s": 3.0,
+        "order_lease_ms": 500, "results_s": 120.0,
+    });
+    settings.to_string()
+}
+
+/// Guards against a node that is killed by a request to stop in the moment of its start.
+#[test]
+fn early_stop() {
+    let settings = SettingsPipe::new("early-stop");
+    let mut node = start_node(&settings);
+    let mut pipe = settings.wait_for_reader(&mut node);
+    node.signal(Signal::TERM);
+    // Fails if the signal has killed the node; the exit status then tells so.
+    let _ = pipe.write_all(settings_text().as_bytes());
+    drop(pipe);
+    let (status, _) = node.wait();
+    assert!(status.success(), "{status}");
+}
+
+/// Guards against a node that is killed by a change of its settings in the moment of its start, and
+/// against a change that it forgets.
+#[test]
+fn early_reload() {
+    let settings = SettingsPipe::new("early-reload");
+    let text = settings_text();
+    let mut node = start_node(&settings);
+    let mut pipe = settings.wait_for_reader(&mut node);
+    node.signal(Signal::HUP);
+    // Fails if the signal has killed the node, which the next wait reports.
+    let _ = pipe.write_all(text.as_bytes());
+    drop(pipe);
+    let mut pipe = settings.wait_for_reader(&mut node);
+    pipe.write_all(text.as_bytes()).unwrap();
+    drop(pipe);
+    node.signal(Signal::TERM);
+    let (status, output) = node.wait();
+    assert!(status.success(), "{status}");
+    assert!(output.contains("settings_reloaded"), "{output}");
+}
--- a/crates/dogwoodlb/tests/processes/process.rs
+++ b/crates/dogwoodlb/tests/processes/process.rs
@@ -45,6 +45,11 @@
         kill_process(pid, signal).unwrap();
     }
 
+    /// Returns whether the process has not ended yet.
+    pub(crate) fn is_running(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_none()
+    }
+
     /// Waits for the end of the process and returns its status and the rest of its output.
     pub(crate) fn wait(mut self) -> (ExitStatus, String) {
         let mut output = String::new();
