Time claims of other nodes also by the node's own clock

**Cause.** A node compared the time in another node's claim with its estimate of the store's clock alone. When that clock moves ahead by 1.8 s between the two, a claim of 1.4 s seems to have expired at once.

Timing each claim from when its row was first seen: the same wait for nodes that have just started, and more state. Taking each contradiction for a jump: clocks that drift by 1% contradict each other all the time, and a new leader would never order; contradictions within 50 ms count as drift (`store_clock::drifting_clocks`).

**Change.** `external::store::Clock` keeps the bounds of the store's clock that `Storage` had, and since when its readings have agreed. A claim of another node lasts until both its age by the store's clock and that time reach the order window and the lease. A jump is logged (`store_clock_jumped`).

Jumps within 50 ms, or within the shortest time of a call to the store, are not noticed; a node without a reading before the jump is covered by the wait after its start.

--- a/crates/edge/src/orders/load.rs
+++ b/crates/edge/src/orders/load.rs
@@ -207,13 +207,13 @@
         let storage = &self.context.storage;
         let key = storage::claim_key(&self.replica);
         let row = storage.get(SHARED, &key).await?;
-        let earliest = storage.earliest_time_ms().ok_or(Error::NoClock)?;
+        let now = storage.claim_time().ok_or(Error::NoClock)?;
         let node = &self.context.settings.node;
         if let Some(row) = &row {
             let lease = self.context.settings.order_lease();
             let claim = Claim::from_slice(&row.value)?;
             claim
-                .check_available(node, earliest, lease)
+                .check_available(node, now, lease)
                 .map_err(|error| Error::Claimed(error.wait))?;
         }
         let sent = clock::now();
--- a/crates/edge/src/storage.rs
+++ b/crates/edge/src/storage.rs
@@ -1,10 +1,11 @@
 //! Access to the metadata store: reachability, clock, tables and keys.
 
 use crate::clock;
-use dogwoodlb_external::store::{KeyRange, Outcome, Page, Row, Txn, WatchResponse};
+use dogwoodlb_external::store::{Clock, KeyRange, Outcome, Page, Row, Txn, WatchResponse};
 use dogwoodlb_external::{Category, Error, MetadataStore};
 use dogwoodlb_types::Instant;
-use std::cell::Cell;
+use dogwoodlb_weights::StoreTime;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -57,8 +58,7 @@
     last_contact: Cell<Option<Instant>>,
     /// Since when the store has been reachable without interruption.
     reachable_since: Cell<Option<Instant>>,
-    /// The lower and upper bounds of the store's clock minus the node's clock, in milliseconds.
-    clock_offset: Cell<Option<(i64, i64)>>,
+    clock: RefCell<Clock>,
     min_latency: Cell<Duration>,
     pub(crate) calls: Cell<u64>,
     pub(crate) failures: Cell<u64>,
@@ -70,7 +70,7 @@
             store,
             last_contact: Cell::new(None),
             reachable_since: Cell::new(None),
-            clock_offset: Cell::new(None),
+            clock: RefCell::default(),
             min_latency: Cell::new(Duration::MAX),
             calls: Cell::new(0),
             failures: Cell::new(0),
@@ -106,14 +106,22 @@
 
     /// Returns a lower bound of the store's current time.
     pub(crate) fn earliest_time_ms(&self) -> Option<u64> {
-        let (lower, _) = self.clock_offset.get()?;
-        u64::try_from(millis(clock::now()) + lower).ok()
+        self.clock.borrow().earliest_ms(clock::now())
     }
 
     /// Returns an upper bound of the store's current time.
     pub(crate) fn latest_time_ms(&self) -> Option<u64> {
-        let (_, upper) = self.clock_offset.get()?;
-        u64::try_from(millis(clock::now()) + upper).ok()
+        self.clock.borrow().latest_ms(clock::now())
+    }
+
+    /// Returns the time by which claims of other nodes expire.
+    pub(crate) fn claim_time(&self) -> Option<StoreTime> {
+        let now = clock::now();
+        let clock = self.clock.borrow();
+        Some(StoreTime {
+            earliest_ms: clock.earliest_ms(now)?,
+            steady_for: clock.steady_for(now),
+        })
     }
 
     /// Commits a transaction.
@@ -204,27 +212,15 @@
         if let Some(store_ms) = now_ms {
             self.min_latency
                 .set(self.min_latency.get().min(now.saturating_since(sent)));
-            // The store read its clock at some time between the request and the response.
-            let store_ms = i64::try_from(store_ms).unwrap_or_default();
-            let lower = store_ms - millis(now);
-            let upper = store_ms - millis(sent);
-            let (old_lower, old_upper) = self.clock_offset.get().unwrap_or((lower, upper));
-            // Narrow the bounds, unless they contradict each other because a clock jumped.
-            let bounds = (lower.max(old_lower), upper.min(old_upper));
-            // Times are truncated to whole milliseconds, which alone can put the lower bound one
-            // above the upper bound.
-            let is_sound = bounds.0 <= bounds.1 + 1;
-            self.clock_offset
-                .set(Some(if is_sound { bounds } else { (lower, upper) }));
+            let jump = self.clock.borrow_mut().record(sent, now, store_ms);
+            if let Some(jump) = jump {
+                tracing::warn!(ahead_ms = jump.ahead_ms, "store_clock_jumped");
+            }
         }
         outcome
     }
 }
 
-fn millis(instant: Instant) -> i64 {
-    i64::try_from(instant.as_millis()).unwrap_or(i64::MAX)
-}
-
 /// Returns whether a failed transaction was certainly not applied and will not be applied later.
 pub(crate) fn is_not_applied(error: &Error) -> bool {
     matches!(error.classify(), Category::NotSent | Category::Refused)
--- a/crates/external/src/store.rs
+++ b/crates/external/src/store.rs
@@ -3,6 +3,10 @@
 //! Its calls are futures for single-threaded programs, while [`Table`](crate::Table) is the
 //! blocking interface for multi-threaded ones.
 
+mod clock;
+
+pub use clock::{Clock, Jump};
+
 use crate::Result;
 use std::future::Future;
 use std::pin::Pin;
--- a/crates/weights/src/claim.rs
+++ b/crates/weights/src/claim.rs
@@ -14,6 +14,15 @@
     pub at_ms: u64,
 }
 
+/// What a node knows of the store's clock.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct StoreTime {
+    /// A lower bound on the current time of the store's clock, in milliseconds.
+    pub earliest_ms: u64,
+    /// For how long the node has seen the clock run steadily, by its own clock.
+    pub steady_for: Duration,
+}
+
 /// The claim of another node is still in effect.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ClaimHeld {
@@ -22,7 +31,10 @@
 }
 
 impl Claim {
-    /// Checks whether a node may write its own claim at `now_ms` of the store's clock.
+    /// Checks whether a node may write its own claim at a time of the store's clock.
+    ///
+    /// If that clock jumped ahead, a claim would seem to be older than it is. A claim of another
+    /// node therefore also lasts until the clock has been steady for as long as a claim lasts.
     ///
     /// # Errors
     ///
@@ -31,17 +43,19 @@
     pub fn check_available(
         &self,
         node: &str,
-        now_ms: u64,
+        now: StoreTime,
         lease: Duration,
     ) -> Result<(), ClaimHeld> {
         if self.node == node {
             return Ok(());
         }
         let reserved = ORDER_WINDOW + lease;
-        let since = Duration::from_millis(now_ms.saturating_sub(self.at_ms));
-        match reserved.checked_sub(since) {
-            Some(wait) if !wait.is_zero() => Err(ClaimHeld { wait }),
-            _ => Ok(()),
+        let age = Duration::from_millis(now.earliest_ms.saturating_sub(self.at_ms));
+        let wait = reserved.saturating_sub(age.min(now.steady_for));
+        if wait.is_zero() {
+            Ok(())
+        } else {
+            Err(ClaimHeld { wait })
         }
     }
 
--- a/crates/weights/src/lib.rs
+++ b/crates/weights/src/lib.rs
@@ -12,14 +12,16 @@
 //! # Examples
 //!
 //! ```
-//! use dogwoodlb_weights::Claim;
+//! use dogwoodlb_weights::{Claim, StoreTime};
 //! use std::time::Duration;
 //!
 //! let lease = Duration::from_secs(3);
 //! let claim = Claim { node: "edge-1".into(), at_ms: 10_000 };
-//! assert_eq!(claim.check_available("edge-1", 10_001, lease), Ok(()));
-//! assert!(claim.check_available("edge-2", 10_001, lease).is_err());
-//! assert_eq!(claim.check_available("edge-2", 15_000, lease), Ok(()));
+//! let soon = StoreTime { earliest_ms: 10_001, steady_for: Duration::from_secs(60) };
+//! assert_eq!(claim.check_available("edge-1", soon, lease), Ok(()));
+//! assert!(claim.check_available("edge-2", soon, lease).is_err());
+//! let later = StoreTime { earliest_ms: 15_000, ..soon };
+//! assert_eq!(claim.check_available("edge-2", later, lease), Ok(()));
 //! ```
 
 mod assignments;
@@ -28,6 +30,6 @@
 mod scheduler;
 
 pub use assignments::{Candidate, ModelAssignments};
-pub use claim::{Claim, ClaimHeld, ORDER_WINDOW};
+pub use claim::{Claim, ClaimHeld, StoreTime, ORDER_WINDOW};
 pub use plan::{interleave_loads, plan_loads, LoadGoal, LoadReason, LoadedWeights, PlannedLoad};
 pub use scheduler::{Load, ModelDemand, Replica, Scheduler};
