Close the ports of a stopped node before its log is flushed

A caller with an old address list connected to a node that had stopped, and got neither an answer nor a refusal until the process was gone: up to 1.1 s if nobody read the log.

**Cause.** The temporary `LocalSet`, which owns the listeners, was dropped after the guard of the log, whose drop waits for the last lines.

**Change.** The tasks are dropped as soon as the node has run.

**Conclusion.** Callers are refused at once and turn to another node.

--- a/crates/dogwoodlb/src/edge.rs
+++ b/crates/dogwoodlb/src/edge.rs
@@ -42,13 +42,18 @@
     };
     let settings = read(&path)?;
     let _written = logs::start_bounded(&settings.log);
-    LocalSet::new().block_on(&runtime, async {
+    let tasks = LocalSet::new();
+    let outcome = tasks.block_on(&runtime, async {
         let (sender, commands) = mpsc::channel(1);
         let node = Node::start(dependencies(settings)).await?;
         tokio::task::spawn_local(signals.pass_on(path, sender));
         node.run(commands).await;
-        Ok::<_, Error>(ExitCode::SUCCESS)
-    })
+        Ok(ExitCode::SUCCESS)
+    });
+    // Closes the ports before the last lines of the log are written, which may take a while. Callers
+    // would wait until then.
+    drop(tasks);
+    outcome
 }
 
 fn dependencies(settings: settings::Settings) -> Dependencies {
--- a/crates/dogwoodlb/tests/processes.rs
+++ b/crates/dogwoodlb/tests/processes.rs
@@ -2,10 +2,14 @@
 
 #[path = "processes/bad_input.rs"]
 mod bad_input;
+#[path = "processes/closed_ports.rs"]
+mod closed_ports;
 #[path = "processes/cluster.rs"]
 mod cluster;
 #[path = "processes/early_signal.rs"]
 mod early_signal;
+#[path = "processes/edge.rs"]
+mod edge;
 #[path = "processes/engine_faults.rs"]
 mod engine_faults;
 #[path = "processes/frozen_owner.rs"]
--- a/crates/dogwoodlb/tests/processes/early_signal.rs
+++ b/crates/dogwoodlb/tests/processes/early_signal.rs
@@ -1,13 +1,11 @@
 //! Signals to a node that has not read its settings yet.
 
-use crate::process::{binary, wait_for, Process};
-use dogwoodlb_standin::free_address;
+use crate::edge::{self, Settings};
+use crate::process::{wait_for, Process};
 use rustix::fs::{mkfifoat, open, Mode, OFlags, CWD};
 use rustix::process::Signal;
-use serde_json::json;
 use std::fs::File;
 use std::io::Write;
-use std::net::SocketAddr;
 use std::path::PathBuf;
 
 /// A settings file that is a named pipe: the node waits for each read of it to be answered.
@@ -47,34 +45,15 @@
     }
 }
 
-fn start_node(settings: &SettingsPipe) -> Process {
-    let path = settings.0.display().to_string();
-    let args = ["edge", "--settings", &path].map(str::to_owned);
-    Process::start(binary("dogwoodlb"), &args)
-}
-
-/// Returns the settings of a node whose store can't be reached.
-fn settings_text() -> String {
-    let [front, ready, directory, peer, metrics, store]: [SocketAddr; 6] =
-        std::array::from_fn(|_| free_address());
-    let settings = json!({
-        "node": "edge-0", "region": "a", "centre": "a1", "front": front, "ready": ready,
-        "directory": directory, "peer": peer, "metrics": metrics, "seeds": [], "store": store,
-        "centres": {"a1": "a"}, "cpu_share": 0.5, "address_ttl_s": 0.1, "grace_s": 3.0,
-        "order_lease_ms": 500, "results_s": 120.0,
-    });
-    settings.to_string()
-}
-
 /// Guards against a node that is killed by a request to stop in the moment of its start.
 #[test]
 fn early_stop() {
     let settings = SettingsPipe::new("early-stop");
-    let mut node = start_node(&settings);
+    let mut node = edge::start(&settings.0);
     let mut pipe = settings.wait_for_reader(&mut node);
     node.signal(Signal::TERM);
     // Fails if the signal has killed the node; the exit status then tells so.
-    let _ = pipe.write_all(settings_text().as_bytes());
+    let _ = pipe.write_all(Settings::new().text.as_bytes());
     drop(pipe);
     let (status, _) = node.wait();
     assert!(status.success(), "{status}");
@@ -85,8 +64,8 @@
 #[test]
 fn early_reload() {
     let settings = SettingsPipe::new("early-reload");
-    let text = settings_text();
-    let mut node = start_node(&settings);
+    let text = Settings::new().text;
+    let mut node = edge::start(&settings.0);
     let mut pipe = settings.wait_for_reader(&mut node);
     node.signal(Signal::HUP);
     // Fails if the signal has killed the node, which the next wait reports.
--- a/crates/dogwoodlb/tests/processes/process.rs
+++ b/crates/dogwoodlb/tests/processes/process.rs
@@ -15,18 +15,28 @@
 /// A child process; it is killed when the test ends.
 pub(crate) struct Process {
     child: Child,
-    output: BufReader<ChildStdout>,
+    /// The output, unless it goes elsewhere.
+    output: Option<BufReader<ChildStdout>>,
 }
 
 impl Process {
     pub(crate) fn start(program: PathBuf, args: &[String]) -> Self {
+        Self::start_with_output(program, args, Stdio::piped())
+    }
+
+    /// Starts a process whose output goes to `output`.
+    pub(crate) fn start_with_output(
+        program: PathBuf,
+        args: &[String],
+        output: impl Into<Stdio>,
+    ) -> Self {
         let mut child = Command::new(&program)
             .args(args)
             .stdin(Stdio::null())
-            .stdout(Stdio::piped())
+            .stdout(output)
             .spawn()
             .unwrap_or_else(|error| panic!("cannot start {}: {error}", program.display()));
-        let output = BufReader::new(child.stdout.take().unwrap());
+        let output = child.stdout.take().map(BufReader::new);
         Self { child, output }
     }
 
@@ -34,7 +44,8 @@
     pub(crate) fn server(program: PathBuf, args: &[String]) -> (Self, SocketAddr) {
         let mut process = Self::start(program, args);
         let mut line = String::new();
-        process.output.read_line(&mut line).unwrap();
+        let output = process.output.as_mut().unwrap();
+        output.read_line(&mut line).unwrap();
         let address = line.trim().strip_prefix("listening ");
         let address = address.unwrap_or_else(|| panic!("{args:?} said {line:?}"));
         (process, address.parse().unwrap())
@@ -53,7 +64,9 @@
     /// Waits for the end of the process and returns its status and the rest of its output.
     pub(crate) fn wait(mut self) -> (ExitStatus, String) {
         let mut output = String::new();
-        self.output.read_to_string(&mut output).unwrap();
+        if let Some(reader) = &mut self.output {
+            reader.read_to_string(&mut output).unwrap();
+        }
         let status = self.child.wait().unwrap();
         (status, output)
     }
