--- a/crates/dogwoodlb/tests/processes.rs
+++ b/crates/dogwoodlb/tests/processes.rs
@@ -4,8 +4,14 @@
 mod bad_input;
 #[path = "processes/capture.rs"]
 mod capture;
+#[path = "processes/closed_ports.rs"]
+mod closed_ports;
 #[path = "processes/cluster.rs"]
 mod cluster;
+#[path = "processes/early_signal.rs"]
+mod early_signal;
+#[path = "processes/edge.rs"]
+mod edge;
 #[path = "processes/engine_faults.rs"]
 mod engine_faults;
 #[path = "processes/frozen_owner.rs"]
--- a/crates/dogwoodlb/tests/processes/process.rs
+++ b/crates/dogwoodlb/tests/processes/process.rs
@@ -22,7 +22,8 @@
 pub(crate) struct Process {
     command: String,
     child: Child,
-    stdout: Capture,
+    /// The output, unless it goes elsewhere.
+    stdout: Option<Capture>,
     stderr: Capture,
 }
 
@@ -44,24 +45,38 @@
 
 impl Process {
     pub(crate) fn start(program: PathBuf, args: &[String]) -> Self {
-        let mut child = spawn(&program, args);
-        let stdout = Capture::start(child.stdout.take().unwrap());
+        Self::start_with_output(program, args, Stdio::piped())
+    }
+
+    /// Starts a process whose output goes to `output`.
+    pub(crate) fn start_with_output(
+        program: PathBuf,
+        args: &[String],
+        output: impl Into<Stdio>,
+    ) -> Self {
+        let mut child = spawn(&program, args, output);
+        let stdout = child.stdout.take().map(Capture::start);
         Self::new(&program, args, child, stdout)
     }
 
     /// Starts a server and reads the address that it announces.
     pub(crate) fn server(program: PathBuf, args: &[String]) -> (Self, SocketAddr) {
-        let mut child = spawn(&program, args);
+        let mut child = spawn(&program, args, Stdio::piped());
         let mut stdout = BufReader::new(child.stdout.take().unwrap());
         let mut line = String::new();
         stdout.read_line(&mut line).unwrap();
-        let process = Self::new(&program, args, child, Capture::start(stdout));
+        let process = Self::new(&program, args, child, Some(Capture::start(stdout)));
         let address = line.trim().strip_prefix("listening ");
         let address = address.unwrap_or_else(|| panic!("{args:?} said {line:?}"));
         (process, address.parse().unwrap())
     }
 
-    fn new(program: &std::path::Path, args: &[String], mut child: Child, stdout: Capture) -> Self {
+    fn new(
+        program: &std::path::Path,
+        args: &[String],
+        mut child: Child,
+        stdout: Option<Capture>,
+    ) -> Self {
         let name = program.file_name().unwrap_or_default().to_string_lossy();
         Self {
             command: format!("{name} {}", args.join(" ")),
@@ -76,6 +91,11 @@
         kill_process(pid, signal).unwrap();
     }
 
+    /// Returns whether the process has not ended yet.
+    pub(crate) fn is_running(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_none()
+    }
+
     /// Waits for the end of the process.
     pub(crate) fn wait(mut self) -> Exit {
         self.end()
@@ -85,7 +105,11 @@
         let status = self.child.wait().unwrap();
         Exit {
             status,
-            stdout: self.stdout.finish(),
+            stdout: self
+                .stdout
+                .as_mut()
+                .map(Capture::finish)
+                .unwrap_or_default(),
             stderr: self.stderr.finish(),
         }
     }
@@ -104,11 +128,11 @@
     }
 }
 
-fn spawn(program: &std::path::Path, args: &[String]) -> Child {
+fn spawn(program: &std::path::Path, args: &[String], output: impl Into<Stdio>) -> Child {
     Command::new(program)
         .args(args)
         .stdin(Stdio::null())
-        .stdout(Stdio::piped())
+        .stdout(output)
         .stderr(Stdio::piped())
         .spawn()
         .unwrap_or_else(|error| panic!("cannot start {}: {error}", program.display()))
