Log how long another node has known a departure

**Cause.** Reports of departures carry their age, and no one read it. **Change.** `replica_leaving` has `age_ms`: the age of the report for the source `peer`, else 0. **Measured.** `nodes::reported_departures` (2) passed, clippy clean. **Conclusion.** The age in the message is used; no decision depends on it.

--- a/crates/edge/src/departure.rs
+++ b/crates/edge/src/departure.rs
@@ -14,8 +14,8 @@
     Directory,
     /// From a response of the replica to this node.
     Response,
-    /// From another node, which had a response of the replica.
-    Peer,
+    /// From another node, which had a response of the replica this long ago.
+    Peer { age_ms: u64 },
 }
 
 impl Source {
@@ -23,16 +23,24 @@
         match self {
             Self::Directory => "directory",
             Self::Response => "response",
-            Self::Peer => "peer",
+            Self::Peer { .. } => "peer",
+        }
+    }
+
+    /// Returns how long another node has known it, in milliseconds.
+    fn age_ms(self) -> u64 {
+        match self {
+            Self::Directory | Self::Response => 0,
+            Self::Peer { age_ms } => age_ms,
         }
     }
 }
 
 /// Logs and counts a replica that became known as leaving.
 pub(crate) fn record(cluster: &ClusterState, replica: &str, service: &str, source: Source) {
-    let source = source.as_str();
+    let (age_ms, source) = (source.age_ms(), source.as_str());
     cluster.metrics.count_departure(source);
-    tracing::info!(replica, service, source, "replica_leaving");
+    tracing::info!(replica, service, source, age_ms, "replica_leaving");
 }
 
 /// Reads from a response whether the replica that sent it is leaving. `born_ms` is the incarnation
@@ -55,10 +63,10 @@
 
 /// Believes another node that a replica is leaving.
 pub(crate) fn on_report(cluster: &ClusterState, departure: &Departure) {
-    let Departure {
-        replica, born_ms, ..
-    } = departure;
-    mark(cluster, replica, *born_ms, Source::Peer);
+    let source = Source::Peer {
+        age_ms: departure.age_ms,
+    };
+    mark(cluster, &departure.replica, departure.born_ms, source);
 }
 
 /// Marks an incarnation of a replica as leaving. Returns whether this was unknown.
