Serve the requests that wait while a stopping node is delayed

DELETE /api/lots/v2 to edge-1 got no response after 249 ms: io: Peer disconnected

The caller repeated it at another node.

Cause: two steps that drop a connection whose request has arrived. The thread of the stopping node was delayed (no log line for 269 ms, then "stopped connections=0"). A connection that arrived meanwhile waits in the accept queue and isn't counted, so the node counted as drained and exited. A connection accepted after the shutdown was announced was closed before its request was read, if select polled the shutdown first.

A connection is polled before the shutdown.

Conclusion: a request sent to an address that has expired is still answered if its connection was established before the exit.

--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -331,6 +331,8 @@
             .map_or(DEFAULT_IDLE_TIMEOUT, |c| c.limits().idle_timeout);
         let until = last_used.get() + idle;
         tokio::select! {
+            // A request that has arrived is read before a shutdown can close its connection.
+            biased;
             outcome = &mut connection => {
                 if let Err(error) = outcome {
                     tracing::debug!(%error, "connection_failed");
--- a/crates/edge/src/node/drain.rs
+++ b/crates/edge/src/node/drain.rs
@@ -42,9 +42,9 @@
     shutdown.send_replace(true);
     // A forwarded request may take as long as its route allows, and its caller may read the
     // response slowly.
-    wait_until(until - ABORT_MARGIN, || front.is_drained()).await;
+    wait_until_drained(front, until - ABORT_MARGIN).await;
     front.aborting.send_replace(true);
-    wait_until(until, || front.is_drained()).await;
+    wait_until_drained(front, until).await;
     tracing::info!(
         in_flight = front.in_flight.get(),
         pending_ends = front.pending_ends.get(),
@@ -54,6 +54,20 @@
     );
 }
 
+/// Waits until no work for callers remains or the deadline `until` has passed.
+///
+/// If the thread was delayed, connections may wait to be accepted, so the listener gets a turn
+/// before the node counts as drained.
+async fn wait_until_drained(front: &FrontHandler, until: Instant) {
+    loop {
+        wait_until(until, || front.is_drained()).await;
+        sleep(DRAIN_POLL.min(until.saturating_since(clock::now()))).await;
+        if front.is_drained() || clock::now() >= until {
+            return;
+        }
+    }
+}
+
 /// Waits until `is_over` returns true or the deadline `until` has passed.
 async fn wait_until(until: Instant, is_over: impl Fn() -> bool) {
     while !is_over() && clock::now() < until {
