Confirm the end of a text only by reports about the same text

What callers saw: an item could be listed as complete without its last event.

Cause: after the second report of an end by one replica, the last event is removed from the text, but the report was kept. A single run without an event on another replica then counted as its confirmation, although it said that nothing follows event n - 1, and the report that nothing follows event n. Before two untrue reports were needed, now one was enough: a replica that fails every run, and one of them with an empty response.

Evidence: stream_end::report_before_removal on the code before:

assertion failed: !run.end(RunEnd::Completed) test result: FAILED. 12 passed; 1 failed

Change: a report holds the number of the last event of the text that it is about, and only a report about the present text is confirmed. The reports of a replica are counted as before, so that one costs a text one event at most.

Conclusion: removing the last event delays a text, but no longer shortens it.

--- a/crates/batch/src/planner/runs.rs
+++ b/crates/batch/src/planner/runs.rs
@@ -115,20 +115,27 @@
             return false;
         }
         let replica = run.replica.clone();
+        let last_event = work.progress.last_event;
         let mut others = self.replicas.iter().filter(|(name, _)| ***name != *replica);
         let has_other = others.any(|(_, other)| has_suitable_version(work, other));
         let earlier = work.end_report.take();
-        if earlier
+        // A report from before the removal of the last event says nothing about the present text.
+        let same_text = earlier
             .as_ref()
-            .is_some_and(|earlier| earlier.replica != replica || !has_other)
-        {
+            .filter(|earlier| earlier.last_event == last_event);
+        if same_text.is_some_and(|earlier| earlier.replica != replica || !has_other) {
             return true;
         }
-        let count = earlier.map_or(0, |earlier| earlier.count) + 1;
+        let own = earlier.filter(|earlier| earlier.replica == replica);
+        let count = own.map_or(0, |earlier| earlier.count) + 1;
         if count == MAX_END_REPORTS {
             work.progress.pop();
         }
-        work.end_report = Some(EndReport { replica, count });
+        work.end_report = Some(EndReport {
+            replica,
+            last_event,
+            count,
+        });
         false
     }
 }
--- a/crates/batch/src/work.rs
+++ b/crates/batch/src/work.rs
@@ -21,7 +21,7 @@
     pub(crate) single_version: bool,
     pub(crate) phase: Phase,
     pub(crate) progress: Progress,
-    /// The last report that the current text is complete, if there was one.
+    /// The last report that the text is complete, unless the text has grown since.
     pub(crate) end_report: Option<EndReport>,
     /// The number of runs that ended with [`RunEnd::Failed`](crate::RunEnd::Failed).
     pub(crate) failures: u32,
@@ -34,6 +34,8 @@
 pub(crate) struct EndReport {
     /// The replica of the run.
     pub(crate) replica: String,
+    /// The last event of the text that the report is about.
+    pub(crate) last_event: u64,
     /// The number of such runs on the replica, without one on another replica in between.
     pub(crate) count: u32,
 }
--- a/crates/batch/tests/stream_end.rs
+++ b/crates/batch/tests/stream_end.rs
@@ -240,6 +240,26 @@
     assert!(run.end(RunEnd::Completed));
 }
 
+/// Reports of the end of a text must not be confirmed by a replica that broke off without an event
+/// after the last event was removed: it would complete the text without that event.
+#[test]
+fn report_before_removal() {
+    let mut run = Run::new(&["broken", "sound"]);
+    run.start_on("sound", &["broken"]);
+    run.receive(1..=2);
+    assert!(!run.end(RunEnd::Interrupted));
+    for _ in 0..2 {
+        run.start_on("sound", &["broken"]);
+        assert!(!run.end(RunEnd::Completed));
+    }
+    run.start_on("broken", &["sound"]);
+    assert!(!run.end(RunEnd::Completed));
+    run.start_on("sound", &["broken"]);
+    run.receive(2..=2);
+    assert!(run.end(RunEnd::Completed));
+    assert_eq!(run.last_event(), 2);
+}
+
 /// The weight version of a removed event must not stay in the versions of the text.
 #[test]
 fn version_of_removed_event() {
