--- a/crates/client/tests/revoked_requests.rs
+++ b/crates/client/tests/revoked_requests.rs
@@ -95,12 +95,16 @@
     block_on(async {
         let client = Client::new(Settings::default());
         call(&client, address, &|| true).await.unwrap();
-        // If the client finds the kept connection closed only when it writes, it opens another.
+        // The client may find the kept connection closed before it writes, then it opens another; or
+        // when it writes, then it checks again; or when it reads, then the request may have run.
         let is_first = Cell::new(true);
         let outcome = call(&client, address, &|| is_first.replace(false)).await;
         let sent = usize::from(outcome.is_ok());
-        let revoked = matches!(outcome, Err(Error::Revoked { .. }));
-        assert!(outcome.is_ok() || revoked, "{outcome:?}");
+        let failed = matches!(
+            outcome,
+            Err(Error::Revoked { .. } | Error::Incomplete { .. })
+        );
+        assert!(outcome.is_ok() || failed, "{outcome:?}");
         assert_eq!(requests.try_iter().count(), 1 + sent);
     });
 }
