Excuse old claims of other nodes at a node's start

**Cause.** Without an earlier reading of the store's clock, the node counted no part of a claim's age, however old the claim was.

**Change.** Only that part of the age counts which no jump explains: the time since which the readings agree, or what exceeds the largest jump before it: 5 s before the first reading, unlimited before a contradiction.

--- a/crates/edge/src/storage.rs
+++ b/crates/edge/src/storage.rs
@@ -121,6 +121,7 @@
         Some(StoreTime {
             earliest_ms: clock.earliest_ms(now)?,
             steady_for: clock.steady_for(now),
+            max_jump: clock.max_jump(),
         })
     }
 
--- a/crates/external/src/store/clock.rs
+++ b/crates/external/src/store/clock.rs
@@ -3,6 +3,9 @@
 
 /// Readings that differ by less from what the earlier ones imply are explained by drift.
 const MAX_DRIFT_MS: i64 = 50;
+/// The clock is assumed not to have jumped further than this before its first reading. Without a
+/// limit, a node that has just started could not trust any time that others stored.
+const MAX_UNSEEN_JUMP: Duration = Duration::from_secs(5);
 
 /// The store's clock as a node knows it from the times in the store's responses.
 ///
@@ -30,6 +33,8 @@
     upper_ms: i64,
     /// Since when no reading has contradicted earlier ones.
     steady_since: Instant,
+    /// The time by which the clock may have jumped ahead before `steady_since`.
+    max_jump: Duration,
 }
 
 impl Clock {
@@ -41,32 +46,35 @@
             lower_ms: store_ms.saturating_sub(millis(received)),
             upper_ms: store_ms.saturating_sub(millis(sent)),
             steady_since: received,
+            max_jump: MAX_UNSEEN_JUMP,
         };
         let Some(known) = self.bounds else {
             self.bounds = Some(read);
             return None;
         };
         let ahead_ms = read.ahead_of(&known);
-        let has_jumped = ahead_ms.abs() > MAX_DRIFT_MS;
-        let steady_since = if has_jumped {
-            received
-        } else {
-            known.steady_since
-        };
+        if ahead_ms.abs() > MAX_DRIFT_MS {
+            self.bounds = Some(Bounds {
+                max_jump: Duration::MAX,
+                ..read
+            });
+            return Some(Jump { ahead_ms });
+        }
         let narrowed = Bounds {
             lower_ms: read.lower_ms.max(known.lower_ms),
             upper_ms: read.upper_ms.min(known.upper_ms),
-            steady_since,
+            ..known
         };
         self.bounds = Some(if narrowed.is_sound() {
             narrowed
         } else {
             Bounds {
-                steady_since,
-                ..read
+                lower_ms: read.lower_ms,
+                upper_ms: read.upper_ms,
+                ..known
             }
         });
-        has_jumped.then_some(Jump { ahead_ms })
+        None
     }
 
     /// Returns a lower bound of the store's time, or `None` before the first reading.
@@ -87,6 +95,13 @@
             now.saturating_since(bounds.steady_since)
         })
     }
+
+    /// Returns the time by which the clock may have jumped ahead before it was
+    /// [steady](Self::steady_for).
+    pub fn max_jump(&self) -> Duration {
+        let bounds = self.bounds.as_ref();
+        bounds.map_or(MAX_UNSEEN_JUMP, |bounds| bounds.max_jump)
+    }
 }
 
 impl Bounds {
--- a/crates/external/tests/store_clock.rs
+++ b/crates/external/tests/store_clock.rs
@@ -47,6 +47,7 @@
     let jump = record(&mut clock, 2_000, 72_800);
     assert_eq!(jump, Some(Jump { ahead_ms: 1_790 }));
     assert_eq!(steady_ms(&clock, 2_500), 500);
+    assert_eq!(clock.max_jump(), Duration::MAX);
     let now = Instant::from_millis(3_000);
     assert_eq!(clock.earliest_ms(now), Some(73_800));
 }
--- a/crates/weights/src/claim.rs
+++ b/crates/weights/src/claim.rs
@@ -21,6 +21,8 @@
     pub earliest_ms: u64,
     /// For how long the node has seen the clock run steadily, by its own clock.
     pub steady_for: Duration,
+    /// The time by which the clock may have jumped ahead before that.
+    pub max_jump: Duration,
 }
 
 /// The claim of another node is still in effect.
@@ -33,8 +35,8 @@
 impl Claim {
     /// Checks whether a node may write its own claim at a time of the store's clock.
     ///
-    /// If that clock jumped ahead, a claim would seem to be older than it is. A claim of another
-    /// node therefore also lasts until the clock has been steady for as long as a claim lasts.
+    /// A claim seems to be older than it is if the store's clock has jumped ahead since its write.
+    /// Only that part of its age counts which no jump can explain.
     ///
     /// # Errors
     ///
@@ -51,7 +53,9 @@
         }
         let reserved = ORDER_WINDOW + lease;
         let age = Duration::from_millis(now.earliest_ms.saturating_sub(self.at_ms));
-        let wait = reserved.saturating_sub(age.min(now.steady_for));
+        let steady_age = age.min(now.steady_for);
+        let certain_age = steady_age.max(age.saturating_sub(now.max_jump));
+        let wait = reserved.saturating_sub(certain_age);
         if wait.is_zero() {
             Ok(())
         } else {
--- a/crates/weights/src/lib.rs
+++ b/crates/weights/src/lib.rs
@@ -17,7 +17,11 @@
 //!
 //! let lease = Duration::from_secs(3);
 //! let claim = Claim { node: "edge-1".into(), at_ms: 10_000 };
-//! let soon = StoreTime { earliest_ms: 10_001, steady_for: Duration::from_secs(60) };
+//! let soon = StoreTime {
+//!     earliest_ms: 10_001,
+//!     steady_for: Duration::from_secs(60),
+//!     max_jump: Duration::from_secs(5),
+//! };
 //! assert_eq!(claim.check_available("edge-1", soon, lease), Ok(()));
 //! assert!(claim.check_available("edge-2", soon, lease).is_err());
 //! let later = StoreTime { earliest_ms: 15_000, ..soon };
--- a/crates/weights/tests/order_claims.rs
+++ b/crates/weights/tests/order_claims.rs
@@ -12,6 +12,7 @@
     StoreTime {
         earliest_ms,
         steady_for: Duration::from_secs(3_600),
+        max_jump: Duration::MAX,
     }
 }
 
@@ -47,6 +48,7 @@
     let jumped = |steady_for| StoreTime {
         earliest_ms: 60_000,
         steady_for,
+        max_jump: Duration::MAX,
     };
     let second = Duration::from_secs(1);
     let held = claim.check_available("b", jumped(second), LEASE);
@@ -55,3 +57,22 @@
     let unread = jumped(Duration::ZERO);
     assert!(claim.check_available("a", unread, LEASE).is_ok());
 }
+
+/// A node that has just started must not wait for a claim that no jump can make as old as it seems.
+#[test]
+fn old_claim_at_start() {
+    let claim = Claim {
+        node: "a".into(),
+        at_ms: 1_000,
+    };
+    let max_jump = Duration::from_secs(5);
+    let started = |earliest_ms| StoreTime {
+        earliest_ms,
+        steady_for: Duration::ZERO,
+        max_jump,
+    };
+    let over = 1_000 + (RESERVED + max_jump).as_millis() as u64;
+    let held = claim.check_available("b", started(over - 1), LEASE);
+    assert_eq!(held.unwrap_err().wait, Duration::from_millis(1));
+    assert!(claim.check_available("b", started(over), LEASE).is_ok());
+}
