Count a departure once if the entry has said so before

What operators saw: `replica_leaving` twice for one incarnation, and one departure in `replicas_leaving` under two sources. OPERATIONS.md promises one line, by the first source. It happens at each ordinary shutdown: requests that are under way when the node reads the entry `draining` are answered with the header.

Cause: departure::mark asked only whether the replica itself had said it before, not whether its entry had.

Evidence: leaving_replicas::response_after_entry on the code before, the count of the source `response`:

assertion `left == right` failed left: Some(1) right: Some(0)

Change: nothing is logged or counted if the entry of this incarnation is draining. The fact is kept and passed to the other nodes as before, because the entry may be replaced, and another node may not reach the store.

Conclusion: the metric counts replicas, as its description says.

--- a/crates/edge/src/departure.rs
+++ b/crates/edge/src/departure.rs
@@ -4,6 +4,7 @@
 use crate::cluster::ClusterState;
 use crate::headers::{is_leaving, is_misdirected};
 use crate::protocol::HeaderNames;
+use dogwoodlb_directory::Stage;
 use dogwoodlb_liveness::Departure;
 use hyper::http::response::Parts;
 
@@ -61,16 +62,22 @@
     mark(cluster, replica, *born_ms, Source::Peer);
 }
 
-/// Marks an incarnation of a replica as leaving. Returns whether this was unknown.
+/// Marks an incarnation of a replica as leaving. Returns whether the replica had not said so before.
 fn mark(cluster: &ClusterState, replica: &str, born_ms: i64, source: Source) -> bool {
-    let service = {
-        let mut directory = cluster.directory.borrow_mut();
-        if !directory.mark_leaving(replica, born_ms, clock::now()) {
-            return false;
-        }
-        directory.get(replica).map(|entry| entry.service.clone())
-    };
-    record(cluster, replica, &service.unwrap_or_default(), source);
+    let mut directory = cluster.directory.borrow_mut();
+    if !directory.mark_leaving(replica, born_ms, clock::now()) {
+        return false;
+    }
+    let entry = directory.get(replica).cloned();
+    drop(directory);
+    // What the entry says has become known with the entry.
+    let is_in_entry = entry
+        .as_ref()
+        .is_some_and(|entry| entry.born_ms == born_ms && entry.stage == Stage::Draining);
+    if !is_in_entry {
+        let service = entry.map(|entry| entry.service).unwrap_or_default();
+        record(cluster, replica, &service, source);
+    }
     cluster.notify_changed();
     true
 }
