Name departures and the count of connections more clearly

**Cause.** A newcomer met `is_leaving` with four meanings and `Outbox::take` that empties nothing (review). No test makes a connection's task panic while a node drains. **Conclusion.** Readability, and one counter that survives a panic.

--- a/crates/batch/src/planner/runs.rs
+++ b/crates/batch/src/planner/runs.rs
@@ -6,8 +6,7 @@
 use crate::Progress;
 use dogwoodlb_types::Instant;
 
-/// The number of reports of an end by one replica after which no confirmation by another replica is
-/// expected any more.
+/// The number of reports of an end by one replica after which the last event is generated again.
 const MAX_END_REPORTS: u32 = 2;
 
 impl Planner {
--- a/crates/directory/src/directory.rs
+++ b/crates/directory/src/directory.rs
@@ -159,12 +159,12 @@
     }
 
     /// Returns whether an incarnation of a replica is known to have said that it is leaving.
-    pub fn is_leaving(&self, id: &str, born_ms: i64) -> bool {
+    pub fn has_announced_departure(&self, id: &str, born_ms: i64) -> bool {
         self.departures.contains(id, born_ms)
     }
 
     fn is_ready(&self, id: &str, entry: &Entry) -> bool {
-        entry.stage == Stage::Ready && !self.is_leaving(id, entry.born_ms)
+        entry.stage == Stage::Ready && !self.has_announced_departure(id, entry.born_ms)
     }
 
     /// Returns a number that increases with each change of the replicas.
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -177,7 +177,7 @@
             if selection.is_some() || clock::now() >= until {
                 return selection;
             }
-            if self.routers.is_leaving(proxied.service) {
+            if self.routers.has_only_leaving(proxied.service) {
                 return None;
             }
             sleep(SELECT_POLL).await;
--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -274,20 +274,31 @@
                 continue;
             }
         };
-        open_connections.set(open_connections.get() + 1);
-        let (handler, cluster, open_connections, shutdown) = (
-            handler.clone(),
-            cluster.clone(),
-            open_connections.clone(),
-            shutdown.clone(),
-        );
+        let open = OpenConnection::new(&open_connections);
+        let (handler, cluster, shutdown) = (handler.clone(), cluster.clone(), shutdown.clone());
         task::spawn_isolated("connection", async move {
+            let _open = open;
             serve_connection(stream, handler, &cluster, shutdown).await;
-            open_connections.set(open_connections.get() - 1);
         });
     }
 }
 
+/// Counts a connection until it is dropped, also by a panic of its task.
+struct OpenConnection(Rc<Cell<usize>>);
+
+impl OpenConnection {
+    fn new(count: &Rc<Cell<usize>>) -> Self {
+        count.set(count.get() + 1);
+        Self(count.clone())
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 async fn serve_connection<H: Handler + 'static>(
     stream: TcpStream,
     handler: Rc<H>,
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -153,7 +153,7 @@
                 own.serving = cluster.config().is_some();
                 let message = Message {
                     heartbeat: own.clone(),
-                    departures: cluster.outbox.borrow_mut().take(now, pause),
+                    departures: cluster.outbox.borrow_mut().next_departures(now, pause),
                 };
                 (message.encode(), targets, pause)
             };
@@ -201,7 +201,9 @@
         }
         for departure in &message.departures {
             let (replica, born_ms) = (departure.replica.as_str(), departure.born_ms);
-            let is_known = cluster.directory().is_leaving(replica, born_ms);
+            let is_known = cluster
+                .directory()
+                .has_announced_departure(replica, born_ms);
             if !is_known && self.quota.borrow_mut().accept(now) {
                 departure::on_report(cluster, departure);
             }
--- a/crates/edge/src/routing.rs
+++ b/crates/edge/src/routing.rs
@@ -151,7 +151,7 @@
 
     /// Returns whether a service has replicas, and all of them are leaving. None can serve until
     /// another one registers.
-    pub(crate) fn is_leaving(&self, service: &str) -> bool {
+    pub(crate) fn has_only_leaving(&self, service: &str) -> bool {
         let directory = self.cluster.directory();
         let mut replicas = directory.replicas(service);
         replicas.next().is_some() && directory.ready_replicas(service).next().is_none()
--- a/crates/edge/src/task.rs
+++ b/crates/edge/src/task.rs
@@ -3,9 +3,10 @@
 //! The runtime keeps a panic to the task in which it happens. A node that lost a background task
 //! would go on half dead: it would still be leader without running batches, or follow the store no
 //! more. So a [`Supervisor`] reports such a panic, the node ends, and the platform starts it again.
-//! A task that serves one connection or runs one item is no such loss: its panic ends that
+//! A task that serves one connection or runs one item can be lost alone: its panic ends that
 //! connection, or the planner stops that run. If the item itself is the cause, each node that took
-//! it over would end.
+//! it over would end. A task that scores an item ends the node, because nothing else ends the
+//! scoring.
 
 use std::future::Future;
 use tokio::sync::watch;
--- a/crates/liveness/src/outbox.rs
+++ b/crates/liveness/src/outbox.rs
@@ -42,7 +42,7 @@
 
     /// Returns the departures for the next heartbeat, which follows the last one after `interval`.
     /// If there are more than fit, they take turns.
-    pub fn take(&mut self, now: Instant, interval: Duration) -> Vec<Departure> {
+    pub fn next_departures(&mut self, now: Instant, interval: Duration) -> Vec<Departure> {
         let send_time = SEND_TIME.max(interval * MIN_HEARTBEATS);
         self.pending
             .retain(|pending| now.saturating_since(pending.learned_at) < send_time);
--- a/crates/liveness/tests/departure_reports.rs
+++ b/crates/liveness/tests/departure_reports.rs
@@ -103,12 +103,17 @@
 fn limited_time() {
     let mut outbox = Outbox::default();
     outbox.push("portal-1", 7, at(0));
-    let sent = outbox.take(at(1_900), INTERVAL);
+    let sent = outbox.next_departures(at(1_900), INTERVAL);
     assert_eq!((sent[0].born_ms, sent[0].age_ms), (7, 1_900));
-    assert!(outbox.take(at(2_000), INTERVAL).is_empty());
+    assert!(outbox.next_departures(at(2_000), INTERVAL).is_empty());
     // With many nodes, heartbeats are further apart than that.
     outbox.push("portal-1", 7, at(3_000));
-    assert_eq!(outbox.take(at(12_000), Duration::from_secs(5)).len(), 1);
+    assert_eq!(
+        outbox
+            .next_departures(at(12_000), Duration::from_secs(5))
+            .len(),
+        1
+    );
 }
 
 #[test]
@@ -119,7 +124,7 @@
     }
     let mut sent = Vec::new();
     for _ in 0..4 {
-        let departures = outbox.take(at(10), INTERVAL);
+        let departures = outbox.next_departures(at(10), INTERVAL);
         assert_eq!(departures.len(), MAX_DEPARTURES);
         sent.extend(departures.into_iter().map(|departure| departure.replica));
     }
