--- a/crates/edge/src/forward/exchange.rs
+++ b/crates/edge/src/forward/exchange.rs
@@ -12,6 +12,7 @@
 use hyper::{Request, Version};
 
 impl Forwarder {
+    /// Sends the request to the selected replica, unless it is leaving, and waits for the response.
     pub(super) async fn exchange(
         &self,
         proxied: &ProxiedRequest<'_>,
