Say once which response belongs to a request, and count with one guard

**Cause.** The rule that a response echoes the id or is a refusal without one stood in three readers, the call that reads a departure in two with five arguments each, and a guarded counter twice.

--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -2,7 +2,6 @@
 //! response.
 
 use crate::clock;
-use crate::cluster::ClusterState;
 use crate::headers::{header_millis, header_number, header_str, remove_hop_by_hop};
 use crate::metrics::Metrics;
 use crate::protocol::Protocol;
@@ -49,7 +48,6 @@
 /// Forwards requests to the replicas of plain services.
 pub(crate) struct Forwarder {
     pub(crate) client: Client,
-    pub(crate) cluster: Rc<ClusterState>,
     pub(crate) protocol: Rc<dyn Protocol>,
     pub(crate) routers: Rc<ServiceRouters>,
     pub(crate) metrics: Rc<Metrics>,
--- a/crates/edge/src/forward/exchange.rs
+++ b/crates/edge/src/forward/exchange.rs
@@ -1,8 +1,7 @@
 //! One exchange with a replica: sends the request and classifies the response.
 
 use super::{Attempt, Forwarder, ProxiedRequest, MAX_BUFFERED_BYTES};
-use crate::departure;
-use crate::headers::{header_str, is_not_run};
+use crate::headers::{is_not_run, is_response_to};
 use crate::relay;
 use crate::reply;
 use crate::routing::Selection;
@@ -49,26 +48,14 @@
         selection: &mut Selection,
     ) -> Attempt {
         let headers = self.protocol.headers();
-        let echoed = header_str(&response.head.headers, &headers.request_id);
-        let is_not_run = is_not_run(headers, &response.head);
-        // A response without an id can be anything, also one to an earlier request. A refusal may
-        // come from a replica that has not read the id.
-        let is_own = echoed.map_or(is_not_run, |echoed| echoed == proxied.request_id);
-        if !is_own {
+        if !is_response_to(headers, &response.head, &proxied.request_id) {
             tracing::warn!(request = proxied.request_id, replica = %selection.replica, "request_id_mismatch");
             response.body.prevent_reuse();
             selection.finish(Outcome::Failure);
             return Attempt::Failed(None);
         }
-        let replica = selection.replica.as_str();
-        departure::observe(
-            &self.cluster,
-            headers,
-            replica,
-            selection.born_ms,
-            &response.head,
-        );
-        if is_not_run {
+        selection.observe(headers, &response.head);
+        if is_not_run(headers, &response.head) {
             let status = response.head.status.as_u16();
             tracing::debug!(request = proxied.request_id, replica = %selection.replica, status, "not_run");
             response.body.discard().await;
--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -66,9 +66,9 @@
     pub(crate) reader: BatchReader,
     pub(crate) submitter: Submitter,
     /// The number of requests being handled.
-    pub(crate) in_flight: Cell<usize>,
+    pub(crate) in_flight: Rc<Cell<usize>>,
     /// The number of batch ends being stored. They continue if their callers disconnect.
-    pub(crate) pending_ends: Cell<usize>,
+    pub(crate) pending_ends: Rc<Cell<usize>>,
     /// The number of open connections.
     pub(crate) open_connections: Rc<Cell<usize>>,
     /// Whether pending requests are answered with a time-out at once, because the process is
@@ -76,17 +76,17 @@
     pub(crate) aborting: watch::Sender<bool>,
 }
 
-/// Counts a request or a task until it is dropped.
-struct InFlight<'a>(&'a Cell<usize>);
+/// Counts a request, a connection or a task until it is dropped, also by a panic.
+struct Counted(Rc<Cell<usize>>);
 
-impl<'a> InFlight<'a> {
-    fn new(count: &'a Cell<usize>) -> Self {
+impl Counted {
+    fn new(count: &Rc<Cell<usize>>) -> Self {
         count.set(count.get() + 1);
-        Self(count)
+        Self(count.clone())
     }
 }
 
-impl Drop for InFlight<'_> {
+impl Drop for Counted {
     fn drop(&mut self) {
         self.0.set(self.0.get() - 1);
     }
@@ -94,7 +94,7 @@
 
 impl Handler for FrontHandler {
     async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Response<Body> {
-        let _counted = InFlight::new(&self.in_flight);
+        let _counted = Counted::new(&self.in_flight);
         let mut aborting = self.aborting.subscribe();
         tokio::select! {
             response = self.dispatch(request) => response,
@@ -138,8 +138,9 @@
     /// Ends a batch, even if the caller disconnects: the batch is no longer wanted.
     async fn end_batch(self: &Rc<Self>, batch: String) -> Response<Body> {
         let this = self.clone();
+        let counted = Counted::new(&self.pending_ends);
         let end = task::spawn_isolated("batch_end", async move {
-            let _counted = InFlight::new(&this.pending_ends);
+            let _counted = counted;
             this.submitter.end(&batch).await
         });
         // Fails only if the task panicked.
@@ -274,31 +275,15 @@
                 continue;
             }
         };
-        let open = OpenConnection::new(&open_connections);
+        let counted = Counted::new(&open_connections);
         let (handler, cluster, shutdown) = (handler.clone(), cluster.clone(), shutdown.clone());
         task::spawn_isolated("connection", async move {
-            let _open = open;
+            let _counted = counted;
             serve_connection(stream, handler, &cluster, shutdown).await;
         });
     }
 }
 
-/// Counts a connection until it is dropped, also by a panic of its task.
-struct OpenConnection(Rc<Cell<usize>>);
-
-impl OpenConnection {
-    fn new(count: &Rc<Cell<usize>>) -> Self {
-        count.set(count.get() + 1);
-        Self(count.clone())
-    }
-}
-
-impl Drop for OpenConnection {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
 async fn serve_connection<H: Handler + 'static>(
     stream: TcpStream,
     handler: Rc<H>,
@@ -320,7 +305,7 @@
             let (handler, in_flight, last_used) =
                 (handler.clone(), in_flight.clone(), last_used.clone());
             async move {
-                let _counted = InFlight::new(&in_flight);
+                let _counted = Counted::new(&in_flight);
                 let response = handler.handle(request).await;
                 last_used.set(Instant::now());
                 Ok::<_, Infallible>(response)
--- a/crates/edge/src/headers.rs
+++ b/crates/edge/src/headers.rs
@@ -56,6 +56,15 @@
     response.headers.contains_key(&headers.not_run) || is_misdirected(headers, response)
 }
 
+/// Returns whether a response belongs to a request: it echoes the id of the request, or it refuses a
+/// request without reading its id. Any other response can be one to an earlier request.
+pub(crate) fn is_response_to(headers: &HeaderNames, response: &Parts, request_id: &str) -> bool {
+    match header_str(&response.headers, &headers.request_id) {
+        Some(echoed) => echoed == request_id,
+        None => is_not_run(headers, response),
+    }
+}
+
 /// Returns whether another process at the replica's address declines the request. The replica itself
 /// signs a response with this status.
 pub(crate) fn is_misdirected(headers: &HeaderNames, response: &Parts) -> bool {
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -216,7 +216,6 @@
         address: context.settings.front,
         forwarder: Forwarder {
             client: context.client.clone(),
-            cluster: cluster.clone(),
             protocol: protocol.clone(),
             routers: routers.clone(),
             metrics: context.metrics.clone(),
@@ -239,8 +238,8 @@
         },
         protocol,
         cluster,
-        in_flight: Cell::new(0),
-        pending_ends: Cell::new(0),
+        in_flight: Rc::default(),
+        pending_ends: Rc::default(),
         open_connections: Rc::default(),
         aborting: watch::channel(false).0,
     }
--- a/crates/edge/src/routing.rs
+++ b/crates/edge/src/routing.rs
@@ -2,11 +2,14 @@
 
 use crate::clock;
 use crate::cluster::ClusterState;
+use crate::departure;
+use crate::protocol::HeaderNames;
 use crate::settings::Settings;
 use dogwoodlb_config::{Service, Snapshot};
 use dogwoodlb_directory::Entry;
 use dogwoodlb_route::{Outcome, Replica, Request, Router, Ticket};
 use dogwoodlb_types::{id, Class};
+use hyper::http::response::Parts;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -32,6 +35,13 @@
         cluster.accepts_work(self.replica.as_str(), self.born_ms)
     }
 
+    /// Reads from a response to the request whether the replica is leaving.
+    pub(crate) fn observe(&self, names: &HeaderNames, response: &Parts) {
+        let cluster = &self.routers.cluster;
+        let replica = self.replica.as_str();
+        departure::observe(cluster, names, replica, self.born_ms, response);
+    }
+
     /// Reports the outcome of the request to the router. Only the first call has an effect.
     pub(crate) fn finish(&mut self, outcome: Outcome) {
         let Some(ticket) = self.ticket.take() else {
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -4,7 +4,7 @@
 use crate::context::NodeContext;
 use crate::departure;
 use crate::event;
-use crate::headers::{header_str, is_not_run};
+use crate::headers::{header_str, is_not_run, is_response_to};
 use crate::permit::{Permit, RequestKind};
 use crate::protocol::HeaderNames;
 use bytes::Bytes;
@@ -130,10 +130,7 @@
     mut response: dogwoodlb_client::Response,
 ) -> RunResult {
     let headers = context.protocol.headers();
-    let echoed = header_str(&response.head.headers, &headers.request_id);
-    let not_run = is_not_run(headers, &response.head);
-    // A refusal may come from a replica that has not read the id.
-    if !echoed.map_or(not_run, |echoed| echoed == item.id) {
+    if !is_response_to(headers, &response.head, &item.id) {
         tracing::warn!(
             item = item.id,
             replica = target.replica,
@@ -149,6 +146,7 @@
         &response.head,
     );
     let status = response.head.status;
+    let not_run = is_not_run(headers, &response.head);
     if status != StatusCode::OK {
         response.body.discard().await;
         tracing::debug!(item = item.id, replica = target.replica, %status, not_run, "run_error_status");
--- a/crates/edge/src/score.rs
+++ b/crates/edge/src/score.rs
@@ -2,8 +2,7 @@
 
 use crate::clock;
 use crate::cluster::ClusterState;
-use crate::departure;
-use crate::headers::{header_number, header_str, is_not_run};
+use crate::headers::{header_number, header_str, is_not_run, is_response_to};
 use crate::permit::{Permit, RequestKind};
 use crate::protocol::Protocol;
 use crate::routing::ServiceRouters;
@@ -152,21 +151,10 @@
         let client = self.client.checked(&may_send);
         let exchange = async {
             let mut response = client.send(selection.address, request).await?;
-            let echoed = header_str(&response.head.headers, &headers.request_id);
-            // A refusal may come from a replica that has not read the id.
-            let is_refusal = is_not_run(headers, &response.head);
-            let id_matches = echoed.map_or(is_refusal, |echoed| echoed == scorer.id);
-            if !id_matches {
-                response.body.prevent_reuse();
-            } else {
-                let replica = selection.replica.as_str();
-                departure::observe(
-                    &self.cluster,
-                    headers,
-                    replica,
-                    selection.born_ms,
-                    &response.head,
-                );
+            let id_matches = is_response_to(headers, &response.head, &scorer.id);
+            match id_matches {
+                true => selection.observe(headers, &response.head),
+                false => response.body.prevent_reuse(),
             }
             let head = response.head;
             response.body.collect(MAX_RESPONSE_BYTES).await?;
