Review: a model whose replicas are gone is assigned none

Cause: the assignment of replicas to models takes a replica away from a model only if that has two more than its quota, so that a model with a quota of one can be left without any; no load is planned for it.

No product code.

--- a/review/standin.rs
+++ b/review/standin.rs
@@ -571,12 +571,16 @@
 /// What an engine holds and does.
 #[derive(Debug)]
 pub struct EngineState {
-    pub version: u64,
+    /// The version of each model.
+    pub versions: BTreeMap<String, u64>,
     pub orders: u64,
-    pub busy: bool,
-    pub running: u32,
-    /// The versions that the trainer has named.
-    pub newest: u64,
+    /// The model whose version changes.
+    pub loading: Option<String>,
+    /// The runs of each model.
+    pub running: BTreeMap<String, u32>,
+    /// The versions that trainers have named.
+    pub newest: BTreeMap<String, u64>,
+    pub draining: bool,
     pub dead: bool,
     channels: Vec<TcpStream>,
 }
@@ -585,6 +589,7 @@
 pub struct Engine {
     pub name: String,
     pub address: SocketAddr,
+    born: u128,
     pub state: Mutex<EngineState>,
 }
 
@@ -602,41 +607,42 @@
 pub type Visits = Arc<Mutex<Vec<Visit>>>;
 
 pub const SLOTS: u32 = 12;
-pub const MODEL: &str = "m";
 const LOAD_TIME: Duration = Duration::from_millis(900);
 const EVENT_TIME: Duration = Duration::from_millis(40);
 
+impl EngineState {
+    pub fn all_running(&self) -> u32 {
+        self.running.values().sum()
+    }
+    fn models(&self) -> String {
+        let models = self.versions.iter();
+        let models = models.map(|(model, version)| format!("{{\"Name\":\"{model}\",\"Version\":{version},\"Adapters\":[]}}"));
+        models.collect::<Vec<_>>().join(",")
+    }
+}
+
 impl Engine {
-    pub fn start(store: &Store, name: &str, record: &Arc<Record>, visits: &Visits) -> Arc<Self> {
+    /// Starts an engine with a version of each model.
+    pub fn start(store: &Store, name: &str, versions: &BTreeMap<String, u64>, record: &Arc<Record>, visits: &Visits) -> Arc<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("an address");
         let state = EngineState {
-            version: 1,
+            versions: versions.clone(),
             orders: 0,
-            busy: false,
-            running: 0,
-            newest: 1,
+            loading: None,
+            running: BTreeMap::new(),
+            newest: versions.clone(),
+            draining: false,
             dead: false,
             channels: Vec::new(),
         };
-        let engine = Arc::new(Self { name: name.to_owned(), address, state: Mutex::new(state) });
-        let born = unix_ms();
-        let (this, store) = (engine.clone(), store.clone());
-        let beat = move |sequence: u64| {
-            let state = this.state.lock().unwrap();
-            if !state.dead {
-                let (name, version) = (&this.name, state.version);
-                store.put("servers", name, &format!(
-                    "{{\"Service\":\"judge\",\"Address\":\"{address}\",\"Zone\":\"a1\",\"Version\":\"1\",\"Slots\":{SLOTS},\"State\":\"ready\",\"ColdLeftMs\":0,\"Seq\":{sequence},\"born\":{born},\"Models\":[{{\"Name\":\"{MODEL}\",\"Version\":{version},\"Adapters\":[]}}]}}"
-                ));
-            }
-            !state.dead
-        };
-        beat(1);
+        let engine = Arc::new(Self { name: name.to_owned(), address, born: unix_ms(), state: Mutex::new(state) });
+        engine.beat(store, 1);
+        let (this, other) = (engine.clone(), store.clone());
         thread::spawn(move || {
             for sequence in 2.. {
                 thread::sleep(Duration::from_millis(1_200));
-                if !beat(sequence) {
+                if !this.beat(&other, sequence) {
                     return;
                 }
             }
@@ -658,6 +664,34 @@
         engine
     }
 
+    /// Writes the entry. Returns whether the engine lives.
+    fn beat(&self, store: &Store, sequence: u64) -> bool {
+        let state = self.state.lock().unwrap();
+        if !state.dead {
+            let (name, address, born, models) = (&self.name, self.address, self.born, state.models());
+            let stage = if state.draining { "draining" } else { "ready" };
+            store.put("servers", name, &format!(
+                "{{\"Service\":\"judge\",\"Address\":\"{address}\",\"Zone\":\"a1\",\"Version\":\"1\",\"Slots\":{SLOTS},\"State\":\"{stage}\",\"ColdLeftMs\":0,\"Seq\":{sequence},\"born\":{born},\"Models\":[{models}]}}"
+            ));
+        }
+        !state.dead
+    }
+
+    /// Leaves as planned: reports it, serves for `DrainMs` and a little longer, and exits.
+    pub fn drain(self: &Arc<Self>, store: &Store) {
+        self.state.lock().unwrap().draining = true;
+        self.beat(store, 1_000);
+        let (this, store) = (self.clone(), store.clone());
+        thread::spawn(move || {
+            thread::sleep(Duration::from_millis(2_700));
+            while this.state.lock().unwrap().all_running() > 0 {
+                thread::sleep(Duration::from_millis(20));
+            }
+            this.lose(&store);
+            store.remove("servers", &this.name);
+        });
+    }
+
     /// Ends the engine for good. The platform removes its entry after three ping intervals.
     pub fn lose(self: &Arc<Self>, store: &Store) {
         let mut state = self.state.lock().unwrap();
@@ -701,8 +735,8 @@
             "/api/report" => {
                 let state = self.state.lock().unwrap();
                 let body = format!(
-                    "{{\"Stage\":\"hybrid\",\"Models\":[{{\"Name\":\"{MODEL}\",\"Version\":{},\"Adapters\":[]}}],\"Busy\":{},\"Seq\":{},\"Queued\":0,\"Running\":{},\"KvUsed\":0,\"KvTotal\":90000,\"Handles\":0}}",
-                    state.version, state.busy, state.orders, state.running
+                    "{{\"Stage\":\"hybrid\",\"Models\":[{}],\"Busy\":{},\"Seq\":{},\"Queued\":0,\"Running\":{},\"KvUsed\":0,\"KvTotal\":90000,\"Handles\":0}}",
+                    state.models(), state.loading.is_some(), state.orders, state.all_running()
                 );
                 drop(state);
                 respond(stream, 200, "Content-Type: application/json\r\n", body.as_bytes()).map(|()| true)
@@ -721,33 +755,36 @@
             return 400;
         }
         let version = order.get("Version").number();
+        let model = order.get("Model").text().to_owned();
         let mode = order.get("Mode").text().to_owned();
         let mut state = self.state.lock().unwrap();
-        if order.get("Op").text() != "Version" || version > state.newest {
+        let is_named = state.newest.get(&model).is_some_and(|newest| version <= *newest);
+        if order.get("Op").text() != "Version" || !is_named {
             return 400;
         }
-        if state.version == version {
+        if state.versions.get(&model) == Some(&version) {
             return 200;
         }
         let expected = order.get("ExpectedRev");
-        if state.busy || (*expected != Json::Null && expected.number() != state.orders) {
+        if state.loading.is_some() || (*expected != Json::Null && expected.number() != state.orders) {
             return 409;
         }
         state.orders += 1;
-        state.busy = true;
-        record.line(&format!("{} accepts the order of {} to load version {version}, mode {mode}, {} running", self.name, order.get("Holder").text(), state.running));
+        state.loading = Some(model.clone());
+        let running = state.running.get(&model).copied().unwrap_or(0);
+        record.line(&format!("{} accepts the order of {} to load {model} {version}, mode {mode}, {running} running", self.name, order.get("Holder").text()));
         let (this, record) = (self.clone(), record.clone());
         thread::spawn(move || {
             // `long_poll`: runs finish first.
-            while mode == "long_poll" && this.state.lock().unwrap().running > 0 {
+            while mode == "long_poll" && this.state.lock().unwrap().running.get(&model).is_some_and(|runs| *runs > 0) {
                 thread::sleep(Duration::from_millis(5));
             }
             thread::sleep(LOAD_TIME);
             let mut state = this.state.lock().unwrap();
-            state.version = version;
-            state.busy = false;
+            state.versions.insert(model.clone(), version);
+            state.loading = None;
             if !state.dead {
-                record.line(&format!("{} has version {version}", this.name));
+                record.line(&format!("{} has {model} {version}", this.name));
             }
         });
         202
@@ -755,19 +792,21 @@
 
     /// Runs an item: `/runs/EVENTS/ID`. A run begins at the event after `Last-Event-Id`.
     fn run(&self, id: &str, request: &Message, stream: &mut TcpStream, record: &Record, visits: &Visits) -> io::Result<bool> {
+        let model = request.header("Model").to_owned();
         let version = {
             let mut state = self.state.lock().unwrap();
-            if state.busy || state.running >= SLOTS {
+            let version = state.versions.get(&model).copied();
+            if version.is_none() || state.loading.as_ref() == Some(&model) || state.all_running() >= SLOTS {
                 drop(state);
                 let headers = format!("Request-Id: {id}\r\nNot-Executed: 1\r\n");
                 return respond(stream, 503, &headers, b"").map(|()| true);
             }
-            state.running += 1;
-            state.version
+            *state.running.entry(model.clone()).or_default() += 1;
+            version.unwrap_or(1)
         };
         let events: u32 = request.path().split('/').nth(2).and_then(|part| part.parse().ok()).unwrap_or(1);
         let from: u32 = request.header("Last-Event-Id").parse().unwrap_or(0);
-        record.line(&format!("{} runs {id} from event {} with version {version}", self.name, from + 1));
+        record.line(&format!("{} runs {id} from event {} with {model} {version}", self.name, from + 1));
         let index = {
             let mut visits = visits.lock().unwrap();
             visits.push(Visit {
@@ -780,8 +819,8 @@
             });
             visits.len() - 1
         };
-        let result = self.stream(id, from, events, version, stream);
-        self.state.lock().unwrap().running -= 1;
+        let result = self.stream(id, from, events, &model, version, stream);
+        *self.state.lock().unwrap().running.get_mut(&model).expect("the model runs") -= 1;
         let finished = result.is_ok();
         {
             let mut visits = visits.lock().unwrap();
@@ -792,7 +831,7 @@
         result.map(|()| true)
     }
 
-    fn stream(&self, id: &str, from: u32, events: u32, version: u64, stream: &mut TcpStream) -> io::Result<()> {
+    fn stream(&self, id: &str, from: u32, events: u32, model: &str, version: u64, stream: &mut TcpStream) -> io::Result<()> {
         let head = format!(
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nRequest-Id: {id}\r\nServer-Stamp: stamp-{id}\r\nWeight-Versions: {version}\r\n\r\n"
         );
@@ -802,7 +841,7 @@
             thread::sleep(EVENT_TIME);
             let (version, dead) = {
                 let state = self.state.lock().unwrap();
-                (state.version, state.dead)
+                (state.versions[model], state.dead)
             };
             if dead || is_closed(stream) {
                 return Err(io::ErrorKind::BrokenPipe.into());
