Review: a leader without the new configuration drops a route's promises

Cause: the leader adopts a batch with the route's single_version, attempts and life as it knows them at that moment; if its question for changes of the operator's table hangs on a silent channel, it knows no such route and goes on with defaults for the life of the batch.

No product code.

--- a/review/standin.rs
+++ b/review/standin.rs
@@ -375,6 +375,13 @@
         self.0 .1.notify_all();
     }
 
+    /// Returns the encoded value of a row.
+    pub fn encoded(&self, table: &str, key: &str) -> Option<String> {
+        let rows = self.0 .0.lock().unwrap();
+        let row = rows.rows.get(&(table.to_owned(), key.to_owned()))?;
+        (!row.deleted).then(|| row.value.clone())
+    }
+
     pub fn remove(&self, table: &str, key: &str) {
         let mut rows = self.0 .0.lock().unwrap();
         rows.version += 1;
@@ -384,6 +391,12 @@
     }
 
     pub fn serve(&self, start: Instant) -> SocketAddr {
+        self.serve_one(start, Arc::default())
+    }
+
+    /// Serves the store to one node. Once `silence` is set, the channel on which the next answer about
+    /// the operator's table is due goes silent for good, without a reset; others and new ones work.
+    pub fn serve_one(&self, start: Instant, silence: Arc<AtomicBool>) -> SocketAddr {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("an address");
         let store = self.clone();
@@ -392,7 +405,14 @@
             let (status, rows, version) = match request.path() {
                 "/api/rows-tx" => store.commit(&request.body),
                 "/api/rows-get" => store.read(request),
-                "/api/rows-feed" => store.feed(request),
+                "/api/rows-feed" => {
+                    let answer = store.feed(request);
+                    if request.query("Table") == "op" && silence.swap(false, Ordering::SeqCst) {
+                        thread::sleep(Duration::from_secs(120));
+                        return Ok(false);
+                    }
+                    answer
+                }
                 _ => (404, String::new(), 0),
             };
             let body = format!(
