Review: a script that fails leaves no process behind

Cause: the stand-ins ended their nodes only on the ways that they expect.

Change: a node's process ends when its stand-in is dropped, also by a panic.

--- a/review/standin.rs
+++ b/review/standin.rs
@@ -986,6 +986,13 @@
     }
 }
 
+/// A script that fails leaves no process behind.
+impl Drop for Node {
+    fn drop(&mut self) {
+        self.wait_or_kill(Duration::ZERO);
+    }
+}
+
 /// Sends a request on a new channel and reads the whole answer.
 pub fn call(
     address: SocketAddr,
