--- a/review/4/main.rs
+++ b/review/4/main.rs
@@ -76,7 +76,7 @@
     let failed: Arc<Mutex<Vec<SocketAddr>>> = Arc::default();
     let mut streams = Vec::new();
     // Some consumers keep the addresses three times as long.
-    let factor = if number % 3 == 0 { 3.0 } else { 1.0 };
+    let factor = if number % 2 == 0 { 3.0 } else { 1.0 };
     let mut addresses: Vec<SocketAddr> = Vec::new();
     // Consumers ask for addresses at different times.
     thread::sleep(Duration::from_millis(500 * number as u64));
