Decode organisations, scaling and the provider's settings

Cause: the configuration of new deployments has organisations with keys and limits for ordered replicas, and the settings name a provider's API. Nothing read them. Nothing acts on them yet; a configuration or settings file without them decodes as before. Measured: cargo check of all targets.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -18,11 +18,15 @@
 //! ```
 
 mod limits;
+mod organisation;
 mod route;
+mod scaling;
 mod service;
 mod snapshot;
 
 pub use limits::Limits;
+pub use organisation::{ApiKey, Organisation, Organisations};
 pub use route::{Route, RouteKind};
+pub use scaling::Scaling;
 pub use service::{Engine, Service};
 pub use snapshot::Snapshot;
--- a/crates/config/src/route.rs
+++ b/crates/config/src/route.rs
@@ -26,6 +26,8 @@
     pub timeout: Option<Duration>,
     /// The latency objective, which bounds the waiting time and the time-out of an attempt.
     pub latency_target: Duration,
+    /// Whether requests need no key, although the configuration has organisations.
+    pub is_public: bool,
     /// The priority, 0 being the highest.
     pub priority: u32,
     /// The services and their weights.
@@ -50,6 +52,7 @@
             kind,
             timeout: None,
             latency_target: Duration::from_secs(1),
+            is_public: false,
             priority: 0,
             traffic_split: Vec::new(),
             max_attempts: 1,
--- a/crates/config/src/service.rs
+++ b/crates/config/src/service.rs
@@ -1,3 +1,5 @@
+use crate::Scaling;
+
 /// A service, which is a set of interchangeable replicas.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Service {
@@ -7,6 +9,8 @@
     pub max_connections: u32,
     /// The properties of its model engines, if it runs models.
     pub engine: Option<Engine>,
+    /// How many replicas may be ordered; `None` if their number is fixed.
+    pub scaling: Option<Scaling>,
 }
 
 impl Service {
--- a/crates/config/src/snapshot.rs
+++ b/crates/config/src/snapshot.rs
@@ -1,4 +1,4 @@
-use crate::{Limits, Route, Service};
+use crate::{Limits, Organisations, Route, Service};
 
 /// One version of the configuration.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -7,6 +7,7 @@
     routes: Vec<Route>,
     services: Vec<Service>,
     limits: Limits,
+    organisations: Option<Organisations>,
 }
 
 impl Snapshot {
@@ -24,6 +25,15 @@
             routes,
             services,
             limits,
+            organisations: None,
+        }
+    }
+
+    /// Sets the organisations. From then on, requests on routes that are not public need a key.
+    pub fn with_organisations(self, organisations: Organisations) -> Self {
+        Self {
+            organisations: Some(organisations),
+            ..self
         }
     }
 
@@ -37,6 +47,11 @@
         &self.limits
     }
 
+    /// Returns the organisations, or `None` if callers need no keys.
+    pub fn organisations(&self) -> Option<&Organisations> {
+        self.organisations.as_ref()
+    }
+
     /// Returns the route of the host with the longest prefix that matches the path.
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
         let mut routes = self.routes.iter();
--- a/crates/directory/src/entry.rs
+++ b/crates/directory/src/entry.rs
@@ -17,6 +17,8 @@
     pub models: Vec<Weights>,
     /// The wall-clock time of its start, which distinguishes processes with the same id.
     pub born_ms: i64,
+    /// Whether the provider may take it away at short notice.
+    pub is_spot: bool,
 }
 
 impl Entry {
--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -22,6 +22,7 @@
 //!     stage: Stage::Ready,
 //!     models: Vec::new(),
 //!     born_ms: 1,
+//!     is_spot: false,
 //! };
 //! directory.put("replica-1", 4, entry, now);
 //! assert_eq!(directory.ready_replicas("portal").count(), 1);
--- a/crates/directory/tests/departure_order.rs
+++ b/crates/directory/tests/departure_order.rs
@@ -152,6 +152,7 @@
             stage,
             models: Vec::new(),
             born_ms: self.born_ms[replica],
+            is_spot: false,
         };
         self.entries.insert(replica, entry.clone());
         self.directory
--- a/crates/directory/tests/expired_entries.rs
+++ b/crates/directory/tests/expired_entries.rs
@@ -14,6 +14,7 @@
         stage,
         models: Vec::new(),
         born_ms: 1,
+        is_spot: false,
     }
 }
 
--- a/crates/directory/tests/leaving_replicas.rs
+++ b/crates/directory/tests/leaving_replicas.rs
@@ -16,6 +16,7 @@
         stage: Stage::Ready,
         models: Vec::new(),
         born_ms,
+        is_spot: false,
     }
 }
 
--- a/crates/edge/src/protocol.rs
+++ b/crates/edge/src/protocol.rs
@@ -10,6 +10,7 @@
 use hyper::header::HeaderName;
 use hyper::http::request::Parts;
 use hyper::Uri;
+use std::collections::BTreeMap;
 use std::fmt::Display;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -54,6 +55,14 @@
     pub last_event: HeaderName,
     /// Set by a replica that is leaving, in all its responses.
     pub leaving: HeaderName,
+    /// The organisation of the caller, which only the node sets.
+    pub organisation: HeaderName,
+    /// The urgency of a request to an engine, from 0 to 9; 0 is the most urgent.
+    pub priority: HeaderName,
+    /// The node that makes a call to the provider.
+    pub duty_holder: HeaderName,
+    /// The fencing token of a call to the provider.
+    pub fence: HeaderName,
 }
 
 /// The kinds of requests that callers send to a front address.
@@ -119,6 +128,19 @@
     pub accepted_orders: u64,
 }
 
+/// An order to the provider: how many replicas of one kind a service has in a data centre.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ReplicaOrder<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// The data centre.
+    pub centre: &'a str,
+    /// The wanted number of replicas of this kind.
+    pub count: u32,
+    /// Whether the order is for spot replicas.
+    pub is_spot: bool,
+}
+
 /// An order to load a weight version of a model.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct LoadOrder<'a> {
@@ -205,4 +227,11 @@
 
     /// Returns the path and the body of an order.
     fn encode_order(&self, order: &LoadOrder<'_>) -> (&str, Bytes);
+
+    /// Returns the path and the body of a usage report to the provider. `window` is the number of
+    /// the reporting window; `counts` has the requests of each organisation that began in it.
+    fn encode_usage(&self, window: u64, counts: &BTreeMap<String, u64>) -> (&str, Bytes);
+
+    /// Returns the path and the body of an order of replicas from the provider.
+    fn encode_replica_order(&self, order: &ReplicaOrder<'_>) -> (&str, Bytes);
 }
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -45,11 +45,33 @@
     pub order_lease_ms: u64,
     /// How long results are retained after the submission, in seconds.
     pub results_s: f64,
+    /// The provider's API; `None` if the node has no duties there.
+    #[serde(default)]
+    pub provider: Option<Provider>,
     /// The log level: `error`, `warn`, `info` or `debug`.
     #[serde(default = "default_log")]
     pub log: String,
 }
 
+/// The settings of the provider's API, to which usage reports and orders of replicas are sent.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+pub struct Provider {
+    /// The address of the API.
+    pub address: SocketAddr,
+    /// The duties that the nodes have there. Unknown ones are ignored.
+    pub duties: Vec<String>,
+    /// The maximum rate of calls of all nodes together, in calls per second.
+    pub max_calls_per_s: f64,
+    /// The minimum interval between calls of two nodes that take turns, in milliseconds.
+    pub lease_ms: u64,
+    /// The length of a window of the usage report, in seconds; `None` if none is reported.
+    #[serde(default)]
+    pub usage_window_s: Option<f64>,
+    /// How long after the end of its window a usage report is due, in seconds.
+    #[serde(default)]
+    pub usage_due_s: Option<f64>,
+}
+
 fn default_log() -> String {
     "info".to_owned()
 }
--- a/crates/route/tests/service_release.rs
+++ b/crates/route/tests/service_release.rs
@@ -143,6 +143,7 @@
             stage,
             models: Vec::new(),
             born_ms: 1,
+            is_spot: false,
         };
         self.directory.put(&name(replica), now, entry, at(now));
     }
