--- a/crates/weights/src/claim.rs
+++ b/crates/weights/src/claim.rs
@@ -5,7 +5,7 @@
 pub const ORDER_WINDOW: Duration = Duration::from_millis(900);
 
 /// The stored right of a node to order a load on a replica.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub struct Claim {
     /// The node that may send the order.
     pub node: String,
