Start windows from the stored progress

Cause: Windows was created with the window of the present and then took in the stored progress. What it had been created with counted as known, so a new holder took decided windows before the takeover for acknowledged and never sent their reports. The node test killed_after_decision failed with "missing windows"; the interleavings did not, because they created it at window 0. Change: Windows is created from the stored progress only; the first progress comes from Schedule. The model creates it as the node does. Holder::check tells before the plan whether a claim may be written. The model asserts that no report is decided twice, in place of a second condition of the store. Conclusion: the interleavings now cover a takeover with unsent reports.

--- a/crates/duty/src/holder.rs
+++ b/crates/duty/src/holder.rs
@@ -134,6 +134,19 @@
         }
     }
 
+    /// Checks whether a claim may be written, before the work of planning its call.
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal`] if not.
+    pub fn check(&self, now: &Moment) -> Result<(), Refusal> {
+        if self.is_unsettled {
+            return Err(Refusal::Unsettled);
+        }
+        self.check_available(now.store)
+            .map_err(|held| Refusal::Held(held.wait))
+    }
+
     /// Returns the write of a claim, after which one of the `on_` functions has to be called with
     /// its outcome. `progress` is the progress of the duty after the write, and `nonce` a random
     /// number.
@@ -147,11 +160,7 @@
         nonce: u64,
         now: &Moment,
     ) -> Result<ClaimWrite, Refusal> {
-        if self.is_unsettled {
-            return Err(Refusal::Unsettled);
-        }
-        self.check_available(now.store)
-            .map_err(|held| Refusal::Held(held.wait))?;
+        self.check(now)?;
         let record = Record {
             claim: Claim {
                 node: self.node.clone(),
--- a/crates/duty/src/windows.rs
+++ b/crates/duty/src/windows.rs
@@ -53,6 +53,17 @@
         unix_ms / self.length_ms()
     }
 
+    /// Returns the progress of a duty whose row is first written at a time: the window of this time
+    /// is the first one.
+    pub fn first_progress(&self, unix_ms: u64) -> Progress {
+        let first = self.window_at(unix_ms);
+        Progress {
+            undecided: first,
+            unacknowledged: first,
+            unremoved: first,
+        }
+    }
+
     /// Returns the end of a window in Unix milliseconds.
     pub fn end_ms(&self, window: u64) -> u64 {
         (window + 1).saturating_mul(self.length_ms())
@@ -64,16 +75,12 @@
 }
 
 impl Windows {
-    /// Creates the state for a duty whose row is first written at a time: the window of this time
-    /// is the first one.
-    pub fn starting_at(schedule: Schedule, unix_ms: u64) -> Self {
-        let first = schedule.window_at(unix_ms);
-        let progress = Progress {
-            undecided: first,
-            unacknowledged: first,
-            unremoved: first,
-        };
-        Self { schedule, progress }
+    /// Creates the state of a node that knows only the stored progress.
+    pub fn new(schedule: Schedule, stored: Progress) -> Self {
+        Self {
+            schedule,
+            progress: stored,
+        }
     }
 
     /// Returns the progress.
--- a/crates/duty/tests/interleavings/model.rs
+++ b/crates/duty/tests/interleavings/model.rs
@@ -12,6 +12,11 @@
 /// How long a call without a response may be on its way. The sender waits as long.
 pub(crate) const CALL_TIME: Duration = Duration::from_millis(600);
 const WINDOWS: u64 = 2;
+const SCHEDULE: Schedule = Schedule {
+    length: Duration::from_secs(1),
+    decide_after: Duration::ZERO,
+    keep: Duration::from_secs(1_000),
+};
 
 /// What may still happen.
 #[derive(Clone, Copy, Debug, Hash)]
@@ -52,7 +57,7 @@
 #[derive(Clone, Debug, Hash)]
 struct Node {
     holder: Holder,
-    windows: Windows,
+    windows: Option<Windows>,
     phase: Phase,
 }
 
@@ -76,14 +81,9 @@
 }
 
 fn new_node(number: usize, boot: u64) -> Node {
-    let schedule = Schedule {
-        length: Duration::from_secs(1),
-        decide_after: Duration::ZERO,
-        keep: Duration::from_secs(1_000),
-    };
     Node {
         holder: Holder::new(&format!("n{number}"), boot, LEASE),
-        windows: Windows::starting_at(schedule, 0),
+        windows: None,
         phase: Phase::Idle,
     }
 }
@@ -258,24 +258,37 @@
             store_latest_ms: store_ms,
         };
         let node = &mut self.nodes[number];
-        if let Some(progress) = node.holder.progress() {
-            node.windows.on_progress(decode(progress));
-        }
-        let task = match node.holder.progress() {
-            None => Task::Wait,
-            Some(_) => node.windows.next(1_000_000),
+        let Some(stored) = node.holder.progress().map(decode) else {
+            let progress = encode(SCHEDULE.first_progress(0));
+            return self.write_claim(number, &moment, progress, None, None);
         };
-        let (progress, report, window) = match task {
-            Task::Decide(window) | Task::Send(window) if window >= WINDOWS => return false,
+        let windows = node
+            .windows
+            .get_or_insert_with(|| Windows::new(SCHEDULE, stored));
+        windows.on_progress(stored);
+        let (progress, report, window) = match windows.next(1_000_000) {
+            Task::Decide(window) if window >= WINDOWS => return false,
             Task::Decide(window) => {
-                let progress = node.windows.progress_after_decision(window);
+                let progress = windows.progress_after_decision(window);
                 // Each decision sees other counts.
-                (progress, Some((window, self.nonce)), Some(window))
+                (progress, Some((window, self.nonce)), window)
             }
-            Task::Send(window) => (node.windows.progress(), None, Some(window)),
-            _ => (node.windows.progress(), None, None),
+            Task::Send(window) => (windows.progress(), None, window),
+            task => panic!("nothing to do: {task:?}"),
         };
-        let Ok(write) = node.holder.claim(encode(progress), self.nonce, &moment) else {
+        self.write_claim(number, &moment, encode(progress), report, Some(window))
+    }
+
+    fn write_claim(
+        &mut self,
+        number: usize,
+        moment: &Moment,
+        progress: Vec<u8>,
+        report: Option<(u64, u64)>,
+        window: Option<u64>,
+    ) -> bool {
+        let node = &mut self.nodes[number];
+        let Ok(write) = node.holder.claim(progress, self.nonce, moment) else {
             return false;
         };
         node.phase = Phase::Committing(self.nonce, window);
@@ -294,16 +307,14 @@
     fn apply(&mut self, index: usize, is_replied: bool) -> bool {
         let commit = self.commits.remove(index);
         let version = self.row.as_ref().map_or(0, |row| row.0);
-        let report = commit
-            .report
-            .filter(|_| version == commit.write.expected_version);
-        let is_new = report.is_none_or(|(window, _)| self.reports[window as usize].is_none());
-        let holds = version == commit.write.expected_version && is_new;
+        let holds = version == commit.write.expected_version;
         if holds {
             self.version += 1;
             self.row = Some((self.version, commit.write.record.clone()));
-            if let Some((window, counts)) = report {
-                self.reports[window as usize] = Some(counts);
+            if let Some((window, counts)) = commit.report {
+                let report = &mut self.reports[window as usize];
+                assert_eq!(*report, None, "a report is decided twice");
+                *report = Some(counts);
             }
         }
         let (row, version) = (self.row.clone(), self.version);
@@ -364,7 +375,8 @@
         let node = &mut self.nodes[call.sender];
         let is_waiting = matches!(node.phase, Phase::Calling(waiting) if waiting == call);
         if is_answered && is_waiting {
-            node.windows.on_acknowledged(call.window);
+            let windows = node.windows.as_mut().expect("a sender has windows");
+            windows.on_acknowledged(call.window);
             node.phase = Phase::Idle;
         }
         true
--- a/crates/duty/tests/windows.rs
+++ b/crates/duty/tests/windows.rs
@@ -20,25 +20,25 @@
 #[case::expired((25, 25, 10), 120_000, Task::Remove(10))]
 #[case::never_unacknowledged((25, 25, 25), 133_000, Task::Wait)]
 fn order(#[case] stored: (u64, u64, u64), #[case] unix_ms: u64, #[case] expected: Task) {
-    let mut windows = Windows::starting_at(SCHEDULE, 0);
-    windows.on_progress(Progress {
+    let stored = Progress {
         undecided: stored.0,
         unacknowledged: stored.1,
         unremoved: stored.2,
-    });
-    assert_eq!(windows.next(unix_ms), expected);
+    };
+    assert_eq!(Windows::new(SCHEDULE, stored).next(unix_ms), expected);
 }
 
 /// An acknowledgement is stored with the next claim only. Until then, the stored progress must not
 /// undo it, and the loss of the row must not make it cover a window that is decided anew.
 #[test]
 fn acknowledged_before_stored() {
-    let mut windows = Windows::starting_at(SCHEDULE, 50_000);
+    let first = SCHEDULE.first_progress(50_000);
+    let mut windows = Windows::new(SCHEDULE, first);
     let decided = windows.progress_after_decision(10);
     windows.on_progress(decided);
     windows.on_acknowledged(10);
     windows.on_progress(decided);
     assert_eq!(windows.next(59_000), Task::Wait);
-    windows.on_progress(Windows::starting_at(SCHEDULE, 50_000).progress());
+    windows.on_progress(first);
     assert_eq!(windows.next(59_000), Task::Decide(10));
 }
