--- a/crates/edge/src/leader.rs
+++ b/crates/edge/src/leader.rs
@@ -6,6 +6,7 @@
 //! heartbeats stop. The version of that row is the term of the leader: it differs between two
 //! leaderships of one node.
 
+use crate::candidacy::Candidacy;
 use crate::clock;
 use crate::context::NodeContext;
 use crate::coordinator::Coordinator;
@@ -13,7 +14,6 @@
 use crate::storage::{self, SHARED};
 use dogwoodlb_batch::ItemText;
 use dogwoodlb_external::store::{Outcome, Txn};
-use dogwoodlb_types::Instant;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -25,14 +25,8 @@
 const ROUND_INTERVAL: Duration = Duration::from_millis(100);
 /// The time-out for clearing the leader row.
 const RESIGN_TIMEOUT: Duration = Duration::from_millis(500);
-/// How long a leader must be ineligible before another node claims its service.
-const INELIGIBLE_DELAY: Duration = Duration::from_millis(100);
 /// The interval between attempts to hand over services while the store can't be reached.
 const HANDOVER_RETRY: Duration = Duration::from_millis(300);
-/// How long a candidate must have reached the store without interruption.
-const STORE_SETTLE_TIME: Duration = Duration::from_millis(1_300);
-/// The delay between the claims of consecutive candidates, so that they do not all write at once.
-const CLAIM_STAGGER: Duration = Duration::from_millis(250);
 
 /// The services that this node leads, with their coordinators.
 #[derive(Default)]
@@ -66,18 +60,18 @@
     tasks: BTreeMap<String, AbortHandle>,
     /// The unfinished texts received from previous leaders, by service.
     inherited: BTreeMap<String, Vec<ItemText>>,
-    /// Since when each service has had no eligible leader.
-    ineligible_since: BTreeMap<String, Instant>,
+    candidacy: Candidacy,
 }
 
 impl LeaderElection {
     pub(crate) fn new(context: Rc<NodeContext>, led_services: Rc<LedServices>) -> Self {
+        let candidacy = Candidacy::new(context.peers.clone(), context.storage.clone());
         Self {
             context,
             led_services,
             tasks: BTreeMap::new(),
             inherited: BTreeMap::new(),
-            ineligible_since: BTreeMap::new(),
+            candidacy,
         }
     }
 
@@ -130,7 +124,7 @@
                 continue;
             }
             self.stop_leading(service);
-            if self.is_claim_due(service, name) {
+            if self.candidacy.is_claim_due(service, name) {
                 self.claim(service, name, row_version).await;
             }
         }
@@ -205,25 +199,6 @@
         }
     }
 
-    /// Returns whether this node should now claim a service from its leader.
-    fn is_claim_due(&mut self, service: &str, leader: &str) -> bool {
-        let now = clock::now();
-        let peers = &self.context.peers;
-        // If the store has only just become reachable, the leader may not have reached it yet.
-        let is_settled = self.context.storage.reachable_for(now) >= STORE_SETTLE_TIME;
-        if peers.is_eligible(leader) || !peers.can_lead() || !is_settled {
-            self.ineligible_since.remove(service);
-            return false;
-        }
-        let since = *self
-            .ineligible_since
-            .entry(service.to_owned())
-            .or_insert(now);
-        let rank = u32::try_from(peers.rank(service)).unwrap_or(u32::MAX);
-        let wait = INELIGIBLE_DELAY.saturating_add(CLAIM_STAGGER.saturating_mul(rank));
-        now.saturating_since(since) >= wait
-    }
-
     async fn claim(&mut self, service: &str, previous: &str, row_version: u64) {
         let node = &self.context.settings.node;
         let key = storage::leader_key(service);
@@ -239,7 +214,7 @@
                     "leader_claimed"
                 );
                 self.context.cluster.put_leader(service, version, node);
-                self.ineligible_since.remove(service);
+                self.candidacy.on_claimed(service);
                 let texts = self.request_texts(previous, service, version).await;
                 self.inherited.insert(service.to_owned(), texts);
                 self.lead(service, version);
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -16,6 +16,7 @@
 
 mod batch_store;
 mod cache;
+mod candidacy;
 mod clock;
 mod cluster;
 mod completion;
