Perform usage reports at the provider

Cause: nothing called the provider, and requests were not counted by window. Ruled out: idle connections to the provider. One may have been cut since, and its bytes would arrive with an old token when the link is restored. Change: duty::Driver holds a duty, claims and calls; usage_report is the first Duty. UsageMeter counts requests and writes the counts. forward tells it when a copy is written, answered or refused, with no organisation until the caller's is known there.

--- a/crates/edge/src/cluster.rs
+++ b/crates/edge/src/cluster.rs
@@ -5,6 +5,7 @@
 use dogwoodlb_batch::BatchHeader;
 use dogwoodlb_config::Snapshot;
 use dogwoodlb_directory::Directory;
+use dogwoodlb_duty::Record;
 use dogwoodlb_liveness::Outbox;
 use dogwoodlb_mirror::{Versioned, VersionedMap};
 use dogwoodlb_types::Instant;
@@ -29,6 +30,8 @@
     pub(crate) batch_headers: RefCell<VersionedMap<BatchHeader>>,
     /// The leader of each service that has models.
     leaders: RefCell<VersionedMap<String>>,
+    /// The rows of the duties.
+    pub(crate) duties: RefCell<VersionedMap<Record>>,
     /// The departures that the other nodes are told of.
     pub(crate) outbox: RefCell<Outbox>,
     pub(crate) metrics: Rc<Metrics>,
@@ -45,6 +48,7 @@
             directory: RefCell::default(),
             batch_headers: RefCell::default(),
             leaders: RefCell::default(),
+            duties: RefCell::default(),
             outbox: RefCell::default(),
             metrics,
             changes: watch::Sender::new(0),
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -8,6 +8,7 @@
 use crate::protocol::Protocol;
 use crate::reply::{self, Body};
 use crate::routing::{Selection, ServiceRouters};
+use crate::usage::{RequestUsage, UsageMeter};
 use bytes::Bytes;
 use dogwoodlb_client::Client;
 use dogwoodlb_config::{Route, RouteKind, Snapshot};
@@ -56,6 +57,7 @@
     pub(crate) protocol: Rc<dyn Protocol>,
     pub(crate) routers: Rc<ServiceRouters>,
     pub(crate) metrics: Rc<Metrics>,
+    pub(crate) usage: Rc<UsageMeter>,
     /// Knows how long requests take, and which of them end before an exit of the node.
     pub(crate) drain_admission: Rc<RefCell<DrainAdmission>>,
 }
@@ -74,6 +76,8 @@
     body: Bytes,
     /// Runs once the request can be sent. It passes to the response body if that is streamed.
     timer: Cell<Option<CompletionTimer>>,
+    /// Counts the request once it has begun to run.
+    usage: RequestUsage,
 }
 
 /// The result of one attempt.
@@ -126,6 +130,8 @@
             head: &head,
             body: Bytes::new(),
             timer: Cell::default(),
+            // Requests are not counted until the caller's organisation is known here.
+            usage: self.usage.observe(None),
         };
         let content_length = body.size_hint().exact();
         if content_length.is_some_and(|length| length > MAX_BUFFERED_BYTES as u64) {
@@ -290,12 +296,21 @@
             request.headers_mut().insert(CONTENT_LENGTH, length.into());
         }
         let exchange = async {
-            let may_send = || selection.may_send() && self.admits(proxied);
+            let may_send = || {
+                let permits = selection.may_send() && self.admits(proxied);
+                if permits {
+                    proxied.usage.on_write(selection.address);
+                }
+                permits
+            };
             let client = self.client.checked(&may_send);
             let sent = client.send_streaming(selection.address, request).await;
             let mut response = match sent {
                 Ok(response) => response,
-                Err(error) if error.is_unsent() => return Attempt::NotRun,
+                Err(error) if error.is_unsent() => {
+                    proxied.usage.on_not_run(selection.address);
+                    return Attempt::NotRun;
+                }
                 Err(_) => return Attempt::Failed(None),
             };
             // The replica may respond before it has read the whole request body, so the
--- a/crates/edge/src/forward/exchange.rs
+++ b/crates/edge/src/forward/exchange.rs
@@ -18,11 +18,19 @@
         request: Request<Bytes>,
         selection: &mut Selection,
     ) -> Attempt {
-        let may_send = || selection.may_send() && self.admits(proxied);
+        let address = selection.address;
+        let may_send = || {
+            let permits = selection.may_send() && self.admits(proxied);
+            if permits {
+                proxied.usage.on_write(address);
+            }
+            permits
+        };
         let client = self.client.checked(&may_send);
-        let response = match client.send(selection.address, request).await {
+        let response = match client.send(address, request).await {
             Ok(response) => response,
             Err(dogwoodlb_client::Error::Revoked { .. }) => {
+                proxied.usage.on_not_run(address);
                 selection.finish(Outcome::Cancelled);
                 return Attempt::Unsent;
             }
@@ -31,6 +39,7 @@
                 let replica = &selection.replica;
                 tracing::info!(request = proxied.request_id, %replica, %error, "attempt_failed");
                 return if error.is_unsent() {
+                    proxied.usage.on_not_run(address);
                     Attempt::NotRun
                 } else {
                     Attempt::Failed(None)
@@ -48,6 +57,7 @@
         selection: &mut Selection,
     ) -> Attempt {
         let headers = self.protocol.headers();
+        proxied.usage.on_head(selection.address);
         if !is_response_to(headers, &response.head, &proxied.request_id) {
             tracing::warn!(request = proxied.request_id, replica = %selection.replica, "request_id_mismatch");
             response.body.prevent_reuse();
@@ -56,6 +66,7 @@
         }
         selection.observe(headers, &response.head);
         if is_not_run(headers, &response.head) {
+            proxied.usage.on_not_run(selection.address);
             let status = response.head.status.as_u16();
             tracing::debug!(request = proxied.request_id, replica = %selection.replica, status, "not_run");
             response.body.discard().await;
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -23,6 +23,7 @@
 mod context;
 mod coordinator;
 mod departure;
+mod duty;
 mod error;
 mod event;
 mod forward;
@@ -48,6 +49,7 @@
 mod submit;
 mod table_watcher;
 mod task;
+mod usage;
 
 pub use error::Error;
 pub use node::{Command, Dependencies, Node};
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -3,7 +3,8 @@
 use crate::clock;
 use dogwoodlb_types::Instant;
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
 };
 
 /// The upper bounds of the latency buckets in seconds.
@@ -20,6 +21,9 @@
     pub(crate) batches: IntCounterVec,
     item_requests: IntCounterVec,
     replicas_leaving: IntCounterVec,
+    pub(crate) usage_reports: IntCounterVec,
+    pub(crate) duty_calls: IntCounterVec,
+    pub(crate) usage_late_counts: IntCounter,
     pub(crate) connections: IntGauge,
     pub(crate) store_calls: IntGauge,
     pub(crate) store_failures: IntGauge,
@@ -51,6 +55,16 @@
             &["source"],
         )?;
         registry.register(Box::new(replicas_leaving.clone()))?;
+        let duty_calls = IntCounterVec::new(
+            Opts::new("duty_calls", "Calls to the provider by their outcome."),
+            &["duty", "outcome"],
+        )?;
+        registry.register(Box::new(duty_calls.clone()))?;
+        let usage_late_counts = IntCounter::new(
+            "usage_late_counts",
+            "Requests that were counted too late for the report of their window.",
+        )?;
+        registry.register(Box::new(usage_late_counts.clone()))?;
         let gauge = |name: &str, help: &str| {
             let gauge = IntGauge::new(name, help)?;
             registry.register(Box::new(gauge.clone()))?;
@@ -68,8 +82,11 @@
             )?,
             store_calls: gauge("store_calls", "Calls to the metadata store.")?,
             store_failures: gauge("store_failures", "Failed calls to the metadata store.")?,
+            usage_reports: counters("usage_reports", "Usage reports by what became of them.")?,
             item_requests,
             replicas_leaving,
+            duty_calls,
+            usage_late_counts,
             requests,
             registry,
         })
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -5,6 +5,7 @@
 use crate::clock;
 use crate::cluster::ClusterState;
 use crate::context::NodeContext;
+use crate::duty;
 use crate::error::Error;
 use crate::forward::Forwarder;
 use crate::front::{
@@ -23,6 +24,7 @@
 use crate::submit::Submitter;
 use crate::table_watcher::{Mirrors, Table, TableWatcher};
 use crate::task::Supervisor;
+use crate::usage::UsageMeter;
 use dogwoodlb_client::Client;
 use dogwoodlb_external::store::Txn;
 use dogwoodlb_external::MetadataStore;
@@ -35,6 +37,7 @@
 use tokio::time::sleep;
 
 mod drain;
+mod reload;
 
 const REGISTER_RETRY: Duration = Duration::from_millis(400);
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_millis(200);
@@ -67,6 +70,7 @@
     routers: Rc<ServiceRouters>,
     front: Rc<FrontHandler>,
     listeners: Listeners,
+    boot: u64,
 }
 
 struct Listeners {
@@ -147,6 +151,7 @@
                 routers: routers.clone(),
                 cluster,
             },
+            usage: Rc::new(UsageMeter::new(&settings)),
             settings,
             storage,
             supervisor: Supervisor::new(),
@@ -158,6 +163,7 @@
             routers,
             front,
             listeners,
+            boot,
         })
     }
 
@@ -182,6 +188,7 @@
             routers,
             front,
             listeners,
+            boot,
         } = self;
         let led_services = Rc::new(LedServices::default());
         serve_all(
@@ -203,8 +210,9 @@
         supervisor.spawn("housekeeping", run_housekeeping(context.clone(), routers));
         let election = LeaderElection::new(context.clone(), led_services.clone());
         supervisor.spawn("election", election.run());
+        duty::start(&context, boot);
         while let Some(Command::Reload(settings)) = commands.recv().await {
-            reload(&context, &settings);
+            reload::reload(&context, &settings);
         }
         drain::run(&context, &front, &led_services, &shutdown).await;
     }
@@ -219,6 +227,7 @@
             protocol: protocol.clone(),
             routers: routers.clone(),
             metrics: context.metrics.clone(),
+            usage: context.usage.clone(),
             drain_admission: Rc::default(),
         },
         reader: BatchReader {
@@ -377,19 +386,3 @@
             .set(gauge(context.storage.failures.get()));
     }
 }
-
-/// Applies changed settings. New seeds take effect at once; all other changes need a restart.
-fn reload(context: &NodeContext, settings: &Settings) {
-    for contact in settings.seed_peers() {
-        context.peers.add_contact(contact);
-    }
-    let needs_restart = Settings {
-        seeds: context.settings.seeds.clone(),
-        ..settings.clone()
-    } != *context.settings;
-    tracing::info!(
-        needs_start = needs_restart,
-        outcome = "applied",
-        "settings_reloaded"
-    );
-}
--- a/crates/edge/src/storage.rs
+++ b/crates/edge/src/storage.rs
@@ -1,6 +1,7 @@
 //! Access to the metadata store: reachability, clock, tables and keys.
 
 use crate::clock;
+use dogwoodlb_duty::Moment;
 use dogwoodlb_external::store::{Clock, KeyRange, Outcome, Page, Row, Txn, WatchResponse};
 use dogwoodlb_external::{Category, Error, MetadataStore};
 use dogwoodlb_types::Instant;
@@ -18,6 +19,9 @@
 /// The texts of unfinished items, stored by checkpoints and at handover.
 pub(crate) const TEXTS: &str = "dogwoodlb-text";
 
+/// The counts of requests by reporting window and node, and the decided usage reports.
+pub(crate) const USAGE: &str = "dogwoodlb-usage";
+
 /// The maximum number of rows in a transaction, with a margin for rows that the caller adds.
 pub(crate) const MAX_TXN_ROWS: usize = 90;
 /// The maximum number of bytes in a transaction before encoding.
@@ -42,6 +46,26 @@
     format!("claim/{replica}")
 }
 
+/// Returns the key of a duty's row.
+pub(crate) fn duty_key(duty: &str) -> String {
+    format!("duty/{duty}")
+}
+
+/// Returns the key of the decided report of a window.
+pub(crate) fn report_key(window: u64) -> String {
+    format!("report/{window}")
+}
+
+/// Returns the start of the keys of the counts of a window.
+pub(crate) fn tally_prefix(window: u64) -> String {
+    format!("{window}/")
+}
+
+/// Returns the key of the counts of a window by one process of a node.
+pub(crate) fn tally_key(window: u64, node: &str, boot: u64) -> String {
+    format!("{window}/{node}/{boot}")
+}
+
 /// Returns the key of a node's registration.
 pub(crate) fn node_key(node: &str) -> String {
     format!("node/{node}")
@@ -125,6 +149,16 @@
         })
     }
 
+    /// Returns the time by the clocks on which a duty's claim depends, or `None` before the first
+    /// reading of the store's clock.
+    pub(crate) fn moment(&self) -> Option<Moment> {
+        Some(Moment {
+            local: clock::now(),
+            store: self.claim_time()?,
+            store_latest_ms: self.latest_time_ms()?,
+        })
+    }
+
     /// Commits a transaction.
     pub(crate) async fn commit(&self, txn: &Txn) -> Result<Outcome, Error> {
         let sent = clock::now();
--- a/crates/edge/src/table_watcher.rs
+++ b/crates/edge/src/table_watcher.rs
@@ -6,8 +6,9 @@
 use crate::peers::Peers;
 use crate::protocol::{DecodeError, OperatorRow, Protocol};
 use crate::storage::{Storage, SHARED};
-use dogwoodlb_batch::{BatchHeader, Record};
+use dogwoodlb_batch::{BatchHeader, Record as _};
 use dogwoodlb_directory::Entry;
+use dogwoodlb_duty::Record;
 use dogwoodlb_external::store::{KeyRange, Row, WatchResponse};
 use dogwoodlb_external::{Category, Error};
 use dogwoodlb_mirror::{Mirror, NextRequest};
@@ -283,6 +284,17 @@
                 tracing::info!(service = name, %node, row = row.version, "leader_known");
                 self.cluster.put_leader(name, row.version, &node);
             }
+            ("duty", true) => {
+                tracing::warn!(duty = name, row = row.version, "duty_removed");
+                self.cluster.duties.borrow_mut().remove(name, row.version);
+            }
+            ("duty", false) => match Record::from_slice(&row.value) {
+                Ok(record) => {
+                    let mut duties = self.cluster.duties.borrow_mut();
+                    duties.put(name, row.version, record);
+                }
+                Err(error) => tracing::error!(key = row.key, %error, "row_not_decoded"),
+            },
             ("node", false) => {
                 let address = std::str::from_utf8(&row.value).ok();
                 match address.and_then(|address| address.parse().ok()) {
