--- a/crates/edge/src/table_watcher.rs
+++ b/crates/edge/src/table_watcher.rs
@@ -284,17 +284,7 @@
                 tracing::info!(service = name, %node, row = row.version, "leader_known");
                 self.cluster.put_leader(name, row.version, &node);
             }
-            ("duty", true) => {
-                tracing::warn!(duty = name, row = row.version, "duty_removed");
-                self.cluster.duties.borrow_mut().remove(name, row.version);
-            }
-            ("duty", false) => match Record::from_slice(&row.value) {
-                Ok(record) => {
-                    let mut duties = self.cluster.duties.borrow_mut();
-                    duties.put(name, row.version, record);
-                }
-                Err(error) => tracing::error!(key = row.key, %error, "row_not_decoded"),
-            },
+            ("duty", _) => self.apply_duty_row(name, row),
             ("node", false) => {
                 let address = std::str::from_utf8(&row.value).ok();
                 match address.and_then(|address| address.parse().ok()) {
@@ -305,4 +295,17 @@
             _ => {}
         }
     }
+
+    fn apply_duty_row(&self, duty: &str, row: &Row) {
+        let mut duties = self.cluster.duties.borrow_mut();
+        if row.removed {
+            tracing::warn!(duty, row = row.version, "duty_removed");
+            duties.remove(duty, row.version);
+            return;
+        }
+        match Record::from_slice(&row.value) {
+            Ok(record) => duties.put(duty, row.version, record),
+            Err(error) => tracing::error!(key = row.key, %error, "row_not_decoded"),
+        }
+    }
 }
