--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -16,12 +16,14 @@
 
 mod batch_store;
 mod cache;
+mod candidacy;
 mod clock;
 mod cluster;
 mod completion;
 mod context;
 mod coordinator;
 mod departure;
+mod duty;
 mod error;
 mod event;
 mod forward;
@@ -47,6 +49,7 @@
 mod submit;
 mod table_watcher;
 mod task;
+mod usage;
 
 pub use error::Error;
 pub use node::{Command, Dependencies, Node};
--- a/crates/edge/src/table_watcher.rs
+++ b/crates/edge/src/table_watcher.rs
@@ -6,8 +6,9 @@
 use crate::peers::Peers;
 use crate::protocol::{DecodeError, OperatorRow, Protocol};
 use crate::storage::{Storage, SHARED};
-use dogwoodlb_batch::{BatchHeader, Record};
+use dogwoodlb_batch::{BatchHeader, Record as _};
 use dogwoodlb_directory::Entry;
+use dogwoodlb_duty::Record;
 use dogwoodlb_external::store::{KeyRange, Row, WatchResponse};
 use dogwoodlb_external::{Category, Error};
 use dogwoodlb_mirror::{Mirror, NextRequest};
@@ -283,6 +284,7 @@
                 tracing::info!(service = name, %node, row = row.version, "leader_known");
                 self.cluster.put_leader(name, row.version, &node);
             }
+            ("duty", _) => self.apply_duty_row(name, row),
             ("node", false) => {
                 let address = std::str::from_utf8(&row.value).ok();
                 match address.and_then(|address| address.parse().ok()) {
@@ -293,4 +295,17 @@
             _ => {}
         }
     }
+
+    fn apply_duty_row(&self, duty: &str, row: &Row) {
+        let mut duties = self.cluster.duties.borrow_mut();
+        if row.removed {
+            tracing::warn!(duty, row = row.version, "duty_removed");
+            duties.remove(duty, row.version);
+            return;
+        }
+        match Record::from_slice(&row.value) {
+            Ok(record) => duties.put(duty, row.version, record),
+            Err(error) => tracing::error!(key = row.key, %error, "row_not_decoded"),
+        }
+    }
 }
