Store the organisation of a batch with its header

Cause: a batch belongs to the organisation whose key submitted it, on any node and after any restart, so its header row has to name it. Ruled out: a further field of the derived encoding, which would change the rows of deployments without organisations; a separate row, which would have to be checked in each transaction; ignoring an unreadable organisation, which would open the batch to every organisation. Change: the organisation follows the encoded header and is absent if there is none. Nothing sets it yet. Conclusion: rows without an organisation are unchanged, and the previous version reads rows with one. It drops the organisation when it writes such a row, so keys may be configured only after the update of all nodes.

--- a/crates/batch/src/header.rs
+++ b/crates/batch/src/header.rs
@@ -1,4 +1,4 @@
-use crate::Record;
+use crate::{Error, Record, Result};
 use serde::{Deserialize, Serialize};
 
 /// The state of a batch, stored in one row. Every write for the batch is conditional on the
@@ -28,6 +28,10 @@
     /// An upper bound of the time of the submission by the monotonic clock of the store, in
     /// milliseconds. Nodes compute the age of a batch from a lower bound of the current time.
     pub submitted_ms: u64,
+    /// The organisation that submitted the batch, if any. Only its callers may read or end the
+    /// batch. It follows the other fields in the encoded header, see [`BatchHeader::to_vec`].
+    #[serde(skip)]
+    pub organisation: Option<String>,
 }
 
 /// The effect of a write, determined from the header that the writer knows afterwards: the written
@@ -100,4 +104,36 @@
 
 impl Record for BatchHeader {
     const TYPE_NAME: &'static str = "batch header";
+
+    /// Encodes the header. The organisation follows the other fields and is absent if there is
+    /// none, so that nodes of the previous version, which ignore the bytes after a header, read it.
+    fn to_vec(&self) -> Result<Vec<u8>> {
+        let encode = || {
+            let bytes = postcard::to_stdvec(self)?;
+            match &self.organisation {
+                Some(_) => postcard::to_extend(&self.organisation, bytes),
+                None => Ok(bytes),
+            }
+        };
+        let type_name = Self::TYPE_NAME;
+        encode().map_err(|cause| Error::Encode { type_name, cause })
+    }
+
+    /// Decodes a header. An unreadable organisation is an error: without it, any organisation could
+    /// read the batch.
+    fn from_slice(bytes: &[u8]) -> Result<Self> {
+        let decode = || {
+            let (header, rest): (Self, _) = postcard::take_from_bytes(bytes)?;
+            let organisation = match rest {
+                [] => None,
+                rest => postcard::from_bytes(rest)?,
+            };
+            Ok(Self {
+                organisation,
+                ..header
+            })
+        };
+        let type_name = Self::TYPE_NAME;
+        decode().map_err(|cause| Error::Decode { type_name, cause })
+    }
 }
--- a/crates/edge/src/submit/write.rs
+++ b/crates/edge/src/submit/write.rs
@@ -52,6 +52,7 @@
             result_count: 0,
             ended: false,
             submitted_ms,
+            organisation: None,
         };
         let txns = transactions(&submission.id, &header, body_parts);
         let mut not_applied = true;
