Carry over items only within an organisation

Cause: the planner keeps the unfinished text of an ended batch by the id of its item. Organisations choose these ids independently, so a batch of one could continue the text of another one and show it to its callers. Change: carried-over items are kept by organisation and id. The batch's organisation comes from its header. Conclusion: batches without an organisation behave as before.

--- a/crates/batch/src/planner.rs
+++ b/crates/batch/src/planner.rs
@@ -24,6 +24,8 @@
 pub struct NewBatch<'a> {
     /// The id of the batch.
     pub id: &'a str,
+    /// The organisation that submitted the batch, if any.
+    pub organisation: Option<&'a str>,
     /// The model that generates the items.
     pub model: &'a str,
     /// The oldest weight version that may generate the items.
@@ -56,14 +58,18 @@
     max_attempts: u32,
 }
 
+/// The organisation and the id of an item.
+type CarryoverKey = (Option<String>, String);
+
 /// Assigns items to replicas.
 #[derive(Debug, Default)]
 pub struct Planner {
     work_items: BTreeMap<WorkId, Work>,
     batches: BTreeMap<String, Batch>,
     replicas: BTreeMap<Arc<str>, Replica>,
-    /// The unfinished items of ended batches, by item id.
-    carried_over: HashMap<String, WorkId>,
+    /// The unfinished items of ended batches. Organisations choose the ids of their items
+    /// independently, so that an id alone would show the text of one to another.
+    carried_over: HashMap<CarryoverKey, WorkId>,
     last_id: u64,
     next_move_at: Instant,
 }
@@ -91,7 +97,8 @@
             if new.finished.contains(&index) {
                 continue;
             }
-            let carried = self.carried_over.remove(&item.id);
+            let key = (new.organisation.map(str::to_owned), item.id.clone());
+            let carried = self.carried_over.remove(&key);
             batch.is_carried_over[group] |= carried.is_some();
             let work = self.insert_work(carried, new, index, item, group);
             batch.work_items.push(work);
@@ -128,6 +135,7 @@
         let old = self.work_items.remove(&id);
         let work = Work {
             batch: Some(new.id.to_owned()),
+            organisation: new.organisation.map(str::to_owned),
             index,
             item: item.id.clone(),
             model: new.model.to_owned(),
@@ -164,7 +172,7 @@
             }
             work.batch = None;
             work.expires_at = Some(now + CARRYOVER_TTL);
-            self.carried_over.insert(work.item.clone(), id);
+            self.carried_over.insert(work.carryover_key(), id);
         }
     }
 
--- a/crates/batch/src/planner/choose.rs
+++ b/crates/batch/src/planner/choose.rs
@@ -75,8 +75,9 @@
             let Some(work) = self.work_items.get_mut(&id) else {
                 continue;
             };
-            if self.carried_over.get(&work.item) == Some(&id) {
-                self.carried_over.remove(&work.item);
+            let key = work.carryover_key();
+            if self.carried_over.get(&key) == Some(&id) {
+                self.carried_over.remove(&key);
             }
             match &mut work.phase {
                 Phase::Running(run) if !run.stop_requested => {
--- a/crates/batch/src/work.rs
+++ b/crates/batch/src/work.rs
@@ -10,6 +10,8 @@
 pub(crate) struct Work {
     /// The batch, or `None` if the batch has ended and a later one may resubmit the item.
     pub(crate) batch: Option<String>,
+    /// The organisation that submitted the batch.
+    pub(crate) organisation: Option<String>,
     pub(crate) index: u32,
     pub(crate) item: String,
     pub(crate) model: String,
@@ -77,6 +79,11 @@
             .max(generated / 3 + 1)
     }
 
+    /// Returns the key of the item among those that ended batches left unfinished.
+    pub(crate) fn carryover_key(&self) -> (Option<String>, String) {
+        (self.organisation.clone(), self.item.clone())
+    }
+
     pub(crate) fn run(&self) -> Option<&Run> {
         match &self.phase {
             Phase::Running(run) => Some(run),
--- a/crates/batch/tests/item_order.rs
+++ b/crates/batch/tests/item_order.rs
@@ -21,6 +21,7 @@
 fn add_batch(planner: &mut Planner, id: &str, min_version: u64, items: &[Item]) {
     planner.add_batch(&NewBatch {
         id,
+        organisation: None,
         model: "m",
         min_version,
         single_version: false,
@@ -262,6 +263,7 @@
     };
     planner.add_batch(&NewBatch {
         id: "b",
+        organisation: None,
         model: "m",
         min_version: 1,
         single_version: false,
--- a/crates/batch/tests/planning_time.rs
+++ b/crates/batch/tests/planning_time.rs
@@ -35,6 +35,7 @@
     let items: Vec<Item> = (0..ITEMS).map(item).collect();
     planner.add_batch(&NewBatch {
         id: "b",
+        organisation: None,
         model: "m",
         min_version: 1,
         single_version: false,
--- a/crates/batch/tests/support/single_item.rs
+++ b/crates/batch/tests/support/single_item.rs
@@ -22,6 +22,7 @@
     };
     planner.add_batch(&NewBatch {
         id: "b",
+        organisation: None,
         model: "m",
         min_version,
         single_version: false,
--- a/crates/edge/src/coordinator/adoption.rs
+++ b/crates/edge/src/coordinator/adoption.rs
@@ -85,6 +85,7 @@
         let event_tokens = self.event_tokens();
         self.planner.borrow_mut().add_batch(&NewBatch {
             id,
+            organisation: header.organisation.as_deref(),
             model: &submission.model,
             min_version: submission.min_version,
             single_version: route.as_ref().is_some_and(|route| route.single_version),
--- a/crates/emulator/src/simulation/leader.rs
+++ b/crates/emulator/src/simulation/leader.rs
@@ -13,6 +13,7 @@
         let id = step.id.clone();
         self.planner.add_batch(&NewBatch {
             id: &id,
+            organisation: None,
             model: &state.config.model,
             min_version: step.number.saturating_sub(1),
             single_version: false,
