--- a/crates/config/src/organisation.rs
+++ b/crates/config/src/organisation.rs
@@ -32,6 +32,7 @@
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Organisations {
     by_key: HashMap<ApiKey, Arc<Organisation>>,
+    all: Vec<Arc<Organisation>>,
 }
 
 impl Organisations {
@@ -39,13 +40,25 @@
     /// organisation that lists it.
     pub fn new(organisations: impl IntoIterator<Item = (Organisation, Vec<ApiKey>)>) -> Self {
         let mut by_key = HashMap::new();
+        let mut all = Vec::new();
         for (organisation, keys) in organisations {
             let organisation = Arc::new(organisation);
+            all.push(organisation.clone());
             for key in keys {
                 by_key.entry(key).or_insert_with(|| organisation.clone());
             }
         }
-        Self { by_key }
+        Self { by_key, all }
+    }
+
+    /// Returns all organisations, also those without keys.
+    pub fn iter(&self) -> impl Iterator<Item = &Organisation> {
+        self.all.iter().map(|organisation| &**organisation)
+    }
+
+    /// Returns the number of keys.
+    pub fn key_count(&self) -> usize {
+        self.by_key.len()
     }
 
     /// Returns the organisation that holds a key.
--- a/crates/config/src/snapshot.rs
+++ b/crates/config/src/snapshot.rs
@@ -1,4 +1,4 @@
-use crate::{Limits, Organisations, Route, Service};
+use crate::{Limits, Organisations, Route, RouteKind, Service};
 
 /// One version of the configuration.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -58,6 +58,12 @@
         routes.find(|route| route.host == host && path.starts_with(&route.prefix))
     }
 
+    /// Returns whether batches can be submitted without a key although there are organisations.
+    pub fn has_public_batches(&self) -> bool {
+        let is_public = |route: &Route| route.is_public && route.kind == RouteKind::Rollout;
+        self.routes.iter().any(is_public)
+    }
+
     /// Returns the service with a name.
     pub fn service(&self, name: &str) -> Option<&Service> {
         self.services.iter().find(|service| service.name == name)
