Enforce keys on all requests of callers

Cause: organisations of the configuration were decoded but not acted on. Ruled out: storing the key with a batch; a list of allowed keys for each batch, since any key of the organisation has to be accepted at any time; answering 403 for a foreign batch, which would tell that it exists. Change: the front identifies the caller of each request by the configuration in force. Routes, submissions, pages of results, item bodies and ends need a key; batches of another organisation do not exist, and their ids are in use (409). Replicas get the organisation and never the key: forwarded requests, streams, items. Scoring calls carry neither. Relayed requests name the organisation of their caller after the encoded request. A rejected request's body is read, so that its caller sees the response. New log line caller_rejected, new metric callers_rejected. Conclusion: without organisations, requests, rows and messages are unchanged, except that a node without a configuration answers 503 to reads of batches.

--- a/crates/edge/src/cluster.rs
+++ b/crates/edge/src/cluster.rs
@@ -1,6 +1,7 @@
 //! The node's in-memory view of the cluster: configuration, weight versions, replicas, batches
 //! and leaders.
 
+use crate::identity::Caller;
 use crate::metrics::Metrics;
 use dogwoodlb_batch::BatchHeader;
 use dogwoodlb_config::Snapshot;
@@ -57,6 +58,23 @@
         self.config.borrow().clone()
     }
 
+    /// Returns whether the configuration has organisations.
+    pub(crate) fn has_organisations(&self) -> bool {
+        let config = self.config.borrow();
+        let config = config.as_ref();
+        config.is_some_and(|config| config.organisations().is_some())
+    }
+
+    /// Returns the caller of a request that another node relays, and whether it can be relied on. A
+    /// node that does not tell callers apart, because it has no configuration with organisations
+    /// yet, has not checked their keys; here its callers count as those without a key.
+    pub(crate) fn verify_relayed(&self, caller: &Caller) -> (Caller, bool) {
+        match caller {
+            Caller::Unrestricted if self.has_organisations() => (Caller::Anonymous, false),
+            caller => (caller.clone(), true),
+        }
+    }
+
     pub(crate) fn set_config(&self, snapshot: Snapshot) {
         *self.config.borrow_mut() = Some(Rc::new(snapshot));
     }
--- a/crates/edge/src/coordinator/adoption.rs
+++ b/crates/edge/src/coordinator/adoption.rs
@@ -116,6 +116,7 @@
             row = row_version,
             "batch_adopted"
         );
+        let organisation = header.organisation.clone();
         let writer = Rc::new(OutcomeWriter::new(
             id,
             &self.context.settings.node,
@@ -125,6 +126,7 @@
         ));
         let mut running = RunningBatch::new(Rc::new(Batch {
             submission,
+            organisation,
             writer: writer.clone(),
             permit: self.permit(id),
             deadline,
--- a/crates/edge/src/coordinator/items.rs
+++ b/crates/edge/src/coordinator/items.rs
@@ -59,6 +59,7 @@
                 born_ms,
                 address,
                 host: batch.submission.host.clone(),
+                organisation: batch.organisation.clone(),
             };
             let item = &batch.submission.items[index as usize];
             let context = &this.context;
--- a/crates/edge/src/coordinator/running.rs
+++ b/crates/edge/src/coordinator/running.rs
@@ -11,6 +11,8 @@
 /// What the tasks of a batch use.
 pub(super) struct Batch {
     pub(super) submission: Rc<Submission>,
+    /// The organisation that submitted the batch, if any.
+    pub(super) organisation: Option<String>,
     pub(super) writer: Rc<OutcomeWriter>,
     pub(super) permit: Permit,
     /// When unfinished items are abandoned.
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -4,13 +4,14 @@
 use crate::clock;
 use crate::completion::CompletionTimer;
 use crate::headers::{header_millis, header_number, header_str, remove_hop_by_hop};
+use crate::identity::{Caller, Forwarding};
 use crate::metrics::Metrics;
 use crate::protocol::Protocol;
 use crate::reply::{self, Body};
 use crate::routing::{Selection, ServiceRouters};
 use bytes::Bytes;
 use dogwoodlb_client::Client;
-use dogwoodlb_config::{Route, RouteKind, Snapshot};
+use dogwoodlb_config::{Organisation, Route, RouteKind, Snapshot};
 use dogwoodlb_limit::{DrainAdmission, DrainRequest};
 use dogwoodlb_route::Outcome;
 use dogwoodlb_types::{id, Instant};
@@ -20,6 +21,7 @@
 use hyper::{Request, Response, StatusCode};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{sleep, timeout};
 
@@ -64,6 +66,15 @@
 struct ProxiedRequest<'a> {
     route: &'a Route,
     service: &'a str,
+    /// The organisation of the caller, if the configuration has organisations and the caller has
+    /// a key.
+    #[expect(
+        dead_code,
+        reason = "read by the counts of requests of each organisation"
+    )]
+    organisation: Option<Arc<Organisation>>,
+    /// Which headers about the caller replicas get.
+    forwarding: Forwarding<'a>,
     request_id: String,
     began: Instant,
     /// When the caller gives up.
@@ -102,6 +113,7 @@
         request: Request<Incoming>,
         config: &Snapshot,
         route: &Route,
+        caller: &Caller,
     ) -> Response<Body> {
         let began = clock::now();
         let headers = self.protocol.headers();
@@ -119,6 +131,8 @@
         let mut proxied = ProxiedRequest {
             route,
             service,
+            organisation: caller.organisation().cloned(),
+            forwarding: caller.into(),
             request_id: request_id.to_owned(),
             began,
             caller_deadline: began + caller_wait,
@@ -342,6 +356,7 @@
                 headers.insert(HOST, host);
             }
         }
+        proxied.forwarding.apply(headers, names);
         request
     }
 
--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -1,9 +1,9 @@
 //! The HTTP listeners for callers and for the platform.
 
-use crate::clock;
 use crate::cluster::ClusterState;
 use crate::forward::{self, Forwarder};
 use crate::headers::header_str;
+use crate::identity::{Caller, MAX_CONFIG_AGE};
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::protocol::{Protocol, RequestKind};
@@ -32,6 +32,10 @@
 use tokio::sync::watch;
 use tokio::time::{sleep, sleep_until, Instant};
 
+mod access;
+
+pub(crate) use access::RejectionLog;
+
 /// The maximum number of open connections. Further connections wait in the kernel's accept queue.
 const MAX_CONNECTIONS: usize = 4_000;
 /// The pause after a failed `accept`, for instance for lack of file descriptors, and while
@@ -41,9 +45,6 @@
 const MIN_IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// The retry-after time of refused requests.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
-/// A node whose configuration was confirmed longer ago than this must not answer that a route
-/// does not exist.
-const MAX_CONFIG_AGE: Duration = Duration::from_millis(2_000);
 /// The maximum size of a request head before a configuration is known. A configured maximum below
 /// it has no effect.
 const DEFAULT_HEAD_BYTES: usize = 64 * 1024;
@@ -71,6 +72,7 @@
     pub(crate) pending_ends: Rc<Cell<usize>>,
     /// The number of open connections.
     pub(crate) open_connections: Rc<Cell<usize>>,
+    pub(crate) rejections: RejectionLog,
     /// Whether pending requests are answered with a time-out at once, because the process is
     /// about to exit.
     pub(crate) aborting: watch::Sender<bool>,
@@ -97,7 +99,7 @@
         let _counted = Counted::new(&self.in_flight);
         let mut aborting = self.aborting.subscribe();
         tokio::select! {
-            response = self.dispatch(request) => response,
+            response = self.dispatch(request) => response.unwrap_or_else(|refusal| refusal),
             // `wait_for` fails only if the sender is dropped, and `self` owns it.
             _ = aborting.wait_for(|is_aborting| *is_aborting) => forward::gateway_timeout(),
         }
@@ -110,19 +112,30 @@
         self.open_connections.get() == 0 && self.pending_ends.get() == 0
     }
 
-    async fn dispatch(self: &Rc<Self>, request: Request<Incoming>) -> Response<Body> {
+    /// Handles a request. Returns the refusal of a request that is not run as the error.
+    async fn dispatch(
+        self: &Rc<Self>,
+        request: Request<Incoming>,
+    ) -> Result<Response<Body>, Response<Body>> {
         let (head, body) = request.into_parts();
         if self.is_misdirected(&head) {
             let reason = "this is a node, not the replica";
-            return reply::plain_text(StatusCode::MISDIRECTED_REQUEST, reason);
+            return Err(reply::plain_text(StatusCode::MISDIRECTED_REQUEST, reason));
         }
         match self.protocol.classify(&head) {
             RequestKind::Results { batch, after, wait } => {
-                self.reader.results(&batch, after, wait).await
+                let caller = self.batch_caller(&head, &batch).await?;
+                Ok(self.reader.results(&batch, &caller, after, wait).await)
+            }
+            RequestKind::ItemBody { batch, item } => {
+                let caller = self.batch_caller(&head, &batch).await?;
+                Ok(self.reader.body(&batch, &caller, &item).await)
+            }
+            RequestKind::EndBatch { batch } => {
+                let caller = self.batch_caller(&head, &batch).await?;
+                Ok(self.end_batch(batch, caller).await)
             }
-            RequestKind::ItemBody { batch, item } => self.reader.body(&batch, &item).await,
-            RequestKind::EndBatch { batch } => self.end_batch(batch).await,
-            RequestKind::Route => self.route(Request::from_parts(head, body)).await,
+            RequestKind::Route => self.route(head, body).await,
         }
     }
 
@@ -136,47 +149,54 @@
     }
 
     /// Ends a batch, even if the caller disconnects: the batch is no longer wanted.
-    async fn end_batch(self: &Rc<Self>, batch: String) -> Response<Body> {
+    async fn end_batch(self: &Rc<Self>, batch: String, caller: Caller) -> Response<Body> {
         let this = self.clone();
         let counted = Counted::new(&self.pending_ends);
         let end = task::spawn_isolated("batch_end", async move {
             let _counted = counted;
-            this.submitter.end(&batch).await
+            this.submitter.end(&batch, &caller).await
         });
         // Fails only if the task panicked.
         end.await.unwrap_or_else(|_| forward::gateway_timeout())
     }
 
-    async fn route(&self, request: Request<Incoming>) -> Response<Body> {
+    async fn route(&self, head: Parts, body: Incoming) -> Result<Response<Body>, Response<Body>> {
         let Some(config) = self.cluster.config() else {
-            return reply::unavailable("no configuration is known yet", RETRY_AFTER);
+            let reason = "no configuration is known yet";
+            return Err(reply::unavailable(reason, RETRY_AFTER));
         };
-        let host = request
-            .headers()
-            .get(HOST)
-            .and_then(|host| host.to_str().ok());
-        let host = host.or_else(|| request.uri().host()).unwrap_or_default();
+        let host = head.headers.get(HOST).and_then(|host| host.to_str().ok());
+        let host = host.or_else(|| head.uri.host()).unwrap_or_default();
         let host = host.split(':').next().unwrap_or_default().to_owned();
-        let Some(route) = config.route(&host, request.uri().path()) else {
-            return self.no_route(&request, &host, config.version());
+        let Some(route) = config.route(&host, head.uri.path()) else {
+            return Err(self.no_route(&head, &host, config.version()));
+        };
+        let caller = match self.route_caller(&head, &config, route.is_public) {
+            Ok(caller) => caller,
+            Err(rejection) => {
+                let refusal = self.reject(&head, &config, &route.name, rejection);
+                access::discard_body(&head, body, &config).await;
+                return Err(refusal);
+            }
         };
+        let request = Request::from_parts(head, body);
         if route.kind == RouteKind::Rollout && request.method() == Method::POST {
-            return self.submitter.submit(request, &host, &config, route).await;
+            let submitted = self
+                .submitter
+                .submit(request, &host, &config, route, &caller);
+            return Ok(submitted.await);
         }
-        self.forwarder.serve(request, &config, route).await
+        Ok(self.forwarder.serve(request, &config, route, &caller).await)
     }
 
-    fn no_route(&self, request: &Request<Incoming>, host: &str, version: u64) -> Response<Body> {
-        let now = clock::now();
-        let confirmed_at = self.cluster.config_confirmed_at();
-        let age = confirmed_at.map(|at| now.saturating_since(at));
-        let id =
-            header_str(request.headers(), &self.protocol.headers().request_id).unwrap_or_default();
+    fn no_route(&self, head: &Parts, host: &str, version: u64) -> Response<Body> {
+        let age = self.config_age();
+        let id = header_str(&head.headers, &self.protocol.headers().request_id).unwrap_or_default();
         let is_fresh = age.is_some_and(|age| age < MAX_CONFIG_AGE);
         tracing::info!(
             request = id,
             host,
-            path = request.uri().path(),
+            path = head.uri.path(),
             version,
             age_ms = age.map(|age| age.as_millis()),
             outcome = if is_fresh {
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -18,6 +18,7 @@
     pub(crate) runs: IntCounterVec,
     pub(crate) orders: IntCounterVec,
     pub(crate) batches: IntCounterVec,
+    callers_rejected: IntCounterVec,
     item_requests: IntCounterVec,
     replicas_leaving: IntCounterVec,
     pub(crate) connections: IntGauge,
@@ -51,6 +52,11 @@
             &["source"],
         )?;
         registry.register(Box::new(replicas_leaving.clone()))?;
+        let callers_rejected = IntCounterVec::new(
+            Opts::new("callers_rejected", "Requests without a usable key."),
+            &["reason"],
+        )?;
+        registry.register(Box::new(callers_rejected.clone()))?;
         let gauge = |name: &str, help: &str| {
             let gauge = IntGauge::new(name, help)?;
             registry.register(Box::new(gauge.clone()))?;
@@ -68,6 +74,7 @@
             )?,
             store_calls: gauge("store_calls", "Calls to the metadata store.")?,
             store_failures: gauge("store_failures", "Failed calls to the metadata store.")?,
+            callers_rejected,
             item_requests,
             replicas_leaving,
             requests,
@@ -87,6 +94,11 @@
         self.refusals.with_label_values(&[outcome]).inc();
     }
 
+    /// Counts a request that was not run because it has no usable key.
+    pub(crate) fn count_rejection(&self, reason: &str) {
+        self.callers_rejected.with_label_values(&[reason]).inc();
+    }
+
     /// Counts items whose outcomes were written.
     pub(crate) fn count_items(&self, outcome: &str, count: u64) {
         self.items.with_label_values(&[outcome]).inc_by(count);
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -242,6 +242,7 @@
         in_flight: Rc::default(),
         pending_ends: Rc::default(),
         open_connections: Rc::default(),
+        rejections: front::RejectionLog::default(),
         aborting: watch::channel(false).0,
     }
 }
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -12,6 +12,7 @@
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
 
+mod message;
 mod requests;
 
 pub(crate) use requests::{serve, sync_tables, MAX_RELAY_BYTES};
--- a/crates/edge/src/peers/requests.rs
+++ b/crates/edge/src/peers/requests.rs
@@ -1,10 +1,10 @@
 //! Requests between nodes: table copies, unfinished texts of a previous leader, and relayed
 //! requests for batches while a node can't reach the store.
 
-use super::Peers;
-use crate::batch_store::Error;
+use super::{message, Peers};
 use crate::clock;
 use crate::front::FrontHandler;
+use crate::identity::Caller;
 use crate::leader::LedServices;
 use crate::reader::Lookup;
 use crate::submit::{EndOutcome, RelayedBatch, SubmitOutcome};
@@ -36,9 +36,12 @@
 /// How long a new leader waits for the texts of its predecessor, which may have failed.
 const TEXTS_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// The caller of requests that a node makes for itself.
+const NO_CALLER: Caller = Caller::Unrestricted;
+
 /// A request to another node.
 #[derive(Deserialize, Serialize)]
-enum PeerRequest {
+pub(super) enum PeerRequest {
     /// Asks for the tables that are newer than the given versions.
     Copies { operator: u64, replicas: u64 },
     /// Asks for the unfinished texts of a service that the sender now leads, in the given term.
@@ -106,7 +109,8 @@
         };
         let service = service.to_owned();
         let message = PeerRequest::Texts { service, term };
-        let response: io::Result<Vec<ItemText>> = request(peer, &message, TEXTS_TIMEOUT).await;
+        let response: io::Result<Vec<ItemText>> =
+            request(peer, &message, &NO_CALLER, TEXTS_TIMEOUT).await;
         response.unwrap_or_else(|error| {
             tracing::info!(node, %error, "texts_not_received");
             Vec::new()
@@ -118,6 +122,7 @@
     pub(crate) async fn fetch_results(
         &self,
         batch: &str,
+        caller: &Caller,
         after: u32,
         wait: Duration,
     ) -> Option<Lookup> {
@@ -128,13 +133,18 @@
             wait_ms: u64::try_from(wait.as_millis()).unwrap_or(u64::MAX),
         };
         let response: io::Result<Option<Lookup>> =
-            request(peer, &message, wait + PEER_TIMEOUT).await;
+            request(peer, &message, caller, wait + PEER_TIMEOUT).await;
         let log = |error: &io::Error| tracing::info!(batch, %peer, %error, "results_not_relayed");
         response.inspect_err(log).ok().flatten()
     }
 
     /// Submits a batch through a node that reaches the store.
-    pub(crate) async fn relay_batch(&self, relayed: RelayedBatch, wait: Duration) -> SubmitOutcome {
+    pub(crate) async fn relay_batch(
+        &self,
+        relayed: RelayedBatch,
+        caller: &Caller,
+        wait: Duration,
+    ) -> SubmitOutcome {
         let Some(peer) = self.random_peer_with_store() else {
             return SubmitOutcome::Refused;
         };
@@ -145,7 +155,7 @@
             let Ok(mut stream) = TcpStream::connect(peer).await.inspect_err(log) else {
                 return Ok(SubmitOutcome::Refused);
             };
-            send(&mut stream, &PeerRequest::Batch(relayed)).await?;
+            send_request(&mut stream, &PeerRequest::Batch(relayed), caller).await?;
             receive(&mut stream).await
         };
         let response: io::Result<SubmitOutcome> = with_timeout(wait, response).await;
@@ -156,12 +166,13 @@
 
     /// Tries to end a batch through a node that reaches the store. Returns `None` if the outcome
     /// is unknown.
-    pub(crate) async fn relay_end(&self, batch: &str) -> Option<EndOutcome> {
+    pub(crate) async fn relay_end(&self, batch: &str, caller: &Caller) -> Option<EndOutcome> {
         let peer = self.random_peer_with_store()?;
         let message = PeerRequest::End {
             batch: batch.to_owned(),
         };
-        let response: io::Result<Option<EndOutcome>> = request(peer, &message, PEER_TIMEOUT).await;
+        let response: io::Result<Option<EndOutcome>> =
+            request(peer, &message, caller, PEER_TIMEOUT).await;
         let log = |error: &io::Error| tracing::info!(batch, %peer, %error, "end_not_relayed");
         response.inspect_err(log).ok().flatten()
     }
@@ -202,8 +213,9 @@
         let mirror = mirrors.of(table).borrow();
         (mirror.version() > version).then(|| TableCopy::from(&*mirror))
     };
-    let message = with_timeout(PEER_TIMEOUT, receive(&mut stream)).await?;
-    match message {
+    let bytes = with_timeout(PEER_TIMEOUT, receive_bytes(&mut stream)).await?;
+    let (request, caller) = message::decode(&bytes).map_err(io::Error::other)?;
+    match request {
         PeerRequest::Copies { operator, replicas } => {
             let copies = TableCopies {
                 operator: newer(Table::Operator, operator),
@@ -221,17 +233,17 @@
             wait_ms,
         } => {
             let wait = Duration::from_millis(wait_ms).min(MAX_RESULTS_WAIT);
-            let found = front.reader.lookup_for_peer(&batch, after, wait).await;
+            let found = front.reader.lookup_for_peer(&batch, &caller, after, wait);
+            let found = found.await;
             send(&mut stream, &found).await
         }
         PeerRequest::Batch(relayed) => {
-            let outcome = front.submitter.accept_relayed(&relayed).await;
+            let outcome = front.submitter.accept_relayed(&relayed, &caller).await;
             send(&mut stream, &outcome).await
         }
         PeerRequest::End { batch } => {
-            let ended = front.submitter.try_end(&batch).await;
-            let log = |error: &Error| tracing::info!(batch, %error, "end_not_written");
-            send(&mut stream, &ended.inspect_err(log).ok()).await
+            let ended = front.submitter.end_for_peer(&batch, &caller).await;
+            send(&mut stream, &ended).await
         }
     }
 }
@@ -250,7 +262,7 @@
             operator: watcher.mirrors.of(Table::Operator).borrow().version(),
             replicas: watcher.mirrors.of(Table::Replicas).borrow().version(),
         };
-        match request(peer, &message, PEER_TIMEOUT).await {
+        match request(peer, &message, &NO_CALLER, PEER_TIMEOUT).await {
             Ok(copies) => apply_copies(watcher, peer, copies),
             Err(error) => tracing::debug!(%peer, %error, "peer_request_failed"),
         }
@@ -261,11 +273,12 @@
 async fn request<T: for<'de> Deserialize<'de>>(
     peer: SocketAddr,
     message: &PeerRequest,
+    caller: &Caller,
     limit: Duration,
 ) -> io::Result<T> {
     let response = async {
         let mut stream = TcpStream::connect(peer).await?;
-        send(&mut stream, message).await?;
+        send_request(&mut stream, message, caller).await?;
         receive(&mut stream).await
     };
     with_timeout(limit, response).await
@@ -291,22 +304,40 @@
     }
 }
 
+async fn send_request(
+    stream: &mut TcpStream,
+    message: &PeerRequest,
+    caller: &Caller,
+) -> io::Result<()> {
+    let bytes = message::encode(message, caller).map_err(io::Error::other)?;
+    send_bytes(stream, &bytes).await
+}
+
 async fn send<T: Serialize>(stream: &mut TcpStream, value: &T) -> io::Result<()> {
     let bytes = postcard::to_stdvec(value).map_err(io::Error::other)?;
+    send_bytes(stream, &bytes).await
+}
+
+async fn send_bytes(stream: &mut TcpStream, bytes: &[u8]) -> io::Result<()> {
     let length = u32::try_from(bytes.len()).map_err(io::Error::other)?;
     let written = async {
         stream.write_u32(length).await?;
-        stream.write_all(&bytes).await
+        stream.write_all(bytes).await
     };
     with_timeout(PEER_TIMEOUT, written).await
 }
 
 async fn receive<T: for<'de> Deserialize<'de>>(stream: &mut TcpStream) -> io::Result<T> {
+    let bytes = receive_bytes(stream).await?;
+    postcard::from_bytes(&bytes).map_err(io::Error::other)
+}
+
+async fn receive_bytes(stream: &mut TcpStream) -> io::Result<Vec<u8>> {
     let length = stream.read_u32().await?;
     if length > MAX_MESSAGE_BYTES {
         return Err(io::ErrorKind::InvalidData.into());
     }
     let mut bytes = vec![0; length as usize];
     stream.read_exact(&mut bytes).await?;
-    postcard::from_bytes(&bytes).map_err(io::Error::other)
+    Ok(bytes)
 }
--- a/crates/edge/src/reader.rs
+++ b/crates/edge/src/reader.rs
@@ -3,6 +3,7 @@
 use crate::batch_store::{BatchStore, Error};
 use crate::clock;
 use crate::cluster::ClusterState;
+use crate::identity::Caller;
 use crate::peers::Peers;
 use crate::protocol::Protocol;
 use crate::reply::{self, Body};
@@ -55,13 +56,19 @@
 
 impl BatchReader {
     /// Returns the results from a position on. Waits for a new result if there is none yet.
-    pub(crate) async fn results(&self, batch: &str, after: u32, wait: Duration) -> Response<Body> {
+    pub(crate) async fn results(
+        &self,
+        batch: &str,
+        caller: &Caller,
+        after: u32,
+        wait: Duration,
+    ) -> Response<Body> {
         let until = clock::now() + wait;
-        let found = match self.lookup(batch, after, until).await {
+        let found = match self.lookup(batch, caller, after, until).await {
             Ok(found) => found,
             Err(error) => {
                 let left = until.saturating_since(clock::now());
-                match self.peers.fetch_results(batch, after, left).await {
+                match self.peers.fetch_results(batch, caller, after, left).await {
                     Some(found) => found,
                     None => return store_unavailable(batch, &error),
                 }
@@ -76,27 +83,44 @@
         }
     }
 
-    /// Looks up results for another node. Returns `None` if this node can't reach the store.
+    /// Looks up results for another node. Returns `None` if this node can't reach the store, or if
+    /// the batch has an organisation and the other node does not know the one of its caller yet.
     pub(crate) async fn lookup_for_peer(
         &self,
         batch: &str,
+        caller: &Caller,
         after: u32,
         wait: Duration,
     ) -> Option<Lookup> {
-        let found = self.lookup(batch, after, clock::now() + wait).await;
+        let (caller, is_verified) = self.cluster.verify_relayed(caller);
+        let found = self.lookup(batch, &caller, after, clock::now() + wait);
         let log = |error: &Error| tracing::info!(batch, %error, "peer_lookup_failed");
-        found.inspect_err(log).ok()
+        let found = found.await.inspect_err(log).ok();
+        found.filter(|found| is_verified || !matches!(found, Lookup::NoBatch))
     }
 
     /// Looks up results in memory or in the store.
-    async fn lookup(&self, batch: &str, after: u32, until: Instant) -> Result<Lookup, Error> {
-        let Some(header) = self.batch_store.header(batch).await? else {
+    async fn lookup(
+        &self,
+        batch: &str,
+        caller: &Caller,
+        after: u32,
+        until: Instant,
+    ) -> Result<Lookup, Error> {
+        let may_read = |header: &Versioned<BatchHeader>| {
+            let organisation = header.value.organisation.as_deref();
+            caller.may_access(organisation)
+        };
+        let header = self.batch_store.header(batch).await?;
+        let Some(header) = header.filter(may_read) else {
             return Ok(Lookup::NoBatch);
         };
-        let header = self
-            .wait_for_results(batch, header, after, until)
-            .await?
-            .value;
+        let header = self.wait_for_results(batch, header, after, until).await?;
+        // Meanwhile the batch may have been removed, and its id used by another organisation.
+        if !may_read(&header) {
+            return Ok(Lookup::NoBatch);
+        }
+        let header = header.value;
         let outcomes = self
             .batch_store
             .outcomes(batch, after, header.result_count)
@@ -134,10 +158,14 @@
     }
 
     /// Returns the body of an item.
-    pub(crate) async fn body(&self, batch: &str, item: &str) -> Response<Body> {
+    pub(crate) async fn body(&self, batch: &str, caller: &Caller, item: &str) -> Response<Body> {
         let header = match self.batch_store.header(batch).await {
-            Ok(Some(header)) => header.value,
-            Ok(None) => return no_such_batch(batch),
+            Ok(Some(Versioned { value, .. }))
+                if caller.may_access(value.organisation.as_deref()) =>
+            {
+                value
+            }
+            Ok(_) => return no_such_batch(batch),
             Err(error) => return store_unavailable(batch, &error),
         };
         let submission = match self.batch_store.submission(batch, &header).await {
--- a/crates/edge/src/reply.rs
+++ b/crates/edge/src/reply.rs
@@ -66,3 +66,18 @@
         _ => Err(unavailable("the body did not arrive", BODY_RETRY_AFTER)),
     }
 }
+
+/// Reads a request body up to a size and for a limited time, and drops what it reads.
+pub(crate) async fn discard_body(mut body: Incoming, limit: usize, wait: Duration) {
+    let read = async {
+        let mut size = 0;
+        while let Some(Ok(frame)) = body.frame().await {
+            size += frame.data_ref().map_or(0, Bytes::len);
+            if size > limit {
+                break;
+            }
+        }
+    };
+    // The response follows, whether or not the body has ended.
+    let _ = timeout(wait, read).await;
+}
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -5,6 +5,7 @@
 use crate::departure;
 use crate::event;
 use crate::headers::{header_str, is_not_run, is_response_to};
+use crate::identity::Forwarding;
 use crate::permit::{Permit, RequestKind};
 use crate::protocol::HeaderNames;
 use bytes::Bytes;
@@ -31,6 +32,8 @@
     pub(crate) born_ms: i64,
     pub(crate) address: SocketAddr,
     pub(crate) host: String,
+    /// The organisation of the batch, if any.
+    pub(crate) organisation: Option<String>,
 }
 
 /// How a run ended, as seen by [`run_item`]. The coordinator reduces it to the [`RunEnd`] that it
@@ -60,7 +63,10 @@
 ) -> RunResult {
     let headers = context.protocol.headers();
     let last_event = planner.borrow().progress(work).map_or(0, |p| p.last_event);
-    let request = build_request(headers, item, target, last_event);
+    let mut request = build_request(headers, item, target, last_event);
+    let organisation = target.organisation.as_deref();
+    let forwarding = Forwarding::of_batch(organisation, context.cluster.has_organisations());
+    forwarding.apply(request.headers_mut(), headers);
     let may_send = || {
         let cluster = &context.cluster;
         let accepts_work = cluster.accepts_work(&target.replica, target.born_ms);
--- a/crates/edge/src/submit.rs
+++ b/crates/edge/src/submit.rs
@@ -4,6 +4,7 @@
 use crate::clock;
 use crate::cluster::ClusterState;
 use crate::headers::{header_millis, header_str};
+use crate::identity::Caller;
 use crate::metrics::Metrics;
 use crate::peers::{Peers, MAX_RELAY_BYTES};
 use crate::protocol::Protocol;
@@ -53,6 +54,9 @@
     Refused,
     /// The batch may or may not be in the store.
     Unknown,
+    /// Another organisation has a batch with this id. Nodes of the previous version don't know this
+    /// outcome, and take it for an unknown one.
+    Foreign,
 }
 
 impl SubmitOutcome {
@@ -70,8 +74,14 @@
             Self::Accepted { is_new: false } => "repeated",
             Self::Refused => "refused",
             Self::Unknown => "unknown",
+            Self::Foreign => "foreign",
         }
     }
+
+    /// Returns whether another attempt through another node is pointless.
+    fn is_final(self) -> bool {
+        matches!(self, Self::Accepted { .. } | Self::Foreign)
+    }
 }
 
 /// A batch that is relayed through another node.
@@ -95,6 +105,11 @@
     response
 }
 
+fn foreign_response() -> Response<Body> {
+    let reason = "the id of the batch is in use; it has not run";
+    reply::plain_text(StatusCode::CONFLICT, reason)
+}
+
 impl Submitter {
     /// Accepts a batch. The caller gets an acknowledgement only after the batch is in the store.
     pub(crate) async fn submit(
@@ -103,6 +118,7 @@
         host: &str,
         config: &Snapshot,
         route: &Route,
+        caller: &Caller,
     ) -> Response<Body> {
         let began = clock::now();
         let headers = self.protocol.headers();
@@ -112,8 +128,8 @@
             return reply::plain_text(StatusCode::BAD_REQUEST, "the id of the batch is not usable");
         }
         let wait = header_millis(&head.headers, &headers.deadline_ms).unwrap_or(DEFAULT_TIMEOUT);
-        if self.cluster.batch_header(id).is_some() {
-            return accepted_response();
+        if let Some(known) = self.known_outcome(id, caller) {
+            return self.respond_repeated(id, known);
         }
         let limit = config.limits().max_body_bytes;
         let body = match reply::read_body(body, limit, wait).await {
@@ -131,12 +147,14 @@
         let deadline = began + wait;
         let mut result = SubmitOutcome::Refused;
         if self.storage.is_reachable(began) {
-            result = self.store_batch(&submission, route, began, deadline).await;
+            result = self
+                .store_batch(&submission, caller, route, began, deadline)
+                .await;
         }
         let left = deadline.saturating_since(clock::now());
         // If the batch may already be in the store, relaying it is safe: the existing header
         // prevents a second write.
-        if !matches!(result, SubmitOutcome::Accepted { .. }) && body.len() <= MAX_RELAY_BYTES {
+        if !result.is_final() && body.len() <= MAX_RELAY_BYTES {
             let relayed = RelayedBatch {
                 id: id.to_owned(),
                 host: host.to_owned(),
@@ -144,19 +162,33 @@
                 body: body.to_vec(),
                 wait_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
             };
-            result = result.combine(self.peers.relay_batch(relayed, left).await);
+            result = result.combine(self.peers.relay_batch(relayed, caller, left).await);
         }
         // No other node stored the batch, so try the store although it did not respond recently.
         if matches!(result, SubmitOutcome::Refused) && !self.storage.is_reachable(began) {
             result = self
-                .store_batch(&submission, route, clock::now(), deadline)
+                .store_batch(&submission, caller, route, clock::now(), deadline)
                 .await;
         }
         self.respond(&submission, began, result)
     }
 
+    /// Returns the outcome for a batch whose header is known, or `None` if there is none.
+    fn known_outcome(&self, batch: &str, caller: &Caller) -> Option<SubmitOutcome> {
+        let header = self.cluster.batch_header(batch)?;
+        let organisation = header.value.organisation;
+        Some(match caller.may_access(organisation.as_deref()) {
+            true => SubmitOutcome::Accepted { is_new: false },
+            false => SubmitOutcome::Foreign,
+        })
+    }
+
     /// Accepts a batch on behalf of another node.
-    pub(crate) async fn accept_relayed(&self, relayed: &RelayedBatch) -> SubmitOutcome {
+    pub(crate) async fn accept_relayed(
+        &self,
+        relayed: &RelayedBatch,
+        caller: &Caller,
+    ) -> SubmitOutcome {
         let began = clock::now();
         let Some(config) = self.cluster.config() else {
             return SubmitOutcome::Refused;
@@ -165,8 +197,13 @@
         let Some(route) = config.route(host, path) else {
             return SubmitOutcome::Refused;
         };
-        if self.cluster.batch_header(id).is_some() {
-            return SubmitOutcome::Accepted { is_new: false };
+        let (caller, is_verified) = self.cluster.verify_relayed(caller);
+        if !is_verified && !route.is_public {
+            tracing::info!(batch = id, outcome = "unverified", "batch_refused");
+            return SubmitOutcome::Refused;
+        }
+        if let Some(known) = self.known_outcome(id, &caller) {
+            return known;
         }
         let submission = match self
             .protocol
@@ -179,7 +216,21 @@
             }
         };
         let deadline = began + Duration::from_millis(relayed.wait_ms);
-        self.store_batch(&submission, route, began, deadline).await
+        self.store_batch(&submission, &caller, route, began, deadline)
+            .await
+    }
+
+    /// Returns the response to a repeated submission, whose body is not needed.
+    fn respond_repeated(&self, batch: &str, outcome: SubmitOutcome) -> Response<Body> {
+        match outcome {
+            SubmitOutcome::Foreign => {
+                let outcome = outcome.name();
+                self.metrics.batches.with_label_values(&[outcome]).inc();
+                tracing::info!(batch, outcome, "batch_submitted");
+                foreign_response()
+            }
+            _ => accepted_response(),
+        }
     }
 
     fn respond(
@@ -202,6 +253,7 @@
         );
         match result {
             SubmitOutcome::Accepted { .. } => accepted_response(),
+            SubmitOutcome::Foreign => foreign_response(),
             SubmitOutcome::Refused => reply::unavailable("the batch is not stored", RETRY_AFTER),
             SubmitOutcome::Unknown => {
                 let reason = "the store does not say whether the batch is stored";
--- a/crates/edge/src/submit/end.rs
+++ b/crates/edge/src/submit/end.rs
@@ -3,6 +3,7 @@
 use super::{Submitter, RETRY_INTERVAL};
 use crate::batch_store::Error;
 use crate::clock;
+use crate::identity::Caller;
 use crate::reply::{self, Body};
 use crate::storage::{self, SHARED};
 use bytes::Bytes;
@@ -31,11 +32,11 @@
 
 impl Submitter {
     /// Ends a batch.
-    pub(crate) async fn end(&self, batch: &str) -> Response<Body> {
+    pub(crate) async fn end(&self, batch: &str, caller: &Caller) -> Response<Body> {
         let until = clock::now() + END_TIMEOUT;
         let mut outcome = "conflict";
         loop {
-            match self.end_via_any_node(batch).await {
+            match self.end_via_any_node(batch, caller).await {
                 Ok(EndOutcome::Ended) => break,
                 Ok(EndOutcome::Conflict) => {}
                 Ok(EndOutcome::NoBatch) => {
@@ -59,17 +60,27 @@
     }
 
     /// Tries once to end a batch, through another node if this one can't reach the store.
-    async fn end_via_any_node(&self, batch: &str) -> Result<EndOutcome, Error> {
+    async fn end_via_any_node(&self, batch: &str, caller: &Caller) -> Result<EndOutcome, Error> {
         if !self.storage.is_reachable(clock::now()) {
-            if let Some(outcome) = self.peers.relay_end(batch).await {
+            if let Some(outcome) = self.peers.relay_end(batch, caller).await {
                 return Ok(outcome);
             }
         }
-        self.try_end(batch).await
+        self.try_end(batch, caller).await
     }
 
-    /// Tries once to end a batch.
-    pub(crate) async fn try_end(&self, batch: &str) -> Result<EndOutcome, Error> {
+    /// Tries once to end a batch for another node. Returns `None` if the outcome is unknown, or if
+    /// the batch has an organisation and the other node does not know the one of its caller yet.
+    pub(crate) async fn end_for_peer(&self, batch: &str, caller: &Caller) -> Option<EndOutcome> {
+        let (caller, is_verified) = self.cluster.verify_relayed(caller);
+        let ended = self.try_end(batch, &caller).await;
+        let log = |error: &Error| tracing::info!(batch, %error, "end_not_written");
+        let ended = ended.inspect_err(log).ok();
+        ended.filter(|ended| is_verified || *ended != EndOutcome::NoBatch)
+    }
+
+    /// Tries once to end a batch. For a caller of another organisation, the batch does not exist.
+    async fn try_end(&self, batch: &str, caller: &Caller) -> Result<EndOutcome, Error> {
         let Some(Versioned {
             row_version,
             value: header,
@@ -77,6 +88,9 @@
         else {
             return Ok(EndOutcome::NoBatch);
         };
+        if !caller.may_access(header.organisation.as_deref()) {
+            return Ok(EndOutcome::NoBatch);
+        }
         if header.ended {
             return Ok(EndOutcome::Ended);
         }
--- a/crates/edge/src/submit/write.rs
+++ b/crates/edge/src/submit/write.rs
@@ -2,6 +2,7 @@
 
 use super::{SubmitOutcome, Submitter, RETRY_INTERVAL};
 use crate::clock;
+use crate::identity::Caller;
 use crate::storage::{self, BODIES, MAX_TXN_BYTES, SHARED};
 use dogwoodlb_batch::{parts, BatchHeader, Record, Submission};
 use dogwoodlb_config::Route;
@@ -22,6 +23,7 @@
     pub(super) async fn store_batch(
         &self,
         submission: &Submission,
+        caller: &Caller,
         route: &Route,
         began: Instant,
         deadline: Instant,
@@ -52,7 +54,9 @@
             result_count: 0,
             ended: false,
             submitted_ms,
-            organisation: None,
+            organisation: caller
+                .organisation()
+                .map(|organisation| organisation.name.clone()),
         };
         let txns = transactions(&submission.id, &header, body_parts);
         let mut not_applied = true;
@@ -77,7 +81,7 @@
                 }
                 Some(Outcome::Conflict { rows }) => {
                     self.apply_header_rows(&submission.id, &rows);
-                    return SubmitOutcome::Accepted { is_new: false };
+                    return self.conflict_outcome(&submission.id, caller);
                 }
                 // Without the last transaction, which writes the header, the batch does not exist.
                 None if not_applied || !is_last => return SubmitOutcome::Refused,
@@ -87,6 +91,16 @@
         SubmitOutcome::Accepted { is_new: true }
     }
 
+    /// Returns the outcome of a submission whose id has a header already, as far as it is known.
+    fn conflict_outcome(&self, batch: &str, caller: &Caller) -> SubmitOutcome {
+        let known = self.known_outcome(batch, caller);
+        known.unwrap_or(match caller {
+            Caller::Unrestricted => SubmitOutcome::Accepted { is_new: false },
+            // The header could not be decoded, so its organisation is unknown.
+            Caller::Anonymous | Caller::Member(_) => SubmitOutcome::Unknown,
+        })
+    }
+
     /// Returns an upper bound of the store's time, from which the lifetime of items is counted. A
     /// node that copied its tables from other nodes has not seen the store's clock yet.
     async fn store_time_ms(&self) -> Option<u64> {
--- a/crates/edge/src/table_watcher.rs
+++ b/crates/edge/src/table_watcher.rs
@@ -7,11 +7,13 @@
 use crate::protocol::{DecodeError, OperatorRow, Protocol};
 use crate::storage::{Storage, SHARED};
 use dogwoodlb_batch::{BatchHeader, Record};
+use dogwoodlb_config::Snapshot;
 use dogwoodlb_directory::Entry;
 use dogwoodlb_external::store::{KeyRange, Row, WatchResponse};
 use dogwoodlb_external::{Category, Error};
 use dogwoodlb_mirror::{Mirror, NextRequest};
 use dogwoodlb_types::id;
+use hyper::header::HeaderValue;
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -193,8 +195,7 @@
         }
         match self.protocol.decode_operator_row(&row.key, &row.value) {
             Ok(Some(OperatorRow::Configuration(snapshot))) => {
-                let version = snapshot.version();
-                tracing::info!(version, row = row.version, "configuration_adopted");
+                log_configuration(&snapshot, row.version);
                 self.cluster.set_config(snapshot);
             }
             Ok(Some(OperatorRow::Version { model, version })) => {
@@ -294,3 +295,23 @@
         }
     }
 }
+
+fn log_configuration(snapshot: &Snapshot, row: u64) {
+    let organisations = snapshot.organisations();
+    let key_count = organisations.map_or(0, |organisations| organisations.key_count());
+    let all = organisations.into_iter().flat_map(|all| all.iter());
+    let all: Vec<&str> = all.map(|organisation| &*organisation.name).collect();
+    tracing::info!(
+        version = snapshot.version(),
+        row,
+        organisations = all.len(),
+        keys = key_count,
+        "configuration_adopted"
+    );
+    for name in all {
+        if let Err(error) = HeaderValue::from_bytes(name.as_bytes()) {
+            // Replicas get its requests without the name.
+            tracing::warn!(organisation = ?name, %error, "header_invalid");
+        }
+    }
+}
