Count only answers of the store as confirmation

Cause: a copy of the operator's rows from another node counted as confirmation that the configuration is the newest one, although that node may have lost the store too; and an answer counted from the time it was read, although it may have waited while the process was suspended. Such a node could answer 404, and now 401, for a route or a key that exists. A node that reached the store, but whose watch of the operator's rows got no answers, did not copy them from its peers, so that a revoked key stayed in force there. Ruled out: the age of the peer's configuration with its copy, which would need a further field between nodes; a 503 is correct without it. Change: the configuration is confirmed as of the time at which the store was asked. Conclusion: a cut node answers 503 in place of 404 for unknown routes also right after a copy.

--- a/crates/edge/src/cluster.rs
+++ b/crates/edge/src/cluster.rs
@@ -79,9 +79,9 @@
         *self.config.borrow_mut() = Some(Rc::new(snapshot));
     }
 
-    /// Records that the operator's table was up to date at `now`.
-    pub(crate) fn confirm_config(&self, now: Instant) {
-        self.config_confirmed_at.set(Some(now));
+    /// Records that the operator's table was up to date at a time.
+    pub(crate) fn confirm_config(&self, as_of: Instant) {
+        self.config_confirmed_at.set(Some(as_of));
     }
 
     pub(crate) fn config_confirmed_at(&self) -> Option<Instant> {
--- a/crates/edge/src/peers/requests.rs
+++ b/crates/edge/src/peers/requests.rs
@@ -4,7 +4,7 @@
 use super::{message, Peers};
 use crate::clock;
 use crate::front::FrontHandler;
-use crate::identity::Caller;
+use crate::identity::{Caller, MAX_CONFIG_AGE};
 use crate::leader::LedServices;
 use crate::reader::Lookup;
 use crate::submit::{EndOutcome, RelayedBatch, SubmitOutcome};
@@ -248,19 +248,26 @@
     }
 }
 
-/// Copies tables from other nodes while this node can't reach the store.
+/// Copies tables from other nodes while this node can't reach the store, and the operator's table
+/// also while only its watch gets no answers: a revoked key must not stay in force.
 pub(crate) async fn sync_tables(watcher: &TableWatcher) {
     loop {
         sleep(PEER_POLL).await;
-        if watcher.storage.is_reachable(clock::now()) {
+        let now = clock::now();
+        let is_reachable = watcher.storage.is_reachable(now);
+        let confirmed_at = watcher.cluster.config_confirmed_at();
+        let is_confirmed = confirmed_at.is_some_and(|at| now.saturating_since(at) < MAX_CONFIG_AGE);
+        if is_reachable && is_confirmed {
             continue;
         }
         let Some(peer) = watcher.peers.random_peer() else {
             continue;
         };
+        let replicas = watcher.mirrors.of(Table::Replicas).borrow().version();
         let message = PeerRequest::Copies {
             operator: watcher.mirrors.of(Table::Operator).borrow().version(),
-            replicas: watcher.mirrors.of(Table::Replicas).borrow().version(),
+            // No table has a newer version.
+            replicas: if is_reachable { u64::MAX } else { replicas },
         };
         match request(peer, &message, &NO_CALLER, PEER_TIMEOUT).await {
             Ok(copies) => apply_copies(watcher, peer, copies),
--- a/crates/edge/src/table_watcher.rs
+++ b/crates/edge/src/table_watcher.rs
@@ -12,7 +12,7 @@
 use dogwoodlb_external::store::{KeyRange, Row, WatchResponse};
 use dogwoodlb_external::{Category, Error};
 use dogwoodlb_mirror::{Mirror, NextRequest};
-use dogwoodlb_types::id;
+use dogwoodlb_types::{id, Instant};
 use hyper::header::HeaderValue;
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -109,6 +109,9 @@
 
     async fn poll(&self, table: Table, empty_polls: &mut u32) -> Result<(), Error> {
         let name = self.name(table).to_owned();
+        // A response shows the table as it was at some time after the request was sent. It may have
+        // been waiting for this node, for instance while the process was suspended.
+        let asked_at = clock::now();
         let next = self.mirrors.of(table).borrow().next_request();
         match next {
             NextRequest::Read => {
@@ -118,12 +121,14 @@
                 };
                 let page = self.storage.read(&range).await?;
                 *empty_polls = 0;
+                self.confirm(table, asked_at);
                 self.apply_snapshot(table, page.rows, page.version);
             }
             NextRequest::Watch(after) => {
                 let response = self.storage.watch(&name, after, WATCH_TIMEOUT).await;
                 match response.inspect_err(|error| self.on_watch_error(table, error))? {
                     WatchResponse::Rows(page) => {
+                        self.confirm(table, asked_at);
                         *empty_polls = if page.rows.is_empty() {
                             *empty_polls + 1
                         } else {
@@ -146,6 +151,14 @@
         Ok(())
     }
 
+    /// Records that the store has shown the table as of a time. A copy from another node confirms
+    /// nothing, since that node may have lost the store too.
+    fn confirm(&self, table: Table, as_of: Instant) {
+        if table == Table::Operator {
+            self.cluster.confirm_config(as_of);
+        }
+    }
+
     /// Handles a failed watch. One whose response is too large or malformed would fail again, but
     /// the table can be read in pages of a bounded size.
     fn on_watch_error(&self, table: Table, error: &Error) {
@@ -172,9 +185,8 @@
     fn apply_rows(&self, table: Table, rows: Vec<Row>) {
         let now = clock::now();
         match table {
-            Table::Operator => self.cluster.confirm_config(now),
             Table::Replicas => self.cluster.directory.borrow_mut().on_contact(now),
-            Table::Shared => {}
+            Table::Operator | Table::Shared => {}
         }
         if rows.is_empty() {
             return;
