Reject callers at once while the configuration is old

Cause: where a public route accepts batches, a rejected read of a batch asks the store whether that batch is public. With a silent store the caller waited for it, although the answer is 503 in any case. Change: the store is asked only if the configuration is fresh; otherwise only a header in memory counts.

--- a/crates/edge/src/front/access.rs
+++ b/crates/edge/src/front/access.rs
@@ -4,6 +4,7 @@
 use crate::clock;
 use crate::headers::header_str;
 use crate::identity::{self, Caller, Rejection};
+use crate::reader;
 use crate::reply::{self, Body};
 use dogwoodlb_batch::BatchHeader;
 use dogwoodlb_config::Snapshot;
@@ -85,18 +86,18 @@
         };
         // Rejecting a caller costs no call to the store where no route would need it.
         if config.has_public_batches() {
-            let header = self.reader.batch_store.header(batch).await;
-            let is_public = |header: &BatchHeader| {
-                let route = config.route(&header.host, &header.path);
-                header.organisation.is_none() && route.is_some_and(|route| route.is_public)
+            let header = match self.cluster.batch_header(batch) {
+                None if rejection != Rejection::Outdated => {
+                    self.reader.batch_store.read_header(batch).await
+                }
+                known => Ok(known),
             };
             match header {
-                Ok(Some(header)) if is_public(&header.value) => return Ok(Caller::Anonymous),
-                Ok(_) => {}
-                Err(error) => {
-                    tracing::info!(batch, %error, outcome = "store_unavailable", "read_refused");
-                    return Err(reply::unavailable("the store does not answer", RETRY_AFTER));
+                Ok(Some(header)) if is_public(&config, &header.value) => {
+                    return Ok(Caller::Anonymous);
                 }
+                Ok(_) => {}
+                Err(error) => return Err(reader::store_unavailable(batch, &error)),
             }
         }
         Err(self.reject(head, &config, batch, rejection))
@@ -142,6 +143,12 @@
     }
 }
 
+/// Returns whether a batch was submitted without a key on a public route.
+fn is_public(config: &Snapshot, header: &BatchHeader) -> bool {
+    let route = config.route(&header.host, &header.path);
+    header.organisation.is_none() && route.is_some_and(|route| route.is_public)
+}
+
 /// Reads the body of a rejected request and drops it. If it stayed unread, closing the connection
 /// would reset it, and a caller that is still sending would not see the response. A caller that
 /// waits for permission to send gets none.
--- a/crates/edge/src/reader.rs
+++ b/crates/edge/src/reader.rs
@@ -44,7 +44,7 @@
     Results(u32, Vec<Outcome>),
 }
 
-fn store_unavailable(batch: &str, error: &Error) -> Response<Body> {
+pub(crate) fn store_unavailable(batch: &str, error: &Error) -> Response<Body> {
     tracing::info!(batch, %error, outcome = "store_unavailable", "read_refused");
     reply::unavailable("the store does not answer", RETRY_AFTER)
 }
