--- a/crates/edge/src/cluster.rs
+++ b/crates/edge/src/cluster.rs
@@ -1,6 +1,7 @@
 //! The node's in-memory view of the cluster: configuration, weight versions, replicas, batches
 //! and leaders.
 
+use crate::identity::Caller;
 use crate::metrics::Metrics;
 use dogwoodlb_batch::BatchHeader;
 use dogwoodlb_config::Snapshot;
@@ -61,13 +62,30 @@
         self.config.borrow().clone()
     }
 
+    /// Returns whether the configuration has organisations.
+    pub(crate) fn has_organisations(&self) -> bool {
+        let config = self.config.borrow();
+        let config = config.as_ref();
+        config.is_some_and(|config| config.organisations().is_some())
+    }
+
+    /// Returns the caller of a request that another node relays, and whether it can be relied on. A
+    /// node that does not tell callers apart, because it has no configuration with organisations
+    /// yet, has not checked their keys; here its callers count as those without a key.
+    pub(crate) fn verify_relayed(&self, caller: &Caller) -> (Caller, bool) {
+        match caller {
+            Caller::Unrestricted if self.has_organisations() => (Caller::Anonymous, false),
+            caller => (caller.clone(), true),
+        }
+    }
+
     pub(crate) fn set_config(&self, snapshot: Snapshot) {
         *self.config.borrow_mut() = Some(Rc::new(snapshot));
     }
 
-    /// Records that the operator's table was up to date at `now`.
-    pub(crate) fn confirm_config(&self, now: Instant) {
-        self.config_confirmed_at.set(Some(now));
+    /// Records that the operator's table was up to date at a time.
+    pub(crate) fn confirm_config(&self, as_of: Instant) {
+        self.config_confirmed_at.set(Some(as_of));
     }
 
     pub(crate) fn config_confirmed_at(&self) -> Option<Instant> {
--- a/crates/edge/src/coordinator/adoption.rs
+++ b/crates/edge/src/coordinator/adoption.rs
@@ -85,6 +85,7 @@
         let event_tokens = self.event_tokens();
         self.planner.borrow_mut().add_batch(&NewBatch {
             id,
+            organisation: header.organisation.as_deref(),
             model: &submission.model,
             min_version: submission.min_version,
             single_version: route.as_ref().is_some_and(|route| route.single_version),
@@ -115,6 +116,7 @@
             row = row_version,
             "batch_adopted"
         );
+        let organisation = header.organisation.clone();
         let writer = Rc::new(OutcomeWriter::new(
             id,
             &self.context.settings.node,
@@ -124,6 +126,7 @@
         ));
         let mut running = RunningBatch::new(Rc::new(Batch {
             submission,
+            organisation,
             writer: writer.clone(),
             permit: self.permit(id),
             deadline,
