--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -68,13 +68,6 @@
 struct ProxiedRequest<'a> {
     route: &'a Route,
     service: &'a str,
-    /// The organisation of the caller, if the configuration has organisations and the caller has
-    /// a key.
-    #[expect(
-        dead_code,
-        reason = "read by the counts of requests of each organisation"
-    )]
-    organisation: Option<Arc<Organisation>>,
     /// Which headers about the caller replicas get.
     forwarding: Forwarding<'a>,
     request_id: String,
@@ -135,7 +128,6 @@
         let mut proxied = ProxiedRequest {
             route,
             service,
-            organisation: caller.organisation().cloned(),
             forwarding: caller.into(),
             request_id: request_id.to_owned(),
             began,
@@ -144,8 +136,7 @@
             head: &head,
             body: Bytes::new(),
             timer: Cell::default(),
-            // Requests are not counted until the caller's organisation is known here.
-            usage: self.usage.observe(None),
+            usage: self.usage.observe(caller.organisation().map(|organisation| &**organisation)),
         };
         let content_length = body.size_hint().exact();
         if content_length.is_some_and(|length| length > MAX_BUFFERED_BYTES as u64) {
