Decide when an idempotent call is hedged

Cause: calls are cancelled after a fixed time and sent again with the same limit, so a call whose processing takes longer never completes, and the healthy replicas that ran it count as failed. Ruled out: a longer constant, which repeats the fault for longer calls. Change: limit::Hedging keeps for each route the recent times of its calls (0.95 quantile, Kaplan-Meier, cancelled calls as lower bounds) and a retry budget. limit::HedgedCall is the state of one call: when a further copy is sent, and which cancelled copies count as failures of their replicas. Conclusion: in virtual time every call is answered and no healthy replica is ejected; nothing uses it yet.

--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -3,6 +3,8 @@
 //! - [`AdmissionController`] queues requests by class and refuses those that cannot start before
 //!   their deadline.
 //! - [`DrainAdmission`] refuses requests that a process can't finish before it exits.
+//! - [`Hedging`] decides when an idempotent call is sent to a second replica, from the times of its
+//!   route in a [`LatencyProfile`].
 //! - [`RetryBudget`] limits the retries of a node.
 //! - [`AdaptiveLimit`] finds the number of requests that an upstream serves without queueing.
 //! - [`LinkLimiter`] divides the bandwidth between regions among the classes.
@@ -37,6 +39,9 @@
 mod admission;
 mod drain_admission;
 mod error;
+mod hedged_call;
+mod hedging;
+mod latency_profile;
 mod link_limiter;
 mod retry_budget;
 mod service_time;
@@ -46,6 +51,9 @@
 pub use admission::{Action, Admission, AdmissionController, Ticket};
 pub use drain_admission::{DrainAdmission, DrainRequest, RequestKey};
 pub use error::{Category, Error};
+pub use hedged_call::{CopyKey, HedgedCall};
+pub use hedging::Hedging;
+pub use latency_profile::LatencyProfile;
 pub use link_limiter::{LinkDecision, LinkLimiter};
 pub use retry_budget::RetryBudget;
 
