Hedge scoring calls and idempotent requests

Cause: a scoring call was cancelled after 900 ms, and the first attempt at an idempotent request after 1.5 times the route's latency objective. The other replica got the same limit (scoring) or the rest of the time, the replicas that were cancelled counted as failed. Ruled out: hedging non-idempotent requests; they keep the old loop. Change: edge::hedge runs the copies of one call concurrently. Scoring calls and idempotent requests with a buffered body use it; the first usable response wins. A copy whose replica was removed from the directory is cancelled and replaced. Scoring calls tell the replica the time left, at most the time-out of the route. Selection::finish takes &self, because the driver and the exchange share a selection. Conclusion: the length of a call no longer decides whether it is answered.

--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -24,6 +24,7 @@
 use tokio::time::{sleep, timeout};
 
 mod exchange;
+mod hedged;
 
 /// Bodies whose content length is at most this are buffered, so that a request can be retried and
 /// a response can be verified before it is passed on. Bodies with a larger content length are
@@ -42,13 +43,6 @@
 const RETRY_AFTER: Duration = Duration::from_millis(100);
 /// The retry-after time of requests that the node can't finish before its exit: other nodes serve.
 const DRAIN_RETRY_AFTER: Duration = Duration::ZERO;
-/// The time-out of an attempt at an idempotent request, as a multiple of the route's latency
-/// objective; the request is then sent to another replica.
-const ATTEMPT_TIMEOUT_FACTOR: f64 = 1.5;
-const MIN_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(250);
-/// The number of attempts with such a time-out. Without a limit, a request that takes longer than
-/// the time-out would never complete.
-const LIMITED_ATTEMPTS: u32 = 1;
 
 /// Forwards requests to the replicas of plain services.
 pub(crate) struct Forwarder {
@@ -138,7 +132,13 @@
             Err(response) => return response,
         };
         proxied.timer.set(Some(start_timer()));
-        let served = timeout(wait, self.run_attempts(&proxied)).await;
+        let attempts = async {
+            match route.kind {
+                RouteKind::Idempotent => self.run_hedged(&proxied).await,
+                RouteKind::NonIdempotent | RouteKind::Rollout => self.run_attempts(&proxied).await,
+            }
+        };
+        let served = timeout(wait, attempts).await;
         served.unwrap_or_else(|_| self.time_out(&proxied, 0))
     }
 
@@ -168,47 +168,41 @@
         reply::unavailable(reason, DRAIN_RETRY_AFTER)
     }
 
+    /// Sends a request that must not run twice until a replica may have run it.
     async fn run_attempts(&self, proxied: &ProxiedRequest<'_>) -> Response<Body> {
         let mut tried: Vec<id::Upstream> = Vec::new();
-        let mut may_have_run = false;
-        let mut failure = None;
         let max_attempts = proxied.route.max_attempts.max(1) as usize;
         while tried.len() < max_attempts && self.admits(proxied) {
             let Some(selection) = self.wait_for_replica(proxied, &tried).await else {
                 break;
             };
             tried.push(selection.replica.clone());
-            let is_last = tried.len() >= max_attempts;
-            match self.attempt(proxied, selection, tried.len(), is_last).await {
-                Attempt::Responded(response) => return response,
+            match self.attempt(proxied, &selection).await {
+                Attempt::Responded(response) | Attempt::Failed(Some(response)) => return response,
                 Attempt::NotRun => {}
                 Attempt::Unsent => {
                     tried.pop();
                 }
                 Attempt::TimedOut => return self.time_out(proxied, tried.len()),
-                Attempt::Failed(response) => {
-                    may_have_run = true;
-                    failure = response;
-                    if proxied.route.kind != RouteKind::Idempotent {
-                        break;
-                    }
-                }
+                Attempt::Failed(None) => return self.fail(proxied, tried.len()),
             }
         }
-        if let Some(response) = failure {
-            return response;
-        }
-        if may_have_run {
-            self.record_failure(proxied, "failed", tried.len());
-            return reply::plain_text(
-                StatusCode::BAD_GATEWAY,
-                "the replica failed; it may have run",
-            );
-        }
+        self.refuse(proxied, tried.len())
+    }
+
+    /// Returns the response to a request that may have run, and for which no replica has one.
+    fn fail(&self, proxied: &ProxiedRequest<'_>, attempts: usize) -> Response<Body> {
+        self.record_failure(proxied, "failed", attempts);
+        let reason = "the replica failed; it may have run";
+        reply::plain_text(StatusCode::BAD_GATEWAY, reason)
+    }
+
+    /// Returns the response to a request that no replica has run.
+    fn refuse(&self, proxied: &ProxiedRequest<'_>, attempts: usize) -> Response<Body> {
         if !self.admits(proxied) {
-            return self.refuse_while_draining(proxied, tried.len());
+            return self.refuse_while_draining(proxied, attempts);
         }
-        self.record_failure(proxied, "not_run", tried.len());
+        self.record_failure(proxied, "not_run", attempts);
         reply::unavailable("no replica took the request; it has not run", RETRY_AFTER)
     }
 
@@ -231,44 +225,19 @@
         }
     }
 
-    async fn attempt(
-        &self,
-        proxied: &ProxiedRequest<'_>,
-        mut selection: Selection,
-        number: usize,
-        is_last: bool,
-    ) -> Attempt {
+    async fn attempt(&self, proxied: &ProxiedRequest<'_>, selection: &Selection) -> Attempt {
         let left = proxied.deadline.saturating_since(clock::now());
-        let is_limited = number as u32 <= LIMITED_ATTEMPTS && !is_last;
-        let limit = proxied
-            .route
-            .latency_target
-            .mul_f64(ATTEMPT_TIMEOUT_FACTOR)
-            .max(MIN_ATTEMPT_TIMEOUT);
-        let wait = match proxied.route.kind {
-            RouteKind::Idempotent if is_limited => limit.min(left),
-            _ => left,
-        };
-        let request = self
-            .build_request(proxied, &selection, left)
-            .map(|()| proxied.body.clone());
-        let outcome = timeout(wait, self.exchange(proxied, request, &mut selection)).await;
-        match outcome {
-            Ok(attempt) => attempt,
-            Err(_) => {
-                selection.finish(Outcome::Failure);
-                tracing::info!(
-                    request = proxied.request_id,
-                    replica = %selection.replica,
-                    wait_ms = wait.as_millis(),
-                    "attempt_timeout"
-                );
-                match wait < left {
-                    true => Attempt::Failed(None),
-                    false => Attempt::TimedOut,
-                }
-            }
-        }
+        let outcome = timeout(left, self.exchange(proxied, selection)).await;
+        outcome.unwrap_or_else(|_| {
+            selection.finish(Outcome::Failure);
+            tracing::info!(
+                request = proxied.request_id,
+                replica = %selection.replica,
+                wait_ms = left.as_millis(),
+                "attempt_timeout"
+            );
+            Attempt::TimedOut
+        })
     }
 
     /// Forwards a request whose body is too large to be buffered, in a single attempt.
@@ -280,7 +249,7 @@
         if !self.admits(proxied) {
             return self.refuse_while_draining(proxied, 0);
         }
-        let Some(mut selection) = self.wait_for_replica(proxied, &[]).await else {
+        let Some(selection) = self.wait_for_replica(proxied, &[]).await else {
             return reply::unavailable("no replica is free; it has not run", RETRY_AFTER);
         };
         let left = proxied.deadline.saturating_since(clock::now());
@@ -301,8 +270,7 @@
             // The replica may respond before it has read the whole request body, so the
             // connection can't be reused.
             response.body.prevent_reuse();
-            self.handle_response(proxied, response, &mut selection)
-                .await
+            self.handle_response(proxied, response, &selection).await
         };
         match timeout(left, exchange).await {
             Ok(Attempt::Responded(response) | Attempt::Failed(Some(response))) => response,
--- a/crates/edge/src/forward/exchange.rs
+++ b/crates/edge/src/forward/exchange.rs
@@ -1,23 +1,25 @@
 //! One exchange with a replica: sends the request and classifies the response.
 
 use super::{Attempt, Forwarder, ProxiedRequest, MAX_BUFFERED_BYTES};
+use crate::clock;
 use crate::headers::{is_not_run, is_response_to};
 use crate::relay;
 use crate::reply;
 use crate::routing::Selection;
-use bytes::Bytes;
 use dogwoodlb_route::Outcome;
 use hyper::http::request::Parts;
-use hyper::{Request, Version};
+use hyper::Version;
 
 impl Forwarder {
     /// Sends the request to the selected replica, unless it is leaving, and waits for the response.
     pub(super) async fn exchange(
         &self,
         proxied: &ProxiedRequest<'_>,
-        request: Request<Bytes>,
-        selection: &mut Selection,
+        selection: &Selection,
     ) -> Attempt {
+        let left = proxied.deadline.saturating_since(clock::now());
+        let request = self.build_request(proxied, selection, left);
+        let request = request.map(|()| proxied.body.clone());
         let may_send = || selection.may_send() && self.admits(proxied);
         let client = self.client.checked(&may_send);
         let response = match client.send(selection.address, request).await {
@@ -45,7 +47,7 @@
         &self,
         proxied: &ProxiedRequest<'_>,
         mut response: dogwoodlb_client::Response,
-        selection: &mut Selection,
+        selection: &Selection,
     ) -> Attempt {
         let headers = self.protocol.headers();
         if !is_response_to(headers, &response.head, &proxied.request_id) {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -27,6 +27,7 @@
 mod forward;
 mod front;
 mod headers;
+mod hedge;
 mod leader;
 mod metrics;
 mod node;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -18,6 +18,7 @@
     pub(crate) runs: IntCounterVec,
     pub(crate) orders: IntCounterVec,
     pub(crate) batches: IntCounterVec,
+    call_copies: IntCounterVec,
     item_requests: IntCounterVec,
     replicas_leaving: IntCounterVec,
     pub(crate) connections: IntGauge,
@@ -62,6 +63,7 @@
             runs: counters("runs", "Runs of items on replicas by their end.")?,
             orders: counters("orders", "Orders to replicas by their outcome.")?,
             batches: counters("batches", "Batches by what became of their submission.")?,
+            call_copies: counters("call_copies", "Copies of hedged calls to replicas.")?,
             connections: gauge(
                 "replica_connections_opened",
                 "Connections opened to replicas.",
@@ -92,6 +94,11 @@
         self.items.with_label_values(&[outcome]).inc_by(count);
     }
 
+    /// Counts a copy of a hedged call: a hedge that was sent, won or denied, or a copy that failed.
+    pub(crate) fn count_copy(&self, outcome: &str) {
+        self.call_copies.with_label_values(&[outcome]).inc();
+    }
+
     /// Counts a request on behalf of an item by its kind and the state of the item's batch.
     pub(crate) fn count_item_request(&self, kind: &str, batch: &str) {
         self.item_requests.with_label_values(&[kind, batch]).inc();
--- a/crates/edge/src/routing.rs
+++ b/crates/edge/src/routing.rs
@@ -3,6 +3,7 @@
 use crate::clock;
 use crate::cluster::ClusterState;
 use crate::departure;
+use crate::hedge::Hedger;
 use crate::protocol::HeaderNames;
 use crate::settings::Settings;
 use dogwoodlb_config::{Service, Snapshot};
@@ -10,7 +11,7 @@
 use dogwoodlb_route::{Outcome, Replica, Request, Router, Ticket};
 use dogwoodlb_types::{id, Class};
 use hyper::http::response::Parts;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -22,7 +23,7 @@
     pub(crate) address: SocketAddr,
     /// The start of the replica's process, which tells its incarnations apart.
     pub(crate) born_ms: i64,
-    ticket: Option<Ticket>,
+    ticket: Cell<Option<Ticket>>,
     service: String,
     routers: Rc<ServiceRouters>,
 }
@@ -35,6 +36,13 @@
         cluster.accepts_work(self.replica.as_str(), self.born_ms)
     }
 
+    /// Returns whether the directory still has the incarnation that was selected.
+    pub(crate) fn is_registered(&self) -> bool {
+        let directory = self.routers.cluster.directory();
+        let entry = directory.get(self.replica.as_str());
+        entry.is_some_and(|entry| entry.born_ms == self.born_ms)
+    }
+
     /// Reads from a response to the request whether the replica is leaving.
     pub(crate) fn observe(&self, names: &HeaderNames, response: &Parts) {
         let cluster = &self.routers.cluster;
@@ -43,7 +51,7 @@
     }
 
     /// Reports the outcome of the request to the router. Only the first call has an effect.
-    pub(crate) fn finish(&mut self, outcome: Outcome) {
+    pub(crate) fn finish(&self, outcome: Outcome) {
         let Some(ticket) = self.ticket.take() else {
             return;
         };
@@ -70,6 +78,7 @@
 
 /// The routers of all plain services.
 pub(crate) struct ServiceRouters {
+    pub(crate) hedger: Hedger,
     location: dogwoodlb_route::Settings,
     centres: BTreeMap<String, String>,
     cluster: Rc<ClusterState>,
@@ -96,6 +105,7 @@
             centre: settings.centre.parse()?,
         };
         Ok(Self {
+            hedger: Hedger::new(&cluster.metrics),
             location,
             centres: settings.centres.clone(),
             cluster,
@@ -193,7 +203,7 @@
             replica: pick.upstream,
             address: entry.address,
             born_ms: entry.born_ms,
-            ticket: Some(pick.ticket),
+            ticket: Cell::new(Some(pick.ticket)),
             service: service.to_owned(),
             routers: self.clone(),
         })
--- a/crates/edge/src/score.rs
+++ b/crates/edge/src/score.rs
@@ -3,23 +3,24 @@
 use crate::clock;
 use crate::cluster::ClusterState;
 use crate::headers::{header_number, header_str, is_not_run, is_response_to};
+use crate::hedge::{Copies, Step};
 use crate::permit::{Permit, RequestKind};
 use crate::protocol::Protocol;
-use crate::routing::ServiceRouters;
+use crate::routing::{Selection, ServiceRouters};
 use bytes::Bytes;
 use dogwoodlb_batch::Scorer;
 use dogwoodlb_client::Client;
-use dogwoodlb_config::Route;
+use dogwoodlb_config::{Route, Snapshot};
 use dogwoodlb_route::Outcome;
 use dogwoodlb_types::{id, Instant};
 use hyper::header::{HeaderValue, HOST};
+use hyper::http::response::Parts;
 use hyper::{Method, Request, StatusCode};
+use std::cell::Cell;
+use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{sleep, timeout};
 
-/// The time-out of one call, after which another replica is tried. Scoring calls are idempotent.
-const CALL_TIMEOUT: Duration = Duration::from_millis(900);
 /// The bounds of the exponential back-off after calls without a usable response.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(25);
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(400);
@@ -40,17 +41,17 @@
     Revoked,
 }
 
-/// The result of one scoring call.
+/// The result of one copy of a scoring call.
 enum Attempt {
     /// The signature of the scorer from the response header.
     Signed(String),
     /// The scorer ran and failed, which counts towards the maximum number of attempts.
     Failed,
-    /// No replica gave a usable response. The call is repeated after a back-off.
+    /// The replica gave no usable response. Another copy is sent after a back-off.
     Retry,
-    /// The call was not sent, because the replica began to leave. Another one is tried at once.
+    /// The copy was not sent, because the replica began to leave. Another one is tried at once.
     Unsent,
-    /// The call was not sent, because this node doesn't run the batch of the item any more.
+    /// The copy was not sent, because this node doesn't run the batch of the item any more.
     Revoked,
 }
 
@@ -62,6 +63,21 @@
     pub(crate) cluster: Rc<ClusterState>,
 }
 
+/// A scoring call in progress.
+struct Call<'a> {
+    client: &'a ScoreClient,
+    scorer: &'a Scorer,
+    permit: &'a Permit,
+    until: Instant,
+    /// The number of copies that the scorer failed. The exchanges of later copies read it.
+    failures: &'a Cell<u32>,
+    copies: Copies<'a, Attempt>,
+    tried: Vec<id::Upstream>,
+    /// When the first copy, or one in place of another, is sent.
+    send_at: Option<Instant>,
+    retry_delay: Duration,
+}
+
 impl ScoreClient {
     /// Calls the scorer until it returns a signature, fails permanently, or the deadline passes.
     pub(crate) async fn score(
@@ -70,62 +86,151 @@
         permit: &Permit,
         until: Instant,
     ) -> ScoreOutcome {
-        let mut failures = 0;
-        let mut retry = MIN_RETRY_DELAY;
-        let mut tried: Vec<id::Upstream> = Vec::new();
-        while clock::now() < until {
-            let config = self.cluster.config();
-            let route = config
-                .as_ref()
-                .and_then(|c| c.route(&scorer.host, &scorer.path));
-            let call = match route {
-                Some(route) => {
-                    let has_failed = failures > 0;
-                    self.call(scorer, permit, route, &mut tried, has_failed)
-                        .await
-                }
-                None => Attempt::Retry,
-            };
-            match call {
-                Attempt::Signed(signature) => return ScoreOutcome::Signed(signature),
-                Attempt::Revoked => return ScoreOutcome::Revoked,
-                Attempt::Unsent => {}
-                Attempt::Failed => {
-                    failures += 1;
-                    if route.is_some_and(|route| failures >= route.max_attempts) {
-                        tracing::info!(request = scorer.id, failures, "score_failed");
-                        return ScoreOutcome::Failed;
+        let failures = Cell::new(0);
+        let is_usable = |attempt: &Attempt| matches!(attempt, Attempt::Signed(_));
+        let call = Call {
+            client: self,
+            scorer,
+            permit,
+            until,
+            failures: &failures,
+            copies: self.routers.hedger.begin(&scorer.id, is_usable),
+            tried: Vec::new(),
+            send_at: Some(clock::now()),
+            retry_delay: MIN_RETRY_DELAY,
+        };
+        call.run().await
+    }
+}
+
+impl<'a> Call<'a> {
+    async fn run(mut self) -> ScoreOutcome {
+        while clock::now() < self.until {
+            if self.send_at.is_some_and(|at| at <= clock::now()) {
+                self.send();
+            }
+            let wake = self.send_at.unwrap_or(self.until).min(self.until);
+            match self.copies.next(wake, true).await {
+                Step::Ended(replica, attempt) => {
+                    if let Some(outcome) = self.on_ended(&replica, attempt) {
+                        return outcome;
                     }
                 }
-                Attempt::Retry => {
-                    sleep(retry).await;
-                    retry = (retry * 2).min(MAX_RETRY_DELAY);
-                }
+                Step::Removed => self.send_at = Some(clock::now()),
+                Step::HedgeDue => self.send_hedge(),
+                Step::Woken => {}
             }
         }
+        self.copies.expire();
         ScoreOutcome::TimedOut
     }
 
-    async fn call(
-        &self,
-        scorer: &Scorer,
-        permit: &Permit,
-        route: &Route,
-        tried: &mut Vec<id::Upstream>,
-        has_failed: bool,
-    ) -> Attempt {
-        let Some(service) = route.select_service(rand::random()) else {
-            return Attempt::Retry;
+    /// Records the end of a copy. Returns the outcome if it ends the call.
+    fn on_ended(&mut self, replica: &id::Upstream, attempt: Attempt) -> Option<ScoreOutcome> {
+        match attempt {
+            Attempt::Signed(signature) => return Some(ScoreOutcome::Signed(signature)),
+            Attempt::Revoked => return Some(ScoreOutcome::Revoked),
+            Attempt::Unsent => {
+                self.tried.retain(|tried| tried != replica);
+                self.send_at = Some(clock::now());
+            }
+            Attempt::Failed => {
+                self.failures.set(self.failures.get() + 1);
+                if self.has_failed() {
+                    return Some(ScoreOutcome::Failed);
+                }
+                self.send_at = Some(clock::now());
+            }
+            Attempt::Retry => self.send_later(),
+        }
+        None
+    }
+
+    fn send_later(&mut self) {
+        self.send_at = Some(clock::now() + self.retry_delay);
+        self.retry_delay = (self.retry_delay * 2).min(MAX_RETRY_DELAY);
+    }
+
+    /// Returns whether the scorer has failed as many copies as the route permits.
+    fn has_failed(&self) -> bool {
+        let failures = self.failures.get();
+        let config = self.client.cluster.config();
+        let route = config
+            .as_ref()
+            .and_then(|config| config.route(&self.scorer.host, &self.scorer.path));
+        let has_failed = route.is_some_and(|route| failures >= route.max_attempts);
+        if has_failed {
+            tracing::info!(request = self.scorer.id, failures, "score_failed");
+        }
+        has_failed
+    }
+
+    /// Sends the first copy, or one in place of another, if a replica is free.
+    fn send(&mut self) {
+        let config = self.client.cluster.config();
+        let Some((route, selection)) = self.select(config.as_deref()) else {
+            return self.send_later();
         };
-        let selection = self.routers.select(service, tried);
-        let Some(mut selection) = selection else {
-            // No replica can be selected: all have been tried, none is free, the service has no
-            // router, or the address of the replica is unknown. The next call may select any of
-            // them again.
-            tried.clear();
-            return Attempt::Retry;
+        self.send_at = None;
+        self.tried.push(selection.replica.clone());
+        let exchange = self.exchange(route, selection.clone());
+        self.copies.send(route, &selection, exchange);
+    }
+
+    /// Sends a hedge, if a replica is free and the budget permits it.
+    fn send_hedge(&mut self) {
+        let config = self.client.cluster.config();
+        let Some((route, selection)) = self.select(config.as_deref()) else {
+            return self.copies.postpone_hedge();
         };
-        tried.push(selection.replica.clone());
+        let exchange = self.exchange(route, selection.clone());
+        if self.copies.send_hedge(route, &selection, exchange) {
+            self.tried.push(selection.replica.clone());
+        }
+    }
+
+    /// Selects a replica for the next copy, by the present configuration.
+    fn select<'c>(&mut self, config: Option<&'c Snapshot>) -> Option<(&'c Route, Rc<Selection>)> {
+        let route = config?.route(&self.scorer.host, &self.scorer.path)?;
+        let service = route.select_service(rand::random())?;
+        let selection = self.client.routers.select(service, &self.tried);
+        if selection.is_none() {
+            // All have been tried, none is free, the service has no router, or the address of the
+            // replica is unknown. The next copy may select any of them again, except those on
+            // which copies are running.
+            self.tried = self.copies.replicas().cloned().collect();
+        }
+        Some((route, Rc::new(selection?)))
+    }
+
+    /// Returns the exchange of a copy with a replica. The replica is told the time that is left, but
+    /// at most the time-out of the route.
+    fn exchange(
+        &self,
+        route: &Route,
+        selection: Rc<Selection>,
+    ) -> impl Future<Output = Attempt> + 'a {
+        let left = self.until.saturating_since(clock::now());
+        let told = route.timeout.map_or(left, |timeout| timeout.min(left));
+        let (client, scorer, permit) = (self.client, self.scorer, self.permit);
+        let failures = self.failures;
+        async move {
+            let request = client.build_request(scorer, &selection, told);
+            match client.send(scorer, permit, request, &selection).await {
+                Ok(head) => client.classify(&head, &selection, failures.get() > 0),
+                Err(attempt) => attempt,
+            }
+        }
+    }
+}
+
+impl ScoreClient {
+    fn build_request(
+        &self,
+        scorer: &Scorer,
+        selection: &Selection,
+        time_left: Duration,
+    ) -> Request<Bytes> {
         let headers = self.protocol.headers();
         let mut request = Request::new(Bytes::from(scorer.body.clone()));
         *request.method_mut() = Method::POST;
@@ -143,10 +248,24 @@
                 map.insert(name, value);
             }
         }
-        map.insert(
-            headers.deadline_ms.clone(),
-            header_number(CALL_TIMEOUT.as_millis()),
-        );
+        let time_left = header_number(time_left.as_millis());
+        map.insert(headers.deadline_ms.clone(), time_left);
+        request
+    }
+
+    /// Sends a request, and returns the head of the response to it.
+    ///
+    /// # Errors
+    ///
+    /// The result of the copy, if there is no response to this request.
+    async fn send(
+        &self,
+        scorer: &Scorer,
+        permit: &Permit,
+        request: Request<Bytes>,
+        selection: &Selection,
+    ) -> Result<Parts, Attempt> {
+        let headers = self.protocol.headers();
         let may_send = || selection.may_send() && permit.allows(RequestKind::Score, &scorer.id);
         let client = self.client.checked(&may_send);
         let exchange = async {
@@ -160,33 +279,31 @@
             response.body.collect(MAX_RESPONSE_BYTES).await?;
             Ok::<_, dogwoodlb_client::Error>((head, id_matches))
         };
-        let (head, id_matches) = match timeout(CALL_TIMEOUT, exchange).await {
-            Ok(Ok(response)) => response,
-            Ok(Err(dogwoodlb_client::Error::Revoked { .. })) => {
+        match exchange.await {
+            Ok((head, true)) => Ok(head),
+            Ok((_, false)) => {
+                selection.finish(Outcome::Failure);
+                Err(Attempt::Retry)
+            }
+            Err(dogwoodlb_client::Error::Revoked { .. }) => {
                 let is_left = !selection.may_send();
                 selection.finish(Outcome::Cancelled);
-                tried.pop();
-                return match is_left {
+                Err(match is_left {
                     true => Attempt::Unsent,
                     false => Attempt::Revoked,
-                };
+                })
             }
-            Ok(Err(error)) => {
+            Err(error) => {
                 tracing::info!(request = scorer.id, replica = %selection.replica, %error, "score_call_failed");
                 selection.finish(Outcome::Failure);
-                return Attempt::Retry;
+                Err(Attempt::Retry)
             }
-            Err(_) => {
-                tracing::info!(request = scorer.id, replica = %selection.replica, "score_timeout");
-                selection.finish(Outcome::Failure);
-                return Attempt::Retry;
-            }
-        };
-        if !id_matches {
-            selection.finish(Outcome::Failure);
-            return Attempt::Retry;
         }
-        if is_not_run(headers, &head) {
+    }
+
+    fn classify(&self, head: &Parts, selection: &Selection, has_failed: bool) -> Attempt {
+        let headers = self.protocol.headers();
+        if is_not_run(headers, head) {
             selection.finish(Outcome::Cancelled);
             return Attempt::Retry;
         }
