Make room for a hedge when three copies are overdue

Cause: a call whose three copies all ran on unresponsive replicas waited until its batch was due. Ruled out: a fourth concurrent copy, and cancelling a copy for its age alone. Change: if three copies run, a hedge is due and permitted by the budget, and the time that the oldest copy's replica was told has passed, this copy is cancelled. It says nothing about its replica.

--- a/crates/edge/src/forward/hedged.rs
+++ b/crates/edge/src/forward/hedged.rs
@@ -32,7 +32,8 @@
                 };
                 if let Some(selection) = selection.map(Rc::new) {
                     tried.push(selection.replica.clone());
-                    copies.send(proxied.route, &selection, exchange(selection.clone()));
+                    let copy = exchange(selection.clone());
+                    copies.send(proxied.route, &selection, proxied.deadline, copy);
                 }
             }
             if copies.is_empty() {
@@ -59,7 +60,7 @@
                     Some(selection) => {
                         let selection = Rc::new(selection);
                         let copy = exchange(selection.clone());
-                        if copies.send_hedge(proxied.route, &selection, copy) {
+                        if copies.send_hedge(proxied.route, &selection, proxied.deadline, copy) {
                             tried.push(selection.replica.clone());
                         }
                     }
--- a/crates/edge/src/hedge.rs
+++ b/crates/edge/src/hedge.rs
@@ -91,14 +91,16 @@
         self.running.iter().map(|copy| &copy.selection.replica)
     }
 
-    /// Sends the first copy, or one in place of a copy that has ended.
+    /// Sends the first copy, or one in place of a copy that has ended. The replica is told that it has
+    /// time until `due_at`.
     pub(crate) fn send(
         &mut self,
         route: &Route,
         selection: &Rc<Selection>,
+        due_at: Instant,
         exchange: impl Future<Output = T> + 'a,
     ) {
-        self.start(route, selection, false, exchange);
+        self.start(route, selection, due_at, false, exchange);
     }
 
     /// Sends a hedge if the budget of the route permits it, and returns whether it does.
@@ -106,6 +108,7 @@
         &mut self,
         route: &Route,
         selection: &Rc<Selection>,
+        due_at: Instant,
         exchange: impl Future<Output = T> + 'a,
     ) -> bool {
         let (Some(call), Some(oldest)) = (&mut self.call, self.running.first()) else {
@@ -131,7 +134,8 @@
             "hedge_due"
         );
         if is_permitted {
-            self.start(route, selection, true, exchange);
+            self.make_room(now);
+            self.start(route, selection, due_at, true, exchange);
         }
         is_permitted
     }
@@ -143,10 +147,24 @@
         }
     }
 
+    /// Cancels the oldest copy if too many are running for a hedge.
+    fn make_room(&mut self, now: Instant) {
+        let Some(call) = &mut self.call else {
+            return;
+        };
+        let oldest = call.make_room(&mut self.hedger.hedging.borrow_mut(), now);
+        let mut copies = self.running.iter();
+        let index = oldest.and_then(|key| copies.position(|copy| copy.key == key));
+        if let Some(index) = index {
+            self.cancel(index, "overdue", now);
+        }
+    }
+
     fn start(
         &mut self,
         route: &Route,
         selection: &Rc<Selection>,
+        due_at: Instant,
         is_hedge: bool,
         exchange: impl Future<Output = T> + 'a,
     ) {
@@ -156,7 +174,7 @@
             hedging.begin(&route.name, route.latency_target, now)
         });
         self.running.push(RunningCopy {
-            key: call.on_sent(now),
+            key: call.on_sent(due_at, now),
             is_hedge,
             sent_at: now,
             selection: selection.clone(),
@@ -255,6 +273,11 @@
         let Some(index) = copies.position(|copy| !copy.selection.is_registered()) else {
             return false;
         };
+        self.cancel(index, "removed", now);
+        true
+    }
+
+    fn cancel(&mut self, index: usize, outcome: &str, now: Instant) {
         let copy = self.running.remove(index);
         if let Some(call) = &mut self.call {
             call.on_ended(copy.key);
@@ -263,10 +286,9 @@
             request = self.request_id,
             replica = %copy.selection.replica,
             age_ms = now.saturating_since(copy.sent_at).as_millis(),
-            outcome = "removed",
+            outcome,
             "copy_cancelled"
         );
-        true
     }
 }
 
--- a/crates/edge/src/score.rs
+++ b/crates/edge/src/score.rs
@@ -173,8 +173,9 @@
         };
         self.send_at = None;
         self.tried.push(selection.replica.clone());
-        let exchange = self.exchange(route, selection.clone());
-        self.copies.send(route, &selection, exchange);
+        let due_at = self.due_at(route);
+        let exchange = self.exchange(selection.clone(), due_at);
+        self.copies.send(route, &selection, due_at, exchange);
     }
 
     /// Sends a hedge, if a replica is free and the budget permits it.
@@ -183,8 +184,9 @@
         let Some((route, selection)) = self.select(config.as_deref()) else {
             return self.copies.postpone_hedge();
         };
-        let exchange = self.exchange(route, selection.clone());
-        if self.copies.send_hedge(route, &selection, exchange) {
+        let due_at = self.due_at(route);
+        let exchange = self.exchange(selection.clone(), due_at);
+        if self.copies.send_hedge(route, &selection, due_at, exchange) {
             self.tried.push(selection.replica.clone());
         }
     }
@@ -203,18 +205,23 @@
         Some((route, Rc::new(selection?)))
     }
 
-    /// Returns the exchange of a copy with a replica. The replica is told the time that is left, but
-    /// at most the time-out of the route.
+    /// Returns the end of the time that the replica of the next copy is told: the time that is left,
+    /// but at most the time-out of the route.
+    fn due_at(&self, route: &Route) -> Instant {
+        let timeout = route.timeout.unwrap_or(Duration::MAX);
+        self.until.min(clock::now() + timeout)
+    }
+
+    /// Returns the exchange of a copy with a replica.
     fn exchange(
         &self,
-        route: &Route,
         selection: Rc<Selection>,
+        due_at: Instant,
     ) -> impl Future<Output = Attempt> + 'a {
-        let left = self.until.saturating_since(clock::now());
-        let told = route.timeout.map_or(left, |timeout| timeout.min(left));
         let (client, scorer, permit) = (self.client, self.scorer, self.permit);
         let failures = self.failures;
         async move {
+            let told = due_at.saturating_since(clock::now());
             let request = client.build_request(scorer, &selection, told);
             match client.send(scorer, permit, request, &selection).await {
                 Ok(head) => client.classify(&head, &selection, failures.get() > 0),
--- a/crates/limit/src/hedged_call.rs
+++ b/crates/limit/src/hedged_call.rs
@@ -21,13 +21,16 @@
 struct RunningCopy {
     key: CopyKey,
     sent_at: Instant,
+    /// The end of the time that the replica was told.
+    due_at: Instant,
 }
 
 /// The concurrent copies of one idempotent call.
 ///
 /// [`Hedging`] describes the load that it addresses. The first usable response ends the call. It
 /// shows how long the processing takes on any replica, so it also tells which of the other copies
-/// ran on a slow or unresponsive replica. No copy is cancelled for its age.
+/// ran on a slow or unresponsive replica. No copy is cancelled for its age; the only exception is a
+/// copy whose replica was told less time, if its place is needed for a hedge (`MAX_COPIES`).
 #[derive(Clone, Debug)]
 pub struct HedgedCall {
     route: String,
@@ -58,19 +61,41 @@
         self.delay
     }
 
-    /// Records that a copy is sent: the first one, one that replaces another, or a hedge.
-    pub fn on_sent(&mut self, now: Instant) -> CopyKey {
+    /// Records that a copy is sent: the first one, one that replaces another, or a hedge. Its replica
+    /// is told that it has time until `due_at`.
+    pub fn on_sent(&mut self, due_at: Instant, now: Instant) -> CopyKey {
         self.copies_sent += 1;
         let key = CopyKey(self.copies_sent);
-        self.running.push(RunningCopy { key, sent_at: now });
+        self.running.push(RunningCopy {
+            key,
+            sent_at: now,
+            due_at,
+        });
         self.hedge_at = now + self.current_delay();
         key
     }
 
-    /// Returns the time at which a hedge is due, or `None` if no copy or too many are running.
+    /// Returns the time at which a hedge is due, or `None` if no copy is running. If too many are
+    /// running, it is not before the time that the oldest one's replica was told has passed.
     pub fn hedge_at(&self) -> Option<Instant> {
-        let may_hedge = (1..MAX_COPIES).contains(&self.running.len());
-        may_hedge.then_some(self.hedge_at)
+        let oldest = self.running.first()?;
+        match self.running.len() < MAX_COPIES {
+            true => Some(self.hedge_at),
+            false => Some(self.hedge_at.max(oldest.due_at)),
+        }
+    }
+
+    /// Ends the oldest copy if too many are running for a hedge that is due, and returns it. It says
+    /// nothing about its replica.
+    pub fn make_room(&mut self, hedging: &mut Hedging, now: Instant) -> Option<CopyKey> {
+        if self.running.len() < MAX_COPIES {
+            return None;
+        }
+        let oldest = self.running.remove(0);
+        let age = now.saturating_since(oldest.sent_at);
+        let route = hedging.route(&self.route, now);
+        route.profile.record_lower_bound(age, now);
+        Some(oldest.key)
     }
 
     /// Returns whether to send a hedge now, and takes it from the budget of the route. If the budget
--- a/crates/limit/src/hedging.rs
+++ b/crates/limit/src/hedging.rs
@@ -42,11 +42,11 @@
 /// let at = Instant::from_millis;
 /// let mut hedging = Hedging::default();
 /// let mut call = hedging.begin("score", Duration::from_millis(800), at(0));
-/// let first = call.on_sent(at(0));
+/// let first = call.on_sent(at(3_000), at(0));
 /// assert_eq!(call.hedge_at(), Some(at(800)));
 ///
 /// assert!(call.try_hedge(&mut hedging, at(800)));
-/// let second = call.on_sent(at(800));
+/// let second = call.on_sent(at(3_000), at(800));
 /// // The second replica needed 200 ms, so the first one is slow or unresponsive.
 /// assert_eq!(call.on_response(second, &mut hedging, at(1_000)), [first]);
 /// ```
