Stop runs by the speed and the state of their replica

Cause: a run was stopped after 2.2 s without an event on any replica, and its head could take 2.5 s. An unresponsive replica held its runs for that long, and one that is slow enough lost them for no reason. Change: the rule is in planner::stall. The limit is 10 times the replica's time per event, at least 800 ms, 2.2 s around a load, and more before the first event by the prompts of the replica's runs. A replica whose runs have all been silent for half of their limits gets no new run. Gaps of more than 500 ms between rounds don't count, except for 100 ms, and events after them are not measured. HEAD_TIMEOUT is gone, because the planner covers the time to the head. Conclusion: an unresponsive replica holds its runs for 0.8 s plus prefill.

--- a/crates/batch/src/planner.rs
+++ b/crates/batch/src/planner.rs
@@ -11,9 +11,11 @@
 mod choose;
 mod demand;
 mod runs;
+mod stall;
 
 pub use action::{Action, RunEnd};
 pub use demand::Demand;
+pub use stall::Stall;
 
 /// How long the text of an unfinished item is kept after its batch has ended, because the trainer
 /// may resubmit the group.
@@ -66,6 +68,8 @@
     carried_over: HashMap<String, WorkId>,
     last_id: u64,
     next_move_at: Instant,
+    /// The time of the last planning round.
+    last_round_at: Option<Instant>,
 }
 
 impl Planner {
@@ -195,7 +199,7 @@
     /// Adds a replica or updates its state.
     pub fn set_replica(&mut self, id: &str, state: ReplicaState) {
         match self.replicas.get_mut(id) {
-            Some(replica) => replica.state = state,
+            Some(replica) => replica.set_state(state),
             None => {
                 self.replicas.insert(id.into(), Replica::new(state));
             }
--- a/crates/batch/src/planner/choose.rs
+++ b/crates/batch/src/planner/choose.rs
@@ -9,9 +9,6 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-/// A run without an event for this long is moved to another replica. A reload of weights pauses
-/// runs for less time than this.
-const STALL_TIMEOUT: Duration = Duration::from_millis(2_200);
 /// The minimum time that a move must save. It covers the cost of closing the connection and of
 /// processing the prompt again.
 const MIN_MOVE_GAIN: Duration = Duration::from_millis(1_000);
@@ -94,25 +91,6 @@
         }
     }
 
-    fn stop_stalled(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        for (id, work) in &mut self.work_items {
-            let Phase::Running(run) = &mut work.phase else {
-                continue;
-            };
-            if run.stop_requested || now.saturating_since(run.last_event_at) < STALL_TIMEOUT {
-                continue;
-            }
-            run.stop_requested = true;
-            if let Some(replica) = self.replicas.get_mut(run.replica.as_str()) {
-                replica.on_failure(now);
-            }
-            actions.push(Action::Stop {
-                work: *id,
-                reason: "stalled",
-            });
-        }
-    }
-
     /// Selects the groups that a batch needs: those carried over, then those whose longest item has
     /// the fewest events left, up to the number of groups that the trainer needs.
     pub(super) fn select_groups(&mut self, batch: &str) {
@@ -205,6 +183,7 @@
             replica: name.to_owned(),
             started_at: now,
             last_event_at: now,
+            silent_since: now,
             events: 0,
             prompt_tokens,
             stop_requested: false,
@@ -263,7 +242,7 @@
     }
 
     /// Returns the median over the replicas of the time per event of a request that runs alone.
-    fn typical_event_ms(&self) -> f64 {
+    pub(super) fn typical_event_ms(&self) -> f64 {
         let solo_event_ms = self.replicas.values().filter_map(Replica::solo_event_ms);
         let mut solo_event_ms: Vec<f64> = solo_event_ms.collect();
         solo_event_ms.sort_by(f64::total_cmp);
--- a/crates/batch/src/planner/runs.rs
+++ b/crates/batch/src/planner/runs.rs
@@ -24,6 +24,7 @@
         version: u64,
         now: Instant,
     ) -> bool {
+        let has_gap = self.has_gap(now);
         let Some(work) = self.work_items.get_mut(&id) else {
             return false;
         };
@@ -37,14 +38,18 @@
         let Phase::Running(run) = &mut work.phase else {
             return false;
         };
-        // The time to the first event includes queueing on the replica and prompt processing.
-        if run.events > 0 {
-            if let Some(replica) = self.replicas.get_mut(run.replica.as_str()) {
+        // The time to the first event includes queueing on the replica and prompt processing. After a
+        // gap between rounds, the time to the next one includes a suspension of the node.
+        let is_measured = run.events > 0 && run.silent_since == run.last_event_at && !has_gap;
+        if let Some(replica) = self.replicas.get_mut(run.replica.as_str()) {
+            replica.is_silent = false;
+            if is_measured {
                 replica.on_event(now.saturating_since(run.last_event_at), now);
             }
         }
         run.events += 1;
         run.last_event_at = now;
+        run.silent_since = now;
         is_valid
     }
 
--- a/crates/batch/src/replica.rs
+++ b/crates/batch/src/replica.rs
@@ -46,6 +46,13 @@
     last_event_at: Instant,
     failures: u32,
     backoff_until: Instant,
+    /// Whether the weights may have changed since the last planning round.
+    has_new_weights: bool,
+    /// The last time at which the replica may have been loading weights.
+    pub(crate) last_load_at: Instant,
+    /// Whether all its runs have been without an event for a while. It gets no new run until one of
+    /// them has an event.
+    pub(crate) is_silent: bool,
 }
 
 impl Replica {
@@ -58,13 +65,30 @@
             last_event_at: Instant::default(),
             failures: 0,
             backoff_until: Instant::default(),
+            // A former leader may have had weights loaded a moment ago.
+            has_new_weights: true,
+            last_load_at: Instant::default(),
+            is_silent: false,
+        }
+    }
+
+    pub(crate) fn set_state(&mut self, state: ReplicaState) {
+        let old = &self.state;
+        self.has_new_weights |= old.versions != state.versions || old.reloading != state.reloading;
+        self.state = state;
+    }
+
+    /// Records whether weights are being loaded, or were since the last planning round.
+    pub(crate) fn observe_loads(&mut self, now: Instant) {
+        if std::mem::take(&mut self.has_new_weights) || !self.state.reloading.is_empty() {
+            self.last_load_at = now;
         }
     }
 
     /// Returns whether the replica accepts new runs of a model if it has a free slot and KV cache
     /// capacity.
     pub(crate) fn accepts_runs(&self, model: &str, now: Instant) -> bool {
-        self.backoff_until <= now && !self.is_reloading(model)
+        self.backoff_until <= now && !self.is_silent && !self.is_reloading(model)
     }
 
     /// Returns whether a prompt fits into the KV cache in addition to the current runs and to
@@ -91,6 +115,7 @@
     /// Releases the slot and the prompt tokens of a run that has ended.
     pub(crate) fn release(&mut self, tokens: u64) {
         self.run_count = self.run_count.saturating_sub(1);
+        self.is_silent &= self.run_count > 0;
         self.prompt_tokens = self.prompt_tokens.saturating_sub(tokens);
     }
 
--- a/crates/batch/src/work.rs
+++ b/crates/batch/src/work.rs
@@ -59,6 +59,8 @@
     pub(crate) replica: String,
     pub(crate) started_at: Instant,
     pub(crate) last_event_at: Instant,
+    /// The time of the last event, or later if the planner was not called for a while.
+    pub(crate) silent_since: Instant,
     /// The number of events received in this run.
     pub(crate) events: u64,
     pub(crate) prompt_tokens: u64,
--- a/crates/edge/src/coordinator/items.rs
+++ b/crates/edge/src/coordinator/items.rs
@@ -9,6 +9,9 @@
 use dogwoodlb_batch::{Outcome, OutcomeState, RunEnd, Submission, WorkId};
 use std::rc::Rc;
 
+/// The reason of [`Action::Stop`](dogwoodlb_batch::Action::Stop) for a run without an event.
+const STALLED: &str = "stalled";
+
 impl Coordinator {
     /// Abandons the waiting and running items of batches whose deadline has passed. Items that are
     /// being scored are abandoned by [`score`](Self::score).
@@ -73,12 +76,40 @@
     pub(super) fn stop(&self, work: WorkId, reason: &str) {
         self.context.metrics.runs.with_label_values(&[reason]).inc();
         tracing::debug!(work = work.0, reason, "run_stopped");
+        if reason == STALLED {
+            self.report_stall(work);
+        }
         self.run_tasks.borrow_mut().remove(&work);
         self.planner
             .borrow_mut()
             .on_run_end(work, RunEnd::Stopped, clock::now());
     }
 
+    /// Logs a run that was without an event for too long, and closes the idle connections to its
+    /// replica, because one that is silent is seldom the only one.
+    fn report_stall(&self, work: WorkId) {
+        let Some(stall) = self.planner.borrow().stall(work, clock::now()) else {
+            return;
+        };
+        let batch = self.batch(work);
+        let item = batch.as_ref().map(|(batch, index)| {
+            let item = &batch.submission.items[*index as usize];
+            item.id.as_str()
+        });
+        tracing::info!(
+            item,
+            replica = stall.replica,
+            events = stall.events,
+            silent_ms = stall.silent_for.as_millis(),
+            limit_ms = stall.limit.as_millis(),
+            "run_stalled"
+        );
+        let directory = self.context.cluster.directory();
+        if let Some(entry) = directory.get(&stall.replica) {
+            self.context.client.close_idle(entry.address);
+        }
+    }
+
     fn on_run_end(
         self: &Rc<Self>,
         work: WorkId,
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -14,13 +14,7 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
-use tokio::time::timeout;
 
-/// How long a replica may take to send the response head. The events that follow have no time-out
-/// here; the planner stops a run after 2.2 s without an event (`STALL_TIMEOUT`). It counts from the
-/// start of the run, so it usually stops a run without a response head before this time-out.
-const HEAD_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// The maximum size of an event, with the comments before it.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
 
@@ -49,7 +43,8 @@
     EventRejected(u64),
 }
 
-/// Runs an item and passes its events to the planner as they arrive.
+/// Runs an item and passes its events to the planner as they arrive. It has no time-out, also not for
+/// the response head: the planner stops a run that is without an event for too long.
 pub(crate) async fn run_item(
     context: &NodeContext,
     planner: &RefCell<Planner>,
@@ -67,20 +62,15 @@
         accepts_work && permit.allows(RequestKind::Run, &item.id)
     };
     let client = context.client.checked(&may_send);
-    let response = match timeout(HEAD_TIMEOUT, client.send(target.address, request)).await {
-        Ok(Ok(response)) => response,
-        Ok(Err(dogwoodlb_client::Error::Revoked { .. })) => {
+    let response = match client.send(target.address, request).await {
+        Ok(response) => response,
+        Err(dogwoodlb_client::Error::Revoked { .. }) => {
             return RunResult::Ended(RunEnd::Stopped);
         }
-        Ok(Err(error)) => {
+        Err(error) => {
             tracing::info!(item = item.id, replica = target.replica, %error, "run_failed");
             return RunResult::Ended(RunEnd::Interrupted);
         }
-        Err(_) => {
-            tracing::info!(item = item.id, replica = target.replica, "run_head_timeout");
-            context.client.close_idle(target.address);
-            return RunResult::Ended(RunEnd::Interrupted);
-        }
     };
     read_response(context, planner, work, item, target, response).await
 }
