--- a/crates/config/src/route.rs
+++ b/crates/config/src/route.rs
@@ -24,7 +24,8 @@
     pub kind: RouteKind,
     /// The time within which a request is answered, if limited.
     pub timeout: Option<Duration>,
-    /// The latency objective, which bounds the waiting time and the time-out of an attempt.
+    /// The latency objective, which bounds the waiting time. Until there are measurements, an
+    /// idempotent call without a response for this long is sent to another replica.
     pub latency_target: Duration,
     /// Whether requests need no key, although the configuration has organisations.
     pub is_public: bool,
