--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -29,6 +29,7 @@
 mod forward;
 mod front;
 mod headers;
+mod hedge;
 pub mod identity;
 mod leader;
 mod metrics;
