Restart items whose text no replica can continue

Cause: a text that must have one weight version continues only on a replica with that version, and replicas only move to newer ones. Once the last such replica has left or loaded, no replica is suitable, and nothing discarded the text: on_run_end discards only texts that already violate the constraints. Likewise if the last one fails every run.

Ruled out: a missed end of the runs (the record has each as broken off, and the planner returns such items to the waiting ones); full replicas (no replica ran anything).

A checkpoint also stores a shorter text, since the next leader would prefer the discarded one. New log line item_restarted, new outcomes of the metric runs.

Conclusion: no event of the discarded text stays, so that the result has one version. The change of the checkpoint has no test.

--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -38,7 +38,7 @@
 pub use error::Error;
 pub use header::{BatchHeader, Ownership, WriteOutcome};
 pub use outcome::{Outcome, OutcomeState};
-pub use planner::{Action, Demand, NewBatch, Planner, RunEnd};
+pub use planner::{Action, Demand, NewBatch, Planner, Restart, RunEnd};
 pub use progress::{ItemText, Progress, MAX_TEXT_BYTES};
 pub use record::Record;
 pub use replica::{Replica, ReplicaState};
--- a/crates/batch/src/planner.rs
+++ b/crates/batch/src/planner.rs
@@ -10,10 +10,12 @@
 mod candidates;
 mod choose;
 mod demand;
+mod restart;
 mod runs;
 
 pub use action::{Action, RunEnd};
 pub use demand::Demand;
+pub use restart::Restart;
 
 /// How long the text of an unfinished item is kept after its batch has ended, because the trainer
 /// may resubmit the group.
@@ -139,6 +141,7 @@
             phase: old.as_ref().map_or(Phase::Waiting, |old| old.phase.clone()),
             end_report: old.as_ref().and_then(|old| old.end_report.clone()),
             progress: old.map(|old| old.progress).unwrap_or_default(),
+            without_event_since: None,
             failures: 0,
             expires_at: None,
         };
--- a/crates/batch/src/planner/runs.rs
+++ b/crates/batch/src/planner/runs.rs
@@ -31,6 +31,7 @@
             return false;
         }
         work.end_report = None;
+        work.without_event_since = None;
         let is_valid = work
             .progress
             .satisfies(work.min_version, work.single_version);
--- a/crates/batch/src/work.rs
+++ b/crates/batch/src/work.rs
@@ -23,6 +23,9 @@
     pub(crate) progress: Progress,
     /// The last report that the text is complete, unless the text has grown since.
     pub(crate) end_report: Option<EndReport>,
+    /// When a planning round first found the item waiting for the continuation of its text, unless
+    /// the text has grown since.
+    pub(crate) without_event_since: Option<Instant>,
     /// The number of runs that ended with [`RunEnd::Failed`](crate::RunEnd::Failed).
     pub(crate) failures: u32,
     /// The time at which the item is dropped, set once its batch has ended.
--- a/crates/batch/tests/endless_text.rs
+++ b/crates/batch/tests/endless_text.rs
@@ -15,7 +15,7 @@
 fn running() -> (Planner, WorkId) {
     let mut planner = Planner::default();
     planner.set_replica("faulty", state(1));
-    add_batch(&mut planner, 1);
+    add_batch(&mut planner, 1, false);
     let actions = planner.plan(Instant::default());
     let work = actions.iter().find_map(|action| match action {
         Action::Start { work, .. } => Some(*work),
--- a/crates/batch/tests/stream_end.rs
+++ b/crates/batch/tests/stream_end.rs
@@ -27,7 +27,7 @@
         for replica in replicas {
             planner.set_replica(replica, state(MIN_VERSION));
         }
-        add_batch(&mut planner, MIN_VERSION);
+        add_batch(&mut planner, MIN_VERSION, false);
         let now = Instant::default();
         Self { planner, now }
     }
--- a/crates/batch/tests/support/single_item.rs
+++ b/crates/batch/tests/support/single_item.rs
@@ -13,7 +13,7 @@
 }
 
 /// Adds the batch `b` of the model `m` with the item `a`.
-pub(crate) fn add_batch(planner: &mut Planner, min_version: u64) {
+pub(crate) fn add_batch(planner: &mut Planner, min_version: u64, single_version: bool) {
     let item = Item {
         id: "a".into(),
         group: "g".into(),
@@ -24,7 +24,7 @@
         id: "b",
         model: "m",
         min_version,
-        single_version: false,
+        single_version,
         target_groups: 1,
         max_attempts: 3,
         event_tokens: 10,
--- a/crates/edge/src/coordinator.rs
+++ b/crates/edge/src/coordinator.rs
@@ -152,6 +152,7 @@
         }
         // A round that stops runs starts none, so plan again for the slots it freed.
         if self.plan() {
+        self.restart_unreachable();
             self.plan();
         }
         self.checkpoint();
--- a/crates/edge/src/coordinator/handover.rs
+++ b/crates/edge/src/coordinator/handover.rs
@@ -76,7 +76,8 @@
         texts.collect()
     }
 
-    /// Stores the texts that grew since their last checkpoint, in case this node fails.
+    /// Stores the texts that grew or started again since their last checkpoint, in case this node
+    /// fails.
     pub(super) fn checkpoint(self: &Rc<Self>) {
         let now = clock::now();
         if now < self.next_checkpoint.get() || self.checkpointing.get() {
@@ -89,11 +90,14 @@
             texts.retain(|text| {
                 let key = (text.batch.clone(), text.index);
                 let last = checkpointed.get(&key).copied().unwrap_or(0);
-                let grown = text.progress.last_event >= last + MIN_CHECKPOINT_EVENTS;
-                if grown {
-                    checkpointed.insert(key, text.progress.last_event);
+                let events = text.progress.last_event;
+                // A shorter text belongs to an item that has started again. If the discarded text
+                // stayed in the store, the next leader would prefer it because it is longer.
+                let has_changed = events < last || events >= last + MIN_CHECKPOINT_EVENTS;
+                if has_changed {
+                    checkpointed.insert(key, events);
                 }
-                grown
+                has_changed
             });
             let batches = self.batches.borrow();
             checkpointed.retain(|(batch, _), _| batches.contains_key(batch));
--- a/crates/edge/src/coordinator/items.rs
+++ b/crates/edge/src/coordinator/items.rs
@@ -119,6 +119,26 @@
             return;
         };
         let item = batch.submission.items[index as usize].id.clone();
+    /// Starts items again whose text no replica can continue.
+    pub(super) fn restart_unreachable(&self) {
+        let restarts = self.planner.borrow_mut().restart_unreachable(clock::now());
+        for restart in restarts {
+            let Some((batch, index)) = self.batch(restart.work) else {
+                continue;
+            };
+            let reason = restart.reason();
+            self.context.metrics.runs.with_label_values(&[reason]).inc();
+            tracing::info!(
+                batch = batch.submission.id,
+                item = batch.submission.items[index as usize].id,
+                version = restart.version,
+                events = restart.events,
+                reason,
+                "item_restarted"
+            );
+        }
+    }
+
         tracing::info!(batch = batch.submission.id, item, reason, "item_abandoned");
         self.planner.borrow_mut().mark_abandoned(work);
         batch.writer.enqueue(Outcome {
