Give each model a replica for its newer weights

Cause: an assignment is revoked only if its model exceeds its quota by two. Replicas that joined before their predecessors left went to the large model, which then had 6 of its 5, and the small one none of its one. A model's loads are planned on its replicas only.

Ruled out: failed orders and an unfair turn (none was sent or waiting): the record has no order of the small model after 12.5 s, although its version 4 was announced at 17.9 s.

Change: a model that has no replica, or two too few, gets replicas of models with one too many; each quota is at least 1 with enough replicas.

Conclusion: the shortage that the record shows is filled at the next assignment.

--- a/crates/weights/src/assignments.rs
+++ b/crates/weights/src/assignments.rs
@@ -23,7 +23,7 @@
 impl ModelAssignments {
     /// Assigns each replica to a model, so that the number of replicas of a model is proportional
     /// to its share. Existing assignments are kept where possible; a new replica is assigned to the
-    /// model for which it is least behind.
+    /// model for which it is least behind. Each model has a replica if there are enough replicas.
     pub fn assign(&mut self, candidates: &[Candidate], shares: &[f64]) {
         let total: f64 = shares.iter().sum();
         if shares.is_empty() || total <= 0.0 {
@@ -72,6 +72,31 @@
                 self.models.insert(candidate.replica.clone(), model);
             }
         }
+        self.fill_shortages(candidates, &quotas, &mut counts);
+    }
+
+    /// Reassigns replicas of models that exceed their quota by one to those that have none, or that
+    /// lack two or more. Such models remain when their replicas leave after the new ones have
+    /// joined others; without a replica a model never gets newer weights.
+    fn fill_shortages(&mut self, candidates: &[Candidate], quotas: &[usize], counts: &mut [usize]) {
+        for model in 0..quotas.len() {
+            while counts[model] < quotas[model]
+                && (counts[model] == 0 || counts[model] + 1 < quotas[model])
+            {
+                let surplus = candidates.iter().filter(|candidate| {
+                    let assigned = self.models.get(&candidate.replica);
+                    assigned.is_some_and(|assigned| counts[*assigned] > quotas[*assigned])
+                });
+                let lag = |candidate: &&Candidate| candidate.lags.get(model).copied();
+                let Some(moved) = surplus.min_by_key(|one| lag(one).unwrap_or(u64::MAX)) else {
+                    break;
+                };
+                if let Some(previous) = self.models.insert(moved.replica.clone(), model) {
+                    counts[previous] -= 1;
+                }
+                counts[model] += 1;
+            }
+        }
     }
 
     /// Returns the index of the model that a replica is assigned to.
@@ -80,7 +105,8 @@
     }
 }
 
-/// Divides `count` replicas in proportion to the shares, by the largest remainder method.
+/// Divides `count` replicas in proportion to the shares, by the largest remainder method. With as
+/// many replicas as models or more, each quota is at least 1.
 fn proportional_quotas(count: usize, shares: &[f64], total: f64) -> Vec<usize> {
     let exact = |share: &f64| share * count as f64 / total;
     let mut quotas: Vec<usize> = shares.iter().map(|share| exact(share) as usize).collect();
@@ -97,5 +123,14 @@
     {
         quotas[model] += 1;
     }
+    if count >= quotas.len() {
+        while let Some(without) = quotas.iter().position(|quota| *quota == 0) {
+            // The sum is at least the number of models, so the largest quota is at least 2.
+            if let Some(largest) = quotas.iter_mut().max() {
+                *largest -= 1;
+            }
+            quotas[without] = 1;
+        }
+    }
     quotas
 }
--- a/crates/weights/src/scheduler.rs
+++ b/crates/weights/src/scheduler.rs
@@ -1,7 +1,9 @@
 use crate::{
-    interleave_loads, plan_loads, Candidate, LoadGoal, LoadedWeights, ModelAssignments, PlannedLoad,
+    interleave_loads, plan_loads, Candidate, LoadGoal, LoadReason, LoadedWeights, ModelAssignments,
+    PlannedLoad,
 };
 use dogwoodlb_types::Instant;
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -239,7 +241,12 @@
             return Vec::new();
         };
         let needed = self.needed_replicas(index, demand.open_items, replicas, now);
-        let loaded = self.loaded_weights(index, replicas, newest, now);
+        let assigned = replicas
+            .iter()
+            .filter(|replica| self.assignments.assigned_model(replica.name) == Some(index));
+        let loaded: Vec<LoadedWeights> = assigned
+            .filter_map(|replica| self.loaded_weights(index, replica, newest, now))
+            .collect();
         // Without demand, consider the replicas that could serve the last step.
         let serves_last_step =
             |weights: &&LoadedWeights| newest.saturating_sub(weights.version) <= 1;
@@ -264,7 +271,44 @@
             load_count: newest_loads.1,
             needed_replicas: needed,
         };
-        plan_loads(&loaded, &goal)
+        let planned = plan_loads(&loaded, &goal);
+        if planned.is_empty() && demand.has_waiting {
+            return self.plan_unserved(index, replicas, &goal, now);
+        }
+        planned
+    }
+
+    /// Plans one load, on any replica, of a model whose waiting items no replica can run. This is so
+    /// if there are fewer replicas than models, or if none of the assigned replicas can be ordered
+    /// to load now.
+    fn plan_unserved(
+        &self,
+        index: usize,
+        replicas: &[Replica<'_>],
+        goal: &LoadGoal,
+        now: Instant,
+    ) -> Vec<PlannedLoad> {
+        let is_served = replicas.iter().any(|replica| {
+            let version = self.loaded_version(replica, index);
+            version.is_some_and(|version| (goal.min_version..=goal.newest).contains(&version))
+                || self
+                    .loading_models(replica.name)
+                    .contains(&self.models[index].0)
+        });
+        if is_served {
+            return Vec::new();
+        }
+        let usable = |weights: &LoadedWeights| !weights.busy && weights.version < goal.newest;
+        let weights = replicas
+            .iter()
+            .filter_map(|replica| self.loaded_weights(index, replica, goal.newest, now));
+        let usable = weights.filter(usable);
+        let idlest = usable.min_by_key(|weights| (weights.running, Reverse(weights.version)));
+        let load = idlest.map(|weights| PlannedLoad {
+            replica: weights.replica,
+            reason: LoadReason::TooOld,
+        });
+        load.into_iter().collect()
     }
 
     /// Returns the number of replicas that the peak demand of a model needs; 0 without demand.
@@ -282,34 +326,28 @@
         wanted_slots.div_ceil(slots_per_replica)
     }
 
-    /// Returns the loaded weights of the replicas that are assigned to a model. A replica whose
-    /// version was never announced is left out.
+    /// Returns the loaded weights of a model on a replica, or `None` if their version was never
+    /// announced.
     fn loaded_weights(
         &self,
         index: usize,
-        replicas: &[Replica<'_>],
+        replica: &Replica<'_>,
         newest: u64,
         now: Instant,
-    ) -> Vec<LoadedWeights> {
-        let assigned = replicas.iter();
-        let assigned =
-            assigned.filter(|replica| self.assignments.assigned_model(replica.name) == Some(index));
-        let weights = |replica: &Replica<'_>| {
-            let version = self.loaded_version(replica, index)?;
-            if version > newest {
-                return None;
-            }
-            let retry_at = self.retry_at.get(replica.name);
-            let is_in_backoff = retry_at.is_some_and(|at| now < *at);
-            // A replica gets one order at a time, whatever the model.
-            let is_busy = self.pending_orders.contains_key(replica.name);
-            Some(LoadedWeights {
-                replica: replica.name.to_owned(),
-                version,
-                busy: is_busy || (is_in_backoff && version < newest),
-                running: replica.running as usize,
-            })
-        };
-        assigned.filter_map(weights).collect()
+    ) -> Option<LoadedWeights> {
+        let version = self.loaded_version(replica, index)?;
+        if version > newest {
+            return None;
+        }
+        let retry_at = self.retry_at.get(replica.name);
+        let is_in_backoff = retry_at.is_some_and(|at| now < *at);
+        // A replica gets one order at a time, whatever the model.
+        let is_busy = self.pending_orders.contains_key(replica.name);
+        Some(LoadedWeights {
+            replica: replica.name.to_owned(),
+            version,
+            busy: is_busy || (is_in_backoff && version < newest),
+            running: replica.running as usize,
+        })
     }
 }
