Read the configuration before a batch is adopted

Cause: the adoption took single_version, the attempts and the life of items from the route that the leader knew, or from defaults (false, one attempt, 30 s) if it knew none, and kept them. The leader's watch of the operator's rows was unresponsive until its time-out.

Ruled out: a change of the leader (there was none). Whether it had adopted the batch without the route could not be told from the log: batch_adopted now has the guarantees and the version of the configuration.

Change: an adoption asks the store for the changes of the configuration, beside its other reads, and starts the batch only if that succeeds. Items of a route that is gone are abandoned at once. Also without a default: the tokens per event, the age of the batch, and whether loads let runs finish, which now belongs to the running batch. A node that stores a submission for another one reads the configuration first and refuses other kinds of routes.

Conclusion: the configuration is newer than the acceptance of every batch that starts. It costs one call to the store for each adoption.

--- a/crates/edge/src/batch_store.rs
+++ b/crates/edge/src/batch_store.rs
@@ -26,6 +26,8 @@
     Missing { batch: String, part: u32 },
     #[error("another node changed a row first")]
     Conflict,
+    #[error("the {0} of the batch is not known yet")]
+    NotKnown(&'static str),
 }
 
 /// Access to the batches in the metadata store, through a cache.
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -7,6 +7,7 @@
 use crate::score::ScoreClient;
 use crate::settings::Settings;
 use crate::storage::Storage;
+use crate::table_watcher::TableWatcher;
 use crate::task::Supervisor;
 use dogwoodlb_client::Client;
 use std::rc::Rc;
@@ -24,4 +25,5 @@
     pub(crate) settings: Rc<Settings>,
     pub(crate) storage: Rc<Storage>,
     pub(crate) supervisor: Supervisor,
+    pub(crate) watcher: Rc<TableWatcher>,
 }
--- a/crates/edge/src/coordinator.rs
+++ b/crates/edge/src/coordinator.rs
@@ -6,8 +6,7 @@
 use crate::outcome_writer::OutcomeWriter;
 use crate::run::{AbortOnDrop, RunTasks};
 use crate::storage::{self, SHARED};
-use dogwoodlb_batch::{Action, BatchHeader, ItemText, Ownership, Planner, Submission};
-use dogwoodlb_config::Route;
+use dogwoodlb_batch::{Action, BatchHeader, ItemText, Ownership, Planner};
 use dogwoodlb_external::store::Txn;
 use dogwoodlb_mirror::Versioned;
 use dogwoodlb_types::Instant;
@@ -19,6 +18,7 @@
 use tokio::time::sleep;
 
 mod adoption;
+mod guarantees;
 mod handover;
 mod items;
 mod replica_scan;
@@ -38,8 +38,6 @@
 const SHORT_ROUND: Duration = Duration::from_millis(1);
 /// How long a new leader defers starting items until all open batches are adopted.
 const ADOPTION_TIMEOUT: Duration = Duration::from_millis(800);
-/// The lifetime of items whose route sets none.
-const DEFAULT_ITEM_LIFETIME: Duration = Duration::from_secs(30);
 
 /// Runs the batches of one service.
 pub(crate) struct Coordinator {
@@ -152,9 +150,9 @@
         }
         // A round that stops runs starts none, so plan again for the slots it freed.
         if self.plan() {
-        self.restart_unreachable();
             self.plan();
         }
+        self.restart_unreachable();
         self.checkpoint();
     }
 
@@ -194,11 +192,6 @@
         true
     }
 
-    fn route(&self, submission: &Submission) -> Option<Route> {
-        let config = self.context.cluster.config()?;
-        config.route(&submission.host, &submission.path).cloned()
-    }
-
     /// Closes the batches that have ended, that another node owns or that were deleted, and adopts
     /// the open batches of the service that are not running here.
     fn sync_batches(self: &Rc<Self>) {
@@ -246,15 +239,6 @@
         self.adoptions.borrow_mut().insert(id, task);
     }
 
-    fn event_tokens(&self) -> u64 {
-        let config = self.context.cluster.config();
-        let service = config
-            .as_ref()
-            .and_then(|config| config.service(&self.service));
-        let engine = service.and_then(|service| service.engine.as_ref());
-        engine.map_or(1, |engine| engine.event_tokens)
-    }
-
     /// Drops a batch whose outcome writer ended with [`WriterEnd::Lost`], and cancels its runs. If
     /// the batch is still open, a later round adopts it again, whichever node owns it then.
     fn drop_batch(&self, writer: &Rc<OutcomeWriter>) {
--- a/crates/edge/src/coordinator/adoption.rs
+++ b/crates/edge/src/coordinator/adoption.rs
@@ -1,7 +1,8 @@
 //! Adoption of open batches: a batch is taken over if another node owns it, read, and started.
 
+use super::guarantees::Guarantees;
 use super::running::{Batch, RunningBatch};
-use super::{Coordinator, DEFAULT_ITEM_LIFETIME};
+use super::Coordinator;
 use crate::batch_store::Error;
 use crate::clock;
 use crate::outcome_writer::{OutcomeWriter, WriterEnd};
@@ -11,7 +12,16 @@
 use dogwoodlb_external::store;
 use std::collections::BTreeSet;
 use std::rc::Rc;
-use std::time::Duration;
+
+/// What a batch is started with.
+struct Start {
+    row_version: u64,
+    header: BatchHeader,
+    submission: Rc<Submission>,
+    /// The indices of the items that have an outcome.
+    finished: BTreeSet<u32>,
+    guarantees: Guarantees,
+}
 
 impl Coordinator {
     /// Takes over an open batch if another node owns it, and starts running it.
@@ -44,11 +54,14 @@
                 }
             }
         }
-        let (submission, outcomes, mut texts) = tokio::try_join!(
+        let refresh = self.context.watcher.refresh_configuration();
+        let (submission, outcomes, mut texts, ()) = tokio::try_join!(
             batch_store.submission(id, &header),
             batch_store.outcomes(id, 0, header.result_count),
             batch_store.texts(id),
+            async { Ok(refresh.await?) },
         )?;
+        let guarantees = self.guarantees(&header)?;
         let finished = outcomes.iter().map(|outcome| outcome.index).collect();
         let inherited = self.inherited.iter().filter(|text| text.batch == id);
         texts.extend(inherited.cloned());
@@ -56,41 +69,34 @@
         // next round adopts it with its new header.
         let current = self.context.cluster.batch_header(id);
         if current.is_some_and(|current| current.row_version == row_version) {
-            self.start_batch(id, row_version, header, submission, finished, &texts);
+            let start = Start {
+                row_version,
+                header,
+                submission,
+                finished,
+                guarantees,
+            };
+            self.start_batch(id, start, &texts);
         }
         Ok(())
     }
 
-    fn start_batch(
-        self: &Rc<Self>,
-        id: &str,
-        row_version: u64,
-        header: BatchHeader,
-        submission: Rc<Submission>,
-        finished: BTreeSet<u32>,
-        texts: &[ItemText],
-    ) {
-        let route = self.route(&submission);
-        let lifetime = route.as_ref().and_then(|route| route.item_ttl);
-        let now_ms = self
-            .context
-            .storage
-            .earliest_time_ms()
-            .unwrap_or(header.submitted_ms);
-        let age = Duration::from_millis(now_ms.saturating_sub(header.submitted_ms));
-        let deadline = clock::now()
-            + lifetime
-                .unwrap_or(DEFAULT_ITEM_LIFETIME)
-                .saturating_sub(age);
-        let event_tokens = self.event_tokens();
+    fn start_batch(self: &Rc<Self>, id: &str, start: Start, texts: &[ItemText]) {
+        let Start {
+            row_version,
+            header,
+            submission,
+            finished,
+            guarantees,
+        } = start;
         self.planner.borrow_mut().add_batch(&NewBatch {
             id,
             model: &submission.model,
             min_version: submission.min_version,
-            single_version: route.as_ref().is_some_and(|route| route.single_version),
+            single_version: guarantees.single_version,
             target_groups: submission.target_groups,
-            max_attempts: route.map_or(1, |route| route.max_attempts),
-            event_tokens,
+            max_attempts: guarantees.max_attempts,
+            event_tokens: guarantees.event_tokens,
             items: &submission.items,
             finished: &finished,
         });
@@ -111,7 +117,11 @@
             items = submission.items.len(),
             listed = finished.len(),
             restored = texts.len(),
-            age_ms = age.as_millis(),
+            age_ms = guarantees.age.as_millis(),
+            single_version = guarantees.single_version,
+            max_attempts = guarantees.max_attempts,
+            config = guarantees.config_version,
+            has_route = guarantees.has_route,
             row = row_version,
             "batch_adopted"
         );
@@ -126,7 +136,8 @@
             submission,
             writer: writer.clone(),
             permit: self.permit(id),
-            deadline,
+            single_version: guarantees.single_version,
+            deadline: clock::now() + guarantees.time_left,
         }));
         let write = self.clone().write_outcomes(writer);
         running.spawn(self.context.supervisor.supervise("outcome_writer", write));
@@ -135,6 +146,9 @@
         for work in generated {
             self.score(work);
         }
+        if !guarantees.has_route {
+            self.abandon_unfinished(id, "route_gone");
+        }
     }
 
     async fn write_outcomes(self: Rc<Self>, writer: Rc<OutcomeWriter>) {
--- a/crates/edge/src/coordinator/items.rs
+++ b/crates/edge/src/coordinator/items.rs
@@ -22,11 +22,16 @@
             overdue.map(|(id, _)| id.clone()).collect()
         };
         for id in overdue {
-            let works = self.planner.borrow().unfinished(&id);
-            for work in works {
-                self.stop(work, "late");
-                self.abandon(work, "late");
-            }
+            self.abandon_unfinished(&id, "late");
+        }
+    }
+
+    /// Abandons the waiting and running items of a batch.
+    pub(super) fn abandon_unfinished(&self, batch: &str, reason: &str) {
+        let works = self.planner.borrow().unfinished(batch);
+        for work in works {
+            self.stop(work, reason);
+            self.abandon(work, reason);
         }
     }
 
@@ -114,11 +119,6 @@
         self.wake.notify_one();
     }
 
-    fn abandon(&self, work: WorkId, reason: &str) {
-        let Some((batch, index)) = self.batch(work) else {
-            return;
-        };
-        let item = batch.submission.items[index as usize].id.clone();
     /// Starts items again whose text no replica can continue.
     pub(super) fn restart_unreachable(&self) {
         let restarts = self.planner.borrow_mut().restart_unreachable(clock::now());
@@ -139,6 +139,11 @@
         }
     }
 
+    fn abandon(&self, work: WorkId, reason: &str) {
+        let Some((batch, index)) = self.batch(work) else {
+            return;
+        };
+        let item = batch.submission.items[index as usize].id.clone();
         tracing::info!(batch = batch.submission.id, item, reason, "item_abandoned");
         self.planner.borrow_mut().mark_abandoned(work);
         batch.writer.enqueue(Outcome {
--- a/crates/edge/src/coordinator/replica_scan.rs
+++ b/crates/edge/src/coordinator/replica_scan.rs
@@ -38,10 +38,9 @@
             return;
         }
         let began = std::time::Instant::now();
-        let single_version = self.batches.borrow().values().any(|running| {
-            let route = self.route(&running.batch.submission);
-            route.is_some_and(|route| route.single_version)
-        });
+        let batches = self.batches.borrow();
+        let single_version = batches.values().any(|running| running.batch.single_version);
+        drop(batches);
         self.loads.start_due(
             &self.context,
             &self.planner,
--- a/crates/edge/src/coordinator/running.rs
+++ b/crates/edge/src/coordinator/running.rs
@@ -13,6 +13,8 @@
     pub(super) submission: Rc<Submission>,
     pub(super) writer: Rc<OutcomeWriter>,
     pub(super) permit: Permit,
+    /// Whether all events of a text must come from one weight version.
+    pub(super) single_version: bool,
     /// When unfinished items are abandoned.
     pub(super) deadline: Instant,
 }
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -150,6 +150,7 @@
             settings,
             storage,
             supervisor: Supervisor::new(),
+            watcher: watcher.clone(),
         });
         let front = Rc::new(front_handler(&context, &routers));
         Ok(Self {
@@ -236,6 +237,7 @@
             node: context.settings.node.clone(),
             peers: context.peers.clone(),
             storage: context.storage.clone(),
+            watcher: context.watcher.clone(),
         },
         protocol,
         cluster,
--- a/crates/edge/src/submit.rs
+++ b/crates/edge/src/submit.rs
@@ -9,9 +9,10 @@
 use crate::protocol::Protocol;
 use crate::reply::{self, Body};
 use crate::storage::{self, Storage};
+use crate::table_watcher::TableWatcher;
 use bytes::Bytes;
 use dogwoodlb_batch::{BatchHeader, Record, Submission};
-use dogwoodlb_config::{Route, Snapshot};
+use dogwoodlb_config::{Route, RouteKind, Snapshot};
 use dogwoodlb_external::store::Row;
 use dogwoodlb_types::Instant;
 use hyper::body::Incoming;
@@ -42,6 +43,7 @@
     pub(crate) node: String,
     pub(crate) peers: Rc<Peers>,
     pub(crate) storage: Rc<Storage>,
+    pub(crate) watcher: Rc<TableWatcher>,
 }
 
 /// The result of storing a batch.
@@ -158,11 +160,17 @@
     /// Accepts a batch on behalf of another node.
     pub(crate) async fn accept_relayed(&self, relayed: &RelayedBatch) -> SubmitOutcome {
         let began = clock::now();
+        // The other node may know a newer configuration, and the route determines the service.
+        if let Err(error) = self.watcher.refresh_configuration().await {
+            tracing::info!(batch = relayed.id, %error, "configuration_not_refreshed");
+            return SubmitOutcome::Refused;
+        }
         let Some(config) = self.cluster.config() else {
             return SubmitOutcome::Refused;
         };
         let (id, host, path) = (&relayed.id, &relayed.host, &relayed.path);
-        let Some(route) = config.route(host, path) else {
+        let route = config.route(host, path);
+        let Some(route) = route.filter(|route| route.kind == RouteKind::Rollout) else {
             return SubmitOutcome::Refused;
         };
         if self.cluster.batch_header(id).is_some() {
--- a/crates/edge/src/table_watcher.rs
+++ b/crates/edge/src/table_watcher.rs
@@ -76,8 +76,8 @@
         let mut empty_polls = 0;
         loop {
             let was_reachable = self.storage.is_reachable(clock::now());
-            match self.poll(table, &mut empty_polls).await {
-                Ok(()) => {
+            match self.poll(table, WATCH_TIMEOUT, &mut empty_polls).await {
+                Ok(_) => {
                     retry = MIN_RETRY_DELAY;
                     sleep(self.poll_delay()).await;
                 }
@@ -105,7 +105,22 @@
         MIN_POLL_DELAY.max(Duration::from_secs(1) * nodes / MAX_POLLS_PER_S)
     }
 
-    async fn poll(&self, table: Table, empty_polls: &mut u32) -> Result<(), Error> {
+    /// Applies the changes that the operator's table has in the store by now. The watch may not have
+    /// delivered them yet, for instance because its connection is unresponsive.
+    pub(crate) async fn refresh_configuration(&self) -> Result<(), Error> {
+        while !self.poll(Table::Operator, Duration::ZERO, &mut 0).await? {}
+        Ok(())
+    }
+
+    /// Sends one request to the store and applies the response. Returns whether the copy of the table
+    /// is now as recent as the request. Otherwise the store has further changes, or the whole table
+    /// must be read.
+    async fn poll(
+        &self,
+        table: Table,
+        wait: Duration,
+        empty_polls: &mut u32,
+    ) -> Result<bool, Error> {
         let name = self.name(table).to_owned();
         let next = self.mirrors.of(table).borrow().next_request();
         match next {
@@ -117,9 +132,10 @@
                 let page = self.storage.read(&range).await?;
                 *empty_polls = 0;
                 self.apply_snapshot(table, page.rows, page.version);
+                Ok(true)
             }
             NextRequest::Watch(after) => {
-                let response = self.storage.watch(&name, after, WATCH_TIMEOUT).await;
+                let response = self.storage.watch(&name, after, wait).await;
                 match response.inspect_err(|error| self.on_watch_error(table, error))? {
                     WatchResponse::Rows(page) => {
                         *empty_polls = if page.rows.is_empty() {
@@ -133,15 +149,16 @@
                         if *empty_polls >= EMPTY_POLLS_PER_FULL_READ {
                             mirror.borrow_mut().mark_stale();
                         }
+                        Ok(!page.more)
                     }
                     WatchResponse::HistoryLost => {
                         tracing::info!(table = name, after, "change_feed_lost");
                         self.mirrors.of(table).borrow_mut().mark_stale();
+                        Ok(false)
                     }
                 }
             }
         }
-        Ok(())
     }
 
     /// Handles a failed watch. One whose response is too large or malformed would fail again, but
