--- a/crates/batch/tests/stalled_runs.rs
+++ b/crates/batch/tests/stalled_runs.rs
@@ -33,6 +33,7 @@
     };
     planner.add_batch(&NewBatch {
         id: batch,
+        organisation: None,
         model: "m",
         min_version: 1,
         single_version: false,
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -7,6 +7,7 @@
 use crate::score::ScoreClient;
 use crate::settings::Settings;
 use crate::storage::Storage;
+use crate::table_watcher::TableWatcher;
 use crate::task::Supervisor;
 use crate::usage::UsageMeter;
 use dogwoodlb_client::Client;
@@ -26,4 +27,5 @@
     pub(crate) storage: Rc<Storage>,
     pub(crate) supervisor: Supervisor,
     pub(crate) usage: Rc<UsageMeter>,
+    pub(crate) watcher: Rc<TableWatcher>,
 }
--- a/crates/edge/src/coordinator/items.rs
+++ b/crates/edge/src/coordinator/items.rs
@@ -25,11 +25,16 @@
             overdue.map(|(id, _)| id.clone()).collect()
         };
         for id in overdue {
-            let works = self.planner.borrow().unfinished(&id);
-            for work in works {
-                self.stop(work, "late");
-                self.abandon(work, "late");
-            }
+            self.abandon_unfinished(&id, "late");
+        }
+    }
+
+    /// Abandons the waiting and running items of a batch.
+    pub(super) fn abandon_unfinished(&self, batch: &str, reason: &str) {
+        let works = self.planner.borrow().unfinished(batch);
+        for work in works {
+            self.stop(work, reason);
+            self.abandon(work, reason);
         }
     }
 
@@ -146,6 +151,26 @@
         self.wake.notify_one();
     }
 
+    /// Starts items again whose text no replica can continue.
+    pub(super) fn restart_unreachable(&self) {
+        let restarts = self.planner.borrow_mut().restart_unreachable(clock::now());
+        for restart in restarts {
+            let Some((batch, index)) = self.batch(restart.work) else {
+                continue;
+            };
+            let reason = restart.reason();
+            self.context.metrics.runs.with_label_values(&[reason]).inc();
+            tracing::info!(
+                batch = batch.submission.id,
+                item = batch.submission.items[index as usize].id,
+                version = restart.version,
+                events = restart.events,
+                reason,
+                "item_restarted"
+            );
+        }
+    }
+
     fn abandon(&self, work: WorkId, reason: &str) {
         let Some((batch, index)) = self.batch(work) else {
             return;
