Consider what replicas have prefilled of a prompt

Cause: the planner knew the length of a prompt only for the KV cache capacity. Long prompts of a group were prefilled again on each engine, and several at once delayed the other runs of an engine.

Ruled out: the shortest prompt first before the longest text.

Change: an index of the prompt parts that each replica has prefilled under its present weights, bounded by the KV cache capacity with LRU eviction; a budget of prompt tokens in progress for each replica; among texts of similar length the shortest part to prefill first, with ageing; a replica that holds a part of the prompt is preferred among equally good ones, or if that saves more time than its events cost. Prompts of up to one chunk (1,024 tokens) keep their order.

--- a/crates/batch/src/planner.rs
+++ b/crates/batch/src/planner.rs
@@ -1,6 +1,7 @@
+use crate::prefill::{PrefillIndex, Prompt};
 use crate::replica::{Replica, ReplicaState};
 use crate::work::{Phase, Work, WorkId};
-use crate::{Item, ItemText, Progress};
+use crate::{Item, ItemText, Progress, PromptPart};
 use dogwoodlb_types::Instant;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
@@ -62,6 +63,7 @@
     work_items: BTreeMap<WorkId, Work>,
     batches: BTreeMap<String, Batch>,
     replicas: BTreeMap<Arc<str>, Replica>,
+    prefilled: PrefillIndex,
     /// The unfinished items of ended batches, by item id.
     carried_over: HashMap<String, WorkId>,
     last_id: u64,
@@ -132,7 +134,7 @@
             item: item.id.clone(),
             model: new.model.to_owned(),
             group_index: group,
-            prompt_tokens: item.prompt_tokens,
+            prompt: Prompt::new(new.model, item.prompt_tokens, &[]),
             expected_events: events.max(1),
             min_version: new.min_version,
             single_version: new.single_version,
@@ -140,12 +142,27 @@
             end_report: old.as_ref().and_then(|old| old.end_report.clone()),
             progress: old.map(|old| old.progress).unwrap_or_default(),
             failures: 0,
+            waiting_since: None,
             expires_at: None,
         };
         self.work_items.insert(id, work);
         id
     }
 
+    /// Sets the parts of the prompt of each item of a batch, in their order in the prompt, which
+    /// `parts` returns for the index of an item. Without parts, each prompt counts as one of its
+    /// own.
+    pub fn set_prompt_parts(&mut self, batch: &str, parts: impl Fn(u32) -> Vec<PromptPart>) {
+        let Some(batch) = self.batches.get(batch) else {
+            return;
+        };
+        for id in &batch.work_items {
+            if let Some(work) = self.work_items.get_mut(id) {
+                work.prompt = Prompt::new(&work.model, work.prompt.tokens, &parts(work.index));
+            }
+        }
+    }
+
     /// Ends a batch. No further items are started, but current runs continue for a while, because
     /// the next batch may contain their items.
     pub fn end_batch(&mut self, batch: &str, now: Instant) {
@@ -180,7 +197,7 @@
                 continue;
             };
             if let Some(replica) = self.replicas.get_mut(run.replica.as_str()) {
-                replica.release(run.prompt_tokens);
+                replica.release(run);
             }
             running.push(id);
         }
@@ -195,7 +212,14 @@
     /// Adds a replica or updates its state.
     pub fn set_replica(&mut self, id: &str, state: ReplicaState) {
         match self.replicas.get_mut(id) {
-            Some(replica) => replica.state = state,
+            Some(replica) => {
+                for (model, version) in &replica.state.versions {
+                    if state.versions.get(model) != Some(version) {
+                        self.prefilled.forget(id, model);
+                    }
+                }
+                replica.state = state;
+            }
             None => {
                 self.replicas.insert(id.into(), Replica::new(state));
             }
@@ -205,6 +229,7 @@
     /// Removes the replicas for which `keep` returns `false`. Runs on them are not stopped.
     pub fn retain_replicas(&mut self, keep: impl Fn(&str) -> bool) {
         self.replicas.retain(|id, _| keep(id));
+        self.prefilled.retain_replicas(keep);
     }
 
     /// Returns the batch and the index of an item, unless its batch has ended.
--- a/crates/batch/src/planner/choose.rs
+++ b/crates/batch/src/planner/choose.rs
@@ -2,6 +2,7 @@
 
 use super::candidates::Candidates;
 use super::{Action, Batch, Planner};
+use crate::prefill;
 use crate::replica::Replica;
 use crate::work::{Phase, Run, Work, WorkId};
 use dogwoodlb_types::Instant;
@@ -40,6 +41,8 @@
     is_batch_not_finishing: bool,
     /// Whether no text has been generated yet.
     is_not_started: bool,
+    /// See [`prefill::order_class`].
+    prompt_class: u32,
     remaining_events: Reverse<u64>,
     id: WorkId,
 }
@@ -139,27 +142,40 @@
         id: WorkId,
         work: &Work,
         finishing: &BTreeSet<&str>,
+        candidates: &Candidates<'_>,
+        now: Instant,
     ) -> Option<StartPriority> {
         let name = work.batch.as_deref()?;
         let batch = self.batches.get(name)?;
         let is_waiting = work.phase == Phase::Waiting;
+        let remaining_events = work.remaining_events();
         is_waiting.then(|| StartPriority {
             is_surplus: !batch.is_needed[work.group_index],
             is_batch_not_finishing: !finishing.contains(name),
             is_not_started: work.progress.last_event == 0,
-            remaining_events: Reverse(work.remaining_events()),
+            prompt_class: prefill::order_class(
+                remaining_events,
+                candidates.unprefilled(work),
+                now.saturating_since(work.waiting_since.unwrap_or(now)),
+            ),
+            remaining_events: Reverse(remaining_events),
             id,
         })
     }
 
     fn plan_starts(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        for work in self.work_items.values_mut() {
+            if work.phase == Phase::Waiting {
+                work.waiting_since.get_or_insert(now);
+            }
+        }
         let finishing = self.finishing_batches();
+        let mut candidates = self.candidates(now);
         let work_items = self.work_items.iter();
         let mut waiting: Vec<StartPriority> = work_items
-            .filter_map(|(id, work)| self.start_priority(*id, work, &finishing))
+            .filter_map(|(id, work)| self.start_priority(*id, work, &finishing, &candidates, now))
             .collect();
         waiting.sort_unstable();
-        let mut candidates = Candidates::new(&self.replicas, self.typical_event_ms(), now);
         let mut starts = Vec::new();
         for priority in waiting {
             let work = &self.work_items[&priority.id];
@@ -168,7 +184,7 @@
             let Some((_, replica)) = candidates.best(work, priority.is_surplus, None) else {
                 continue;
             };
-            candidates.place(&replica, work.prompt_tokens);
+            candidates.place(&replica, work);
             starts.push((priority.id, replica));
         }
         for (work, replica) in starts {
@@ -200,18 +216,20 @@
         let Some(work) = self.work_items.get_mut(&id) else {
             return;
         };
-        let prompt_tokens = work.prompt_tokens;
-        work.phase = Phase::Running(Run {
+        let run = Run {
             replica: name.to_owned(),
             started_at: now,
             last_event_at: now,
             events: 0,
-            prompt_tokens,
+            prompt_tokens: work.prompt.tokens,
+            unprefilled_tokens: self.prefilled.unprefilled(name, &work.prompt),
             stop_requested: false,
-        });
+        };
         if let Some(replica) = self.replicas.get_mut(name) {
-            replica.occupy(prompt_tokens);
+            replica.occupy(&run);
         }
+        work.waiting_since = None;
+        work.phase = Phase::Running(run);
     }
 
     /// Stops runs that would gain more than [`MIN_MOVE_GAIN`] on another replica, and runs on
@@ -220,7 +238,7 @@
     /// which the item starts again.
     fn plan_moves(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let typical_ms = self.typical_event_ms();
-        let mut candidates = Candidates::new(&self.replicas, typical_ms, now);
+        let mut candidates = self.candidates(now);
         let mut moves = Vec::new();
         let mut runs: Vec<(u64, WorkId)> = self
             .work_items
@@ -248,7 +266,7 @@
             };
             let gain = (current_ms - target_ms) * remaining as f64;
             if is_reloading || gain > MIN_MOVE_GAIN.as_secs_f64() * 1e3 {
-                candidates.place(&target, work.prompt_tokens);
+                candidates.place(&target, work);
                 moves.push((id, if is_reloading { "closed" } else { "slow" }));
             }
         }
@@ -262,6 +280,11 @@
         }
     }
 
+    fn candidates(&self, now: Instant) -> Candidates<'_> {
+        let typical_ms = self.typical_event_ms();
+        Candidates::new(&self.replicas, &self.prefilled, typical_ms, now)
+    }
+
     /// Returns the median over the replicas of the time per event of a request that runs alone.
     fn typical_event_ms(&self) -> f64 {
         let solo_event_ms = self.replicas.values().filter_map(Replica::solo_event_ms);
--- a/crates/batch/src/planner/runs.rs
+++ b/crates/batch/src/planner/runs.rs
@@ -37,10 +37,17 @@
         let Phase::Running(run) = &mut work.phase else {
             return false;
         };
-        // The time to the first event includes queueing on the replica and prompt processing.
-        if run.events > 0 {
-            if let Some(replica) = self.replicas.get_mut(run.replica.as_str()) {
+        if let Some(replica) = self.replicas.get_mut(run.replica.as_str()) {
+            // The time to the first event includes queueing on the replica and prompt processing.
+            if run.events > 0 {
                 replica.on_event(now.saturating_since(run.last_event_at), now);
+            } else {
+                replica.on_prefilled(run);
+                // An event of other weights says nothing about what the present ones hold.
+                if replica.version(&work.model) == Some(version) {
+                    let capacity = replica.state.kv_capacity_tokens;
+                    self.prefilled.record(&run.replica, &work.prompt, capacity);
+                }
             }
         }
         run.events += 1;
@@ -65,7 +72,7 @@
             return false;
         };
         if let Some(replica) = self.replicas.get_mut(run.replica.as_str()) {
-            replica.release(run.prompt_tokens);
+            replica.release(&run);
             match end {
                 RunEnd::Interrupted | RunEnd::Failed => replica.on_failure(now),
                 RunEnd::Refused => replica.on_refusal(now),
--- a/crates/batch/src/work.rs
+++ b/crates/batch/src/work.rs
@@ -1,3 +1,4 @@
+use crate::prefill::Prompt;
 use crate::Progress;
 use dogwoodlb_types::Instant;
 
@@ -15,7 +16,7 @@
     pub(crate) model: String,
     /// The index of the group in the batch.
     pub(crate) group_index: usize,
-    pub(crate) prompt_tokens: u64,
+    pub(crate) prompt: Prompt,
     pub(crate) expected_events: u64,
     pub(crate) min_version: u64,
     pub(crate) single_version: bool,
@@ -25,6 +26,8 @@
     pub(crate) end_report: Option<EndReport>,
     /// The number of runs that ended with [`RunEnd::Failed`](crate::RunEnd::Failed).
     pub(crate) failures: u32,
+    /// Since when the item waits, from the first planning round that sees it.
+    pub(crate) waiting_since: Option<Instant>,
     /// The time at which the item is dropped, set once its batch has ended.
     pub(crate) expires_at: Option<Instant>,
 }
@@ -62,6 +65,8 @@
     /// The number of events received in this run.
     pub(crate) events: u64,
     pub(crate) prompt_tokens: u64,
+    /// The number of prompt tokens that the replica had to prefill, 0 from the first event on.
+    pub(crate) unprefilled_tokens: u64,
     /// Whether an [`Action::Stop`](crate::Action::Stop) was returned for the run.
     pub(crate) stop_requested: bool,
 }
