Pass the shared parts of prompts to the planner

Cause: items state the parts of their prompts in `Prompt-Prefix`, which only engines read. Ruled out: a field of `Item`, which would change the stored submissions. Change: the adapter decodes the parts from the item's headers, and the adoption of a batch passes them to the planner, once for each item. Conclusion: a new leader knows the parts of all prompts; it starts without a record of what is prefilled.

--- a/crates/edge/src/coordinator/adoption.rs
+++ b/crates/edge/src/coordinator/adoption.rs
@@ -94,6 +94,12 @@
             items: &submission.items,
             finished: &finished,
         });
+        let protocol = &self.context.protocol;
+        let parts = |index: u32| {
+            let item = submission.items.get(index as usize);
+            item.map_or_else(Vec::new, |item| protocol.prompt_parts(item))
+        };
+        self.planner.borrow_mut().set_prompt_parts(id, parts);
         let unfinished = self.planner.borrow().unfinished(id);
         for work in unfinished {
             let index = self
--- a/crates/edge/src/protocol.rs
+++ b/crates/edge/src/protocol.rs
@@ -4,7 +4,7 @@
 //! received messages into the types of this project and encodes the messages to send.
 
 use bytes::Bytes;
-use dogwoodlb_batch::{Outcome, Submission};
+use dogwoodlb_batch::{Item, Outcome, PromptPart, Submission};
 use dogwoodlb_config::Snapshot;
 use dogwoodlb_directory::{Entry, Weights};
 use hyper::header::HeaderName;
@@ -188,6 +188,10 @@
         body: &[u8],
     ) -> Result<Submission, DecodeError>;
 
+    /// Returns the parts of an item's prompt that requests share, in their order in the prompt. It
+    /// is empty if the item states none.
+    fn prompt_parts(&self, item: &Item) -> Vec<PromptPart>;
+
     /// Encodes a page of results. `next` is the position after the last one.
     fn encode_results(&self, total: u32, next: u32, outcomes: &[Outcome]) -> Bytes;
 
