Rank nodes by size before distance from the store

Cause: a node with 0.09 cores near the store came before one with 0.5 cores in another region as the next leader. The leader of a service runs the batches of all models. Ruled out: the CPU share alone, because among nodes of similar size the one near the store writes faster. Change: the binary logarithm of the CPU share comes first, then nearness, then the share. Conclusion: of two nodes with 0.09 and 0.5 cores the larger is always first.

--- a/crates/liveness/src/peers.rs
+++ b/crates/liveness/src/peers.rs
@@ -155,15 +155,19 @@
     /// Returns the number of other eligible nodes that precede `own` as candidates for a leader
     /// role.
     ///
-    /// Nodes near the store come first, then nodes with a larger CPU share. Ties are broken by a
-    /// hash of the node and the role, so that roles are spread over the nodes.
+    /// Nodes with at least about twice the CPU share come first: a leader runs the batches of all
+    /// models, for which a small share does not suffice, while distance from the store adds a few
+    /// milliseconds to each write. Among nodes of similar size those near the store come first, then
+    /// those with a larger CPU share. Ties are broken by a hash of the node and the role, so that
+    /// roles are spread over the nodes.
     pub fn rank(&self, role: &str, own: &Heartbeat, now: Instant) -> usize {
         let rank_key = |heartbeat: &Heartbeat| {
             let hash = xxh3_64_with_seed(
                 heartbeat.node.as_bytes(),
                 xxh3_64_with_seed(role.as_bytes(), 0),
             );
-            (heartbeat.near_store, heartbeat.cpu_millis, hash)
+            let cpu_class = heartbeat.cpu_millis.max(1).ilog2();
+            (cpu_class, heartbeat.near_store, heartbeat.cpu_millis, hash)
         };
         let own_key = rank_key(own);
         let eligible = self.live(now).filter(|heartbeat| is_eligible(heartbeat));
--- a/crates/liveness/tests/dead_nodes.rs
+++ b/crates/liveness/tests/dead_nodes.rs
@@ -74,6 +74,29 @@
     assert_eq!(peers.rank("role", &heartbeat("me", 1, 1), at(0)), 1);
 }
 
+/// Guards against a service that a node with a small part of a processor leads while a larger one is
+/// eligible, whatever their names: the leader runs the batches of all models.
+#[test]
+fn larger_node_ranks_first() {
+    let names = ["n1", "node-2", "the-third", "z"];
+    for small in names {
+        for large in names.into_iter().filter(|name| *name != small) {
+            for (small_is_near, large_is_near) in [(false, false), (true, true), (true, false)] {
+                let node = |name, cpu_millis, near_store| Heartbeat {
+                    cpu_millis,
+                    near_store,
+                    ..heartbeat(name, 1, 1)
+                };
+                let small = node(small, 90, small_is_near);
+                let large = node(large, 500, large_is_near);
+                let mut peers = Peers::new(&large.node);
+                peers.on_heartbeat(small.clone(), at(0));
+                assert_eq!(peers.rank("role", &large, at(0)), 0, "{small:?} {large:?}");
+            }
+        }
+    }
+}
+
 #[test]
 fn interval_grows_with_nodes() {
     assert_eq!(interval(11), MIN_INTERVAL);
