Leave the own data centre when it is half full

Cause: a farther replica was used only once the nearer ones had no free slot. All scoring calls of a service start at its leader, so that the replicas of one data centre carried them. Ruled out: the same for `dogwoodlb run`, whose behaviour stays; requests with a prompt, which go to the replica that has it cached. Change: a router can be pooled. It prefers replicas of the data centre, then of the region, that are less than half full by the requests that this node knows of, and then takes any with a free slot. `dogwoodlb edge` uses it.

--- a/crates/edge/src/routing.rs
+++ b/crates/edge/src/routing.rs
@@ -125,9 +125,11 @@
             let replicas: Vec<Replica> = ready
                 .filter_map(|(id, entry)| self.route_replica(service, id, entry))
                 .collect();
-            let router = routers
-                .entry(service.name.clone())
-                .or_insert_with(|| Router::new(self.location.clone()));
+            let router = routers.entry(service.name.clone()).or_insert_with(|| {
+                let mut router = Router::new(self.location.clone());
+                router.set_pooled(true);
+                router
+            });
             if let Err(error) = router.update(&replicas) {
                 tracing::error!(service = service.name, %error, "router_update_failed");
             }
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -9,6 +9,39 @@
 /// variation alone exceeds a lower bound, and prompts then miss the cache.
 const LOAD_BOUND_PERMILLE: u64 = 2_000;
 
+/// Selects an endpoint among those that are less than half full in the data centre, then in the
+/// region, and then among all that have a free slot. Latency between data centres is far below the
+/// wait at a busy replica, but traffic between them costs money.
+pub(crate) fn choose_pooled(
+    endpoints: &[Endpoint],
+    request: &Request<'_>,
+    now: Instant,
+    rng: &mut dyn Rng,
+) -> Option<usize> {
+    let is_free = |&index: &usize| {
+        let endpoint = &endpoints[index];
+        let is_usable = endpoint.in_subset && !request.exclude.contains(&endpoint.replica.upstream);
+        is_usable
+            && endpoint.health.ejected_until(now).is_none()
+            && endpoint.has_free_slot(request.class, now)
+    };
+    let free: Vec<usize> = (0..endpoints.len()).filter(is_free).collect();
+    for farthest in [Locality::Centre, Locality::Region] {
+        let is_preferred = |index: &usize| {
+            let endpoint = &endpoints[*index];
+            endpoint.locality <= farthest && endpoint.load(now) * 2 < endpoint.capacity(now)
+        };
+        let preferred: Vec<usize> = free.iter().copied().filter(is_preferred).collect();
+        if !preferred.is_empty() {
+            return by_power_of_two(endpoints, &preferred, now, rng);
+        }
+    }
+    if free.is_empty() {
+        return choose(endpoints, request, now, rng);
+    }
+    by_power_of_two(endpoints, &free, now, rng)
+}
+
 /// Selects an endpoint in the nearest locality with a free slot, by prefix affinity or by load.
 pub(crate) fn choose(
     endpoints: &[Endpoint],
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -22,6 +22,8 @@
 #[derive(Debug)]
 pub struct Router {
     settings: Settings,
+    /// See [`set_pooled`](Self::set_pooled).
+    is_pooled: bool,
     /// All replicas listed in the manifest.
     replicas: Vec<Replica>,
     /// The replicas marked with [`set_leaving`](Self::set_leaving).
@@ -38,6 +40,7 @@
     pub fn new(settings: Settings) -> Self {
         Self {
             settings,
+            is_pooled: false,
             replicas: Vec::new(),
             leaving: BTreeSet::new(),
             endpoints: Vec::new(),
@@ -100,6 +103,14 @@
         Ok(())
     }
 
+    /// Sets whether nearer replicas are preferred only while they are less than half full, by the
+    /// requests that this node knows of. Otherwise farther ones are used only once the nearer ones
+    /// have no free slot. It does not concern requests with a prompt, which go to the replica that
+    /// has it cached.
+    pub fn set_pooled(&mut self, is_pooled: bool) {
+        self.is_pooled = is_pooled;
+    }
+
     /// Sets the maximum number of requests that this node may have in flight at a replica.
     ///
     /// The limit is adapted to the latency measured by this node, while `slots` is the replica's
@@ -130,7 +141,11 @@
         if self.in_flight.len() >= MAX_IN_FLIGHT {
             return Err(overloaded());
         }
-        let Some(index) = choose::choose(&self.endpoints, request, now, rng) else {
+        let choose = match self.is_pooled && request.prefix.is_none() {
+            true => choose::choose_pooled,
+            false => choose::choose,
+        };
+        let Some(index) = choose(&self.endpoints, request, now, rng) else {
             return Err(self.refusal(now));
         };
         let endpoint = &mut self.endpoints[index];
--- a/crates/route/tests/load_choice.rs
+++ b/crates/route/tests/load_choice.rs
@@ -4,7 +4,9 @@
 mod common;
 
 use common::{at, replicas, router};
-use dogwoodlb_route::{CacheChange, CacheEvent, Freshness, LoadReport, Locality, Request};
+use dogwoodlb_route::{
+    CacheChange, CacheEvent, Freshness, LoadReport, Locality, Outcome, Pick, Request,
+};
 use dogwoodlb_types::prelude::*;
 use rand::{rngs::StdRng, SeedableRng};
 use rstest::rstest;
@@ -45,6 +47,35 @@
     );
 }
 
+/// Guards against a node that fills the replicas of its own data centre while others are idle: all
+/// scoring calls of a service start at its leader. An idle near replica must still be preferred.
+#[test]
+fn pooled_when_half_full() {
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut list = replicas("lj", "lj-a", 2);
+    list.extend(replicas("lj", "lj-b", 1));
+    list.extend(replicas("mb", "mb-a", 1));
+    let mut router = router(&list);
+    router.set_pooled(true);
+    let mut pick = || router.pick(&Request::new(Class::Customer), at(0), &mut rng);
+    let picks: Vec<_> = (0..40).map(|_| pick().unwrap()).collect();
+    let of = |picks: &[Pick], locality| picks.iter().filter(|one| one.locality == locality).count();
+    assert_eq!(of(&picks[..10], Locality::Centre), 10);
+    assert_eq!(of(&picks[10..15], Locality::Region), 5);
+    // Half full or more: all replicas with a free slot are one pool.
+    assert!(of(&picks[15..25], Locality::Remote) > 2);
+    assert!(pick().is_err());
+    for pick in picks
+        .iter()
+        .filter(|one| one.locality == Locality::Centre)
+        .take(6)
+    {
+        router.on_end(pick.ticket, Outcome::Success, at(0)).unwrap();
+    }
+    let again = router.pick(&Request::new(Class::Customer), at(0), &mut rng);
+    assert_eq!(again.unwrap().locality, Locality::Centre);
+}
+
 /// Trainer and background requests must not take the slots reserved for higher classes.
 #[rstest]
 #[case(Class::Customer, 10)]
