Claim the service of a silent leader earlier

Cause: after 1.1 s of silence a candidate waited 100 ms more, and 250 ms for each candidate before it, also for those that died with the leader. Ruled out: a shorter detection, because a node with a small share of a processor is silent for most of a second without being dead; a shorter round of the election, which gains 25 ms on average; shorter settling (1.3 s), which only concerns nodes that have just reached the store. Change: no further delay for a leader that was heard and went silent, and 150 ms for each candidate before, which covers a round (100 ms) and a write from another region. Not measured: candidates that die with the leader.

--- a/crates/edge/src/leader.rs
+++ b/crates/edge/src/leader.rs
@@ -25,14 +25,17 @@
 const ROUND_INTERVAL: Duration = Duration::from_millis(100);
 /// The time-out for clearing the leader row.
 const RESIGN_TIMEOUT: Duration = Duration::from_millis(500);
-/// How long a leader must be ineligible before another node claims its service.
+/// How long a leader must be ineligible before another node claims its service. It does not apply to
+/// a leader whose heartbeats have stopped, because the silence has lasted for 1.1 s by then.
 const INELIGIBLE_DELAY: Duration = Duration::from_millis(100);
 /// The interval between attempts to hand over services while the store can't be reached.
 const HANDOVER_RETRY: Duration = Duration::from_millis(300);
 /// How long a candidate must have reached the store without interruption.
 const STORE_SETTLE_TIME: Duration = Duration::from_millis(1_300);
-/// The delay between the claims of consecutive candidates, so that they do not all write at once.
-const CLAIM_STAGGER: Duration = Duration::from_millis(250);
+/// The delay between the claims of consecutive candidates, so that they do not all write at once. It
+/// covers a round of the election and a write from another region, after which a claim of the
+/// candidate before has taken effect. Each candidate that died with the leader costs this time.
+const CLAIM_STAGGER: Duration = Duration::from_millis(150);
 
 /// The services that this node leads, with their coordinators.
 #[derive(Default)]
@@ -220,7 +223,11 @@
             .entry(service.to_owned())
             .or_insert(now);
         let rank = u32::try_from(peers.rank(service)).unwrap_or(u32::MAX);
-        let wait = INELIGIBLE_DELAY.saturating_add(CLAIM_STAGGER.saturating_mul(rank));
+        let delay = match peers.is_silent(leader) {
+            true => Duration::ZERO,
+            false => INELIGIBLE_DELAY,
+        };
+        let wait = delay.saturating_add(CLAIM_STAGGER.saturating_mul(rank));
         now.saturating_since(since) >= wait
     }
 
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -92,6 +92,13 @@
         self.peers.borrow().is_live(node, clock::now())
     }
 
+    /// Returns whether heartbeats of another node have been received and have stopped. False for a
+    /// node that has never been heard, which may only be new to this one.
+    pub(crate) fn is_silent(&self, node: &str) -> bool {
+        let peers = self.peers.borrow();
+        peers.heartbeat(node).is_some() && !peers.is_live(node, clock::now())
+    }
+
     /// Returns whether another node is eligible to lead a service.
     pub(crate) fn is_eligible(&self, node: &str) -> bool {
         self.peers.borrow().is_eligible(node, clock::now())
