Count prompt tokens that replicas prefill and reuse

Cause: nothing showed whether the items of a group reuse their prompt. Change: the metric prompt_tokens by outcome (prefill, reused), and the debug line run_placed. Stated lengths are counted up to 10 M tokens each, so that a sum does not overflow. Measured: cargo clippy and cargo test of batch and edge, all passed. Conclusion: both are estimates of the planner, not reports of engines.

--- a/crates/batch/src/planner.rs
+++ b/crates/batch/src/planner.rs
@@ -285,6 +285,13 @@
             .collect()
     }
 
+    /// Returns the number of prompt tokens of an item that runs, and how many of them its replica had
+    /// to prefill when the run started. The latter is 0 after the first event.
+    pub fn prompt_tokens(&self, work: WorkId) -> Option<(u64, u64)> {
+        let run = self.work_items.get(&work)?.run()?;
+        Some((run.prompt_tokens, run.unprefilled_tokens))
+    }
+
     /// Returns the number of runs on a replica.
     pub fn run_count(&self, replica: &str) -> u32 {
         let replica = self.replicas.get(replica);
--- a/crates/edge/src/coordinator/items.rs
+++ b/crates/edge/src/coordinator/items.rs
@@ -51,6 +51,11 @@
                 .on_run_end(work, RunEnd::Refused, clock::now());
             return;
         };
+        if let Some((tokens, to_prefill)) = self.planner.borrow().prompt_tokens(work) {
+            let reused = tokens.saturating_sub(to_prefill);
+            self.context.metrics.count_prompt_tokens(to_prefill, reused);
+            tracing::debug!(work = work.0, replica, to_prefill, reused, "run_placed");
+        }
         let this = self.clone();
         // The planner stops a run without events, also one whose task panicked.
         let task = task::spawn_isolated("run", async move {
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -9,6 +9,10 @@
 /// The upper bounds of the latency buckets in seconds.
 const BUCKETS: [f64; 10] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4];
 
+/// The maximum number of prompt tokens that are counted for one run. Callers state the number, and a
+/// sum that overflows starts at zero again.
+const MAX_COUNTED_TOKENS: u64 = 10_000_000;
+
 /// The metrics of a node. They are listed in docs/metrics.md.
 pub(crate) struct Metrics {
     registry: Registry,
@@ -16,6 +20,7 @@
     refusals: IntCounterVec,
     items: IntCounterVec,
     pub(crate) runs: IntCounterVec,
+    prompt_tokens: IntCounterVec,
     pub(crate) orders: IntCounterVec,
     pub(crate) batches: IntCounterVec,
     item_requests: IntCounterVec,
@@ -60,6 +65,7 @@
             refusals: counters("requests_refused", "Requests that ended without an answer.")?,
             items: counters("items", "Items of batches that were listed.")?,
             runs: counters("runs", "Runs of items on replicas by their end.")?,
+            prompt_tokens: counters("prompt_tokens", "Prompt tokens of runs that started.")?,
             orders: counters("orders", "Orders to replicas by their outcome.")?,
             batches: counters("batches", "Batches by what became of their submission.")?,
             connections: gauge(
@@ -87,6 +93,14 @@
         self.refusals.with_label_values(&[outcome]).inc();
     }
 
+    /// Counts the prompt tokens of a run that starts.
+    pub(crate) fn count_prompt_tokens(&self, to_prefill: u64, reused: u64) {
+        for (outcome, tokens) in [("prefill", to_prefill), ("reused", reused)] {
+            let counter = self.prompt_tokens.with_label_values(&[outcome]);
+            counter.inc_by(tokens.min(MAX_COUNTED_TOKENS));
+        }
+    }
+
     /// Counts items whose outcomes were written.
     pub(crate) fn count_items(&self, outcome: &str, count: u64) {
         self.items.with_label_values(&[outcome]).inc_by(count);
