--- a/crates/edge/src/candidacy.rs
+++ b/crates/edge/src/candidacy.rs
@@ -8,12 +8,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// How long a holder must be ineligible before another node claims its role.
+/// How long a holder must be ineligible before another node claims its role. It does not apply to a
+/// holder whose heartbeats have stopped, because the silence has lasted for 1.1 s by then.
 const INELIGIBLE_DELAY: Duration = Duration::from_millis(100);
 /// How long a candidate must have reached the store without interruption.
 const STORE_SETTLE_TIME: Duration = Duration::from_millis(1_300);
-/// The delay between the claims of consecutive candidates, so that they do not all write at once.
-const CLAIM_STAGGER: Duration = Duration::from_millis(250);
+/// The delay between the claims of consecutive candidates, so that they do not all write at once. It
+/// covers a round of the election and a write from another region, after which a claim of the
+/// candidate before has taken effect. Each candidate that died with the holder costs this time.
+const CLAIM_STAGGER: Duration = Duration::from_millis(150);
 
 /// This node as a candidate for roles.
 pub(crate) struct Candidacy {
@@ -44,7 +47,11 @@
         }
         let since = *self.ineligible_since.entry(role.to_owned()).or_insert(now);
         let rank = u32::try_from(peers.rank(role)).unwrap_or(u32::MAX);
-        let wait = INELIGIBLE_DELAY.saturating_add(CLAIM_STAGGER.saturating_mul(rank));
+        let delay = match peers.is_silent(holder) {
+            true => Duration::ZERO,
+            false => INELIGIBLE_DELAY,
+        };
+        let wait = delay.saturating_add(CLAIM_STAGGER.saturating_mul(rank));
         now.saturating_since(since) >= wait
     }
 
