--- /dev/null
+++ b/crates/fair/src/pace.rs
@@ -0,0 +1,63 @@
+//! How fast a service takes requests, and how long they run.
+
+use dogwoodlb_types::Instant;
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The window in which starts are counted. It is short, because the rate has to follow a loss of
+/// replicas before the requests that were accepted with the former rate are late.
+const WINDOW: Duration = Duration::from_secs(1);
+/// The maximum number of starts that are counted; with more, the window is shorter.
+const MAX_STARTS: usize = 256;
+/// The weight of the newest measurement in the moving average of the running time of a route.
+const SMOOTHING: f64 = 0.1;
+/// The assumed slot time of a route before any measurement.
+const DEFAULT_COST_MS: f64 = 20.0;
+
+/// The rate of starts and the running times of the routes of one service.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Pace {
+    starts: VecDeque<Instant>,
+    took_ms: BTreeMap<Arc<str>, f64>,
+}
+
+impl Pace {
+    pub(crate) fn on_start(&mut self, now: Instant) {
+        if self.starts.len() == MAX_STARTS {
+            self.starts.pop_front();
+        }
+        self.starts.push_back(now);
+    }
+
+    pub(crate) fn on_end(&mut self, route: &Arc<str>, took: Duration) {
+        let took_ms = took.as_secs_f64() * 1e3;
+        let average = self.took_ms.entry(route.clone()).or_insert(took_ms);
+        *average += (took_ms - *average) * SMOOTHING;
+    }
+
+    /// Returns the expected running time of a request of a route; zero if it is not known.
+    pub(crate) fn running_time(&self, route: &str) -> Duration {
+        let took_ms = self.took_ms.get(route).copied().unwrap_or_default();
+        Duration::from_secs_f64(took_ms / 1e3)
+    }
+
+    /// Returns the slot time of a route in milliseconds.
+    pub(crate) fn cost_ms(&self, route: &str) -> f64 {
+        let took_ms = self.took_ms.get(route).copied();
+        took_ms.unwrap_or(DEFAULT_COST_MS).max(1.0)
+    }
+
+    /// Returns the time between two starts, or `None` if there was none in the last second.
+    pub(crate) fn interval(&self, now: Instant) -> Option<Duration> {
+        let begin = now - WINDOW;
+        let starts = self.starts.iter().filter(|at| **at >= begin).count();
+        let starts = u32::try_from(starts).unwrap_or(u32::MAX);
+        let is_truncated = starts as usize == MAX_STARTS;
+        let window = match self.starts.front() {
+            Some(first) if is_truncated => now.saturating_since(*first),
+            _ => WINDOW,
+        };
+        (starts > 0).then(|| window / starts)
+    }
+}
