Start items by priority and share of their organisations

Cause: The order of waiting items knows neither organisations nor priorities: the items of one organisation hold up those of others. Ruled out: ageing by arrival alone (a batch that floods is often the oldest, so the quarter that goes by age would go to it). If a batch has an organisation, the next item is that of the organisation within its share with the highest priority; its share is charged with each event. A round ends when no slot is free. The header Request-Priority is not sent yet.

--- a/crates/batch/src/planner.rs
+++ b/crates/batch/src/planner.rs
@@ -10,10 +10,12 @@
 mod candidates;
 mod choose;
 mod demand;
+mod order;
 mod runs;
 
 pub use action::{Action, RunEnd};
 pub use demand::Demand;
+use order::ItemShares;
 
 /// How long the text of an unfinished item is kept after its batch has ended, because the trainer
 /// may resubmit the group.
@@ -40,6 +42,12 @@
     pub items: &'a [Item],
     /// The indices of the items that already have an outcome.
     pub finished: &'a BTreeSet<u32>,
+    /// The organisation that owns the batch. If any batch has one, items start by priority and share.
+    pub organisation: Option<&'a str>,
+    /// The priority of the organisation, else of the route; 0 is the highest.
+    pub priority: u32,
+    /// When unfinished items are abandoned, if ever.
+    pub deadline: Option<Instant>,
 }
 
 #[derive(Debug)]
@@ -54,6 +62,8 @@
     is_carried_over: Vec<bool>,
     target_groups: usize,
     max_attempts: u32,
+    has_organisation: bool,
+    deadline: Option<Instant>,
 }
 
 /// Assigns items to replicas.
@@ -66,6 +76,8 @@
     carried_over: HashMap<String, WorkId>,
     last_id: u64,
     next_move_at: Instant,
+    /// The service that each organisation has got.
+    shares: ItemShares,
 }
 
 impl Planner {
@@ -80,6 +92,8 @@
             is_carried_over: Vec::new(),
             target_groups: new.target_groups as usize,
             max_attempts: new.max_attempts,
+            has_organisation: new.organisation.is_some(),
+            deadline: new.deadline,
         };
         for (index, item) in (0..).zip(new.items) {
             let group = group_names.iter().position(|name| *name == item.group);
@@ -136,6 +150,8 @@
             expected_events: events.max(1),
             min_version: new.min_version,
             single_version: new.single_version,
+            organisation: new.organisation.map(Arc::from),
+            priority: new.priority,
             phase: old.as_ref().map_or(Phase::Waiting, |old| old.phase.clone()),
             end_report: old.as_ref().and_then(|old| old.end_report.clone()),
             progress: old.map(|old| old.progress).unwrap_or_default(),
@@ -218,6 +234,12 @@
         self.work_items.get(&work).map(|work| work.model.as_str())
     }
 
+    /// Returns the priority of an item that has an organisation.
+    pub fn priority(&self, work: WorkId) -> Option<u32> {
+        let work = self.work_items.get(&work)?;
+        work.organisation.is_some().then_some(work.priority)
+    }
+
     /// Returns the text that was generated for an item so far.
     pub fn progress(&self, work: WorkId) -> Option<&Progress> {
         self.work_items.get(&work).map(|work| &work.progress)
--- a/crates/batch/src/planner/choose.rs
+++ b/crates/batch/src/planner/choose.rs
@@ -1,12 +1,10 @@
 //! Decides which items are started, moved and stopped in a planning round.
 
 use super::candidates::Candidates;
-use super::{Action, Batch, Planner};
+use super::{Action, Planner};
 use crate::replica::Replica;
 use crate::work::{Phase, Run, Work, WorkId};
 use dogwoodlb_types::Instant;
-use std::cmp::Reverse;
-use std::collections::BTreeSet;
 use std::time::Duration;
 
 /// A run without an event for this long is moved to another replica. A reload of weights pauses
@@ -21,29 +19,9 @@
 const MAX_MOVES_PER_ROUND: usize = 4;
 /// The minimum time between two rounds that move runs.
 const MOVE_INTERVAL: Duration = Duration::from_millis(100);
-/// A batch is about to finish when the items that it still needs occupy at most one in this many
-/// slots.
-const FINISHING_SLOT_DIVISOR: usize = 4;
 /// The assumed time per event before any measurement, in milliseconds.
 const DEFAULT_EVENT_MS: f64 = 32.0;
 
-/// The sort key of a waiting item; the lowest starts first.
-///
-/// Interrupted items resume before new ones start, because a moved item would otherwise lose its
-/// slot. The longest items start first, regardless of their batch, because the item that finishes
-/// last determines the duration of a step.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-struct StartPriority {
-    /// Whether the batch does not need the group of the item.
-    is_surplus: bool,
-    /// Whether the batch still needs more items than [`FINISHING_SLOT_DIVISOR`] allows.
-    is_batch_not_finishing: bool,
-    /// Whether no text has been generated yet.
-    is_not_started: bool,
-    remaining_events: Reverse<u64>,
-    id: WorkId,
-}
-
 impl Planner {
     /// Runs one planning round and returns the actions to take.
     ///
@@ -134,43 +112,28 @@
         }
     }
 
-    fn start_priority(
-        &self,
-        id: WorkId,
-        work: &Work,
-        finishing: &BTreeSet<&str>,
-    ) -> Option<StartPriority> {
-        let name = work.batch.as_deref()?;
-        let batch = self.batches.get(name)?;
-        let is_waiting = work.phase == Phase::Waiting;
-        is_waiting.then(|| StartPriority {
-            is_surplus: !batch.is_needed[work.group_index],
-            is_batch_not_finishing: !finishing.contains(name),
-            is_not_started: work.progress.last_event == 0,
-            remaining_events: Reverse(work.remaining_events()),
-            id,
-        })
-    }
-
     fn plan_starts(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        let finishing = self.finishing_batches();
-        let work_items = self.work_items.iter();
-        let mut waiting: Vec<StartPriority> = work_items
-            .filter_map(|(id, work)| self.start_priority(*id, work, &finishing))
-            .collect();
-        waiting.sort_unstable();
-        let mut candidates = Candidates::new(&self.replicas, self.typical_event_ms(), now);
+        let typical_ms = self.typical_event_ms();
+        let mut order = self.start_order(typical_ms, now);
+        let mut candidates = Candidates::new(&self.replicas, typical_ms, now);
         let mut starts = Vec::new();
-        for priority in waiting {
-            let work = &self.work_items[&priority.id];
+        let replicas = self.replicas.values();
+        let free_slots = replicas.map(|one| one.state.slots.saturating_sub(one.run_count) as usize);
+        let free_slots: usize = free_slots.sum();
+        while starts.len() < free_slots {
+            let Some(next) = order.next() else { break };
+            let work = &self.work_items[&next.id];
             // A surplus group is likely to be resubmitted, so its text should come from a version
             // that the next batch accepts.
-            let Some((_, replica)) = candidates.best(work, priority.is_surplus, None) else {
+            let Some((_, replica)) = candidates.best(work, next.is_surplus, None) else {
+                order.on_blocked();
                 continue;
             };
             candidates.place(&replica, work.prompt_tokens);
-            starts.push((priority.id, replica));
+            order.on_placed(work.remaining_events());
+            starts.push((next.id, replica));
         }
+        self.shares = order.finish();
         for (work, replica) in starts {
             self.start(work, &replica, now);
             let replica = replica.to_string();
@@ -178,24 +141,6 @@
         }
     }
 
-    /// Returns the batches that are about to finish. Their last items need few slots, but if items
-    /// were ordered by length alone, they would wait behind those of a batch that has just started.
-    fn finishing_batches(&self) -> BTreeSet<&str> {
-        let replicas = self.replicas.values();
-        let slots: usize = replicas.map(|one| one.state.slots as usize).sum();
-        let max_open_items = slots / FINISHING_SLOT_DIVISOR;
-        let is_finishing = |batch: &Batch| {
-            let is_needed_and_open = |work: &&WorkId| {
-                let work = &self.work_items[*work];
-                let is_open = matches!(work.phase, Phase::Waiting | Phase::Running(_));
-                is_open && batch.is_needed[work.group_index]
-            };
-            batch.work_items.iter().filter(is_needed_and_open).count() <= max_open_items
-        };
-        let finishing = self.batches.iter().filter(|(_, batch)| is_finishing(batch));
-        finishing.map(|(name, _)| name.as_str()).collect()
-    }
-
     fn start(&mut self, id: WorkId, name: &str, now: Instant) {
         let Some(work) = self.work_items.get_mut(&id) else {
             return;
--- a/crates/batch/src/planner/runs.rs
+++ b/crates/batch/src/planner/runs.rs
@@ -45,6 +45,7 @@
         }
         run.events += 1;
         run.last_event_at = now;
+        self.shares.charge(work);
         is_valid
     }
 
@@ -88,6 +89,11 @@
             work.end_report = None;
             work.phase = Phase::Waiting;
         }
+        // A run without events has still taken a slot and the time to read the prompt.
+        let has_run = !matches!(end, RunEnd::Refused | RunEnd::Stopped);
+        if run.events == 0 && has_run {
+            self.shares.charge(work);
+        }
         work.failures += u32::from(end == RunEnd::Failed);
         let batch = work.batch.as_ref().and_then(|id| self.batches.get(id));
         batch.is_some_and(|batch| work.failures >= batch.max_attempts)
--- a/crates/batch/src/work.rs
+++ b/crates/batch/src/work.rs
@@ -1,5 +1,6 @@
 use crate::Progress;
 use dogwoodlb_types::Instant;
+use std::sync::Arc;
 
 /// Identifies an item that is scheduled. All runs of the item, on any replica, have the same id.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -19,6 +20,8 @@
     pub(crate) expected_events: u64,
     pub(crate) min_version: u64,
     pub(crate) single_version: bool,
+    pub(crate) organisation: Option<Arc<str>>,
+    pub(crate) priority: u32,
     pub(crate) phase: Phase,
     pub(crate) progress: Progress,
     /// The last report that the text is complete, unless the text has grown since.
--- a/crates/batch/tests/item_order.rs
+++ b/crates/batch/tests/item_order.rs
@@ -29,6 +29,9 @@
         event_tokens: 10,
         items,
         finished: &BTreeSet::new(),
+        organisation: None,
+        priority: 0,
+        deadline: None,
     });
 }
 
@@ -270,6 +273,9 @@
         event_tokens: 1,
         items: &[huge("a"), huge("b"), item("c", "c", 10)],
         finished: &BTreeSet::new(),
+        organisation: None,
+        priority: 0,
+        deadline: None,
     });
     // A prompt that exceeds the capacity runs alone.
     let first = planner.plan(at(0));
--- a/crates/batch/tests/planning_time.rs
+++ b/crates/batch/tests/planning_time.rs
@@ -43,6 +43,9 @@
         event_tokens: 10,
         items: &items,
         finished: &BTreeSet::new(),
+        organisation: None,
+        priority: 0,
+        deadline: None,
     });
     planner
 }
--- a/crates/batch/tests/recorded_order.rs
+++ b/crates/batch/tests/recorded_order.rs
@@ -79,6 +79,9 @@
             event_tokens: 1,
             items: &items,
             finished: &BTreeSet::new(),
+            organisation: None,
+            priority: 0,
+            deadline: None,
         });
     }
 
--- a/crates/batch/tests/support/single_item.rs
+++ b/crates/batch/tests/support/single_item.rs
@@ -30,5 +30,8 @@
         event_tokens: 10,
         items: &[item],
         finished: &BTreeSet::new(),
+        organisation: None,
+        priority: 0,
+        deadline: None,
     });
 }
--- a/crates/edge/src/coordinator/adoption.rs
+++ b/crates/edge/src/coordinator/adoption.rs
@@ -83,6 +83,7 @@
                 .unwrap_or(DEFAULT_ITEM_LIFETIME)
                 .saturating_sub(age);
         let event_tokens = self.event_tokens();
+        let route_priority = route.as_ref().map_or(0, |route| route.priority);
         self.planner.borrow_mut().add_batch(&NewBatch {
             id,
             model: &submission.model,
@@ -93,6 +94,9 @@
             event_tokens,
             items: &submission.items,
             finished: &finished,
+            organisation: None,
+            priority: route_priority,
+            deadline: Some(deadline),
         });
         let unfinished = self.planner.borrow().unfinished(id);
         for work in unfinished {
--- a/crates/emulator/src/simulation/leader.rs
+++ b/crates/emulator/src/simulation/leader.rs
@@ -21,6 +21,9 @@
             event_tokens: 1,
             items: &step.items(),
             finished: &step.listed,
+            organisation: None,
+            priority: 0,
+            deadline: None,
         });
         for work in self.planner.unfinished(&id) {
             let index = self.planner.item_location(work).map(|(_, index)| index);
