Limit the starts of a node while replicas refuse

Cause: A node does not know which slots other nodes use. Its queue stays empty while its requests use up their attempts on full replicas. Ruled out: limit::AdaptiveLimit, which doubles up to its initial value (about one refusal for each response with few slots) and judges latency, which depends on the request here. Trial: with a pause only while nothing runs, a node that is refused by a full service tried again without end in one instant.

--- a/crates/fair/src/arrival.rs
+++ b/crates/fair/src/arrival.rs
@@ -23,6 +23,17 @@
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Ticket(pub(crate) u64);
 
+/// The place of a request in a queue.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Queued {
+    /// The ticket.
+    pub ticket: Ticket,
+    /// How many requests are expected to be served before it.
+    pub position: usize,
+    /// How long it is expected to wait; zero if that is not known.
+    pub expected_wait: Duration,
+}
+
 /// The answer to the offer of a free replica.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Offer {
@@ -64,6 +75,17 @@
     }
 }
 
+/// How a request ended at its replica.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum End {
+    /// The replica processed it, so that the time counts as the running time of its route.
+    Complete,
+    /// The replica did not run it, because its slots are in use.
+    Refused,
+    /// It failed, or its caller left.
+    Broken,
+}
+
 /// Why a request was refused.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Reason {
--- a/crates/fair/src/lib.rs
+++ b/crates/fair/src/lib.rs
@@ -26,7 +26,7 @@
 //! for _ in 0..40 {
 //!     queue.push(&request("birch"), at(0))?;
 //! }
-//! let aspen = queue.push(&request("aspen"), at(1))?;
+//! let aspen = queue.push(&request("aspen"), at(1))?.ticket;
 //! let starts = (0..40).map(|_| queue.pop(at(2), |_| Offer::Taken).unwrap());
 //! let before = starts.take_while(|started| started.ticket() != Some(aspen));
 //! assert!(before.count() < 20);
@@ -35,13 +35,14 @@
 
 mod ageing;
 mod arrival;
+mod backpressure;
 mod pace;
 mod queue;
 mod returns;
 mod shares;
 
 pub use ageing::Ageing;
-pub use arrival::{Arrival, Offer, Reason, Refusal, Started, Ticket};
+pub use arrival::{Arrival, End, Offer, Queued, Reason, Refusal, Started, Ticket};
 pub use queue::{Queue, Settings};
 pub use shares::{Rank, Shares, Weight};
 
--- a/crates/fair/src/pace.rs
+++ b/crates/fair/src/pace.rs
@@ -30,6 +30,11 @@
         self.starts.push_back(now);
     }
 
+    /// Takes back the last start: the replica did not run the request.
+    pub(crate) fn on_refusal(&mut self) {
+        self.starts.pop_back();
+    }
+
     pub(crate) fn on_end(&mut self, route: &Arc<str>, took: Duration) {
         let took_ms = took.as_secs_f64() * 1e3;
         let average = self.took_ms.entry(route.clone()).or_insert(took_ms);
--- a/crates/fair/src/queue.rs
+++ b/crates/fair/src/queue.rs
@@ -1,4 +1,5 @@
-use crate::arrival::{Arrival, Offer, Reason, Refusal, Started, Ticket};
+use crate::arrival::{Arrival, End, Offer, Queued, Reason, Refusal, Started, Ticket};
+use crate::backpressure::Backpressure;
 use crate::pace::Pace;
 use crate::returns::Returns;
 use crate::{Ageing, Rank, Shares, Weight};
@@ -84,6 +85,9 @@
     displaced: Vec<(Ticket, Refusal)>,
     last_ticket: u64,
     ageing: Ageing,
+    /// The number of requests at replicas.
+    running: u32,
+    backpressure: Backpressure,
 }
 
 impl Queue {
@@ -99,6 +103,8 @@
             displaced: Vec::new(),
             last_ticket: 0,
             ageing: Ageing::default(),
+            running: 0,
+            backpressure: Backpressure::default(),
         }
     }
 
@@ -119,7 +125,7 @@
     ///
     /// [`Refusal`] if the queue is full, or if the request would wait too long to be answered by its
     /// deadline.
-    pub fn push(&mut self, arrival: &Arrival<'_>, now: Instant) -> Result<Ticket, Refusal> {
+    pub fn push(&mut self, arrival: &Arrival<'_>, now: Instant) -> Result<Queued, Refusal> {
         let organisation: Arc<str> = arrival.organisation.unwrap_or_default().into();
         let route: Arc<str> = arrival.route.into();
         let caller = (organisation.clone(), route.clone());
@@ -161,7 +167,11 @@
             .or_default()
             .insert(place);
         self.sync_waiting(&organisation);
-        Ok(place.ticket)
+        Ok(Queued {
+            ticket: place.ticket,
+            position,
+            expected_wait,
+        })
     }
 
     /// Makes room for a request of an organisation, in a full queue at the expense of the
@@ -185,9 +195,18 @@
         true
     }
 
+    /// Returns whether a request may be sent to a replica without waiting: none waits, and the
+    /// replicas don't refuse requests of this node.
+    pub fn may_start_at_once(&self, now: Instant) -> bool {
+        self.is_empty() && self.backpressure.allows(self.running, now)
+    }
+
     /// Offers a free replica to the waiting requests in their order until one takes it. Only the
     /// first request of each organisation is offered one.
     pub fn pop(&mut self, now: Instant, mut offer: impl FnMut(Ticket) -> Offer) -> Option<Started> {
+        if !self.backpressure.allows(self.running, now) {
+            return None;
+        }
         let mut turns: Vec<Turn> = self.turns().collect();
         turns.sort_unstable();
         let mut tickets: Vec<Ticket> = turns.iter().map(|turn| turn.ticket).collect();
@@ -250,6 +269,7 @@
         self.shares
             .reserve(&entry.organisation, weight, reserved_ms);
         self.pace.on_start(now);
+        self.running += 1;
         Started {
             ticket,
             organisation: entry.organisation.clone(),
@@ -261,21 +281,24 @@
         }
     }
 
-    /// Records the end of a request at its replica. `is_complete` says that the replica processed
-    /// it, so that the time counts as the route's running time.
-    pub fn on_end(&mut self, started: Started, took: Duration, is_complete: bool) {
-        let Started {
-            organisation,
-            route,
-            weight,
-            ..
-        } = started;
+    /// Records the end of a request at its replica, which took it for a time.
+    pub fn on_end(&mut self, started: Started, took: Duration, end: End, now: Instant) {
+        let (organisation, weight) = (&*started.organisation, started.weight);
+        let reserved_ms = started.reserved_ms;
+        self.shares.reserve(organisation, weight, -reserved_ms);
         let took_ms = took.as_secs_f64() * 1e3;
-        self.shares
-            .reserve(&organisation, weight, -started.reserved_ms);
-        self.shares.charge(&organisation, weight, took_ms);
-        if is_complete {
-            self.pace.on_end(&route, took);
+        self.shares.charge(organisation, weight, took_ms);
+        self.running = self.running.saturating_sub(1);
+        match end {
+            End::Complete => {
+                self.pace.on_end(&started.route, took);
+                self.backpressure.on_response(self.running);
+            }
+            End::Refused => {
+                self.pace.on_refusal();
+                self.backpressure.on_refusal(self.running, now);
+            }
+            End::Broken => {}
         }
     }
 
--- a/crates/fair/tests/overload.rs
+++ b/crates/fair/tests/overload.rs
@@ -2,7 +2,7 @@
 //! is played in virtual time against the queue, and against a queue in the order of arrival, which
 //! must fail the same objective.
 
-use dogwoodlb_fair::{Arrival, Offer, Queue, Reason, Settings, Started, Ticket};
+use dogwoodlb_fair::{Arrival, End, Offer, Queue, Reason, Settings, Started, Ticket};
 use dogwoodlb_types::Instant;
 use rstest::rstest;
 use std::collections::{BTreeMap, VecDeque};
@@ -68,7 +68,7 @@
     for now_ms in 0..END_MS {
         let now = Instant::from_millis(now_ms);
         for ended in running.extract_if(.., |(end_ms, _)| *end_ms <= now_ms) {
-            queue.on_end(ended.1, Duration::from_millis(RUN_MS), true);
+            queue.on_end(ended.1, Duration::from_millis(RUN_MS), End::Complete, now);
         }
         line_ends.retain(|end_ms| *end_ms > now_ms);
         for load in loads {
@@ -78,8 +78,8 @@
                 fair.entry(load.organisation).or_default().offered += 1;
                 fifo.entry(load.organisation).or_default().offered += 1;
                 line.push_back((now_ms, *load));
-                if let Ok(ticket) = queue.push(&arrival(*load, now_ms), now) {
-                    waiting.insert(ticket, *load);
+                if let Ok(queued) = queue.push(&arrival(*load, now_ms), now) {
+                    waiting.insert(queued.ticket, *load);
                 }
             }
         }
@@ -193,10 +193,11 @@
         route: "orders",
         ..arrival(load("aspen", 0, 0), return_ms)
     };
-    let first = queue.push(&other, now).unwrap();
+    let first = queue.push(&other, now).unwrap().ticket;
     let returning = queue.push(&arrival(load("aspen", 0, 0), return_ms), now);
+    let returning = returning.unwrap().ticket;
     let started = queue.pop(now, |_| Offer::Taken).unwrap();
-    let expected = if is_first { returning.unwrap() } else { first };
+    let expected = if is_first { returning } else { first };
     assert_eq!(started.ticket(), Some(expected));
 }
 
@@ -210,7 +211,10 @@
         ..Settings::default()
     });
     let now = Instant::from_millis(0);
-    let mut push = |organisation| queue.push(&arrival(load(organisation, 0, 0), 0), now);
+    let mut push = |organisation| {
+        let queued = queue.push(&arrival(load(organisation, 0, 0), 0), now);
+        queued.map(|queued| queued.ticket)
+    };
     let results = ["a", "a", "a", "a", "b", "c"].map(&mut push);
     assert_eq!(results[3].unwrap_err().reason, Reason::Full);
     assert!(results[5].is_ok());
@@ -229,7 +233,7 @@
     let now = Instant::from_millis(1_000);
     for _ in 0..10 {
         let started = queue.start_at_once(&arrival(load("a", 0, 0), 900), now);
-        queue.on_end(started, Duration::from_millis(100), true);
+        queue.on_end(started, Duration::from_millis(100), End::Complete, now);
     }
     let results: Vec<_> = (0..20)
         .map(|_| queue.push(&arrival(load("a", 0, 0), 1_000), now))
@@ -246,3 +250,43 @@
         "those that wait are refused when late"
     );
 }
+
+/// Guards against requests that use up their attempts on replicas whose slots other nodes use: three
+/// nodes share four slots, and a replica refuses when all are in use.
+#[test]
+fn slots_shared_with_other_nodes() {
+    let mut nodes: [Queue; 3] = std::array::from_fn(|_| Queue::new(Settings::default()));
+    let mut running: Vec<(u64, usize, Started)> = Vec::new();
+    let (mut served, mut refused) = ([0_u32; 3], 0_u32);
+    for now_ms in 0..END_MS {
+        let now = Instant::from_millis(now_ms);
+        for (_, node, started) in running.extract_if(.., |(end_ms, ..)| *end_ms <= now_ms) {
+            nodes[node].on_end(started, Duration::from_millis(RUN_MS), End::Complete, now);
+            served[node] += 1;
+        }
+        for number in 0..3 {
+            let number = (number + now_ms as usize) % 3;
+            let node = &mut nodes[number];
+            if node.len() < 4 {
+                let _ = node.push(&arrival(load("aspen", 0, 0), now_ms), now);
+            }
+            node.expire(now);
+            while let Some(started) = node.pop(now, |_| Offer::Taken) {
+                if running.len() < 4 {
+                    running.push((now_ms + RUN_MS, number, started));
+                    continue;
+                }
+                refused += 1;
+                node.on_end(started, Duration::ZERO, End::Refused, now);
+                let resumed = Arrival {
+                    is_resumed: true,
+                    ..arrival(load("aspen", 0, 0), now_ms)
+                };
+                let _ = node.push(&resumed, now);
+            }
+        }
+    }
+    let total: u32 = served.iter().sum();
+    assert!(total > 1_800, "{served:?}");
+    assert!(refused < total * 3 / 2, "{refused} {served:?}");
+}
