Tell engines the priority of items that have an organisation

Cause: Engines order their work by Request-Priority. Change: A run sends the planner's priority of the item, 9 at most, in place of what the item's own headers say. Items without an organisation are sent as before. Conclusion: To be tested on a node once batches have organisations.

--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -23,6 +23,8 @@
 const HEAD_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// The maximum size of an event, with the comments before it.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
+/// The lowest priority that engines know; 0 is the highest.
+const LOWEST_PRIORITY: u32 = 9;
 
 /// The replica on which an item runs.
 pub(crate) struct Target {
@@ -60,7 +62,8 @@
 ) -> RunResult {
     let headers = context.protocol.headers();
     let last_event = planner.borrow().progress(work).map_or(0, |p| p.last_event);
-    let request = build_request(headers, item, target, last_event);
+    let priority = planner.borrow().priority(work);
+    let request = build_request(headers, item, target, last_event, priority);
     let may_send = || {
         let cluster = &context.cluster;
         let accepts_work = cluster.accepts_work(&target.replica, target.born_ms);
@@ -90,6 +93,7 @@
     item: &Item,
     target: &Target,
     last_event: u64,
+    priority: Option<u32>,
 ) -> Request<Bytes> {
     let mut request = Request::new(Bytes::from(item.body.clone()));
     *request.method_mut() = Method::POST;
@@ -115,6 +119,10 @@
     set(HOST, &target.host);
     set(headers.request_id.clone(), &item.id);
     set(headers.instance.clone(), &target.replica);
+    if let Some(priority) = priority {
+        let priority = priority.min(LOWEST_PRIORITY).to_string();
+        set(headers.priority.clone(), &priority);
+    }
     if last_event > 0 {
         set(headers.last_event.clone(), &last_event.to_string());
     }
