Queue requests by share where there are organisations

Cause: A request without a free replica polls until a fifth of its latency objective has passed; whose turn it is depends on timers. Change: edge::waiting has a queue for each plain service. forward calls it in place of polling if the configuration has organisations. A request that can't be answered in time is refused at once, with Retry-After from the queue. The organisation of a request is passed as none until callers are identified.

--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -8,6 +8,7 @@
 use crate::protocol::Protocol;
 use crate::reply::{self, Body};
 use crate::routing::{Selection, ServiceRouters};
+use crate::waiting::{ReplicaRequest, ServiceQueues};
 use bytes::Bytes;
 use dogwoodlb_client::Client;
 use dogwoodlb_config::{Route, RouteKind, Snapshot};
@@ -55,6 +56,7 @@
     pub(crate) client: Client,
     pub(crate) protocol: Rc<dyn Protocol>,
     pub(crate) routers: Rc<ServiceRouters>,
+    pub(crate) queues: ServiceQueues,
     pub(crate) metrics: Rc<Metrics>,
     /// Knows how long requests take, and which of them end before an exit of the node.
     pub(crate) drain_admission: Rc<RefCell<DrainAdmission>>,
@@ -74,6 +76,10 @@
     body: Bytes,
     /// Runs once the request can be sent. It passes to the response body if that is streamed.
     timer: Cell<Option<CompletionTimer>>,
+    /// Whether the configuration has organisations, so that the request waits in a queue.
+    is_queued: bool,
+    /// The retry-after time if no replica takes the request.
+    retry_after: Cell<Duration>,
 }
 
 /// The result of one attempt.
@@ -126,6 +132,8 @@
             head: &head,
             body: Bytes::new(),
             timer: Cell::default(),
+            is_queued: config.organisations().is_some(),
+            retry_after: Cell::new(RETRY_AFTER),
         };
         let content_length = body.size_hint().exact();
         if content_length.is_some_and(|length| length > MAX_BUFFERED_BYTES as u64) {
@@ -209,7 +217,8 @@
             return self.refuse_while_draining(proxied, tried.len());
         }
         self.record_failure(proxied, "not_run", tried.len());
-        reply::unavailable("no replica took the request; it has not run", RETRY_AFTER)
+        let reason = "no replica took the request; it has not run";
+        reply::unavailable(reason, proxied.retry_after.get())
     }
 
     /// Selects a replica, waiting for a limited time if none is free.
@@ -218,6 +227,20 @@
         proxied: &ProxiedRequest<'_>,
         tried: &[id::Upstream],
     ) -> Option<Selection> {
+        if proxied.is_queued {
+            let request = ReplicaRequest {
+                request_id: &proxied.request_id,
+                service: proxied.service,
+                route: proxied.route,
+                organisation: None,
+                deadline: proxied.deadline,
+                tried,
+            };
+            let selected = self.queues.select(&request).await;
+            return selected
+                .inspect_err(|refused| proxied.retry_after.set(refused.retry_after))
+                .ok();
+        }
         let until = proxied.began + proxied.route.latency_target.mul_f64(MAX_WAIT_SHARE);
         loop {
             let selection = self.routers.select(proxied.service, tried);
@@ -281,7 +304,8 @@
             return self.refuse_while_draining(proxied, 0);
         }
         let Some(mut selection) = self.wait_for_replica(proxied, &[]).await else {
-            return reply::unavailable("no replica is free; it has not run", RETRY_AFTER);
+            let reason = "no replica is free; it has not run";
+            return reply::unavailable(reason, proxied.retry_after.get());
         };
         let left = proxied.deadline.saturating_since(clock::now());
         let length = body.size_hint().exact();
--- a/crates/edge/src/forward/exchange.rs
+++ b/crates/edge/src/forward/exchange.rs
@@ -59,7 +59,7 @@
             let status = response.head.status.as_u16();
             tracing::debug!(request = proxied.request_id, replica = %selection.replica, status, "not_run");
             response.body.discard().await;
-            selection.finish(Outcome::Cancelled);
+            selection.refuse();
             return Attempt::NotRun;
         }
         let is_failure = response.head.status.is_server_error();
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -47,6 +47,7 @@
 mod submit;
 mod table_watcher;
 mod task;
+mod waiting;
 
 pub use error::Error;
 pub use node::{Command, Dependencies, Node};
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Prometheus counters, gauges and histograms.
 
 use crate::clock;
+use crate::waiting::QueueMetrics;
 use dogwoodlb_types::Instant;
 use prometheus::{
     Encoder, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
@@ -23,6 +24,7 @@
     pub(crate) connections: IntGauge,
     pub(crate) store_calls: IntGauge,
     pub(crate) store_failures: IntGauge,
+    pub(crate) queues: QueueMetrics,
 }
 
 impl Metrics {
@@ -69,6 +71,7 @@
             store_calls: gauge("store_calls", "Calls to the metadata store.")?,
             store_failures: gauge("store_failures", "Failed calls to the metadata store.")?,
             item_requests,
+            queues: QueueMetrics::new(&registry)?,
             replicas_leaving,
             requests,
             registry,
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -23,6 +23,7 @@
 use crate::submit::Submitter;
 use crate::table_watcher::{Mirrors, Table, TableWatcher};
 use crate::task::Supervisor;
+use crate::waiting::ServiceQueues;
 use dogwoodlb_client::Client;
 use dogwoodlb_external::store::Txn;
 use dogwoodlb_external::MetadataStore;
@@ -218,6 +219,7 @@
             client: context.client.clone(),
             protocol: protocol.clone(),
             routers: routers.clone(),
+            queues: ServiceQueues::new(routers.clone(), context.metrics.clone()),
             metrics: context.metrics.clone(),
             drain_admission: Rc::default(),
         },
--- a/crates/edge/src/routing.rs
+++ b/crates/edge/src/routing.rs
@@ -5,6 +5,7 @@
 use crate::departure;
 use crate::protocol::HeaderNames;
 use crate::settings::Settings;
+use crate::waiting::Slot;
 use dogwoodlb_config::{Service, Snapshot};
 use dogwoodlb_directory::Entry;
 use dogwoodlb_route::{Outcome, Replica, Request, Router, Ticket};
@@ -22,6 +23,8 @@
     pub(crate) address: SocketAddr,
     /// The start of the replica's process, which tells its incarnations apart.
     pub(crate) born_ms: i64,
+    /// The slot that a queue charges to an organisation, if the request went through one.
+    pub(crate) slot: Option<Slot>,
     ticket: Option<Ticket>,
     service: String,
     routers: Rc<ServiceRouters>,
@@ -42,8 +45,19 @@
         departure::observe(cluster, names, replica, self.born_ms, response);
     }
 
+    /// Reports that the replica did not run the request.
+    pub(crate) fn refuse(&mut self) {
+        if let Some(slot) = self.slot.take() {
+            slot.refuse();
+        }
+        self.finish(Outcome::Cancelled);
+    }
+
     /// Reports the outcome of the request to the router. Only the first call has an effect.
     pub(crate) fn finish(&mut self, outcome: Outcome) {
+        if let Some(slot) = self.slot.take() {
+            slot.finish(outcome);
+        }
         let Some(ticket) = self.ticket.take() else {
             return;
         };
@@ -193,6 +207,7 @@
             replica: pick.upstream,
             address: entry.address,
             born_ms: entry.born_ms,
+            slot: None,
             ticket: Some(pick.ticket),
             service: service.to_owned(),
             routers: self.clone(),
