Estimate the rate of a full service by its running requests

Change: Until requests have waited for a second, the time between starts is at most the mean slot time divided by the running requests. After a second without a start, it is a second at least.

--- a/crates/fair/src/pace.rs
+++ b/crates/fair/src/pace.rs
@@ -53,8 +53,39 @@
         took_ms.unwrap_or(DEFAULT_COST_MS).max(1.0)
     }
 
-    /// Returns the time between two starts, or `None` if there was none in the last second.
-    pub(crate) fn interval(&self, now: Instant) -> Option<Duration> {
+    /// Returns the expected time between two starts, or `None` if nothing is known of it.
+    ///
+    /// Once requests have waited for a second, that is the time between the starts in this second.
+    /// Before that, the starts also show how few requests there were, so that the rate of a service
+    /// that has just become full is at least that of its `running` requests.
+    pub(crate) fn interval(
+        &self,
+        running: u32,
+        busy_since: Option<Instant>,
+        now: Instant,
+    ) -> Option<Duration> {
+        let observed = self.observed_interval(now);
+        if busy_since.is_some_and(|since| now.saturating_since(since) >= WINDOW) {
+            return Some(observed.unwrap_or(WINDOW));
+        }
+        let mean = Duration::from_secs_f64(self.mean_cost_ms() / 1e3);
+        let by_running = (running > 0).then(|| mean / running);
+        match (observed, by_running) {
+            (Some(observed), Some(by_running)) => Some(observed.min(by_running)),
+            (observed, by_running) => observed.or(by_running),
+        }
+    }
+
+    /// Returns the mean slot time of the routes in milliseconds.
+    pub(crate) fn mean_cost_ms(&self) -> f64 {
+        let total: f64 = self.took_ms.values().sum();
+        match self.took_ms.len() {
+            0 => DEFAULT_COST_MS,
+            count => (total / count as f64).max(1.0),
+        }
+    }
+
+    fn observed_interval(&self, now: Instant) -> Option<Duration> {
         let begin = now - WINDOW;
         let starts = self.starts.iter().filter(|at| **at >= begin).count();
         let starts = u32::try_from(starts).unwrap_or(u32::MAX);
--- a/crates/fair/src/queue.rs
+++ b/crates/fair/src/queue.rs
@@ -87,6 +87,8 @@
     ageing: Ageing,
     /// The number of requests at replicas.
     running: u32,
+    /// Since when requests wait.
+    busy_since: Option<Instant>,
     backpressure: Backpressure,
 }
 
@@ -104,6 +106,7 @@
             last_ticket: 0,
             ageing: Ageing::default(),
             running: 0,
+            busy_since: None,
             backpressure: Backpressure::default(),
         }
     }
@@ -161,6 +164,7 @@
             deadline: arrival.deadline,
             arrived: now,
         };
+        self.busy_since.get_or_insert(now);
         self.entries.insert(place.ticket, entry);
         self.places
             .entry(organisation.clone())
@@ -338,6 +342,7 @@
 
     fn remove(&mut self, ticket: Ticket) -> Option<Entry> {
         let entry = self.entries.remove(&ticket)?;
+        self.busy_since = self.busy_since.filter(|_| !self.entries.is_empty());
         if let Some(places) = self.places.get_mut(&entry.organisation) {
             places.remove(&entry.place);
             if places.is_empty() {
--- a/crates/fair/src/queue/wait.rs
+++ b/crates/fair/src/queue/wait.rs
@@ -11,15 +11,15 @@
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 /// Callers honour a retry-after time of at most this part of the time that they have left.
 const HONOURED_DIVISOR: u32 = 3;
-/// The retry-after time before any start was seen.
+/// The retry-after time while nothing is known of the rate.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// The part of the retry-after time that is random, so that callers don't return together.
 const JITTER: f64 = 0.5;
 
 impl Queue {
     /// Returns how many requests are served before one at a place, and how long that takes at the
-    /// present rate. The wait is zero if no start was seen in the last second: then nothing speaks
-    /// against the request.
+    /// present rate. The wait is zero if nothing is known of the rate: then nothing speaks against the
+    /// request.
     pub(super) fn expected_wait(
         &self,
         organisation: &str,
@@ -28,7 +28,7 @@
     ) -> (usize, Duration) {
         let places = self.places.get(organisation);
         let own = places.map_or(0, |places| places.range(..place).count());
-        let cost_ms = self.mean_cost_ms();
+        let cost_ms = self.pace.mean_cost_ms();
         let weight = Weight::of_priority(place.priority);
         let start = self.shares.position(organisation, weight);
         let target = start + own as f64 * cost_ms / weight.get();
@@ -45,18 +45,13 @@
         // All other starts go by age, which also bounds the wait.
         let aged = AGED_START_INTERVAL as usize;
         let ahead = (by_share * aged / (aged - 1)).min(self.entries.len() * aged);
-        let interval = self.pace.interval(now).unwrap_or_default();
+        let interval = self.interval(now).unwrap_or_default();
         let count = u32::try_from(ahead + 1).unwrap_or(u32::MAX);
         (ahead, interval.saturating_mul(count))
     }
 
-    fn mean_cost_ms(&self) -> f64 {
-        let costs = self
-            .entries
-            .values()
-            .map(|entry| self.pace.cost_ms(&entry.route));
-        let total: f64 = costs.sum();
-        (total / self.entries.len().max(1) as f64).max(1.0)
+    fn interval(&self, now: Instant) -> Option<Duration> {
+        self.pace.interval(self.running, self.busy_since, now)
     }
 
     /// Returns when the caller of a refused request should return: after the time in which the
@@ -70,7 +65,7 @@
             standing: super::Standing::New,
             ticket: crate::Ticket(u64::MAX),
         };
-        let wait = match self.pace.interval(now) {
+        let wait = match self.interval(now) {
             Some(_) => self.expected_wait(&organisation, last, now).1,
             None => DEFAULT_RETRY_AFTER,
         };
