--- a/crates/batch/src/planner.rs
+++ b/crates/batch/src/planner.rs
@@ -11,12 +11,14 @@
 mod candidates;
 mod choose;
 mod demand;
+mod order;
 mod restart;
 mod runs;
 mod stall;
 
 pub use action::{Action, RunEnd};
 pub use demand::Demand;
+use order::ItemShares;
 pub use restart::Restart;
 pub use stall::Stall;
 
@@ -29,7 +31,8 @@
 pub struct NewBatch<'a> {
     /// The id of the batch.
     pub id: &'a str,
-    /// The organisation that submitted the batch, if any.
+    /// The organisation that submitted the batch, if any. If any batch has one, items start by
+    /// priority and share.
     pub organisation: Option<&'a str>,
     /// The model that generates the items.
     pub model: &'a str,
@@ -47,6 +50,10 @@
     pub items: &'a [Item],
     /// The indices of the items that already have an outcome.
     pub finished: &'a BTreeSet<u32>,
+    /// The priority of the organisation, else of the route; 0 is the highest.
+    pub priority: u32,
+    /// When unfinished items are abandoned, if ever.
+    pub deadline: Option<Instant>,
 }
 
 #[derive(Debug)]
@@ -61,10 +68,12 @@
     is_carried_over: Vec<bool>,
     target_groups: usize,
     max_attempts: u32,
+    has_organisation: bool,
+    deadline: Option<Instant>,
 }
 
 /// The organisation and the id of an item.
-type CarryoverKey = (Option<String>, String);
+type CarryoverKey = (Option<Arc<str>>, String);
 
 /// Assigns items to replicas.
 #[derive(Debug, Default)]
@@ -80,6 +89,8 @@
     next_move_at: Instant,
     /// The time of the last planning round.
     last_round_at: Option<Instant>,
+    /// The service that each organisation has got.
+    shares: ItemShares,
 }
 
 impl Planner {
@@ -94,6 +105,8 @@
             is_carried_over: Vec::new(),
             target_groups: new.target_groups as usize,
             max_attempts: new.max_attempts,
+            has_organisation: new.organisation.is_some(),
+            deadline: new.deadline,
         };
         for (index, item) in (0..).zip(new.items) {
             let group = group_names.iter().position(|name| *name == item.group);
@@ -105,7 +118,7 @@
             if new.finished.contains(&index) {
                 continue;
             }
-            let key = (new.organisation.map(str::to_owned), item.id.clone());
+            let key = (new.organisation.map(Arc::from), item.id.clone());
             let carried = self.carried_over.remove(&key);
             batch.is_carried_over[group] |= carried.is_some();
             let work = self.insert_work(carried, new, index, item, group);
@@ -143,7 +156,8 @@
         let old = self.work_items.remove(&id);
         let work = Work {
             batch: Some(new.id.to_owned()),
-            organisation: new.organisation.map(str::to_owned),
+            organisation: new.organisation.map(Arc::from),
+            priority: new.priority,
             index,
             item: item.id.clone(),
             model: new.model.to_owned(),
@@ -258,6 +272,12 @@
         self.work_items.get(&work).map(|work| work.model.as_str())
     }
 
+    /// Returns the priority of an item that has an organisation.
+    pub fn priority(&self, work: WorkId) -> Option<u32> {
+        let work = self.work_items.get(&work)?;
+        work.organisation.is_some().then_some(work.priority)
+    }
+
     /// Returns the text that was generated for an item so far.
     pub fn progress(&self, work: WorkId) -> Option<&Progress> {
         self.work_items.get(&work).map(|work| &work.progress)
--- a/crates/batch/src/work.rs
+++ b/crates/batch/src/work.rs
@@ -1,6 +1,7 @@
 use crate::prefill::Prompt;
 use crate::Progress;
 use dogwoodlb_types::Instant;
+use std::sync::Arc;
 
 /// Identifies an item that is scheduled. All runs of the item, on any replica, have the same id.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -12,7 +13,9 @@
     /// The batch, or `None` if the batch has ended and a later one may resubmit the item.
     pub(crate) batch: Option<String>,
     /// The organisation that submitted the batch.
-    pub(crate) organisation: Option<String>,
+    pub(crate) organisation: Option<Arc<str>>,
+    /// The priority of the organisation, else of the route; 0 is the highest.
+    pub(crate) priority: u32,
     pub(crate) index: u32,
     pub(crate) item: String,
     pub(crate) model: String,
@@ -90,7 +93,7 @@
     }
 
     /// Returns the key of the item among those that ended batches left unfinished.
-    pub(crate) fn carryover_key(&self) -> (Option<String>, String) {
+    pub(crate) fn carryover_key(&self) -> (Option<Arc<str>>, String) {
         (self.organisation.clone(), self.item.clone())
     }
 
--- a/crates/batch/tests/carryover_owner.rs
+++ b/crates/batch/tests/carryover_owner.rs
@@ -22,6 +22,8 @@
         max_attempts: 3,
         event_tokens: 10,
         items: &[item],
+        priority: 0,
+        deadline: None,
         finished: &BTreeSet::new(),
     });
 }
--- a/crates/batch/tests/item_order.rs
+++ b/crates/batch/tests/item_order.rs
@@ -30,6 +30,8 @@
         event_tokens: 10,
         items,
         finished: &BTreeSet::new(),
+        priority: 0,
+        deadline: None,
     });
 }
 
@@ -274,6 +276,8 @@
         event_tokens: 1,
         items: &[huge("a"), huge("b"), item("c", "c", 10)],
         finished: &BTreeSet::new(),
+        priority: 0,
+        deadline: None,
     });
     // A prompt that exceeds the capacity runs alone.
     let first = planner.plan(at(0));
--- a/crates/batch/tests/long_prompts.rs
+++ b/crates/batch/tests/long_prompts.rs
@@ -96,6 +96,8 @@
             max_attempts: 3,
             event_tokens: EVENT_TOKENS,
             items: &items,
+            priority: 0,
+            deadline: None,
             finished: &BTreeSet::new(),
         });
         if self.knows_prompts {
@@ -240,6 +242,8 @@
         max_attempts: 3,
         event_tokens: 1,
         items: &items,
+        priority: 0,
+        deadline: None,
         finished: &BTreeSet::new(),
     });
     let shared = PromptPart {
--- a/crates/batch/tests/planning_time.rs
+++ b/crates/batch/tests/planning_time.rs
@@ -44,6 +44,8 @@
         event_tokens: 10,
         items: &items,
         finished: &BTreeSet::new(),
+        priority: 0,
+        deadline: None,
     });
     planner
 }
--- a/crates/batch/tests/stalled_runs.rs
+++ b/crates/batch/tests/stalled_runs.rs
@@ -41,6 +41,8 @@
         max_attempts: 3,
         event_tokens: 10,
         items: &(0..count).map(item).collect::<Vec<_>>(),
+        priority: 0,
+        deadline: None,
         finished: &BTreeSet::new(),
     });
 }
--- a/crates/batch/tests/support/single_item.rs
+++ b/crates/batch/tests/support/single_item.rs
@@ -31,5 +31,7 @@
         event_tokens: 10,
         items: &[item],
         finished: &BTreeSet::new(),
+        priority: 0,
+        deadline: None,
     });
 }
--- a/crates/config/src/organisation.rs
+++ b/crates/config/src/organisation.rs
@@ -61,6 +61,11 @@
         self.by_key.len()
     }
 
+    /// Returns the organisation with a name.
+    pub fn named(&self, name: &str) -> Option<&Organisation> {
+        self.iter().find(|organisation| organisation.name == name)
+    }
+
     /// Returns the organisation that holds a key.
     pub fn holder(&self, key: &ApiKey) -> Option<&Arc<Organisation>> {
         self.by_key.get(key)
--- a/crates/edge/src/coordinator/adoption.rs
+++ b/crates/edge/src/coordinator/adoption.rs
@@ -100,6 +100,8 @@
             event_tokens: guarantees.event_tokens,
             items: &submission.items,
             finished: &finished,
+            priority: guarantees.priority,
+            deadline: Some(clock::now() + guarantees.time_left),
         });
         let protocol = &self.context.protocol;
         let parts = |index: u32| {
--- a/crates/edge/src/coordinator/guarantees.rs
+++ b/crates/edge/src/coordinator/guarantees.rs
@@ -17,6 +17,8 @@
     /// has may have been promised so if the route is gone.
     pub(super) single_version: bool,
     pub(super) max_attempts: u32,
+    /// The priority of the organisation, else of the route.
+    pub(super) priority: u32,
     pub(super) event_tokens: u64,
     /// The version of the configuration.
     pub(super) config_version: u64,
@@ -41,11 +43,14 @@
         let age = Duration::from_millis(now_ms.saturating_sub(header.submitted_ms));
         let route = config.route(&header.host, &header.path);
         let route = route.filter(|route| route.kind == RouteKind::Rollout);
+        let named = |name: &String| config.organisations()?.named(name)?.priority;
+        let priority = header.organisation.as_ref().and_then(named);
         let lifetime = route.and_then(|route| route.item_ttl);
         Ok(Guarantees {
             has_route: route.is_some(),
             single_version: route.is_none_or(|route| route.single_version),
             max_attempts: route.map_or(1, |route| route.max_attempts),
+            priority: priority.unwrap_or_else(|| route.map_or(0, |route| route.priority)),
             event_tokens: engine.event_tokens,
             config_version: config.version(),
             age,
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -10,9 +10,10 @@
 use crate::reply::{self, Body};
 use crate::routing::{Selection, ServiceRouters};
 use crate::usage::{RequestUsage, UsageMeter};
+use crate::waiting::{ReplicaRequest, ServiceQueues};
 use bytes::Bytes;
 use dogwoodlb_client::Client;
-use dogwoodlb_config::{Route, RouteKind, Snapshot};
+use dogwoodlb_config::{Organisation, Route, RouteKind, Snapshot};
 use dogwoodlb_limit::{DrainAdmission, DrainRequest};
 use dogwoodlb_route::Outcome;
 use dogwoodlb_types::{id, Instant};
@@ -22,6 +23,7 @@
 use hyper::{Request, Response, StatusCode};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{sleep, timeout};
 
@@ -51,6 +53,7 @@
     pub(crate) client: Client,
     pub(crate) protocol: Rc<dyn Protocol>,
     pub(crate) routers: Rc<ServiceRouters>,
+    pub(crate) queues: ServiceQueues,
     pub(crate) metrics: Rc<Metrics>,
     pub(crate) usage: Rc<UsageMeter>,
     /// Knows how long requests take, and which of them end before an exit of the node.
@@ -61,6 +64,8 @@
 struct ProxiedRequest<'a> {
     route: &'a Route,
     service: &'a str,
+    /// The organisation of the caller, if it has a key.
+    organisation: Option<Arc<Organisation>>,
     /// Which headers about the caller replicas get.
     forwarding: Forwarding<'a>,
     request_id: String,
@@ -75,6 +80,10 @@
     timer: Cell<Option<CompletionTimer>>,
     /// Counts the request once it has begun to run.
     usage: RequestUsage,
+    /// Whether the configuration has organisations, so that the request waits in a queue.
+    is_queued: bool,
+    /// The retry-after time if no replica takes the request.
+    retry_after: Cell<Duration>,
 }
 
 /// The result of one attempt.
@@ -121,6 +130,7 @@
         let mut proxied = ProxiedRequest {
             route,
             service,
+            organisation: caller.organisation().cloned(),
             forwarding: caller.into(),
             request_id: request_id.to_owned(),
             began,
@@ -132,6 +142,8 @@
             usage: self
                 .usage
                 .observe(caller.organisation().map(|organisation| &**organisation)),
+            is_queued: config.organisations().is_some(),
+            retry_after: Cell::new(RETRY_AFTER),
         };
         let content_length = body.size_hint().exact();
         if content_length.is_some_and(|length| length > MAX_BUFFERED_BYTES as u64) {
@@ -215,7 +227,8 @@
             return self.refuse_while_draining(proxied, attempts);
         }
         self.record_failure(proxied, "not_run", attempts);
-        reply::unavailable("no replica took the request; it has not run", RETRY_AFTER)
+        let reason = "no replica took the request; it has not run";
+        reply::unavailable(reason, proxied.retry_after.get())
     }
 
     /// Selects a replica, waiting for a limited time if none is free.
@@ -224,6 +237,20 @@
         proxied: &ProxiedRequest<'_>,
         tried: &[id::Upstream],
     ) -> Option<Selection> {
+        if proxied.is_queued {
+            let request = ReplicaRequest {
+                request_id: &proxied.request_id,
+                service: proxied.service,
+                route: proxied.route,
+                organisation: proxied.organisation.as_deref(),
+                deadline: proxied.deadline,
+                tried,
+            };
+            let selected = self.queues.select(&request).await;
+            return selected
+                .inspect_err(|refused| proxied.retry_after.set(refused.retry_after))
+                .ok();
+        }
         let until = proxied.began + proxied.route.latency_target.mul_f64(MAX_WAIT_SHARE);
         loop {
             let selection = self.routers.select(proxied.service, tried);
@@ -262,7 +289,8 @@
             return self.refuse_while_draining(proxied, 0);
         }
         let Some(selection) = self.wait_for_replica(proxied, &[]).await else {
-            return reply::unavailable("no replica is free; it has not run", RETRY_AFTER);
+            let reason = "no replica is free; it has not run";
+            return reply::unavailable(reason, proxied.retry_after.get());
         };
         let left = proxied.deadline.saturating_since(clock::now());
         let length = body.size_hint().exact();
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -52,6 +52,7 @@
 mod table_watcher;
 mod task;
 mod usage;
+mod waiting;
 
 pub use error::Error;
 pub use node::{Command, Dependencies, Node};
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Prometheus counters, gauges and histograms.
 
 use crate::clock;
+use crate::waiting::QueueMetrics;
 use dogwoodlb_types::Instant;
 use prometheus::{
     Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
@@ -34,6 +35,7 @@
     pub(crate) connections: IntGauge,
     pub(crate) store_calls: IntGauge,
     pub(crate) store_failures: IntGauge,
+    pub(crate) queues: QueueMetrics,
 }
 
 impl Metrics {
@@ -99,6 +101,7 @@
             usage_reports: counters("usage_reports", "Usage reports by what became of them.")?,
             callers_rejected,
             item_requests,
+            queues: QueueMetrics::new(&registry)?,
             replicas_leaving,
             duty_calls,
             usage_late_counts,
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -25,6 +25,7 @@
 use crate::table_watcher::{Mirrors, Table, TableWatcher};
 use crate::task::Supervisor;
 use crate::usage::UsageMeter;
+use crate::waiting::ServiceQueues;
 use dogwoodlb_client::Client;
 use dogwoodlb_external::store::Txn;
 use dogwoodlb_external::MetadataStore;
@@ -227,6 +228,7 @@
             client: context.client.clone(),
             protocol: protocol.clone(),
             routers: routers.clone(),
+            queues: ServiceQueues::new(routers.clone(), context.metrics.clone()),
             metrics: context.metrics.clone(),
             usage: context.usage.clone(),
             drain_admission: Rc::default(),
--- a/crates/edge/src/routing.rs
+++ b/crates/edge/src/routing.rs
@@ -6,6 +6,7 @@
 use crate::hedge::Hedger;
 use crate::protocol::HeaderNames;
 use crate::settings::Settings;
+use crate::waiting::Slot;
 use dogwoodlb_config::{Service, Snapshot};
 use dogwoodlb_directory::Entry;
 use dogwoodlb_route::{Outcome, Replica, Request, Router, Ticket};
@@ -23,6 +24,8 @@
     pub(crate) address: SocketAddr,
     /// The start of the replica's process, which tells its incarnations apart.
     pub(crate) born_ms: i64,
+    /// The slot that a queue charges to an organisation, if the request went through one.
+    slot: Cell<Option<Slot>>,
     ticket: Cell<Option<Ticket>>,
     service: String,
     routers: Rc<ServiceRouters>,
@@ -50,8 +53,24 @@
         departure::observe(cluster, names, replica, self.born_ms, response);
     }
 
+    /// Sets the slot that ends with the request.
+    pub(crate) fn occupy(&self, slot: Slot) {
+        self.slot.set(Some(slot));
+    }
+
+    /// Reports that the replica did not run the request.
+    pub(crate) fn refuse(&self) {
+        if let Some(slot) = self.slot.take() {
+            slot.refuse();
+        }
+        self.finish(Outcome::Cancelled);
+    }
+
     /// Reports the outcome of the request to the router. Only the first call has an effect.
     pub(crate) fn finish(&self, outcome: Outcome) {
+        if let Some(slot) = self.slot.take() {
+            slot.finish(outcome);
+        }
         let Some(ticket) = self.ticket.take() else {
             return;
         };
@@ -205,6 +224,7 @@
             replica: pick.upstream,
             address: entry.address,
             born_ms: entry.born_ms,
+            slot: Cell::default(),
             ticket: Cell::new(Some(pick.ticket)),
             service: service.to_owned(),
             routers: self.clone(),
--- a/crates/emulator/src/simulation/leader.rs
+++ b/crates/emulator/src/simulation/leader.rs
@@ -22,6 +22,8 @@
             event_tokens: 1,
             items: &step.items(),
             finished: &step.listed,
+            priority: 0,
+            deadline: None,
         });
         for work in self.planner.unfinished(&id) {
             let index = self.planner.item_location(work).map(|(_, index)| index);
