--- a/crates/batch/src/planner.rs
+++ b/crates/batch/src/planner.rs
@@ -1,6 +1,7 @@
+use crate::prefill::{PrefillIndex, Prompt};
 use crate::replica::{Replica, ReplicaState};
 use crate::work::{Phase, Work, WorkId};
-use crate::{Item, ItemText, Progress};
+use crate::{Item, ItemText, Progress, PromptPart};
 use dogwoodlb_types::Instant;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
@@ -10,10 +11,14 @@
 mod candidates;
 mod choose;
 mod demand;
+mod restart;
 mod runs;
+mod stall;
 
 pub use action::{Action, RunEnd};
 pub use demand::Demand;
+pub use restart::Restart;
+pub use stall::Stall;
 
 /// How long the text of an unfinished item is kept after its batch has ended, because the trainer
 /// may resubmit the group.
@@ -24,6 +29,8 @@
 pub struct NewBatch<'a> {
     /// The id of the batch.
     pub id: &'a str,
+    /// The organisation that submitted the batch, if any.
+    pub organisation: Option<&'a str>,
     /// The model that generates the items.
     pub model: &'a str,
     /// The oldest weight version that may generate the items.
@@ -56,16 +63,23 @@
     max_attempts: u32,
 }
 
+/// The organisation and the id of an item.
+type CarryoverKey = (Option<String>, String);
+
 /// Assigns items to replicas.
 #[derive(Debug, Default)]
 pub struct Planner {
     work_items: BTreeMap<WorkId, Work>,
     batches: BTreeMap<String, Batch>,
     replicas: BTreeMap<Arc<str>, Replica>,
-    /// The unfinished items of ended batches, by item id.
-    carried_over: HashMap<String, WorkId>,
+    prefilled: PrefillIndex,
+    /// The unfinished items of ended batches. Organisations choose the ids of their items
+    /// independently, so that an id alone would show the text of one to another.
+    carried_over: HashMap<CarryoverKey, WorkId>,
     last_id: u64,
     next_move_at: Instant,
+    /// The time of the last planning round.
+    last_round_at: Option<Instant>,
 }
 
 impl Planner {
@@ -91,7 +105,8 @@
             if new.finished.contains(&index) {
                 continue;
             }
-            let carried = self.carried_over.remove(&item.id);
+            let key = (new.organisation.map(str::to_owned), item.id.clone());
+            let carried = self.carried_over.remove(&key);
             batch.is_carried_over[group] |= carried.is_some();
             let work = self.insert_work(carried, new, index, item, group);
             batch.work_items.push(work);
@@ -128,24 +143,41 @@
         let old = self.work_items.remove(&id);
         let work = Work {
             batch: Some(new.id.to_owned()),
+            organisation: new.organisation.map(str::to_owned),
             index,
             item: item.id.clone(),
             model: new.model.to_owned(),
             group_index: group,
-            prompt_tokens: item.prompt_tokens,
+            prompt: Prompt::new(new.model, item.prompt_tokens, &[]),
             expected_events: events.max(1),
             min_version: new.min_version,
             single_version: new.single_version,
             phase: old.as_ref().map_or(Phase::Waiting, |old| old.phase.clone()),
             end_report: old.as_ref().and_then(|old| old.end_report.clone()),
             progress: old.map(|old| old.progress).unwrap_or_default(),
+            without_event_since: None,
             failures: 0,
+            waiting_since: None,
             expires_at: None,
         };
         self.work_items.insert(id, work);
         id
     }
 
+    /// Sets the parts of the prompt of each item of a batch, in their order in the prompt, which
+    /// `parts` returns for the index of an item. Without parts, each prompt counts as one of its
+    /// own.
+    pub fn set_prompt_parts(&mut self, batch: &str, parts: impl Fn(u32) -> Vec<PromptPart>) {
+        let Some(batch) = self.batches.get(batch) else {
+            return;
+        };
+        for id in &batch.work_items {
+            if let Some(work) = self.work_items.get_mut(id) {
+                work.prompt = Prompt::new(&work.model, work.prompt.tokens, &parts(work.index));
+            }
+        }
+    }
+
     /// Ends a batch. No further items are started, but current runs continue for a while, because
     /// the next batch may contain their items.
     pub fn end_batch(&mut self, batch: &str, now: Instant) {
@@ -164,7 +196,7 @@
             }
             work.batch = None;
             work.expires_at = Some(now + CARRYOVER_TTL);
-            self.carried_over.insert(work.item.clone(), id);
+            self.carried_over.insert(work.carryover_key(), id);
         }
     }
 
@@ -180,7 +212,7 @@
                 continue;
             };
             if let Some(replica) = self.replicas.get_mut(run.replica.as_str()) {
-                replica.release(run.prompt_tokens);
+                replica.release(run);
             }
             running.push(id);
         }
@@ -195,7 +227,14 @@
     /// Adds a replica or updates its state.
     pub fn set_replica(&mut self, id: &str, state: ReplicaState) {
         match self.replicas.get_mut(id) {
-            Some(replica) => replica.state = state,
+            Some(replica) => {
+                for (model, version) in &replica.state.versions {
+                    if state.versions.get(model) != Some(version) {
+                        self.prefilled.forget(id, model);
+                    }
+                }
+                replica.set_state(state);
+            }
             None => {
                 self.replicas.insert(id.into(), Replica::new(state));
             }
@@ -205,6 +244,7 @@
     /// Removes the replicas for which `keep` returns `false`. Runs on them are not stopped.
     pub fn retain_replicas(&mut self, keep: impl Fn(&str) -> bool) {
         self.replicas.retain(|id, _| keep(id));
+        self.prefilled.retain_replicas(keep);
     }
 
     /// Returns the batch and the index of an item, unless its batch has ended.
@@ -260,6 +300,13 @@
             .collect()
     }
 
+    /// Returns the number of prompt tokens of an item that runs, and how many of them its replica had
+    /// to prefill when the run started. The latter is 0 after the first event.
+    pub fn prompt_tokens(&self, work: WorkId) -> Option<(u64, u64)> {
+        let run = self.work_items.get(&work)?.run()?;
+        Some((run.prompt_tokens, run.unprefilled_tokens))
+    }
+
     /// Returns the number of runs on a replica.
     pub fn run_count(&self, replica: &str) -> u32 {
         let replica = self.replicas.get(replica);
--- a/crates/batch/src/planner/runs.rs
+++ b/crates/batch/src/planner/runs.rs
@@ -24,6 +24,7 @@
         version: u64,
         now: Instant,
     ) -> bool {
+        let has_gap = self.has_gap(now);
         let Some(work) = self.work_items.get_mut(&id) else {
             return false;
         };
@@ -31,20 +32,34 @@
             return false;
         }
         work.end_report = None;
+        work.without_event_since = None;
         let is_valid = work
             .progress
             .satisfies(work.min_version, work.single_version);
         let Phase::Running(run) = &mut work.phase else {
             return false;
         };
-        // The time to the first event includes queueing on the replica and prompt processing.
-        if run.events > 0 {
-            if let Some(replica) = self.replicas.get_mut(run.replica.as_str()) {
-                replica.on_event(now.saturating_since(run.last_event_at), now);
+        // After a gap between rounds, the time to the next event includes a suspension of the node.
+        let is_measured = run.silent_since == run.last_event_at && !has_gap;
+        if let Some(replica) = self.replicas.get_mut(run.replica.as_str()) {
+            replica.is_silent = false;
+            // The time to the first event includes queueing on the replica and prompt processing.
+            if run.events > 0 {
+                if is_measured {
+                    replica.on_event(now.saturating_since(run.last_event_at), now);
+                }
+            } else {
+                replica.on_prefilled(run);
+                // An event of other weights says nothing about what the present ones hold.
+                if replica.version(&work.model) == Some(version) {
+                    let capacity = replica.state.kv_capacity_tokens;
+                    self.prefilled.record(&run.replica, &work.prompt, capacity);
+                }
             }
         }
         run.events += 1;
         run.last_event_at = now;
+        run.silent_since = now;
         is_valid
     }
 
@@ -65,7 +80,7 @@
             return false;
         };
         if let Some(replica) = self.replicas.get_mut(run.replica.as_str()) {
-            replica.release(run.prompt_tokens);
+            replica.release(&run);
             match end {
                 RunEnd::Interrupted | RunEnd::Failed => replica.on_failure(now),
                 RunEnd::Refused => replica.on_refusal(now),
--- a/crates/batch/src/replica.rs
+++ b/crates/batch/src/replica.rs
@@ -1,3 +1,5 @@
+use crate::prefill;
+use crate::work::Run;
 use dogwoodlb_types::Instant;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -41,11 +43,20 @@
     pub(crate) run_count: u32,
     /// The number of prompt tokens of these runs.
     pub(crate) prompt_tokens: u64,
+    /// The number of prompt tokens that it still has to prefill for these runs.
+    pub(crate) unprefilled_tokens: u64,
     /// The estimated time per event of a request that runs alone, in milliseconds.
     solo_event_ms: Option<f64>,
     last_event_at: Instant,
     failures: u32,
     backoff_until: Instant,
+    /// Whether the weights may have changed since the last planning round.
+    has_new_weights: bool,
+    /// The last time at which the replica may have been loading weights.
+    pub(crate) last_load_at: Instant,
+    /// Whether all its runs have been without an event for a while. It gets no new run until one of
+    /// them has an event.
+    pub(crate) is_silent: bool,
 }
 
 impl Replica {
@@ -54,17 +65,35 @@
             state,
             run_count: 0,
             prompt_tokens: 0,
+            unprefilled_tokens: 0,
             solo_event_ms: None,
             last_event_at: Instant::default(),
             failures: 0,
             backoff_until: Instant::default(),
+            // A former leader may have had weights loaded a moment ago.
+            has_new_weights: true,
+            last_load_at: Instant::default(),
+            is_silent: false,
+        }
+    }
+
+    pub(crate) fn set_state(&mut self, state: ReplicaState) {
+        let old = &self.state;
+        self.has_new_weights |= old.versions != state.versions || old.reloading != state.reloading;
+        self.state = state;
+    }
+
+    /// Records whether weights are being loaded, or were since the last planning round.
+    pub(crate) fn observe_loads(&mut self, now: Instant) {
+        if std::mem::take(&mut self.has_new_weights) || !self.state.reloading.is_empty() {
+            self.last_load_at = now;
         }
     }
 
     /// Returns whether the replica accepts new runs of a model if it has a free slot and KV cache
     /// capacity.
     pub(crate) fn accepts_runs(&self, model: &str, now: Instant) -> bool {
-        self.backoff_until <= now && !self.is_reloading(model)
+        self.backoff_until <= now && !self.is_silent && !self.is_reloading(model)
     }
 
     /// Returns whether a prompt fits into the KV cache in addition to the current runs and to
@@ -82,16 +111,34 @@
         capacity == 0 || is_empty || used.saturating_add(tokens) <= capacity
     }
 
+    /// Returns whether a prompt with `unprefilled_tokens` to prefill may start, in addition to the
+    /// prompts that are being prefilled and to planned ones with `placed_tokens` to prefill.
+    pub(crate) fn has_prefill_budget(&self, unprefilled_tokens: u64, placed_tokens: u64) -> bool {
+        let in_progress = self.unprefilled_tokens.saturating_add(placed_tokens);
+        prefill::is_within_budget(in_progress, unprefilled_tokens)
+    }
+
     /// Occupies a slot and the prompt tokens of a run that starts.
-    pub(crate) fn occupy(&mut self, tokens: u64) {
+    pub(crate) fn occupy(&mut self, run: &Run) {
         self.run_count += 1;
-        self.prompt_tokens = self.prompt_tokens.saturating_add(tokens);
+        self.prompt_tokens = self.prompt_tokens.saturating_add(run.prompt_tokens);
+        let unprefilled = self.unprefilled_tokens;
+        self.unprefilled_tokens = unprefilled.saturating_add(run.unprefilled_tokens);
+    }
+
+    /// Records that the prompt of a run has been prefilled.
+    pub(crate) fn on_prefilled(&mut self, run: &mut Run) {
+        let tokens = std::mem::take(&mut run.unprefilled_tokens);
+        self.unprefilled_tokens = self.unprefilled_tokens.saturating_sub(tokens);
     }
 
     /// Releases the slot and the prompt tokens of a run that has ended.
-    pub(crate) fn release(&mut self, tokens: u64) {
+    pub(crate) fn release(&mut self, run: &Run) {
         self.run_count = self.run_count.saturating_sub(1);
-        self.prompt_tokens = self.prompt_tokens.saturating_sub(tokens);
+        self.is_silent &= self.run_count > 0;
+        self.prompt_tokens = self.prompt_tokens.saturating_sub(run.prompt_tokens);
+        let unprefilled = self.unprefilled_tokens;
+        self.unprefilled_tokens = unprefilled.saturating_sub(run.unprefilled_tokens);
     }
 
     pub(crate) fn is_reloading(&self, model: &str) -> bool {
--- a/crates/batch/src/work.rs
+++ b/crates/batch/src/work.rs
@@ -1,3 +1,4 @@
+use crate::prefill::Prompt;
 use crate::Progress;
 use dogwoodlb_types::Instant;
 
@@ -10,12 +11,14 @@
 pub(crate) struct Work {
     /// The batch, or `None` if the batch has ended and a later one may resubmit the item.
     pub(crate) batch: Option<String>,
+    /// The organisation that submitted the batch.
+    pub(crate) organisation: Option<String>,
     pub(crate) index: u32,
     pub(crate) item: String,
     pub(crate) model: String,
     /// The index of the group in the batch.
     pub(crate) group_index: usize,
-    pub(crate) prompt_tokens: u64,
+    pub(crate) prompt: Prompt,
     pub(crate) expected_events: u64,
     pub(crate) min_version: u64,
     pub(crate) single_version: bool,
@@ -23,8 +26,13 @@
     pub(crate) progress: Progress,
     /// The last report that the text is complete, unless the text has grown since.
     pub(crate) end_report: Option<EndReport>,
+    /// When a planning round first found the item waiting for the continuation of its text, unless
+    /// the text has grown since.
+    pub(crate) without_event_since: Option<Instant>,
     /// The number of runs that ended with [`RunEnd::Failed`](crate::RunEnd::Failed).
     pub(crate) failures: u32,
+    /// Since when the item waits, from the first planning round that sees it.
+    pub(crate) waiting_since: Option<Instant>,
     /// The time at which the item is dropped, set once its batch has ended.
     pub(crate) expires_at: Option<Instant>,
 }
@@ -59,9 +67,13 @@
     pub(crate) replica: String,
     pub(crate) started_at: Instant,
     pub(crate) last_event_at: Instant,
+    /// The time of the last event, or later if the planner was not called for a while.
+    pub(crate) silent_since: Instant,
     /// The number of events received in this run.
     pub(crate) events: u64,
     pub(crate) prompt_tokens: u64,
+    /// The number of prompt tokens that the replica had to prefill, 0 from the first event on.
+    pub(crate) unprefilled_tokens: u64,
     /// Whether an [`Action::Stop`](crate::Action::Stop) was returned for the run.
     pub(crate) stop_requested: bool,
 }
@@ -77,6 +89,11 @@
             .max(generated / 3 + 1)
     }
 
+    /// Returns the key of the item among those that ended batches left unfinished.
+    pub(crate) fn carryover_key(&self) -> (Option<String>, String) {
+        (self.organisation.clone(), self.item.clone())
+    }
+
     pub(crate) fn run(&self) -> Option<&Run> {
         match &self.phase {
             Phase::Running(run) => Some(run),
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -7,7 +7,9 @@
 use crate::score::ScoreClient;
 use crate::settings::Settings;
 use crate::storage::Storage;
+use crate::table_watcher::TableWatcher;
 use crate::task::Supervisor;
+use crate::usage::UsageMeter;
 use dogwoodlb_client::Client;
 use std::rc::Rc;
 
@@ -24,4 +26,6 @@
     pub(crate) settings: Rc<Settings>,
     pub(crate) storage: Rc<Storage>,
     pub(crate) supervisor: Supervisor,
+    pub(crate) usage: Rc<UsageMeter>,
+    pub(crate) watcher: Rc<TableWatcher>,
 }
--- a/crates/edge/src/coordinator/items.rs
+++ b/crates/edge/src/coordinator/items.rs
@@ -9,6 +9,9 @@
 use dogwoodlb_batch::{Outcome, OutcomeState, RunEnd, Submission, WorkId};
 use std::rc::Rc;
 
+/// The reason of [`Action::Stop`](dogwoodlb_batch::Action::Stop) for a run without an event.
+const STALLED: &str = "stalled";
+
 impl Coordinator {
     /// Abandons the waiting and running items of batches whose deadline has passed. Items that are
     /// being scored are abandoned by [`score`](Self::score).
@@ -22,11 +25,16 @@
             overdue.map(|(id, _)| id.clone()).collect()
         };
         for id in overdue {
-            let works = self.planner.borrow().unfinished(&id);
-            for work in works {
-                self.stop(work, "late");
-                self.abandon(work, "late");
-            }
+            self.abandon_unfinished(&id, "late");
+        }
+    }
+
+    /// Abandons the waiting and running items of a batch.
+    pub(super) fn abandon_unfinished(&self, batch: &str, reason: &str) {
+        let works = self.planner.borrow().unfinished(batch);
+        for work in works {
+            self.stop(work, reason);
+            self.abandon(work, reason);
         }
     }
 
@@ -51,6 +59,11 @@
                 .on_run_end(work, RunEnd::Refused, clock::now());
             return;
         };
+        if let Some((tokens, to_prefill)) = self.planner.borrow().prompt_tokens(work) {
+            let reused = tokens.saturating_sub(to_prefill);
+            self.context.metrics.count_prompt_tokens(to_prefill, reused);
+            tracing::debug!(work = work.0, replica, to_prefill, reused, "run_placed");
+        }
         let this = self.clone();
         // The planner stops a run without events, also one whose task panicked.
         let task = task::spawn_isolated("run", async move {
@@ -59,6 +72,7 @@
                 born_ms,
                 address,
                 host: batch.submission.host.clone(),
+                organisation: batch.organisation.clone(),
             };
             let item = &batch.submission.items[index as usize];
             let context = &this.context;
@@ -73,12 +87,40 @@
     pub(super) fn stop(&self, work: WorkId, reason: &str) {
         self.context.metrics.runs.with_label_values(&[reason]).inc();
         tracing::debug!(work = work.0, reason, "run_stopped");
+        if reason == STALLED {
+            self.report_stall(work);
+        }
         self.run_tasks.borrow_mut().remove(&work);
         self.planner
             .borrow_mut()
             .on_run_end(work, RunEnd::Stopped, clock::now());
     }
 
+    /// Logs a run that was without an event for too long, and closes the idle connections to its
+    /// replica, because one that is silent is seldom the only one.
+    fn report_stall(&self, work: WorkId) {
+        let Some(stall) = self.planner.borrow().stall(work, clock::now()) else {
+            return;
+        };
+        let batch = self.batch(work);
+        let item = batch.as_ref().map(|(batch, index)| {
+            let item = &batch.submission.items[*index as usize];
+            item.id.as_str()
+        });
+        tracing::info!(
+            item,
+            replica = stall.replica,
+            events = stall.events,
+            silent_ms = stall.silent_for.as_millis(),
+            limit_ms = stall.limit.as_millis(),
+            "run_stalled"
+        );
+        let directory = self.context.cluster.directory();
+        if let Some(entry) = directory.get(&stall.replica) {
+            self.context.client.close_idle(entry.address);
+        }
+    }
+
     fn on_run_end(
         self: &Rc<Self>,
         work: WorkId,
@@ -114,6 +156,26 @@
         self.wake.notify_one();
     }
 
+    /// Starts items again whose text no replica can continue.
+    pub(super) fn restart_unreachable(&self) {
+        let restarts = self.planner.borrow_mut().restart_unreachable(clock::now());
+        for restart in restarts {
+            let Some((batch, index)) = self.batch(restart.work) else {
+                continue;
+            };
+            let reason = restart.reason();
+            self.context.metrics.runs.with_label_values(&[reason]).inc();
+            tracing::info!(
+                batch = batch.submission.id,
+                item = batch.submission.items[index as usize].id,
+                version = restart.version,
+                events = restart.events,
+                reason,
+                "item_restarted"
+            );
+        }
+    }
+
     fn abandon(&self, work: WorkId, reason: &str) {
         let Some((batch, index)) = self.batch(work) else {
             return;
--- a/crates/edge/src/coordinator/running.rs
+++ b/crates/edge/src/coordinator/running.rs
@@ -11,8 +11,12 @@
 /// What the tasks of a batch use.
 pub(super) struct Batch {
     pub(super) submission: Rc<Submission>,
+    /// The organisation that submitted the batch, if any.
+    pub(super) organisation: Option<String>,
     pub(super) writer: Rc<OutcomeWriter>,
     pub(super) permit: Permit,
+    /// Whether all events of a text must come from one weight version.
+    pub(super) single_version: bool,
     /// When unfinished items are abandoned.
     pub(super) deadline: Instant,
 }
--- a/crates/edge/src/forward/exchange.rs
+++ b/crates/edge/src/forward/exchange.rs
@@ -1,28 +1,38 @@
 //! One exchange with a replica: sends the request and classifies the response.
 
 use super::{Attempt, Forwarder, ProxiedRequest, MAX_BUFFERED_BYTES};
+use crate::clock;
 use crate::headers::{is_not_run, is_response_to};
 use crate::relay;
 use crate::reply;
 use crate::routing::Selection;
-use bytes::Bytes;
 use dogwoodlb_route::Outcome;
 use hyper::http::request::Parts;
-use hyper::{Request, Version};
+use hyper::Version;
 
 impl Forwarder {
     /// Sends the request to the selected replica, unless it is leaving, and waits for the response.
     pub(super) async fn exchange(
         &self,
         proxied: &ProxiedRequest<'_>,
-        request: Request<Bytes>,
-        selection: &mut Selection,
+        selection: &Selection,
     ) -> Attempt {
-        let may_send = || selection.may_send() && self.admits(proxied);
+        let left = proxied.deadline.saturating_since(clock::now());
+        let request = self.build_request(proxied, selection, left);
+        let request = request.map(|()| proxied.body.clone());
+        let address = selection.address;
+        let may_send = || {
+            let permits = selection.may_send() && self.admits(proxied);
+            if permits {
+                proxied.usage.on_write(address);
+            }
+            permits
+        };
         let client = self.client.checked(&may_send);
-        let response = match client.send(selection.address, request).await {
+        let response = match client.send(address, request).await {
             Ok(response) => response,
             Err(dogwoodlb_client::Error::Revoked { .. }) => {
+                proxied.usage.on_not_run(address);
                 selection.finish(Outcome::Cancelled);
                 return Attempt::Unsent;
             }
@@ -31,6 +41,7 @@
                 let replica = &selection.replica;
                 tracing::info!(request = proxied.request_id, %replica, %error, "attempt_failed");
                 return if error.is_unsent() {
+                    proxied.usage.on_not_run(address);
                     Attempt::NotRun
                 } else {
                     Attempt::Failed(None)
@@ -45,9 +56,10 @@
         &self,
         proxied: &ProxiedRequest<'_>,
         mut response: dogwoodlb_client::Response,
-        selection: &mut Selection,
+        selection: &Selection,
     ) -> Attempt {
         let headers = self.protocol.headers();
+        proxied.usage.on_head(selection.address);
         if !is_response_to(headers, &response.head, &proxied.request_id) {
             tracing::warn!(request = proxied.request_id, replica = %selection.replica, "request_id_mismatch");
             response.body.prevent_reuse();
@@ -56,6 +68,7 @@
         }
         selection.observe(headers, &response.head);
         if is_not_run(headers, &response.head) {
+            proxied.usage.on_not_run(selection.address);
             let status = response.head.status.as_u16();
             tracing::debug!(request = proxied.request_id, replica = %selection.replica, status, "not_run");
             response.body.discard().await;
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -16,17 +16,21 @@
 
 mod batch_store;
 mod cache;
+mod candidacy;
 mod clock;
 mod cluster;
 mod completion;
 mod context;
 mod coordinator;
 mod departure;
+mod duty;
 mod error;
 mod event;
 mod forward;
 mod front;
 mod headers;
+mod hedge;
+pub mod identity;
 mod leader;
 mod metrics;
 mod node;
@@ -47,6 +51,7 @@
 mod submit;
 mod table_watcher;
 mod task;
+mod usage;
 
 pub use error::Error;
 pub use node::{Command, Dependencies, Node};
--- a/crates/edge/src/table_watcher.rs
+++ b/crates/edge/src/table_watcher.rs
@@ -6,12 +6,15 @@
 use crate::peers::Peers;
 use crate::protocol::{DecodeError, OperatorRow, Protocol};
 use crate::storage::{Storage, SHARED};
-use dogwoodlb_batch::{BatchHeader, Record};
+use dogwoodlb_batch::{BatchHeader, Record as _};
+use dogwoodlb_config::Snapshot;
 use dogwoodlb_directory::Entry;
+use dogwoodlb_duty::Record;
 use dogwoodlb_external::store::{KeyRange, Row, WatchResponse};
 use dogwoodlb_external::{Category, Error};
 use dogwoodlb_mirror::{Mirror, NextRequest};
-use dogwoodlb_types::id;
+use dogwoodlb_types::{id, Instant};
+use hyper::header::HeaderValue;
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -76,8 +79,8 @@
         let mut empty_polls = 0;
         loop {
             let was_reachable = self.storage.is_reachable(clock::now());
-            match self.poll(table, &mut empty_polls).await {
-                Ok(()) => {
+            match self.poll(table, WATCH_TIMEOUT, &mut empty_polls).await {
+                Ok(_) => {
                     retry = MIN_RETRY_DELAY;
                     sleep(self.poll_delay()).await;
                 }
@@ -105,8 +108,26 @@
         MIN_POLL_DELAY.max(Duration::from_secs(1) * nodes / MAX_POLLS_PER_S)
     }
 
-    async fn poll(&self, table: Table, empty_polls: &mut u32) -> Result<(), Error> {
+    /// Applies the changes that the operator's table has in the store by now. The watch may not have
+    /// delivered them yet, for instance because its connection is unresponsive.
+    pub(crate) async fn refresh_configuration(&self) -> Result<(), Error> {
+        while !self.poll(Table::Operator, Duration::ZERO, &mut 0).await? {}
+        Ok(())
+    }
+
+    /// Sends one request to the store and applies the response. Returns whether the copy of the table
+    /// is now as recent as the request. Otherwise the store has further changes, or the whole table
+    /// must be read.
+    async fn poll(
+        &self,
+        table: Table,
+        wait: Duration,
+        empty_polls: &mut u32,
+    ) -> Result<bool, Error> {
         let name = self.name(table).to_owned();
+        // A response shows the table as it was at some time after the request was sent. It may have
+        // been waiting for this node, for instance while the process was suspended.
+        let asked_at = clock::now();
         let next = self.mirrors.of(table).borrow().next_request();
         match next {
             NextRequest::Read => {
@@ -116,12 +137,15 @@
                 };
                 let page = self.storage.read(&range).await?;
                 *empty_polls = 0;
+                self.confirm(table, asked_at);
                 self.apply_snapshot(table, page.rows, page.version);
+                Ok(true)
             }
             NextRequest::Watch(after) => {
-                let response = self.storage.watch(&name, after, WATCH_TIMEOUT).await;
+                let response = self.storage.watch(&name, after, wait).await;
                 match response.inspect_err(|error| self.on_watch_error(table, error))? {
                     WatchResponse::Rows(page) => {
+                        self.confirm(table, asked_at);
                         *empty_polls = if page.rows.is_empty() {
                             *empty_polls + 1
                         } else {
@@ -133,15 +157,24 @@
                         if *empty_polls >= EMPTY_POLLS_PER_FULL_READ {
                             mirror.borrow_mut().mark_stale();
                         }
+                        Ok(!page.more)
                     }
                     WatchResponse::HistoryLost => {
                         tracing::info!(table = name, after, "change_feed_lost");
                         self.mirrors.of(table).borrow_mut().mark_stale();
+                        Ok(false)
                     }
                 }
             }
         }
-        Ok(())
+    }
+
+    /// Records that the store has shown the table as of a time. A copy from another node confirms
+    /// nothing, since that node may have lost the store too.
+    fn confirm(&self, table: Table, as_of: Instant) {
+        if table == Table::Operator {
+            self.cluster.confirm_config(as_of);
+        }
     }
 
     /// Handles a failed watch. One whose response is too large or malformed would fail again, but
@@ -170,9 +203,8 @@
     fn apply_rows(&self, table: Table, rows: Vec<Row>) {
         let now = clock::now();
         match table {
-            Table::Operator => self.cluster.confirm_config(now),
             Table::Replicas => self.cluster.directory.borrow_mut().on_contact(now),
-            Table::Shared => {}
+            Table::Operator | Table::Shared => {}
         }
         if rows.is_empty() {
             return;
@@ -193,8 +225,7 @@
         }
         match self.protocol.decode_operator_row(&row.key, &row.value) {
             Ok(Some(OperatorRow::Configuration(snapshot))) => {
-                let version = snapshot.version();
-                tracing::info!(version, row = row.version, "configuration_adopted");
+                log_configuration(&snapshot, row.version);
                 self.cluster.set_config(snapshot);
             }
             Ok(Some(OperatorRow::Version { model, version })) => {
@@ -283,6 +314,7 @@
                 tracing::info!(service = name, %node, row = row.version, "leader_known");
                 self.cluster.put_leader(name, row.version, &node);
             }
+            ("duty", _) => self.apply_duty_row(name, row),
             ("node", false) => {
                 let address = std::str::from_utf8(&row.value).ok();
                 match address.and_then(|address| address.parse().ok()) {
@@ -293,4 +325,37 @@
             _ => {}
         }
     }
+
+    fn apply_duty_row(&self, duty: &str, row: &Row) {
+        let mut duties = self.cluster.duties.borrow_mut();
+        if row.removed {
+            tracing::warn!(duty, row = row.version, "duty_removed");
+            duties.remove(duty, row.version);
+            return;
+        }
+        match Record::from_slice(&row.value) {
+            Ok(record) => duties.put(duty, row.version, record),
+            Err(error) => tracing::error!(key = row.key, %error, "row_not_decoded"),
+        }
+    }
+}
+
+fn log_configuration(snapshot: &Snapshot, row: u64) {
+    let organisations = snapshot.organisations();
+    let key_count = organisations.map_or(0, |organisations| organisations.key_count());
+    let all = organisations.into_iter().flat_map(|all| all.iter());
+    let all: Vec<&str> = all.map(|organisation| &*organisation.name).collect();
+    tracing::info!(
+        version = snapshot.version(),
+        row,
+        organisations = all.len(),
+        keys = key_count,
+        "configuration_adopted"
+    );
+    for name in all {
+        if let Err(error) = HeaderValue::from_bytes(name.as_bytes()) {
+            // Replicas get its requests without the name.
+            tracing::warn!(organisation = ?name, %error, "header_invalid");
+        }
+    }
 }
