Give back surplus of an earlier leader, and by the need

Cause: a new planner counted no spot replica as surplus, so that those of the earlier leader were never given back. How many replicas went was taken from the moment at which the quiet time ended: between two large steps it gave back what the next one ordered again. Orders that are sent one by one, with a plan after each, lost all but the first one of a decision to give back. Ruled out: replicas that were ordered and never came as surplus; the old planner ordered no base replica away in the test. Conclusion: the driver may send one order for each plan.

--- a/crates/scaling/src/lib.rs
+++ b/crates/scaling/src/lib.rs
@@ -27,6 +27,7 @@
 
 mod centre;
 mod order;
+mod peak;
 mod planner;
 
 pub use centre::{Centre, View};
--- a/crates/scaling/tests/replica_count.rs
+++ b/crates/scaling/tests/replica_count.rs
@@ -38,6 +38,10 @@
     waits_s: Vec<f64>,
     replica_s: f64,
     is_scaled: bool,
+    /// Whether each plan is followed by one order only.
+    is_sequential: bool,
+    /// Whether accepted orders are filled.
+    is_filling: bool,
 }
 
 impl Simulation {
@@ -55,6 +59,8 @@
             waits_s: Vec::new(),
             replica_s: 0.0,
             is_scaled,
+            is_sequential: false,
+            is_filling: true,
         }
     }
 
@@ -89,12 +95,15 @@
             slots: SLOTS,
             work: Duration::from_secs_f64(self.work_s),
         };
-        for order in self.planner.plan(&view, now) {
+        let limit = if self.is_sequential { 1 } else { usize::MAX };
+        for order in self.planner.plan(&view, now).into_iter().take(limit) {
             assert!(order.count <= self.scaling.max, "{order:?}");
             if self.dry.contains(&order.centre.as_str()) {
                 self.planner.on_unavailable(&order, now);
             } else {
                 self.planner.on_ordered(&order, &view, now);
+            }
+            if self.is_filling && !self.dry.contains(&order.centre.as_str()) {
                 let due = self.now_ms + BOOT.as_millis() as u64;
                 self.pending.push((due, order.clone()));
             }
@@ -194,3 +203,70 @@
         simulation.orders
     );
 }
+
+/// A leader gave back no spot replica that its predecessor had ordered, so that each change of the
+/// leader after a peak left replicas that were paid for without end.
+#[test]
+fn new_leader() {
+    let mut simulation = Simulation::new(Some(0.15), true);
+    simulation.play(80, 320.0);
+    simulation.planner = Planner::default();
+    simulation.play(800, 50.0);
+    let spot: u32 = simulation.centres.iter().map(|one| one.spot).sum();
+    assert_eq!(spot, 0);
+}
+
+/// When the quiet time ended between two large steps, surplus that the next one needed was given
+/// back, and ordered again at once.
+#[test]
+fn rare_large_steps() {
+    for shift in 0..5 {
+        let mut simulation = Simulation::new(Some(0.15), true);
+        simulation.play(80, 320.0);
+        simulation.orders.clear();
+        simulation.play(16 * shift, 100.0);
+        for _ in 0..10 {
+            simulation.play(16, 290.0);
+            simulation.play(64, 100.0);
+        }
+        let mut counts: BTreeMap<&str, Vec<u32>> = BTreeMap::new();
+        for order in &simulation.orders {
+            counts.entry(&order.centre).or_default().push(order.count);
+        }
+        let is_falling = |counts: &Vec<u32>| counts.is_sorted_by(|a, b| a >= b);
+        assert!(counts.values().all(is_falling), "{shift}: {counts:?}");
+    }
+}
+
+/// Replicas that were ordered and never came counted as surplus, and base replicas were given back
+/// in their place.
+#[test]
+fn unfilled_order() {
+    let mut simulation = Simulation::new(None, true);
+    simulation.is_filling = false;
+    simulation.play(100, 320.0);
+    simulation.play(800, 10.0);
+    let is_base = |order: &Order| order.count >= 8;
+    assert!(!simulation.orders.is_empty());
+    assert!(
+        simulation.orders.iter().all(is_base),
+        "{:?}",
+        simulation.orders
+    );
+}
+
+/// Orders that were sent one by one, with a new plan after each, stopped after the first one of a
+/// decision to give back.
+#[test]
+fn separate_orders() {
+    let cost = |is_sequential| {
+        let mut simulation = Simulation::new(Some(0.15), true);
+        simulation.is_sequential = is_sequential;
+        simulation.play(80, 320.0);
+        simulation.replica_s = 0.0;
+        simulation.play(400, 50.0);
+        simulation.replica_s
+    };
+    let (one_by_one, together) = (cost(true), cost(false));
+    assert!(one_by_one < together * 1.01, "{one_by_one}, {together}");
+}
