Order replicas as the leader of a service

Cause: crates/scaling decided how many replicas a service needs, and nothing sent its orders. Ruled out: a duty that any node may hold by rank, with the work of the leader in a row that ages; a claim at each change of the leader, which would make the next one wait for the lease without a call. Change: edge::scaling starts a driver for each service with models and Scaling if the settings have the duty autoscale. A duty can name the node that may hold it (Eligibility); the leader's claim also depends on its row as the leader. Planner::open_work is the open work in slot time. A 409 delays the next call no more than a success. New log lines replicas_ordered and scaling_without_models, new metric replica_orders. Conclusion: not run with real replicas that boot.

--- a/crates/batch/src/replica.rs
+++ b/crates/batch/src/replica.rs
@@ -22,6 +22,11 @@
 /// the replica look faster than any other.
 const ENDLESS_TEXT_BACKOFF: Duration = Duration::from_secs(30);
 
+/// Returns the factor by which `running` concurrent requests increase the time per event.
+pub(crate) fn slowdown(running: u32) -> f64 {
+    1.0 + SLOWDOWN_PER_RUN * f64::from(running)
+}
+
 /// The state of a replica as the node observes it.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct ReplicaState {
@@ -156,7 +161,7 @@
             let weight = 0.5_f64.powf(silent_s / SPEED_HALF_LIFE.as_secs_f64());
             typical_event_ms + (measured - typical_event_ms) * weight
         });
-        solo_ms * (1.0 + SLOWDOWN_PER_RUN * f64::from(running))
+        solo_ms * slowdown(running)
     }
 
     pub(crate) fn solo_event_ms(&self) -> Option<f64> {
@@ -165,8 +170,7 @@
 
     /// Updates the speed estimate with the time between two consecutive events of one run.
     pub(crate) fn on_event(&mut self, gap: Duration, now: Instant) {
-        let measured =
-            gap.as_secs_f64() * 1e3 / (1.0 + SLOWDOWN_PER_RUN * f64::from(self.run_count));
+        let measured = gap.as_secs_f64() * 1e3 / slowdown(self.run_count);
         let old = self.solo_event_ms.unwrap_or(measured);
         self.solo_event_ms = Some(old + (measured - old) * EVENT_TIME_SMOOTHING);
         self.last_event_at = now;
--- a/crates/edge/src/coordinator.rs
+++ b/crates/edge/src/coordinator.rs
@@ -102,11 +102,17 @@
 
     /// Returns the start of a transaction that only takes effect while this leadership lasts. A
     /// node may learn late that another one leads, and the store may apply a write late.
-    fn new_txn(&self) -> Txn {
+    pub(crate) fn new_txn(&self) -> Txn {
         let key = storage::leader_key(&self.service);
         Txn::default().check(SHARED, &key, self.term)
     }
 
+    /// Returns the time that all open items are expected to need in one slot of a replica that runs
+    /// `slots` items concurrently.
+    pub(crate) fn open_work(&self, slots: u32) -> Duration {
+        self.planner.borrow().open_work(slots)
+    }
+
     /// Runs batches until the task is aborted.
     pub(crate) async fn run(self: Rc<Self>) {
         let mut changes = self.context.cluster.changes();
--- a/crates/edge/src/duty.rs
+++ b/crates/edge/src/duty.rs
@@ -7,6 +7,8 @@
 use crate::candidacy::Candidacy;
 use crate::clock;
 use crate::context::NodeContext;
+use crate::leader::LedServices;
+use crate::scaling;
 use crate::storage::{self, is_not_applied, SHARED};
 use bytes::Bytes;
 use dogwoodlb_client::{Client, Settings as ClientSettings};
@@ -49,10 +51,42 @@
     pub(crate) call: Option<Call>,
 }
 
+/// Who may take a duty over.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Eligibility {
+    /// Any node, by the rules of the leader election.
+    Ranked,
+    /// One node, and whether it is this one. It writes a claim only for a call.
+    Designated(bool),
+}
+
 /// A duty: what is called, and what follows from the outcome.
 pub(crate) trait Duty {
     /// Returns the name, which is part of the key of the duty's row.
-    fn name(&self) -> &'static str;
+    fn name(&self) -> &str;
+
+    /// Returns the name in the settings and in metrics.
+    fn kind(&self) -> &'static str;
+
+    /// Returns who may take the duty over.
+    fn eligibility(&self) -> Eligibility {
+        Eligibility::Ranked
+    }
+
+    /// Returns how many drivers share the duty's part of the permitted rate.
+    fn driver_count(&self) -> usize {
+        1
+    }
+
+    /// Returns whether the node no longer has this duty.
+    fn is_over(&self) -> bool {
+        false
+    }
+
+    /// Returns whether the provider decided on the call, so that the next one need not be delayed.
+    fn is_answered(&self, outcome: &CallOutcome) -> bool {
+        matches!(outcome, CallOutcome::Acknowledged)
+    }
 
     /// Returns the next call, or `None` if nothing is due. `progress` is that of the duty's row,
     /// `None` if it does not exist.
@@ -76,7 +110,7 @@
 }
 
 /// Starts the duties that the settings name.
-pub(crate) fn start(context: &Rc<NodeContext>, boot: u64) {
+pub(crate) fn start(context: &Rc<NodeContext>, led_services: &Rc<LedServices>, boot: u64) {
     let Some(provider) = &context.settings.provider else {
         return;
     };
@@ -87,6 +121,10 @@
         let writer = crate::usage::run(context.clone(), boot);
         context.supervisor.spawn("usage_writer", writer);
     }
+    if scaling::is_enabled(provider) {
+        let scaling = scaling::run(context.clone(), led_services.clone(), boot);
+        context.supervisor.spawn("scaling", scaling);
+    }
 }
 
 impl<D: Duty> Driver<D> {
@@ -115,10 +153,10 @@
         }
     }
 
-    /// Performs the duty until the node shuts down. The next holder goes on once the last claim of
+    /// Performs the duty until the node shuts down or no longer has it. The next holder goes on once the last claim of
     /// this one has expired.
     pub(crate) async fn run(mut self) {
-        while !self.context.peers.is_leaving() {
+        while !self.context.peers.is_leaving() && !self.duty.is_over() {
             let pause = self.run_round().await.unwrap_or(ROUND_INTERVAL);
             sleep(pause).await;
         }
@@ -131,12 +169,16 @@
             self.settle().await;
         }
         let was_holder = self.holder.is_holder();
-        let name = self.duty.name();
-        if !was_holder && !self.candidacy.is_claim_due(name, self.holder.holder_name()) {
+        let eligibility = self.duty.eligibility();
+        let may_hold = match eligibility {
+            Eligibility::Ranked => was_holder || self.is_claim_due(),
+            Eligibility::Designated(is_this_node) => is_this_node,
+        };
+        if !may_hold {
             return None;
         }
         if let Err(refusal) = self.holder.check(&self.context.storage.moment()?) {
-            tracing::debug!(duty = name, %refusal, "duty_not_claimed");
+            tracing::debug!(duty = self.duty.name(), %refusal, "duty_not_claimed");
             return None;
         }
         let progress = self.holder.progress().map(<[u8]>::to_vec);
@@ -144,7 +186,7 @@
         let plan = match (planned, progress) {
             (Some(plan), _) => plan,
             // A takeover is written at once, so that the other nodes know the holder.
-            (None, Some(progress)) if !was_holder => Plan {
+            (None, Some(progress)) if !was_holder && eligibility == Eligibility::Ranked => Plan {
                 progress,
                 txn: Txn::default(),
                 call: None,
@@ -158,6 +200,11 @@
         Some(self.pause_after(&outcome))
     }
 
+    fn is_claim_due(&mut self) -> bool {
+        let holder = self.holder.holder_name();
+        self.candidacy.is_claim_due(self.duty.name(), holder)
+    }
+
     fn read_feed(&mut self) {
         let name = self.duty.name();
         let known = self.context.cluster.duties.borrow().get(name).cloned();
@@ -260,13 +307,14 @@
     }
 
     fn pause_after(&mut self, outcome: &CallOutcome) -> Duration {
-        if matches!(outcome, CallOutcome::Acknowledged) {
+        let pace = self.pace * u32::try_from(self.duty.driver_count()).unwrap_or(u32::MAX);
+        if self.duty.is_answered(outcome) {
             self.failures = 0;
-            return self.pace;
+            return pace;
         }
         let delay = MIN_RETRY_DELAY * 2_u32.saturating_pow(self.failures.min(8));
         self.failures += 1;
-        self.pace.max(delay.min(MAX_RETRY_DELAY))
+        pace.max(delay.min(MAX_RETRY_DELAY))
     }
 
     /// Returns whether the call of a token may be sent now.
--- a/crates/edge/src/duty/call.rs
+++ b/crates/edge/src/duty/call.rs
@@ -77,7 +77,7 @@
             _ => self.silent_calls,
         };
         let calls = &self.context.metrics.duty_calls;
-        let labels = [self.duty.name(), outcome.label()];
+        let labels = [self.duty.kind(), outcome.label()];
         calls.with_label_values(&labels).inc();
         outcome
     }
--- a/crates/edge/src/duty/usage_report.rs
+++ b/crates/edge/src/duty/usage_report.rs
@@ -69,7 +69,11 @@
 }
 
 impl Duty for UsageReport {
-    fn name(&self) -> &'static str {
+    fn name(&self) -> &str {
+        NAME
+    }
+
+    fn kind(&self) -> &'static str {
         NAME
     }
 
--- a/crates/edge/src/leader.rs
+++ b/crates/edge/src/leader.rs
@@ -48,7 +48,8 @@
         }
     }
 
-    fn get(&self, service: &str) -> Option<Rc<Coordinator>> {
+    /// Returns the coordinator of a service that this node leads.
+    pub(crate) fn get(&self, service: &str) -> Option<Rc<Coordinator>> {
         self.0.borrow().get(service).cloned()
     }
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -45,6 +45,7 @@
 mod retention;
 mod routing;
 mod run;
+mod scaling;
 mod score;
 pub mod settings;
 mod storage;
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -211,7 +211,7 @@
         supervisor.spawn("housekeeping", run_housekeeping(context.clone(), routers));
         let election = LeaderElection::new(context.clone(), led_services.clone());
         supervisor.spawn("election", election.run());
-        duty::start(&context, boot);
+        duty::start(&context, &led_services, boot);
         while let Some(Command::Reload(settings)) = commands.recv().await {
             reload::reload(&context, &settings);
         }
