Count long requests before their window is decided

Cause: a request was counted when its last copy had ended. One that took longer than about 3 s was counted after the report of its window was decided, 4 s after the window's end, and was lost as a late count. Ruled out: counting at the write. A refusal would have to be subtracted again from counts that may be in the store or decided. Change: a copy that was not refused within 2 s counts as begun.

--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -274,7 +274,7 @@
             let may_send = || {
                 let permits = selection.may_send() && self.admits(proxied);
                 if permits {
-                    proxied.usage.on_write(selection.address);
+                    proxied.usage.on_write(&selection);
                 }
                 permits
             };
@@ -283,7 +283,7 @@
             let mut response = match sent {
                 Ok(response) => response,
                 Err(error) if error.is_unsent() => {
-                    proxied.usage.on_not_run(selection.address);
+                    proxied.usage.on_not_run(&selection);
                     return Attempt::NotRun;
                 }
                 Err(_) => return Attempt::Failed(None),
--- a/crates/edge/src/forward/exchange.rs
+++ b/crates/edge/src/forward/exchange.rs
@@ -20,19 +20,18 @@
         let left = proxied.deadline.saturating_since(clock::now());
         let request = self.build_request(proxied, selection, left);
         let request = request.map(|()| proxied.body.clone());
-        let address = selection.address;
         let may_send = || {
             let permits = selection.may_send() && self.admits(proxied);
             if permits {
-                proxied.usage.on_write(address);
+                proxied.usage.on_write(selection);
             }
             permits
         };
         let client = self.client.checked(&may_send);
-        let response = match client.send(address, request).await {
+        let response = match client.send(selection.address, request).await {
             Ok(response) => response,
             Err(dogwoodlb_client::Error::Revoked { .. }) => {
-                proxied.usage.on_not_run(address);
+                proxied.usage.on_not_run(selection);
                 selection.finish(Outcome::Cancelled);
                 return Attempt::Unsent;
             }
@@ -41,7 +40,7 @@
                 let replica = &selection.replica;
                 tracing::info!(request = proxied.request_id, %replica, %error, "attempt_failed");
                 return if error.is_unsent() {
-                    proxied.usage.on_not_run(address);
+                    proxied.usage.on_not_run(selection);
                     Attempt::NotRun
                 } else {
                     Attempt::Failed(None)
@@ -59,7 +58,7 @@
         selection: &Selection,
     ) -> Attempt {
         let headers = self.protocol.headers();
-        proxied.usage.on_head(selection.address);
+        proxied.usage.on_head(selection);
         if !is_response_to(headers, &response.head, &proxied.request_id) {
             tracing::warn!(request = proxied.request_id, replica = %selection.replica, "request_id_mismatch");
             response.body.prevent_reuse();
@@ -68,7 +67,7 @@
         }
         selection.observe(headers, &response.head);
         if is_not_run(headers, &response.head) {
-            proxied.usage.on_not_run(selection.address);
+            proxied.usage.on_not_run(selection);
             let status = response.head.status.as_u16();
             tracing::debug!(request = proxied.request_id, replica = %selection.replica, status, "not_run");
             response.body.discard().await;
--- a/crates/edge/src/usage.rs
+++ b/crates/edge/src/usage.rs
@@ -5,6 +5,7 @@
 use crate::clock;
 use crate::context::NodeContext;
 use crate::duty::usage_report;
+use crate::routing::Selection;
 use crate::settings::Settings;
 use crate::storage::{self, MAX_TXN_ROWS, USAGE};
 use dogwoodlb_config::Organisation;
@@ -14,7 +15,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::Duration;
 use tokio::time::sleep;
 
@@ -24,6 +25,10 @@
 const MIN_WRITE_INTERVAL: Duration = Duration::from_secs(1);
 /// The maximum rate of writes for windows that have not ended, over all nodes.
 const MAX_WRITES_PER_S: u32 = 100;
+/// A copy that was not refused within this time counts as begun: the report of its window may be
+/// decided before its response. Replicas refuse requests before they work on them, and nodes write
+/// counts about 1 s after the end of a window, which is decided 4 s after its end.
+const MAX_REFUSAL_TIME: Duration = Duration::from_secs(2);
 /// The assumed latency to a replica is at most this, one way. Regions are 12 ms apart.
 const MAX_ONE_WAY: Duration = Duration::from_millis(20);
 /// The number of replicas whose latency is known at most.
@@ -36,6 +41,8 @@
     clock: RefCell<WallClock>,
     /// The shortest time of each replica from a request to the head of its response.
     latencies: RefCell<HashMap<SocketAddr, Duration>>,
+    /// The requests that may not be counted yet.
+    running: RefCell<Vec<Weak<RunningRequest>>>,
     late: Cell<u64>,
 }
 
@@ -46,6 +53,7 @@
             meter: schedule.map(|schedule| RefCell::new(Meter::new(schedule))),
             clock: RefCell::default(),
             latencies: RefCell::default(),
+            running: RefCell::default(),
             late: Cell::new(0),
         }
     }
@@ -54,10 +62,45 @@
     /// replicas that get it. Without an organisation it is not counted.
     pub(crate) fn observe(self: &Rc<Self>, organisation: Option<&Organisation>) -> RequestUsage {
         let counted = organisation.filter(|_| self.meter.is_some());
+        let request = counted.map(|organisation| {
+            let request = Rc::new(RunningRequest {
+                organisation: organisation.name.clone(),
+                copies: RefCell::default(),
+                is_counted: Cell::new(false),
+            });
+            self.running.borrow_mut().push(Rc::downgrade(&request));
+            request
+        });
         RequestUsage {
             meter: self.clone(),
-            organisation: counted.map(|organisation| organisation.name.clone()),
-            copies: RefCell::default(),
+            request,
+        }
+    }
+
+    /// Counts the requests that run for longer than a refusal takes, and forgets those that have
+    /// ended.
+    fn count_running(&self) {
+        let now = clock::now();
+        self.running.borrow_mut().retain(|request| {
+            let request = request.upgrade();
+            request.is_some_and(|request| {
+                if request.is_unrefused(now) {
+                    self.count(&request);
+                }
+                !request.is_counted.get()
+            })
+        });
+    }
+
+    /// Counts a request, unless it is counted already or all of its copies were refused.
+    fn count(&self, request: &RunningRequest) {
+        let copies = request.copies.borrow();
+        let began = copies
+            .iter()
+            .map(|copy| copy.written_at + self.one_way(copy.address));
+        if let Some(at) = began.min().filter(|_| !request.is_counted.get()) {
+            request.is_counted.set(true);
+            self.on_begin(&request.organisation, at);
         }
     }
 
@@ -95,67 +138,79 @@
     }
 }
 
-/// A request that is counted once, at the time when the first replica began to run it.
-pub(crate) struct RequestUsage {
-    meter: Rc<UsageMeter>,
-    /// `None` if the request is not counted.
-    organisation: Option<String>,
+/// A request of an organisation, which is counted once, at the time when the first replica began to
+/// run it.
+struct RunningRequest {
+    organisation: String,
     copies: RefCell<Vec<SentCopy>>,
+    is_counted: Cell<bool>,
 }
 
 /// A copy of the request that was written to a replica and not refused. No two copies go to one
 /// replica.
 struct SentCopy {
-    replica: SocketAddr,
+    address: SocketAddr,
     written_at: Instant,
 }
 
+impl RunningRequest {
+    /// Returns whether a copy was written so long ago that it is not refused any more.
+    fn is_unrefused(&self, now: Instant) -> bool {
+        let copies = self.copies.borrow();
+        let mut ages = copies
+            .iter()
+            .map(|copy| now.saturating_since(copy.written_at));
+        ages.any(|age| age >= MAX_REFUSAL_TIME)
+    }
+}
+
+/// Observes a request, and counts it at the latest when it is dropped.
+pub(crate) struct RequestUsage {
+    meter: Rc<UsageMeter>,
+    /// `None` if the request is not counted.
+    request: Option<Rc<RunningRequest>>,
+}
+
 impl RequestUsage {
     /// Takes in that a copy is written to a replica now. An earlier write to it has failed.
-    pub(crate) fn on_write(&self, replica: SocketAddr) {
-        self.on_not_run(replica);
-        if self.organisation.is_some() {
-            let written_at = clock::now();
-            let copy = SentCopy {
-                replica,
-                written_at,
-            };
-            self.copies.borrow_mut().push(copy);
+    pub(crate) fn on_write(&self, selection: &Selection) {
+        self.on_not_run(selection);
+        if let Some(request) = &self.request {
+            request.copies.borrow_mut().push(SentCopy {
+                address: selection.address,
+                written_at: clock::now(),
+            });
         }
     }
 
     /// Takes in that a copy was not sent, or that its replica did not run it.
-    pub(crate) fn on_not_run(&self, replica: SocketAddr) {
-        self.copies
-            .borrow_mut()
-            .retain(|copy| copy.replica != replica);
+    pub(crate) fn on_not_run(&self, selection: &Selection) {
+        if let Some(request) = &self.request {
+            let mut copies = request.copies.borrow_mut();
+            copies.retain(|copy| copy.address != selection.address);
+        }
     }
 
     /// Takes in the head of any response to a copy.
-    pub(crate) fn on_head(&self, replica: SocketAddr) {
-        let copies = self.copies.borrow();
-        if let Some(copy) = copies.iter().find(|copy| copy.replica == replica) {
+    pub(crate) fn on_head(&self, selection: &Selection) {
+        let Some(request) = &self.request else {
+            return;
+        };
+        let copies = request.copies.borrow();
+        let copy = copies.iter().find(|copy| copy.address == selection.address);
+        if let Some(copy) = copy {
             let took = clock::now().saturating_since(copy.written_at);
-            self.meter.on_head(replica, took);
+            self.meter.on_head(copy.address, took);
         }
     }
-
-    /// Returns the estimated time at which the first copy began to run.
-    fn began_at(&self) -> Option<Instant> {
-        let copies = self.copies.borrow();
-        let began = copies
-            .iter()
-            .map(|copy| copy.written_at + self.meter.one_way(copy.replica));
-        began.min()
-    }
 }
 
 impl Drop for RequestUsage {
     /// Counts the request, unless all of its copies were refused. A copy without a response counts
     /// as begun, also if its response is not waited for any more.
     fn drop(&mut self) {
-        if let (Some(organisation), Some(at)) = (&self.organisation, self.began_at()) {
-            self.meter.on_begin(organisation, at);
+        if let Some(request) = &self.request {
+            self.meter.count(request);
         }
     }
 }
@@ -168,6 +223,7 @@
         let Some(meter) = &context.usage.meter else {
             return;
         };
+        context.usage.count_running();
         count_late(&context, meter);
         let since = clock::now().saturating_since(written_at);
         if is_write_due(&context, meter, since) {
