Tell the copies of a counted request apart by replica

Cause: copies were told apart by address. If a request failed at one replica and another one at the same address, such as its successor, refused it, the refusal removed the copy that had begun, and the request was not counted. Change: copies are told apart by the id of their replica, of which a request never gets two. Conclusion: a refusal concerns the copy of the replica that refused.

--- a/crates/edge/src/usage.rs
+++ b/crates/edge/src/usage.rs
@@ -11,7 +11,7 @@
 use dogwoodlb_config::Organisation;
 use dogwoodlb_duty::{Meter, TallyWrite, WallClock};
 use dogwoodlb_external::store::{Outcome, Txn};
-use dogwoodlb_types::Instant;
+use dogwoodlb_types::{id, Instant};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -149,6 +149,7 @@
 /// A copy of the request that was written to a replica and not refused. No two copies go to one
 /// replica.
 struct SentCopy {
+    replica: id::Upstream,
     address: SocketAddr,
     written_at: Instant,
 }
@@ -177,6 +178,7 @@
         self.on_not_run(selection);
         if let Some(request) = &self.request {
             request.copies.borrow_mut().push(SentCopy {
+                replica: selection.replica.clone(),
                 address: selection.address,
                 written_at: clock::now(),
             });
@@ -187,7 +189,7 @@
     pub(crate) fn on_not_run(&self, selection: &Selection) {
         if let Some(request) = &self.request {
             let mut copies = request.copies.borrow_mut();
-            copies.retain(|copy| copy.address != selection.address);
+            copies.retain(|copy| copy.replica != selection.replica);
         }
     }
 
@@ -197,7 +199,7 @@
             return;
         };
         let copies = request.copies.borrow();
-        let copy = copies.iter().find(|copy| copy.address == selection.address);
+        let copy = copies.iter().find(|copy| copy.replica == selection.replica);
         if let Some(copy) = copy {
             let took = clock::now().saturating_since(copy.written_at);
             self.meter.on_head(copy.address, took);
