--- a/crates/batch/tests/open_work.rs
+++ b/crates/batch/tests/open_work.rs
@@ -23,6 +23,8 @@
         max_attempts: 3,
         event_tokens: 10,
         items: &items,
+        priority: 0,
+        deadline: None,
         finished,
     });
 }
