Keep failed requests out of the queue for their next attempt

Cause: where the configuration has organisations, a request that had failed at a replica waited in the queue for its next attempt. The queue may choose a replica again that the request was sent to, which is right after a refusal and wrong after a failure. Change: after a failure the next replica is chosen as without organisations. Measured: nodes counted_requests and queued_requests: 4 passed; before, 2 of them failed.

--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -251,6 +251,15 @@
                 .inspect_err(|refused| proxied.retry_after.set(refused.retry_after))
                 .ok();
         }
+        self.poll_for_replica(proxied, tried).await
+    }
+
+    /// Selects a replica that has not got the request, waiting for a limited time if none is free.
+    async fn poll_for_replica(
+        &self,
+        proxied: &ProxiedRequest<'_>,
+        tried: &[id::Upstream],
+    ) -> Option<Selection> {
         let until = proxied.began + proxied.route.latency_target.mul_f64(MAX_WAIT_SHARE);
         loop {
             let selection = self.routers.select(proxied.service, tried);
--- a/crates/edge/src/forward/hedged.rs
+++ b/crates/edge/src/forward/hedged.rs
@@ -26,9 +26,12 @@
         loop {
             let may_send = tried.len() < max_attempts && self.admits(proxied);
             if std::mem::take(&mut needs_copy) && may_send {
-                let selection = match copies.is_empty() {
-                    true => self.wait_for_replica(proxied, &tried).await,
-                    false => self.routers.select(proxied.service, &tried),
+                // The queue may choose a replica again that has refused the request. One that has failed
+                // it must not get it again.
+                let selection = match (copies.is_empty(), may_have_run) {
+                    (true, false) => self.wait_for_replica(proxied, &tried).await,
+                    (true, true) => self.poll_for_replica(proxied, &tried).await,
+                    (false, _) => self.routers.select(proxied.service, &tried),
                 };
                 if let Some(selection) = selection.map(Rc::new) {
                     tried.push(selection.replica.clone());
