--- a/review/standin_2.py
+++ b/review/standin_2.py
@@ -417,7 +417,7 @@
     folder = tempfile.mkdtemp(prefix="dogwoodlb-review-")
     try:
         code = main(folder, record)
-    except Exception:
+    except (Exception, KeyboardInterrupt):
         record("the case couldn't run: " + traceback.format_exc().replace("\n", " | "))
         code = 2
     finally:
