Accept requests of a stopping node by their deadlines

Cause: callers lost streams at a planned stop. The first stream of a route was cut too.

Ruled out: an early exit (0.7 s before the kill, as set) and a slower replica (an event every 0.1 s throughout). More headroom and the caller's estimate of the length are guesses as well.

Change: DrainAdmission accepts a request if the deadline of its caller comes before the exit, and no other; it keeps no times of earlier requests. A request that waits for a replica at the SIGTERM is refused then. Refused requests get 503 with Retry-After 0 and have not run.

Why it works: the exit can't cut what ends before it, and no request lasts longer than its caller waits. The answer doesn't change with time, so that nothing accepted is refused later.

--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -2,7 +2,6 @@
 //! response.
 
 use crate::clock;
-use crate::completion::CompletionTimer;
 use crate::headers::{header_millis, header_number, header_str, remove_hop_by_hop};
 use crate::identity::{Caller, Forwarding};
 use crate::metrics::Metrics;
@@ -14,17 +13,18 @@
 use bytes::Bytes;
 use dogwoodlb_client::Client;
 use dogwoodlb_config::{Organisation, Route, RouteKind, Snapshot};
-use dogwoodlb_limit::{DrainAdmission, DrainRequest};
+use dogwoodlb_limit::DrainAdmission;
 use dogwoodlb_route::Outcome;
 use dogwoodlb_types::{id, Instant};
 use hyper::body::{Body as _, Incoming};
 use hyper::header::{HeaderValue, CONTENT_LENGTH, HOST};
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
 mod exchange;
@@ -56,8 +56,8 @@
     pub(crate) queues: ServiceQueues,
     pub(crate) metrics: Rc<Metrics>,
     pub(crate) usage: Rc<UsageMeter>,
-    /// Knows how long requests take, and which of them end before an exit of the node.
-    pub(crate) drain_admission: Rc<RefCell<DrainAdmission>>,
+    /// Knows which requests end before an exit of the node.
+    pub(crate) drain_admission: watch::Sender<DrainAdmission>,
 }
 
 /// A request that is being forwarded.
@@ -70,14 +70,12 @@
     forwarding: Forwarding<'a>,
     request_id: String,
     began: Instant,
-    /// When the caller gives up.
-    caller_deadline: Instant,
+    /// When the caller gives up, if it says so.
+    caller_deadline: Option<Instant>,
     /// When the response head is due: the caller's deadline or the route's time-out.
     deadline: Instant,
     head: &'a Parts,
     body: Bytes,
-    /// Runs once the request can be sent. It passes to the response body if that is streamed.
-    timer: Cell<Option<CompletionTimer>>,
     /// Counts the request once it has begun to run.
     usage: RequestUsage,
     /// Whether the configuration has organisations, so that the request waits in a queue.
@@ -101,9 +99,11 @@
 }
 
 impl Forwarder {
-    /// From now on refuses requests that are not expected to end before `exit_at`.
+    /// From now on refuses requests that may not end before `exit_at`, also those that wait for a
+    /// replica.
     pub(crate) fn begin_drain(&self, exit_at: Instant) {
-        self.drain_admission.borrow_mut().begin(exit_at);
+        self.drain_admission
+            .send_modify(|admission| admission.begin(exit_at));
     }
 
     /// Forwards one request.
@@ -117,8 +117,8 @@
         let began = clock::now();
         let headers = self.protocol.headers();
         let (head, body) = request.into_parts();
-        let caller_wait =
-            header_millis(&head.headers, &headers.deadline_ms).unwrap_or(DEFAULT_TIMEOUT);
+        let stated_wait = header_millis(&head.headers, &headers.deadline_ms);
+        let caller_wait = stated_wait.unwrap_or(DEFAULT_TIMEOUT);
         let wait = route
             .timeout
             .map_or(caller_wait, |timeout| timeout.min(caller_wait));
@@ -126,7 +126,6 @@
             return reply::unavailable("the route leads to no service", RETRY_AFTER);
         };
         let request_id = header_str(&head.headers, &headers.request_id).unwrap_or_default();
-        let start_timer = || CompletionTimer::start(&self.drain_admission, &route.name);
         let mut proxied = ProxiedRequest {
             route,
             service,
@@ -134,11 +133,10 @@
             forwarding: caller.into(),
             request_id: request_id.to_owned(),
             began,
-            caller_deadline: began + caller_wait,
+            caller_deadline: stated_wait.map(|wait| began + wait),
             deadline: began + wait,
             head: &head,
             body: Bytes::new(),
-            timer: Cell::default(),
             usage: self
                 .usage
                 .observe(caller.organisation().map(|organisation| &**organisation)),
@@ -147,7 +145,6 @@
         };
         let content_length = body.size_hint().exact();
         if content_length.is_some_and(|length| length > MAX_BUFFERED_BYTES as u64) {
-            proxied.timer.set(Some(start_timer()));
             return self.serve_streaming(&proxied, body).await;
         }
         let limit = config.limits().max_body_bytes;
@@ -155,7 +152,6 @@
             Ok(body) => body,
             Err(response) => return response,
         };
-        proxied.timer.set(Some(start_timer()));
         let attempts = async {
             match route.kind {
                 RouteKind::Idempotent => self.run_hedged(&proxied).await,
@@ -172,14 +168,18 @@
     }
 
     /// Returns whether the request may be sent to a replica: the node does not shut down, or the
-    /// request can be expected to end before the exit.
+    /// request surely ends before the exit.
     fn admits(&self, proxied: &ProxiedRequest<'_>) -> bool {
-        let now = clock::now();
-        let request = DrainRequest {
-            route: &proxied.route.name,
-            time_limit: proxied.caller_deadline.saturating_since(now),
-        };
-        self.drain_admission.borrow().admits(&request, now)
+        let admission = self.drain_admission.borrow();
+        admission.admits(proxied.caller_deadline)
+    }
+
+    /// Waits until the request may no longer be sent to a replica.
+    async fn refusal_due(&self, proxied: &ProxiedRequest<'_>) {
+        let mut admission = self.drain_admission.subscribe();
+        let refuses = |admission: &DrainAdmission| !admission.admits(proxied.caller_deadline);
+        // Fails only if the sender is dropped, and `self` owns it.
+        let _ = admission.wait_for(refuses).await;
     }
 
     fn refuse_while_draining(
@@ -231,11 +231,24 @@
         reply::unavailable(reason, proxied.retry_after.get())
     }
 
-    /// Selects a replica, waiting for a limited time if none is free.
+    /// Selects a replica, waiting for a limited time if none is free. The wait ends once the request
+    /// may no longer be sent.
     async fn wait_for_replica(
         &self,
         proxied: &ProxiedRequest<'_>,
         tried: &[id::Upstream],
+    ) -> Option<Selection> {
+        tokio::select! {
+            biased;
+            () = self.refusal_due(proxied) => None,
+            selection = self.select_replica(proxied, tried) => selection,
+        }
+    }
+
+    async fn select_replica(
+        &self,
+        proxied: &ProxiedRequest<'_>,
+        tried: &[id::Upstream],
     ) -> Option<Selection> {
         if proxied.is_queued {
             let request = ReplicaRequest {
--- a/crates/edge/src/forward/exchange.rs
+++ b/crates/edge/src/forward/exchange.rs
@@ -90,8 +90,7 @@
                 proxied.began,
                 &response.head,
             );
-            let timer = proxied.timer.take();
-            return Attempt::Responded(relay::stream_body(response, monitor, timer));
+            return Attempt::Responded(relay::stream_body(response, monitor));
         }
         let (head, body) = (response.head, response.body);
         match body.collect(MAX_BUFFERED_BYTES).await {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -19,7 +19,6 @@
 mod candidacy;
 mod clock;
 mod cluster;
-mod completion;
 mod context;
 mod coordinator;
 mod departure;
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -231,7 +231,7 @@
             queues: ServiceQueues::new(routers.clone(), context.metrics.clone()),
             metrics: context.metrics.clone(),
             usage: context.usage.clone(),
-            drain_admission: Rc::default(),
+            drain_admission: watch::Sender::default(),
         },
         reader: BatchReader {
             batch_store: context.batch_store.clone(),
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -1,7 +1,6 @@
 //! Passes responses of replicas on to callers.
 
 use crate::clock;
-use crate::completion::CompletionTimer;
 use crate::headers::{header_millis, remove_hop_by_hop};
 use crate::protocol::HeaderNames;
 use crate::reply::Body;
@@ -55,17 +54,15 @@
 }
 
 /// Passes a body on as it arrives. If it breaks off or stalls, so does the response of the caller.
-/// The timer runs until the body has ended.
 pub(crate) fn stream_body(
     response: dogwoodlb_client::Response,
     monitor: ProgressMonitor,
-    timer: Option<CompletionTimer>,
 ) -> Response<Body> {
-    let state = Some((response.body, monitor, timer));
+    let state = Some((response.body, monitor));
     let frames = futures_util::stream::unfold(state, |state| async move {
-        let (mut body, mut monitor, timer) = state?;
+        let (mut body, mut monitor) = state?;
         match body.next_monitored(&mut monitor).await {
-            Ok(Some(data)) => Some((Ok(Frame::data(data)), Some((body, monitor, timer)))),
+            Ok(Some(data)) => Some((Ok(Frame::data(data)), Some((body, monitor)))),
             Ok(None) => None,
             Err(error) => {
                 tracing::info!(%error, "response_stream_failed");
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! - [`AdmissionController`] queues requests by class and refuses those that cannot start before
 //!   their deadline.
-//! - [`DrainAdmission`] refuses requests that a process can't finish before it exits.
+//! - [`DrainAdmission`] refuses requests that may outlast a process that shuts down.
 //! - [`Hedging`] decides when an idempotent call is sent to a second replica, from the times of its
 //!   route in a [`LatencyProfile`].
 //! - [`RetryBudget`] limits the retries of a node.
@@ -49,7 +49,7 @@
 
 pub use adaptive_limit::{AdaptiveLimit, Signal};
 pub use admission::{Action, Admission, AdmissionController, Ticket};
-pub use drain_admission::{DrainAdmission, DrainRequest, RequestKey};
+pub use drain_admission::DrainAdmission;
 pub use error::{Category, Error};
 pub use hedged_call::{CopyKey, HedgedCall};
 pub use hedging::Hedging;
