Read the body of a request that is refused

Cause: a caller that was still sending a body of more than 512 KB when the node refused its request got a reset connection in place of the response, and couldn't know that the request had not run. The refusal dropped the unread body, and the kernel resets a connection closed with unread data.

Change: refusals for want of a configuration, a route, a replica or time read the body first, as those for want of a key did (up to the configured size, for 0.5 s). The function moves to reply. Long uploads end in the same log lines and counters as other requests.

--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -143,12 +143,13 @@
             is_queued: config.organisations().is_some(),
             retry_after: Cell::new(RETRY_AFTER),
         };
+        let max_body_bytes = config.limits().max_body_bytes;
         let content_length = body.size_hint().exact();
         if content_length.is_some_and(|length| length > MAX_BUFFERED_BYTES as u64) {
-            return self.serve_streaming(&proxied, body).await;
+            let served = self.serve_streaming(&proxied, body, max_body_bytes);
+            return served.await;
         }
-        let limit = config.limits().max_body_bytes;
-        proxied.body = match reply::read_body(body, limit, wait).await {
+        proxied.body = match reply::read_body(body, max_body_bytes, wait).await {
             Ok(body) => body,
             Err(response) => return response,
         };
@@ -306,13 +307,11 @@
         &self,
         proxied: &ProxiedRequest<'_>,
         body: Incoming,
+        max_body_bytes: usize,
     ) -> Response<Body> {
-        if !self.admits(proxied) {
-            return self.refuse_while_draining(proxied, 0);
-        }
         let Some(selection) = self.wait_for_replica(proxied, &[]).await else {
-            let reason = "no replica is free; it has not run";
-            return reply::unavailable(reason, proxied.retry_after.get());
+            reply::discard_body(proxied.head, body, max_body_bytes).await;
+            return self.refuse(proxied, 0);
         };
         let left = proxied.deadline.saturating_since(clock::now());
         let length = body.size_hint().exact();
@@ -345,14 +344,9 @@
         };
         match timeout(left, exchange).await {
             Ok(Attempt::Responded(response) | Attempt::Failed(Some(response))) => response,
-            Ok(Attempt::NotRun | Attempt::Unsent) => {
-                reply::unavailable("the replica did not run the request", RETRY_AFTER)
-            }
-            Ok(Attempt::Failed(None)) => reply::plain_text(
-                StatusCode::BAD_GATEWAY,
-                "the replica failed; it may have run",
-            ),
-            Ok(Attempt::TimedOut) | Err(_) => gateway_timeout(),
+            Ok(Attempt::NotRun | Attempt::Unsent) => self.refuse(proxied, 1),
+            Ok(Attempt::Failed(None)) => self.fail(proxied, 1),
+            Ok(Attempt::TimedOut) | Err(_) => self.time_out(proxied, 1),
         }
     }
 
--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -48,6 +48,8 @@
 /// The maximum size of a request head before a configuration is known. A configured maximum below
 /// it has no effect.
 const DEFAULT_HEAD_BYTES: usize = 64 * 1024;
+/// The most that is read of a request body before a configuration is known.
+const DEFAULT_BODY_BYTES: usize = 32 * 1024 * 1024;
 /// The idle time-out of connections before a configuration is known.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -162,20 +164,24 @@
 
     async fn route(&self, head: Parts, body: Incoming) -> Result<Response<Body>, Response<Body>> {
         let Some(config) = self.cluster.config() else {
+            reply::discard_body(&head, body, DEFAULT_BODY_BYTES).await;
             let reason = "no configuration is known yet";
             return Err(reply::unavailable(reason, RETRY_AFTER));
         };
+        let max_body_bytes = config.limits().max_body_bytes;
         let host = head.headers.get(HOST).and_then(|host| host.to_str().ok());
         let host = host.or_else(|| head.uri.host()).unwrap_or_default();
         let host = host.split(':').next().unwrap_or_default().to_owned();
         let Some(route) = config.route(&host, head.uri.path()) else {
-            return Err(self.no_route(&head, &host, config.version()));
+            let refusal = self.no_route(&head, &host, config.version());
+            reply::discard_body(&head, body, max_body_bytes).await;
+            return Err(refusal);
         };
         let caller = match self.route_caller(&head, &config, route.is_public) {
             Ok(caller) => caller,
             Err(rejection) => {
                 let refusal = self.reject(&head, &config, &route.name, rejection);
-                access::discard_body(&head, body, &config).await;
+                reply::discard_body(&head, body, max_body_bytes).await;
                 return Err(refusal);
             }
         };
--- a/crates/edge/src/front/access.rs
+++ b/crates/edge/src/front/access.rs
@@ -9,8 +9,7 @@
 use dogwoodlb_batch::BatchHeader;
 use dogwoodlb_config::Snapshot;
 use dogwoodlb_types::Instant;
-use hyper::body::Incoming;
-use hyper::header::{HeaderValue, EXPECT, WWW_AUTHENTICATE};
+use hyper::header::{HeaderValue, WWW_AUTHENTICATE};
 use hyper::http::request::Parts;
 use hyper::{Response, StatusCode};
 use std::cell::Cell;
@@ -20,8 +19,6 @@
 /// revoked key repeats its requests as fast as it can.
 const MAX_LOGGED: u64 = 10;
 const LOG_PERIOD: Duration = Duration::from_secs(1);
-/// How long the body of a rejected request is read.
-const DISCARD_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Limits the lines about rejected callers.
 #[derive(Default)]
@@ -148,12 +145,3 @@
     let route = config.route(&header.host, &header.path);
     header.organisation.is_none() && route.is_some_and(|route| route.is_public)
 }
-
-/// Reads the body of a rejected request and drops it. If it stayed unread, closing the connection
-/// would reset it, and a caller that is still sending would not see the response. A caller that
-/// waits for permission to send gets none.
-pub(super) async fn discard_body(head: &Parts, body: Incoming, config: &Snapshot) {
-    if !head.headers.contains_key(EXPECT) {
-        reply::discard_body(body, config.limits().max_body_bytes, DISCARD_TIMEOUT).await;
-    }
-}
--- a/crates/edge/src/reply.rs
+++ b/crates/edge/src/reply.rs
@@ -3,7 +3,8 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use hyper::header::{HeaderValue, CONTENT_TYPE, RETRY_AFTER};
+use hyper::header::{HeaderValue, CONTENT_TYPE, EXPECT, RETRY_AFTER};
+use hyper::http::request::Parts;
 use hyper::{Response, StatusCode};
 use std::convert::Infallible;
 use std::pin::Pin;
@@ -12,6 +13,8 @@
 
 /// The retry-after time if the request body did not arrive.
 const BODY_RETRY_AFTER: Duration = Duration::from_millis(100);
+/// How long the body of a refused request is read.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// The body of a response. An error closes the connection, so that the caller can't mistake a
 /// truncated body for a complete one.
@@ -67,8 +70,13 @@
     }
 }
 
-/// Reads a request body up to a size and for a limited time, and drops what it reads.
-pub(crate) async fn discard_body(mut body: Incoming, limit: usize, wait: Duration) {
+/// Reads the body of a refused request and drops it, up to a size and for a limited time. If it
+/// stayed unread, closing the connection would reset it, and a caller that is still sending would not
+/// see the response. A caller that waits for permission to send gets none.
+pub(crate) async fn discard_body(head: &Parts, mut body: Incoming, limit: usize) {
+    if head.headers.contains_key(EXPECT) {
+        return;
+    }
     let read = async {
         let mut size = 0;
         while let Some(Ok(frame)) = body.frame().await {
@@ -79,5 +87,5 @@
         }
     };
     // The response follows, whether or not the body has ended.
-    let _ = timeout(wait, read).await;
+    let _ = timeout(DISCARD_TIMEOUT, read).await;
 }
