Take a response whose status HTTP doesn't have as malformed

Cause: callers got responses of replicas with the statuses 600 to 999 as they were, with the replica's signature and without a try at another replica. hyper and ureq accept three digits from 100 on; nothing checked the rest, and such a status counted as a success. Statuses below 100, as seen on other systems (000), fail the call already.

The request may have run, so that one that isn't idempotent gets 502, and another replica runs an idempotent one.

--- a/crates/client/src/framing.rs
+++ b/crates/client/src/framing.rs
@@ -1,13 +1,19 @@
-//! Checks of the headers that tell where the body of a response ends.
+//! Checks of the status, and of the headers that tell where the body of a response ends.
 
 use hyper::header::{HeaderMap, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
 use hyper::StatusCode;
 
+/// The highest status that HTTP knows (RFC 9110, section 15).
+const MAX_STATUS: u16 = 599;
 /// The only transfer coding that the client decodes. It announces no other one to servers.
 const CHUNKED: &[u8] = b"chunked";
 
-/// Checks that the end of the body is certain, and leaves at most one number in `Content-Length`.
+/// Checks that the status is one and the end of the body is certain, and leaves at most one number in
+/// `Content-Length`.
+///
+/// `hyper` accepts each status of three digits from 100 on. One that isn't known to HTTP comes from a
+/// faulty server, and callers may take it for anything. See docs/incidents/invalid-statuses.md.
 ///
 /// `hyper` reads a body with an unknown transfer coding until the connection ends, and accepts the
 /// same length several times. Both would reach a caller to whom the response is passed on: the
@@ -17,6 +23,9 @@
 ///
 /// The reason why the response can't be used.
 pub(crate) fn check(head: &mut Parts) -> Result<(), &'static str> {
+    if head.status.as_u16() > MAX_STATUS {
+        return Err("the status is not one of HTTP");
+    }
     // The client never requests an upgrade, and the bytes that follow are no HTTP.
     if head.status == StatusCode::SWITCHING_PROTOCOLS {
         return Err("the server switched protocols without a request to do so");
