Move long uploads to a module of their own

Change: forward::upload has the uploads that are passed on as they arrive; Forwarder::permits_write is the check. No change of behaviour.

--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -29,6 +29,7 @@
 
 mod exchange;
 mod hedged;
+mod upload;
 
 /// Bodies whose content length is at most this are buffered, so that a request can be retried and
 /// a response can be verified before it is passed on. Bodies with a larger content length are
@@ -146,7 +147,7 @@
         let max_body_bytes = config.limits().max_body_bytes;
         let content_length = body.size_hint().exact();
         if content_length.is_some_and(|length| length > MAX_BUFFERED_BYTES as u64) {
-            let served = self.serve_streaming(&proxied, body, max_body_bytes);
+            let served = self.serve_upload(&proxied, body, max_body_bytes);
             return served.await;
         }
         proxied.body = match reply::read_body(body, max_body_bytes, wait).await {
@@ -302,54 +303,6 @@
         })
     }
 
-    /// Forwards a request whose body is too large to be buffered, in a single attempt.
-    async fn serve_streaming(
-        &self,
-        proxied: &ProxiedRequest<'_>,
-        body: Incoming,
-        max_body_bytes: usize,
-    ) -> Response<Body> {
-        let Some(selection) = self.wait_for_replica(proxied, &[]).await else {
-            reply::discard_body(proxied.head, body, max_body_bytes).await;
-            return self.refuse(proxied, 0);
-        };
-        let left = proxied.deadline.saturating_since(clock::now());
-        let length = body.size_hint().exact();
-        let mut request = self.build_request(proxied, &selection, left).map(|()| body);
-        if let Some(length) = length {
-            request.headers_mut().insert(CONTENT_LENGTH, length.into());
-        }
-        let exchange = async {
-            let may_send = || {
-                let permits = selection.may_send() && self.admits(proxied);
-                if permits {
-                    proxied.usage.on_write(&selection);
-                }
-                permits
-            };
-            let client = self.client.checked(&may_send);
-            let sent = client.send_streaming(selection.address, request).await;
-            let mut response = match sent {
-                Ok(response) => response,
-                Err(error) if error.is_unsent() => {
-                    proxied.usage.on_not_run(&selection);
-                    return Attempt::NotRun;
-                }
-                Err(_) => return Attempt::Failed(None),
-            };
-            // The replica may respond before it has read the whole request body, so the
-            // connection can't be reused.
-            response.body.prevent_reuse();
-            self.handle_response(proxied, response, &selection).await
-        };
-        match timeout(left, exchange).await {
-            Ok(Attempt::Responded(response) | Attempt::Failed(Some(response))) => response,
-            Ok(Attempt::NotRun | Attempt::Unsent) => self.refuse(proxied, 1),
-            Ok(Attempt::Failed(None)) => self.fail(proxied, 1),
-            Ok(Attempt::TimedOut) | Err(_) => self.time_out(proxied, 1),
-        }
-    }
-
     fn build_request(
         &self,
         proxied: &ProxiedRequest<'_>,
--- a/crates/edge/src/forward/exchange.rs
+++ b/crates/edge/src/forward/exchange.rs
@@ -11,6 +11,20 @@
 use hyper::Version;
 
 impl Forwarder {
+    /// Returns whether the request may be written to the selected replica now. If so, it counts as
+    /// written.
+    pub(super) fn permits_write(
+        &self,
+        proxied: &ProxiedRequest<'_>,
+        selection: &Selection,
+    ) -> bool {
+        let permits = selection.may_send() && self.admits(proxied);
+        if permits {
+            proxied.usage.on_write(selection);
+        }
+        permits
+    }
+
     /// Sends the request to the selected replica, unless it is leaving, and waits for the response.
     pub(super) async fn exchange(
         &self,
@@ -20,13 +34,7 @@
         let left = proxied.deadline.saturating_since(clock::now());
         let request = self.build_request(proxied, selection, left);
         let request = request.map(|()| proxied.body.clone());
-        let may_send = || {
-            let permits = selection.may_send() && self.admits(proxied);
-            if permits {
-                proxied.usage.on_write(selection);
-            }
-            permits
-        };
+        let may_send = || self.permits_write(proxied, selection);
         let client = self.client.checked(&may_send);
         let response = match client.send(selection.address, request).await {
             Ok(response) => response,
