--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -100,8 +100,8 @@
 }
 
 impl Forwarder {
-    /// From now on refuses requests that may not end before `exit_at`, also those that wait for a
-    /// replica.
+    /// From now on refuses requests that might not have ended at `exit_at`, also those that wait for
+    /// a replica.
     pub(crate) fn begin_drain(&self, exit_at: Instant) {
         self.drain_admission
             .send_modify(|admission| admission.begin(exit_at));
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! - [`AdmissionController`] queues requests by class and refuses those that cannot start before
 //!   their deadline.
-//! - [`DrainAdmission`] refuses requests that may outlast a process that shuts down.
+//! - [`DrainAdmission`] refuses requests that might not have ended when a process exits.
 //! - [`Hedging`] decides when an idempotent call is sent to a second replica, from the times of its
 //!   route in a [`LatencyProfile`].
 //! - [`RetryBudget`] limits the retries of a node.
