--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,4 +1,4 @@
-"""A replica leaves while two of ten machines are cut off from the store for 1.25 s."""
+"""A replica leaves while two of ten machines are cut off from the store, each for 1.25 s."""
 
 import asyncio
 import os
@@ -15,9 +15,9 @@
 DRAIN_S = 2.5
 STABLE_S = 4.0
 LINGER_S = 9.0
-ROUNDS = 15
+ROUNDS = 14
 MACHINES = 10
-CUT_MACHINES = 2
+CUT_OFFSETS_S = [0.0, 0.4]  # one machine is cut off after the other
 
 
 async def case(record, folder, trouble):
@@ -26,12 +26,13 @@
     store_ip = subnet + ".2"
     replica_ips = ["%s.%d" % (subnet, n) for n in range(100, 100 + ROUNDS + 4)]
     ports = free_ports(ips, 5)
-    store_port, link_port = free_ports([store_ip], 2)
+    store_port, *link_ports = free_ports([store_ip], 1 + len(CUT_OFFSETS_S))
     (server_port,) = free_ports(replica_ips, 1)
     store = Store(record)
     await serve_http((store_ip, store_port), store.handle)
-    link = Link((store_ip, store_port))
-    await link.serve((store_ip, link_port))
+    links = [Link((store_ip, store_port)) for _ in link_ports]
+    for link, port in zip(links, link_ports):
+        await link.serve((store_ip, port))
     await store.write("op", "config", {
         "Version": 3,
         "Routes": [{"Name": "r-quote", "Host": "tok.example", "Prefix": "/quote/", "Kind": "safe",
@@ -59,8 +60,7 @@
             await asyncio.sleep(random.uniform(0, BEAT_S))
         for number, ip in enumerate(ips):
             zone = list(ZONES)[number % 3]
-            is_cut = number < CUT_MACHINES
-            store_address = (store_ip, link_port if is_cut else store_port)
+            store_address = (store_ip, (link_ports + [store_port] * MACHINES)[number])
             node = Node(record, folder, "edge-%s-%d" % (zone, number // 3 + 1), ip, zone, ZONES,
                         ports, ips[-3:], store_address)
             nodes.append(node)
@@ -68,8 +68,18 @@
         for node in nodes:
             if not await until(node.is_ready, 10):
                 raise RuntimeError("%s is not ready" % node.name)
-        cut_nodes = nodes[:CUT_MACHINES]
-        cut_names = " and ".join(node.name for node in cut_nodes)
+        cut_nodes = nodes[:len(links)]
+
+        async def cut(node, link, offset):
+            await asyncio.sleep(offset)
+            if trouble:
+                link.open.clear()
+                record.line("%s is cut off from the store" % node.name)
+            await asyncio.sleep(CUT_S)
+            if trouble:
+                link.open.set()
+                record.line("%s reaches the store again" % node.name)
+
         await asyncio.sleep(5)
         sent = {}  # request id -> time
 
@@ -91,17 +101,11 @@
         for number in range(ROUNDS):
             leaving = replicas[number]
             await asyncio.sleep(random.uniform(0.1, 1.3))
-            if trouble:
-                link.open.clear()
-                record.line("%s are cut off from the store" % cut_names)
-            leave_after = random.uniform(0.5, 0.9)
-            await asyncio.sleep(leave_after)
+            cuts = [asyncio.create_task(cut(*one)) for one in zip(cut_nodes, links, CUT_OFFSETS_S)]
+            await asyncio.sleep(random.uniform(0.7, 1.0))
             await leaving.remove_entry()
             exits.append(asyncio.create_task(exit_later(leaving)))
-            await asyncio.sleep(CUT_S - leave_after)
-            if trouble:
-                link.open.set()
-                record.line("%s reach the store again" % cut_names)
+            await asyncio.gather(*cuts)
             await asyncio.sleep(0.5)
             await add_replica()
             await asyncio.sleep(STABLE_S - 0.3)
--- a/review/standin_3.py
+++ b/review/standin_3.py
@@ -243,6 +243,7 @@
         self.ran = []  # (time, request id)
         self.beating = None
         self.server = None
+        self.keep_alive = "timeout=5"
 
     def entry(self):
         return {"Service": self.service, "Address": "%s:%d" % self.address, "Zone": self.zone,
@@ -283,7 +284,7 @@
         self.record.line("replica %s runs %s" % (self.name, request_id))
         await asyncio.sleep(self.work_s)
         headers = {"Request-Id": request_id, "Server-Stamp": "%s.%s" % (self.name, request_id),
-                   "Keep-Alive": "timeout=5"}
+                   "Keep-Alive": self.keep_alive}
         return 200, headers, b"x" * 800
 
 
@@ -324,6 +325,7 @@
 
     async def answer(self, request, writer):
         def reply(status, headers, body):
+            headers.setdefault("Keep-Alive", self.keep_alive)
             lines = ["HTTP/1.1 %d %s" % (status, REASONS.get(status, "Status"))]
             lines += ["%s: %s" % pair for pair in headers.items()]
             lines += ["Content-Length: %d" % len(body), "", ""]
@@ -349,9 +351,9 @@
         request_id = request.headers.get("request-id", "")
         self.ran.append((self.record.now(), request_id))
         writer.write(("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: %s.%s\r\n"
-                      "Weight-Versions: %d\r\nContent-Type: text/event-stream\r\n"
+                      "Keep-Alive: %s\r\nWeight-Versions: %d\r\nContent-Type: text/event-stream\r\n"
                       "Transfer-Encoding: chunked\r\n\r\n"
-                      % (request_id, self.name, request_id,
+                      % (request_id, self.name, request_id, self.keep_alive,
                          self.versions.get(request.headers.get("model"), 1))).encode())
         for number in range(int(request.headers.get("last-event-id", "0")) + 1, self.events + 1):
             await asyncio.sleep(self.pause_s)
