--- a/review/standin_3.py
+++ b/review/standin_3.py
@@ -479,6 +479,12 @@
     return False
 
 
+async def run_case(case):
+    """Runs a case so that SIGTERM ends its processes too."""
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
+    return await case
+
+
 def main(case):
     """Runs `case(record, folder, trouble)`, which returns whether the rule held, and exits with 0,
     1 or, if it could not run, 2."""
@@ -489,8 +495,8 @@
         sys.exit(2)
     with tempfile.TemporaryDirectory() as folder:
         try:
-            held = asyncio.run(case(record, folder, trouble))
-        except Exception as error:  # The case could not be carried out.
+            held = asyncio.run(run_case(case(record, folder, trouble)))
+        except (Exception, asyncio.CancelledError) as error:  # It could not be carried out.
             record.line("could not run: %r" % error)
             sys.exit(2)
         if os.environ.get("KEEP_LOGS"):
