--- a/review/standin_3.py
+++ b/review/standin_3.py
@@ -350,6 +350,7 @@
             return reply(202, {}, b"")
         request_id = request.headers.get("request-id", "")
         self.ran.append((self.record.now(), request_id))
+        self.record.line("replica %s runs %s" % (self.name, request_id))
         writer.write(("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: %s.%s\r\n"
                       "Keep-Alive: %s\r\nWeight-Versions: %d\r\nContent-Type: text/event-stream\r\n"
                       "Transfer-Encoding: chunked\r\n\r\n"
