--- a/review/13/case.py
+++ b/review/13/case.py
@@ -16,6 +16,7 @@
 STABLE_S = 4.0
 LINGER_S = 9.0
 ROUNDS = 14
+LAST_ROUND_AT_S = 102
 MACHINES = 10
 CUT_OFFSETS_S = [0.0, 0.4]  # one machine is cut off after the other
 
@@ -99,7 +100,10 @@
             record.line("replica %s exits" % replica.name)
 
         for number in range(ROUNDS):
+            if record.now() > LAST_ROUND_AT_S:
+                break
             leaving = replicas[number]
+            rounds = number + 1
             await asyncio.sleep(random.uniform(0.1, 1.3))
             cuts = [asyncio.create_task(cut(*one)) for one in zip(cut_nodes, links, CUT_OFFSETS_S)]
             await asyncio.sleep(random.uniform(0.7, 1.0))
@@ -122,7 +126,7 @@
                             "removed" % (len(late), leaving.name, late[0][0] - leaving.removed_at))
                 break
         record.line("rounds: %d, rounds with a request to a replica that is gone: %d"
-                    % (number + 1, len(broken)))
+                    % (rounds, len(broken)))
         return not broken
     finally:
         for node in nodes:
