Ignore rows older than a known removal, from any source

Cause: a copy of a table remembered no removals. The response to a watch was held up by the cut; meanwhile the node copied the table from another node, which showed the removal. When the older response arrived, its row counted as a new one, and the version of the copy stayed that of the copied table, so that no later watch removed it. The same held for what a node derives from the shared rows (headers of batches, leaders, duties): a read from before a removal brought a value back, and a value that the node itself had written or read stayed for good if its removal came while the copy did not have the row.

Ruled out: the directory's time for new registrations after an outage (2.2 s; requests went on for 9 s), the heartbeats of the replica itself (its entry had been removed).

Change: each report states the version of the table that it shows. The one rule for all of them is in `VersionedMap`, on which `Mirror` is built: the copy is complete up to a version, so a row that it does not have was removed by then, and a report from before that version adds nothing. Removals later than that version are kept until it is reached, so that no memory grows with them. `Outcome::Conflict` tells the version of the store, too. A whole read drops values that it does not show.

--- a/crates/edge/src/batch_store.rs
+++ b/crates/edge/src/batch_store.rs
@@ -43,15 +43,14 @@
         &self,
         batch: &str,
     ) -> Result<Option<Versioned<BatchHeader>>, Error> {
-        let row = self
-            .storage
-            .get(SHARED, &storage::header_key(batch))
-            .await?;
+        let key = storage::header_key(batch);
+        let (row, as_of) = self.storage.get_as_of(SHARED, &key).await?;
         let Some(row) = row else {
             return Ok(None);
         };
         let header = BatchHeader::from_slice(&row.value)?;
-        self.cluster.put_batch_header(batch, row.version, header);
+        self.cluster
+            .put_batch_header(batch, row.version, header, as_of);
         Ok(self.cluster.batch_header(batch))
     }
 
--- a/crates/edge/src/cluster.rs
+++ b/crates/edge/src/cluster.rs
@@ -3,12 +3,13 @@
 
 use crate::identity::Caller;
 use crate::metrics::Metrics;
+use crate::storage;
 use dogwoodlb_batch::BatchHeader;
 use dogwoodlb_config::Snapshot;
 use dogwoodlb_directory::Directory;
 use dogwoodlb_duty::Record;
 use dogwoodlb_liveness::Outbox;
-use dogwoodlb_mirror::{Versioned, VersionedMap};
+use dogwoodlb_mirror::{Mirror, Versioned, VersionedMap};
 use dogwoodlb_types::Instant;
 use std::cell::{Cell, Ref, RefCell};
 use std::collections::BTreeMap;
@@ -106,32 +107,61 @@
         self.batch_headers.borrow().get(batch).cloned()
     }
 
-    /// Stores the header of a batch unless a newer one is present.
-    pub(crate) fn put_batch_header(&self, batch: &str, row_version: u64, header: BatchHeader) {
+    /// Stores the header of a batch, as shown by the store at version `as_of`, unless a newer state of
+    /// its row is known.
+    pub(crate) fn put_batch_header(
+        &self,
+        batch: &str,
+        row_version: u64,
+        header: BatchHeader,
+        as_of: u64,
+    ) {
         let mut headers = self.batch_headers.borrow_mut();
-        headers.put(batch, row_version, header);
+        headers.put(batch, row_version, header, as_of);
     }
 
     /// Forgets a batch whose header was removed at a version, unless its header is newer.
-    pub(crate) fn remove_batch_header(&self, batch: &str, row_version: u64) {
+    pub(crate) fn remove_batch_header(&self, batch: &str, removed_at: u64) {
         let mut headers = self.batch_headers.borrow_mut();
-        headers.remove(batch, row_version);
+        headers.remove(batch, removed_at);
     }
 
     pub(crate) fn leader(&self, service: &str) -> Option<Versioned<String>> {
         self.leaders.borrow().get(service).cloned()
     }
 
-    pub(crate) fn put_leader(&self, service: &str, row_version: u64, node: &str) {
+    /// Stores the leader of a service, as shown by the store at version `as_of`, unless a newer state
+    /// of its row is known.
+    pub(crate) fn put_leader(&self, service: &str, row_version: u64, node: &str, as_of: u64) {
         let mut leaders = self.leaders.borrow_mut();
-        leaders.put(service, row_version, node.to_owned());
+        leaders.put(service, row_version, node.to_owned(), as_of);
     }
 
     /// Forgets the leader of a service whose row was removed at a version, unless a newer one is
     /// known. Without a row, any eligible node may claim the service.
-    pub(crate) fn remove_leader(&self, service: &str, row_version: u64) {
+    pub(crate) fn remove_leader(&self, service: &str, removed_at: u64) {
         let mut leaders = self.leaders.borrow_mut();
-        leaders.remove(service, row_version);
+        leaders.remove(service, removed_at);
+    }
+
+    /// Forgets what a complete copy of the shared rows doesn't contain, unless it is newer than the
+    /// copy. Rows that the node read or wrote itself may have been removed before it ever copied them.
+    pub(crate) fn remove_absent_rows(&self, copy: &Mirror) {
+        let version = copy.version();
+        let batches = |batch: &str| copy.contains(&storage::header_key(batch));
+        let mut headers = self.batch_headers.borrow_mut();
+        headers.remove_absent(version, batches);
+        let services = |service: &str| copy.contains(&storage::leader_key(service));
+        self.leaders.borrow_mut().remove_absent(version, services);
+        let duties = |duty: &str| copy.contains(&storage::duty_key(duty));
+        self.duties.borrow_mut().remove_absent(version, duties);
+    }
+
+    /// Records that all changes of the shared rows up to a version have been applied.
+    pub(crate) fn advance_shared_rows(&self, version: u64) {
+        self.batch_headers.borrow_mut().advance(version);
+        self.leaders.borrow_mut().advance(version);
+        self.duties.borrow_mut().advance(version);
     }
 
     pub(crate) fn directory(&self) -> Ref<'_, Directory> {
--- a/crates/edge/src/coordinator/adoption.rs
+++ b/crates/edge/src/coordinator/adoption.rs
@@ -44,9 +44,8 @@
             match self.context.storage.commit(&txn).await? {
                 store::Outcome::Done { version, .. } => {
                     row_version = version;
-                    self.context
-                        .cluster
-                        .put_batch_header(id, row_version, header.clone());
+                    let cluster = &self.context.cluster;
+                    cluster.put_batch_header(id, row_version, header.clone(), version);
                 }
                 store::Outcome::Conflict { .. } => {
                     batch_store.read_header(id).await?;
--- a/crates/edge/src/duty.rs
+++ b/crates/edge/src/duty.rs
@@ -284,7 +284,7 @@
         match self.context.storage.commit(&txn).await {
             Ok(Outcome::Done { version, .. }) => {
                 let mut duties = self.context.cluster.duties.borrow_mut();
-                duties.put(self.duty.name(), version, write.record.clone());
+                duties.put(self.duty.name(), version, write.record.clone(), version);
                 (self.holder.on_written(version), "won")
             }
             Ok(Outcome::Conflict { .. }) => {
--- a/crates/edge/src/leader.rs
+++ b/crates/edge/src/leader.rs
@@ -214,22 +214,24 @@
                     outcome = "won",
                     "leader_claimed"
                 );
-                self.context.cluster.put_leader(service, version, node);
+                let cluster = &self.context.cluster;
+                cluster.put_leader(service, version, node, version);
                 self.candidacy.on_claimed(service);
                 let texts = self.request_texts(previous, service, version).await;
                 self.inherited.insert(service.to_owned(), texts);
                 self.lead(service, version);
             }
-            Ok(Outcome::Conflict { rows }) => {
+            Ok(Outcome::Conflict { rows, version }) => {
                 tracing::info!(
                     service,
                     before = previous,
                     outcome = "lost",
                     "leader_claimed"
                 );
-                for row in rows {
+                for row in rows.iter().filter(|row| !row.removed) {
                     let name = String::from_utf8_lossy(&row.value);
-                    self.context.cluster.put_leader(service, row.version, &name);
+                    let cluster = &self.context.cluster;
+                    cluster.put_leader(service, row.version, &name, version);
                 }
             }
             Err(error) => {
--- a/crates/edge/src/outcome_writer.rs
+++ b/crates/edge/src/outcome_writer.rs
@@ -163,8 +163,8 @@
                 Ok(store::Outcome::Done { version, .. }) => {
                     *self.header.borrow_mut() = (version, wanted.clone());
                 }
-                Ok(store::Outcome::Conflict { rows }) => {
-                    if !self.apply_header_rows(context, &rows) {
+                Ok(store::Outcome::Conflict { rows, version }) => {
+                    if !self.apply_header_rows(context, &rows, version) {
                         return Some(WriterEnd::Lost);
                     }
                 }
@@ -200,16 +200,15 @@
     }
 
     /// Applies the current header. Returns whether there is one that can be read.
-    fn apply_header_rows(&self, context: &WriterContext, rows: &[Row]) -> bool {
+    fn apply_header_rows(&self, context: &WriterContext, rows: &[Row], as_of: u64) -> bool {
         let key = storage::header_key(&self.batch);
         let Some(row) = rows.iter().find(|row| row.key == key && !row.removed) else {
             return false;
         };
         match BatchHeader::from_slice(&row.value) {
             Ok(header) => {
-                context
-                    .cluster
-                    .put_batch_header(&self.batch, row.version, header.clone());
+                let cluster = &context.cluster;
+                cluster.put_batch_header(&self.batch, row.version, header.clone(), as_of);
                 *self.header.borrow_mut() = (row.version, header);
                 true
             }
@@ -246,7 +245,7 @@
         );
         context
             .cluster
-            .put_batch_header(&self.batch, row_version, header);
+            .put_batch_header(&self.batch, row_version, header, row_version);
         context.cluster.notify_changed();
     }
 }
--- a/crates/edge/src/retention.rs
+++ b/crates/edge/src/retention.rs
@@ -51,10 +51,10 @@
     let txn = Txn::default()
         .check(SHARED, &key, row_version)
         .remove(SHARED, &key);
-    if let Outcome::Conflict { .. } = context.storage.commit(&txn).await? {
-        return Ok(0);
+    match context.storage.commit(&txn).await? {
+        Outcome::Done { version, .. } => context.cluster.remove_batch_header(batch, version),
+        Outcome::Conflict { .. } => return Ok(0),
     }
-    context.cluster.remove_batch_header(batch, row_version);
     let mut keys = Vec::new();
     for table in [BODIES, OUTCOMES, TEXTS] {
         let rows = context.storage.list(table, &format!("{batch}/")).await?;
--- a/crates/edge/src/storage.rs
+++ b/crates/edge/src/storage.rs
@@ -195,13 +195,22 @@
 
     /// Reads one row.
     pub(crate) async fn get(&self, table: &str, key: &str) -> Result<Option<Row>, Error> {
+        Ok(self.get_as_of(table, key).await?.0)
+    }
+
+    /// Reads one row, and returns the version of the store as of which it was read.
+    pub(crate) async fn get_as_of(
+        &self,
+        table: &str,
+        key: &str,
+    ) -> Result<(Option<Row>, u64), Error> {
         let range = KeyRange {
             table: table.to_owned(),
             from: key.to_owned(),
             to: format!("{key}\0"),
         };
         let page = self.read(&range).await?;
-        Ok(page.rows.into_iter().next())
+        Ok((page.rows.into_iter().next(), page.version))
     }
 
     /// Reads the rows whose keys begin with a prefix that ends with a slash.
--- a/crates/edge/src/submit.rs
+++ b/crates/edge/src/submit.rs
@@ -270,11 +270,14 @@
         }
     }
 
-    fn apply_header_rows(&self, batch: &str, rows: &[Row]) {
+    fn apply_header_rows(&self, batch: &str, rows: &[Row], as_of: u64) {
         let key = storage::header_key(batch);
-        for row in rows.iter().filter(|row| row.key == key && row.version > 0) {
+        let is_header = |row: &&Row| row.key == key && row.version > 0 && !row.removed;
+        for row in rows.iter().filter(is_header) {
             match BatchHeader::from_slice(&row.value) {
-                Ok(header) => self.cluster.put_batch_header(batch, row.version, header),
+                Ok(header) => self
+                    .cluster
+                    .put_batch_header(batch, row.version, header, as_of),
                 Err(error) => tracing::error!(batch, %error, "row_not_decoded"),
             }
         }
--- a/crates/edge/src/submit/end.rs
+++ b/crates/edge/src/submit/end.rs
@@ -103,11 +103,12 @@
         let txn = txn.put(SHARED, &key, ended.to_vec()?);
         match self.storage.commit(&txn).await? {
             Outcome::Done { version, .. } => {
-                self.cluster.put_batch_header(batch, version, ended);
+                self.cluster
+                    .put_batch_header(batch, version, ended, version);
                 Ok(EndOutcome::Ended)
             }
-            Outcome::Conflict { rows } => {
-                self.apply_header_rows(batch, &rows);
+            Outcome::Conflict { rows, version } => {
+                self.apply_header_rows(batch, &rows, version);
                 Ok(EndOutcome::Conflict)
             }
         }
--- a/crates/edge/src/submit/write.rs
+++ b/crates/edge/src/submit/write.rs
@@ -72,15 +72,15 @@
                         continue;
                     }
                     self.cluster
-                        .put_batch_header(&submission.id, version, header.clone());
+                        .put_batch_header(&submission.id, version, header.clone(), version);
                     let submission = Rc::new(submission.clone());
                     self.batch_store
                         .cache
                         .put_submission(&submission.id, submission.clone());
                     self.cluster.notify_changed();
                 }
-                Some(Outcome::Conflict { rows }) => {
-                    self.apply_header_rows(&submission.id, &rows);
+                Some(Outcome::Conflict { rows, version }) => {
+                    self.apply_header_rows(&submission.id, &rows, version);
                     return self.conflict_outcome(&submission.id, caller);
                 }
                 // Without the last transaction, which writes the header, the batch does not exist.
--- a/crates/edge/src/table_watcher.rs
+++ b/crates/edge/src/table_watcher.rs
@@ -196,8 +196,12 @@
 
     /// Applies a full copy of a table at a version, from the store or from another node.
     pub(crate) fn apply_snapshot(&self, table: Table, rows: Vec<Row>, version: u64) {
-        let changed = self.mirrors.of(table).borrow_mut().replace(rows, version);
+        let mirror = self.mirrors.of(table);
+        let changed = mirror.borrow_mut().replace(rows, version);
         self.apply_rows(table, changed);
+        if table == Table::Shared {
+            self.cluster.remove_absent_rows(&mirror.borrow());
+        }
     }
 
     fn apply_rows(&self, table: Table, rows: Vec<Row>) {
@@ -206,17 +210,21 @@
             Table::Replicas => self.cluster.directory.borrow_mut().on_contact(now),
             Table::Operator | Table::Shared => {}
         }
-        if rows.is_empty() {
-            return;
-        }
+        let as_of = self.mirrors.of(table).borrow().version();
+        let has_changed = !rows.is_empty();
         for row in rows {
             match table {
                 Table::Operator => self.apply_operator_row(&row),
                 Table::Replicas => self.apply_replica_row(&row),
-                Table::Shared => self.apply_shared_row(&row),
+                Table::Shared => self.apply_shared_row(&row, as_of),
             }
         }
-        self.cluster.notify_changed();
+        if table == Table::Shared {
+            self.cluster.advance_shared_rows(as_of);
+        }
+        if has_changed {
+            self.cluster.notify_changed();
+        }
     }
 
     fn apply_operator_row(&self, row: &Row) {
@@ -293,7 +301,8 @@
         self.protocol.decode_replica_entry(&row.value)
     }
 
-    fn apply_shared_row(&self, row: &Row) {
+    /// Applies a shared row, as copied at version `as_of` of the table.
+    fn apply_shared_row(&self, row: &Row, as_of: u64) {
         let Some((kind, name)) = row.key.split_once('/') else {
             return;
         };
@@ -302,7 +311,9 @@
                 self.cluster.remove_batch_header(name, row.version);
             }
             ("batch", false) => match BatchHeader::from_slice(&row.value) {
-                Ok(header) => self.cluster.put_batch_header(name, row.version, header),
+                Ok(header) => self
+                    .cluster
+                    .put_batch_header(name, row.version, header, as_of),
                 Err(error) => tracing::error!(key = row.key, %error, "row_not_decoded"),
             },
             ("leader", true) => {
@@ -312,9 +323,9 @@
             ("leader", false) => {
                 let node = String::from_utf8_lossy(&row.value);
                 tracing::info!(service = name, %node, row = row.version, "leader_known");
-                self.cluster.put_leader(name, row.version, &node);
+                self.cluster.put_leader(name, row.version, &node, as_of);
             }
-            ("duty", _) => self.apply_duty_row(name, row),
+            ("duty", _) => self.apply_duty_row(name, row, as_of),
             ("node", false) => {
                 let address = std::str::from_utf8(&row.value).ok();
                 match address.and_then(|address| address.parse().ok()) {
@@ -326,7 +337,7 @@
         }
     }
 
-    fn apply_duty_row(&self, duty: &str, row: &Row) {
+    fn apply_duty_row(&self, duty: &str, row: &Row, as_of: u64) {
         let mut duties = self.cluster.duties.borrow_mut();
         if row.removed {
             tracing::warn!(duty, row = row.version, "duty_removed");
@@ -334,7 +345,9 @@
             return;
         }
         match Record::from_slice(&row.value) {
-            Ok(record) => duties.put(duty, row.version, record),
+            Ok(record) => {
+                duties.put(duty, row.version, record, as_of);
+            }
             Err(error) => tracing::error!(key = row.key, %error, "row_not_decoded"),
         }
     }
--- a/crates/edge/src/usage.rs
+++ b/crates/edge/src/usage.rs
@@ -285,7 +285,7 @@
             }
         }
         // An earlier write whose reply was lost.
-        Ok(Outcome::Conflict { rows }) => {
+        Ok(Outcome::Conflict { rows, .. }) => {
             for write in &writes {
                 let row = rows
                     .iter()
--- a/crates/external/src/store.rs
+++ b/crates/external/src/store.rs
@@ -79,6 +79,8 @@
     Conflict {
         /// The current state of the checked rows.
         rows: Vec<Row>,
+        /// The newest version of the store.
+        version: u64,
     },
 }
 
--- a/crates/mirror/src/lib.rs
+++ b/crates/mirror/src/lib.rs
@@ -1,8 +1,7 @@
 //! A local copy of a table that follows its change feed.
 //!
-//! A [`Mirror`] accepts full reads, changes and the copies of other nodes. A row or a removal that
-//! is older than the known row is ignored. Removals are not remembered, so an older version of a
-//! row that arrives after its removal is accepted.
+//! A [`Mirror`] accepts full reads, changes and the copies of other nodes, in any order: what is
+//! older than the copy, removals included, is ignored. See docs/incidents/returned-replica.md.
 //!
 //! A [`VersionedMap`] holds what a node derives from such rows, and from its own reads and writes of
 //! them.
--- a/crates/mirror/tests/late_rows.rs
+++ b/crates/mirror/tests/late_rows.rs
@@ -98,8 +98,8 @@
 #[test]
 fn late_removal() {
     let mut values = VersionedMap::default();
-    values.put("a", 3, "old");
-    values.put("a", 6, "new");
+    values.put("a", 3, "old", 3);
+    values.put("a", 6, "new", 6);
     values.remove("a", 5);
     assert_eq!(values.get("a").map(|known| known.value), Some("new"));
     values.remove("a", 7);
@@ -110,7 +110,51 @@
 #[test]
 fn late_value() {
     let mut values = VersionedMap::default();
-    values.put("a", 6, "new");
-    values.put("a", 3, "old");
+    values.put("a", 6, "new", 6);
+    values.put("a", 3, "old", 5);
     assert_eq!(values.get("a").map(|known| known.value), Some("new"));
 }
+
+/// A removed replica came back: the response to a watch was held up, and a copy from another node
+/// that showed the removal arrived before it. See docs/incidents/returned-replica.md.
+#[test]
+fn watch_overtaken_by_copy() {
+    let mut mirror = Mirror::default();
+    mirror.replace(vec![row("gone", 3)], 4);
+    mirror.replace(Vec::new(), 9);
+    assert!(mirror.apply(vec![row("gone", 6)], 6).is_empty());
+    assert!(keys(&mirror).is_empty());
+    assert_eq!(mirror.version(), 9);
+}
+
+/// A value that was read before its removal came back in memory, where no change removed it again.
+#[test]
+fn late_value_of_removed_row() {
+    let mut values = VersionedMap::default();
+    values.put("a", 3, "old", 3);
+    values.remove("a", 7);
+    assert!(!values.put("a", 3, "old", 6));
+    values.advance(9);
+    assert!(!values.put("a", 3, "old", 8));
+    assert!(values.put("a", 10, "new", 10));
+}
+
+/// A value that the node had written itself stayed for good if the row was removed before the copy of
+/// the table had shown it.
+#[test]
+fn removal_of_unknown_row() {
+    let removal = Row {
+        removed: true,
+        ..row("a", 9)
+    };
+    let mut mirror = Mirror::default();
+    mirror.replace(Vec::new(), 4);
+    let changed = mirror.apply(vec![removal.clone()], 9);
+    assert!(changed.len() == 1 && changed[0].removed && changed[0].key == "a");
+    assert!(mirror.apply(vec![removal], 9).is_empty());
+    let mut values = VersionedMap::default();
+    values.put("a", 5, "own", 5);
+    values.put("b", 9, "own", 9);
+    assert_eq!(values.remove_absent(8, |_| false), ["a"]);
+    assert!(values.get("b").is_some(), "written after the read");
+}
