Keep the version of a removal that the directory delays

What callers could see: a replica whose entry expired during an outage of the store stays listed for 2.2 s, so that it can register again. An entry from before its removal that arrived in this time counted as that registration, and the replica stayed for good.

Cause: the record kept the version of the entry, not of its removal.

Evidence: directory `expired_entries::late_entry_of_expired_replica` failed first (the older entry was accepted) and passes.

Change: `remove` stores the version of the removal in the kept record.

--- a/crates/directory/src/directory.rs
+++ b/crates/directory/src/directory.rs
@@ -46,8 +46,9 @@
         self.grace_until = Some(now + REREGISTRATION_TIME);
     }
 
-    /// Inserts or updates an entry, unless a newer version is known. Returns whether the directory
-    /// changed.
+    /// Inserts or updates an entry, unless a newer version or a later removal of a kept replica is
+    /// known. Other removals are not remembered: the caller follows a copy of the table that never
+    /// goes back. Returns whether the directory changed.
     pub fn put(&mut self, id: &str, row_version: u64, entry: Entry, _now: Instant) -> bool {
         let known = self.replicas.get(id);
         if known.is_some_and(|known| row_version < known.row_version) {
@@ -78,6 +79,7 @@
         match grace_until {
             // A draining replica does not register again.
             Some(until) if record.entry.stage == Stage::Ready => {
+                record.row_version = row_version;
                 record.expires_at.get_or_insert(until);
                 false
             }
--- a/crates/directory/tests/expired_entries.rs
+++ b/crates/directory/tests/expired_entries.rs
@@ -59,6 +59,21 @@
     assert_eq!(directory.replicas("s").count(), 1);
 }
 
+/// A replica whose entry expired during an outage stayed for good: an entry from before the removal,
+/// which arrived late, counted as a new registration.
+#[test]
+fn late_entry_of_expired_replica() {
+    let mut directory = Directory::default();
+    directory.on_contact(at(0));
+    directory.put("gone", 3, entry(Stage::Ready), at(0));
+    let recovered = at(5_000);
+    directory.on_contact(recovered);
+    assert!(!directory.remove("gone", 9, recovered));
+    assert!(!directory.put("gone", 6, entry(Stage::Ready), at(5_100)));
+    let late = recovered + REREGISTRATION_TIME + Duration::from_millis(1);
+    assert_eq!(directory.expire(late), ["gone"]);
+}
+
 /// Guards against a linear search for each known replica in a full read, which elapsed seconds with
 /// several thousand replicas.
 #[test]
