Settle which response belongs to a request by their order

Cause: a replica sent a refusal a second time, when the next request on the connection had arrived. Refusals may name no request, and each one without an id counted as the response to the present request, also on a connection that had carried others.

Evidence: nodes `late_refusals` (10 of 13 cases fail on the old code: requests that ran twice, 200 from a second replica, 502 where the response came behind the extra one, items that ran up to four times, scoring calls sent again while they ran, an item abandoned after copies of one failure, uploads and orders on used connections).

Ruled out: bytes that arrive on an idle connection (it is closed), and a request sent again by the pool (only if it was not written).

Change: the client says of each response how it relates to the request (`Origin`), from the history of its connection. `edge::correlation` decides for calls, uploads, scoring calls and items: a response that names the request, or a refusal that is the first on its connection, counts; otherwise a second request follows that every replica declines, and replicas respond in order. A connection carries an id only once. Long uploads and orders have connections of their own. The log line `request_id_mismatch` becomes `response_not_correlated`.

Conclusion: what is not proved "not run" is neither told as such nor run again, and a true refusal of a sound replica still leads to another one after one round trip.

--- a/crates/client/src/client.rs
+++ b/crates/client/src/client.rs
@@ -1,11 +1,8 @@
-use crate::head_limit::{HeadLimit, LimitedStream};
+use crate::connection::{Connection, Failure, Outgoing};
 use crate::{CheckedClient, Error, Response, Result};
 use bytes::Bytes;
-use http_body_util::{Either, Full};
-use hyper::body::Incoming;
-use hyper::client::conn::http1;
+use hyper::header::{HeaderName, HeaderValue};
 use hyper::Request;
-use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -16,18 +13,6 @@
 use tokio::net::TcpStream;
 use tokio::time::{timeout, Instant};
 
-/// A request body: buffered, or streamed from an incoming message.
-pub(crate) type Outgoing = Either<Full<Bytes>, Incoming>;
-
-/// An open connection.
-#[derive(Debug)]
-pub(crate) struct Connection {
-    sender: http1::SendRequest<Outgoing>,
-    head_limit: Rc<HeadLimit>,
-}
-
-/// How long a connection may take after a response until it is ready for the next request.
-const READY_TIMEOUT: Duration = Duration::from_millis(5);
 /// Subtracted from the server's keep-alive time-out, since the server may already be closing the
 /// connection at its end.
 const IDLE_MARGIN: Duration = Duration::from_millis(400);
@@ -59,7 +44,9 @@
 /// An HTTP/1.1 client. Clones share one connection pool.
 #[derive(Clone, Debug)]
 pub struct Client {
-    pool: Rc<Pool>,
+    pub(crate) pool: Rc<Pool>,
+    /// The header that names a request, and which servers echo.
+    pub(crate) id_header: Option<HeaderName>,
 }
 
 #[derive(Debug)]
@@ -87,6 +74,9 @@
         let Some(lifetime) = idle_timeout.checked_sub(IDLE_MARGIN) else {
             return;
         };
+        if connection.is_worn() {
+            return;
+        }
         let expires = Instant::now() + lifetime;
         let idle = IdleConnection {
             connection,
@@ -100,7 +90,7 @@
         let mut by_address = self.idle.borrow_mut();
         let connections = by_address.entry(address).or_default();
         let has_room = connections.len() < self.settings.max_idle_per_server;
-        if has_room && !idle.connection.sender.is_closed() {
+        if has_room && !idle.connection.is_closed() {
             connections.push(idle);
         }
     }
@@ -121,9 +111,18 @@
         };
         Self {
             pool: Rc::new(pool),
+            id_header: None,
         }
     }
 
+    /// Sets the header that names a request and that servers echo in their responses. Clones made
+    /// before are not affected.
+    #[must_use]
+    pub fn with_id_header(mut self, name: HeaderName) -> Self {
+        self.id_header = Some(name);
+        self
+    }
+
     /// Returns the number of connections established so far.
     pub fn connections_opened(&self) -> u64 {
         self.pool.opened.get()
@@ -166,6 +165,7 @@
         CheckedClient {
             client: self,
             check,
+            needs_new_connection: false,
         }
     }
 
@@ -174,14 +174,21 @@
         self.pool.idle.borrow_mut().remove(&address);
     }
 
+    /// Sends a request on an idle connection, unless it needs a new one or none is suitable.
     pub(crate) async fn send_request(
         &self,
         address: SocketAddr,
         mut request: Request<Outgoing>,
         check: &dyn Fn() -> bool,
+        needs_new_connection: bool,
     ) -> Result<Response> {
+        let id_header = self.id_header.as_ref();
+        let id = id_header.and_then(|name| request.headers().get(name).cloned());
         loop {
-            let reused = self.take_idle(address).await;
+            let reused = match needs_new_connection {
+                true => None,
+                false => self.take_idle(address, id.as_ref()).await,
+            };
             let is_reused = reused.is_some();
             let idle = match reused {
                 Some(idle) => idle,
@@ -191,53 +198,35 @@
                 self.pool.put_back(address, idle);
                 return Err(Error::Revoked { address });
             }
-            let mut connection = idle.connection;
-            let head_limit = connection.head_limit.clone();
-            head_limit.set();
-            let outcome = tokio::select! {
-                // The head may be complete when the limit is reached.
-                biased;
-                outcome = connection.sender.try_send_request(request) => outcome,
-                () = head_limit.reached() => {
-                    let reason = "the head or the interim responses are too long";
-                    return Err(Error::Malformed { address, reason });
-                }
-            };
-            let mut error = match outcome {
-                Ok(response) => {
-                    head_limit.lift();
-                    let pool = self.pool.clone();
-                    return Response::new(response, connection, address, pool);
-                }
-                Err(error) => error,
-            };
-            let unsent = error.take_message();
-            let cause = error.into_error();
-            match unsent {
+            match idle.connection.exchange(self, address, request).await {
+                Ok(response) => return Ok(response),
                 // The server closed the reused connection before the request was written.
-                Some(message) if is_reused => request = message,
-                Some(_) => return Err(Error::Unsent { address, cause }),
-                None => return Err(Error::Incomplete { address, cause }),
+                Err(Failure::Unsent(message, _)) if is_reused => request = *message,
+                Err(Failure::Unsent(_, cause)) => return Err(Error::Unsent { address, cause }),
+                Err(Failure::Sent(error)) => return Err(error),
             }
         }
     }
 
-    /// Takes the most recently used idle connection that is still open.
-    async fn take_idle(&self, address: SocketAddr) -> Option<IdleConnection> {
+    /// Takes the most recently used idle connection that is still open and has not carried a request
+    /// of the same id.
+    async fn take_idle(
+        &self,
+        address: SocketAddr,
+        id: Option<&HeaderValue>,
+    ) -> Option<IdleConnection> {
         loop {
             let mut idle = {
                 let mut by_address = self.pool.idle.borrow_mut();
                 let connections = by_address.get_mut(&address)?;
                 let now = Instant::now();
-                connections
-                    .retain(|idle| idle.expires > now && !idle.connection.sender.is_closed());
-                connections.pop()?
+                connections.retain(|idle| idle.expires > now && !idle.connection.is_closed());
+                let is_suitable =
+                    |idle: &IdleConnection| !id.is_some_and(|id| idle.connection.has_carried(id));
+                let position = connections.iter().rposition(is_suitable)?;
+                connections.remove(position)
             };
-            let sender = &mut idle.connection.sender;
-            if sender.is_ready() {
-                return Some(idle);
-            }
-            if let Ok(Ok(())) = timeout(READY_TIMEOUT, sender.ready()).await {
+            if idle.connection.ready().await {
                 return Some(idle);
             }
         }
@@ -255,19 +244,13 @@
         socket
             .set_tcp_user_timeout(Some(settings.tcp_user_timeout))
             .map_err(connect_error)?;
-        let (stream, head_limit) = LimitedStream::new(stream);
-        let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
-        let (sender, connection) = handshake.map_err(|cause| Error::Unsent { address, cause })?;
+        let connection = Connection::start(stream, address).await;
+        let connection = connection.map_err(|cause| Error::Unsent { address, cause })?;
         self.pool.opened.set(self.pool.opened.get() + 1);
-        tokio::task::spawn_local(async move {
-            if let Err(error) = connection.await {
-                tracing::debug!(%address, %error, "connection_failed");
-            }
-        });
         let lifetime = settings.idle_timeout.saturating_sub(IDLE_MARGIN);
         let expires = Instant::now() + lifetime;
         Ok(IdleConnection {
-            connection: Connection { sender, head_limit },
+            connection,
             expires,
         })
     }
--- a/crates/client/src/response.rs
+++ b/crates/client/src/response.rs
@@ -1,12 +1,12 @@
-use crate::client::{Connection, Pool};
-use crate::{framing, Error, ProgressMonitor, Result};
+use crate::connection::Connection;
+use crate::{framing, Client, Error, Origin, ProgressMonitor, Result};
 use bytes::{Bytes, BytesMut};
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Either, Full};
 use hyper::body::{Body as _, Incoming};
 use hyper::header::HeaderValue;
 use hyper::http::response::Parts;
+use hyper::Request;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{timeout, Instant};
 
@@ -22,6 +22,8 @@
     pub head: Parts,
     /// The body.
     pub body: Body,
+    /// How the response relates to the request.
+    pub origin: Origin,
 }
 
 /// The body of a response. Dropping it before its end closes the connection.
@@ -33,30 +35,45 @@
     ends_with_connection: bool,
     /// The connection, with the time for which it may stay idle, unless it must not be reused.
     reusable: Option<(Connection, Duration)>,
-    pool: Rc<Pool>,
+    client: Client,
 }
 
 impl Response {
     /// Wraps a response, or closes its connection if the end of the response is uncertain.
     pub(crate) fn new(
         response: hyper::Response<Incoming>,
+        origin: Origin,
         connection: Connection,
         address: SocketAddr,
-        pool: Rc<Pool>,
+        client: Client,
     ) -> Result<Self> {
         let (mut head, incoming) = response.into_parts();
         framing::check(&mut head).map_err(|reason| Error::Malformed { address, reason })?;
         let keep_alive = head.headers.get("keep-alive").and_then(keep_alive_timeout);
-        let idle_timeout = keep_alive.unwrap_or(pool.settings.idle_timeout);
+        let idle_timeout = keep_alive.unwrap_or(client.pool.settings.idle_timeout);
         let is_delimited = incoming.size_hint().exact().is_some() || framing::is_chunked(&head);
         let body = Body {
             incoming,
             address,
             ends_with_connection: !is_delimited,
             reusable: Some((connection, idle_timeout)),
-            pool,
+            client,
         };
-        Ok(Self { head, body })
+        Ok(Self { head, body, origin })
+    }
+
+    /// Sends another request on the connection of this response, whose rest is discarded. The server
+    /// responds in order, so that the next response tells whether this one was an extra response.
+    ///
+    /// Returns the next response, or `None` if the connection can't be used or fails.
+    pub async fn send_next(self, request: Request<Bytes>) -> Option<Self> {
+        let (address, client) = (self.body.address, self.body.client.clone());
+        let mut connection = self.body.into_connection().await?;
+        if !connection.ready().await {
+            return None;
+        }
+        let request = request.map(|body| Either::Left(Full::new(body)));
+        connection.exchange(&client, address, request).await.ok()
     }
 }
 
@@ -129,6 +146,13 @@
         let _ = timeout(DISCARD_TIMEOUT, self.collect(MAX_DISCARDED_BYTES)).await;
     }
 
+    /// Discards the rest of the body as [`discard`](Self::discard) does, and returns its connection.
+    async fn into_connection(mut self) -> Option<Connection> {
+        let (connection, _) = self.reusable.take()?;
+        let rest = timeout(DISCARD_TIMEOUT, self.collect(MAX_DISCARDED_BYTES)).await;
+        rest.is_ok_and(|rest| rest.is_ok()).then_some(connection)
+    }
+
     /// Returns the exact length of the body if the head states it.
     pub fn content_length(&self) -> Option<u64> {
         self.incoming.size_hint().exact()
@@ -142,7 +166,8 @@
     /// Returns the connection to the pool.
     fn return_connection(&mut self) {
         if let Some((connection, idle_timeout)) = self.reusable.take() {
-            self.pool.put_idle(self.address, connection, idle_timeout);
+            let pool = &self.client.pool;
+            pool.put_idle(self.address, connection, idle_timeout);
         }
     }
 }
--- a/crates/edge/src/forward/exchange.rs
+++ b/crates/edge/src/forward/exchange.rs
@@ -2,7 +2,7 @@
 
 use super::{Attempt, Forwarder, ProxiedRequest, MAX_BUFFERED_BYTES};
 use crate::clock;
-use crate::headers::{is_not_run, is_response_to};
+use crate::correlation::{correlate, Unanswered};
 use crate::relay;
 use crate::reply;
 use crate::routing::Selection;
@@ -62,26 +62,28 @@
     pub(super) async fn handle_response(
         &self,
         proxied: &ProxiedRequest<'_>,
-        mut response: dogwoodlb_client::Response,
+        response: dogwoodlb_client::Response,
         selection: &Selection,
     ) -> Attempt {
         let headers = self.protocol.headers();
         proxied.usage.on_head(selection);
-        if !is_response_to(headers, &response.head, &proxied.request_id) {
-            tracing::warn!(request = proxied.request_id, replica = %selection.replica, "request_id_mismatch");
-            response.body.prevent_reuse();
-            selection.finish(Outcome::Failure);
-            return Attempt::Failed(None);
-        }
+        let response = match correlate(headers, &proxied.request_id, response).await {
+            Ok(response) => response,
+            Err(Unanswered::NotRun(head)) => {
+                selection.observe(headers, &head);
+                proxied.usage.on_not_run(selection);
+                let status = head.status.as_u16();
+                tracing::debug!(request = proxied.request_id, replica = %selection.replica, status, "not_run");
+                selection.refuse();
+                return Attempt::NotRun;
+            }
+            Err(Unanswered::Unknown { reason }) => {
+                tracing::warn!(request = proxied.request_id, replica = %selection.replica, reason, "response_not_correlated");
+                selection.finish(Outcome::Failure);
+                return Attempt::Failed(None);
+            }
+        };
         selection.observe(headers, &response.head);
-        if is_not_run(headers, &response.head) {
-            proxied.usage.on_not_run(selection);
-            let status = response.head.status.as_u16();
-            tracing::debug!(request = proxied.request_id, replica = %selection.replica, status, "not_run");
-            response.body.discard().await;
-            selection.refuse();
-            return Attempt::NotRun;
-        }
         let is_failure = response.head.status.is_server_error();
         // A replica can fail requests while its health check succeeds.
         let outcome = match is_failure {
--- a/crates/edge/src/forward/upload.rs
+++ b/crates/edge/src/forward/upload.rs
@@ -29,7 +29,9 @@
         }
         let exchange = async {
             let may_send = || self.permits_write(proxied, &selection);
-            let client = self.client.checked(&may_send);
+            // Only the first response on a connection is certainly not one to an earlier request: while
+            // the body is being sent, no second request can follow.
+            let client = self.client.checked(&may_send).on_new_connection();
             let sent = client.send_streaming(selection.address, request).await;
             let mut response = match sent {
                 Ok(response) => response,
--- a/crates/edge/src/headers.rs
+++ b/crates/edge/src/headers.rs
@@ -50,21 +50,12 @@
     headers.get(name)?.to_str().ok()
 }
 
-/// Returns whether a response means that the request was not run: either the replica states it with
+/// Returns whether a response means that its request was not run: either the replica states it with
 /// the `not_run` header, or the status is 421 and the response has no signature of a replica.
 pub(crate) fn is_not_run(headers: &HeaderNames, response: &Parts) -> bool {
     response.headers.contains_key(&headers.not_run) || is_misdirected(headers, response)
 }
 
-/// Returns whether a response belongs to a request: it echoes the id of the request, or it refuses a
-/// request without reading its id. Any other response can be one to an earlier request.
-pub(crate) fn is_response_to(headers: &HeaderNames, response: &Parts, request_id: &str) -> bool {
-    match header_str(&response.headers, &headers.request_id) {
-        Some(echoed) => echoed == request_id,
-        None => is_not_run(headers, response),
-    }
-}
-
 /// Returns whether another process at the replica's address declines the request. The replica itself
 /// signs a response with this status.
 pub(crate) fn is_misdirected(headers: &HeaderNames, response: &Parts) -> bool {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -21,6 +21,7 @@
 mod cluster;
 mod context;
 mod coordinator;
+mod correlation;
 mod departure;
 mod duty;
 mod error;
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -117,6 +117,8 @@
         let boot = clock::wall_clock_ms();
         tracing::info!(node = settings.node, boot, front = %settings.front, "started");
         let metrics = Rc::new(Metrics::new()?);
+        let request_id = dependencies.protocol.headers().request_id.clone();
+        let client = dependencies.client.with_id_header(request_id);
         let cluster = Rc::new(ClusterState::new(metrics.clone()));
         let storage = Rc::new(Storage::new(dependencies.store));
         let peers = Rc::new(Peers::new(&settings, boot));
@@ -135,7 +137,7 @@
         });
         let context = Rc::new(NodeContext {
             batch_store: batch_store.clone(),
-            client: dependencies.client.clone(),
+            client: client.clone(),
             writer_context: WriterContext {
                 batch_store,
                 cluster: cluster.clone(),
@@ -147,7 +149,7 @@
             metrics,
             peers,
             score_client: ScoreClient {
-                client: dependencies.client,
+                client,
                 protocol: dependencies.protocol,
                 routers: routers.clone(),
                 cluster,
--- a/crates/edge/src/orders/load.rs
+++ b/crates/edge/src/orders/load.rs
@@ -272,7 +272,8 @@
         let (path, body) = self.context.protocol.encode_order(&order);
         let request = self.build_request(Method::POST, path, body);
         let may_send = || clock::now() < until && self.accepts_work();
-        let client = self.context.client.checked(&may_send);
+        // Responses to orders name no request, so that a late one must not be possible.
+        let client = self.context.client.checked(&may_send).on_new_connection();
         let call = client.call(self.address, request, CALL_TIMEOUT, MAX_STATUS_BYTES);
         Ok(self.observe(call.await?).status())
     }
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -2,9 +2,10 @@
 
 use crate::clock;
 use crate::context::NodeContext;
+use crate::correlation::{correlate, Unanswered};
 use crate::departure;
 use crate::event;
-use crate::headers::{header_str, is_not_run, is_response_to};
+use crate::headers::header_str;
 use crate::identity::Forwarding;
 use crate::permit::{Permit, RequestKind};
 use crate::protocol::HeaderNames;
@@ -131,31 +132,37 @@
     work: WorkId,
     item: &Item,
     target: &Target,
-    mut response: dogwoodlb_client::Response,
+    response: dogwoodlb_client::Response,
 ) -> RunResult {
     let headers = context.protocol.headers();
-    if !is_response_to(headers, &response.head, &item.id) {
-        tracing::warn!(
-            item = item.id,
-            replica = target.replica,
-            "request_id_mismatch"
-        );
-        return RunResult::Ended(RunEnd::Interrupted);
-    }
-    departure::observe(
-        &context.cluster,
-        headers,
-        &target.replica,
-        target.born_ms,
-        &response.head,
-    );
+    let observe = |head| {
+        let cluster = &context.cluster;
+        departure::observe(cluster, headers, &target.replica, target.born_ms, head);
+    };
+    let mut response = match correlate(headers, &item.id, response).await {
+        Ok(response) => response,
+        Err(Unanswered::NotRun(head)) => {
+            observe(&head);
+            let status = head.status;
+            tracing::debug!(item = item.id, replica = target.replica, %status, "run_refused");
+            return RunResult::Ended(RunEnd::Refused);
+        }
+        Err(Unanswered::Unknown { reason }) => {
+            tracing::warn!(
+                item = item.id,
+                replica = target.replica,
+                reason,
+                "response_not_correlated"
+            );
+            return RunResult::Ended(RunEnd::Interrupted);
+        }
+    };
+    observe(&response.head);
     let status = response.head.status;
-    let not_run = is_not_run(headers, &response.head);
     if status != StatusCode::OK {
         response.body.discard().await;
-        tracing::debug!(item = item.id, replica = target.replica, %status, not_run, "run_error_status");
+        tracing::debug!(item = item.id, replica = target.replica, %status, "run_error_status");
         return match status {
-            _ if not_run => RunResult::Ended(RunEnd::Refused),
             StatusCode::UNPROCESSABLE_ENTITY => RunResult::Unprocessable,
             StatusCode::INTERNAL_SERVER_ERROR => RunResult::Ended(RunEnd::Failed),
             _ => RunResult::Ended(RunEnd::Interrupted),
--- a/crates/edge/src/score.rs
+++ b/crates/edge/src/score.rs
@@ -2,7 +2,8 @@
 
 use crate::clock;
 use crate::cluster::ClusterState;
-use crate::headers::{header_number, header_str, is_not_run, is_response_to};
+use crate::correlation::{correlate, Unanswered};
+use crate::headers::{header_number, header_str};
 use crate::hedge::{Copies, Step};
 use crate::permit::{Permit, RequestKind};
 use crate::protocol::Protocol;
@@ -275,45 +276,32 @@
         let headers = self.protocol.headers();
         let may_send = || selection.may_send() && permit.allows(RequestKind::Score, &scorer.id);
         let client = self.client.checked(&may_send);
-        let exchange = async {
-            let mut response = client.send(selection.address, request).await?;
-            let id_matches = is_response_to(headers, &response.head, &scorer.id);
-            match id_matches {
-                true => selection.observe(headers, &response.head),
-                false => response.body.prevent_reuse(),
-            }
-            let head = response.head;
-            response.body.collect(MAX_RESPONSE_BYTES).await?;
-            Ok::<_, dogwoodlb_client::Error>((head, id_matches))
-        };
-        match exchange.await {
-            Ok((head, true)) => Ok(head),
-            Ok((_, false)) => {
-                selection.finish(Outcome::Failure);
-                Err(Attempt::Retry)
-            }
-            Err(dogwoodlb_client::Error::Revoked { .. }) => {
-                let is_left = !selection.may_send();
+        let failed = |error| on_error(error, scorer, selection);
+        let response = client.send(selection.address, request).await;
+        let response = response.map_err(failed)?;
+        let response = match correlate(headers, &scorer.id, response).await {
+            Ok(response) => response,
+            Err(Unanswered::NotRun(head)) => {
+                selection.observe(headers, &head);
                 selection.finish(Outcome::Cancelled);
-                Err(match is_left {
-                    true => Attempt::Unsent,
-                    false => Attempt::Revoked,
-                })
+                return Err(Attempt::Retry);
             }
-            Err(error) => {
-                tracing::info!(request = scorer.id, replica = %selection.replica, %error, "score_call_failed");
+            Err(Unanswered::Unknown { reason }) => {
+                let replica = &selection.replica;
+                tracing::warn!(request = scorer.id, %replica, reason, "response_not_correlated");
                 selection.finish(Outcome::Failure);
-                Err(Attempt::Retry)
+                return Err(Attempt::Retry);
             }
-        }
+        };
+        let head = response.head;
+        selection.observe(headers, &head);
+        let body = response.body.collect(MAX_RESPONSE_BYTES).await;
+        body.map_err(failed)?;
+        Ok(head)
     }
 
     fn classify(&self, head: &Parts, selection: &Selection, has_failed: bool) -> Attempt {
         let headers = self.protocol.headers();
-        if is_not_run(headers, head) {
-            selection.finish(Outcome::Cancelled);
-            return Attempt::Retry;
-        }
         selection.finish(match head.status.is_server_error() {
             // A text that fails again says little about the replica.
             true if has_failed => Outcome::Cancelled,
@@ -328,3 +316,19 @@
         }
     }
 }
+
+/// Returns the result of a copy that ended without a complete response.
+fn on_error(error: dogwoodlb_client::Error, scorer: &Scorer, selection: &Selection) -> Attempt {
+    if matches!(error, dogwoodlb_client::Error::Revoked { .. }) {
+        let is_left = !selection.may_send();
+        selection.finish(Outcome::Cancelled);
+        return match is_left {
+            true => Attempt::Unsent,
+            false => Attempt::Revoked,
+        };
+    }
+    let replica = &selection.replica;
+    tracing::info!(request = scorer.id, %replica, %error, "score_call_failed");
+    selection.finish(Outcome::Failure);
+    Attempt::Retry
+}
