Give each completion of a daemon a connection of its own

What callers could see: `dogwoodlb run` told a caller that a completion had not run, or sent it to another engine, while the first engine ran it.

Its refusals (400 to 499, 503) name no request, and completions used kept connections, on which a late copy of a refusal counted as the response to the next completion. Calls of services, orders and the other calls to engines had connections of their own already.

Evidence: adapter `engine_streams::late_refusal` failed first ("category: Refused" for a completion that the engine ran), and passes.

Change: all calls to engines use connections of their own. `ureq` does not tell whether a connection was used before, so that the proof of the other clients is not to be had.

Conclusion: no response to an earlier call can precede that of a completion.

--- a/crates/adapter/src/engine.rs
+++ b/crates/adapter/src/engine.rs
@@ -10,8 +10,6 @@
 use std::ops::ControlFlow;
 use std::time::Duration;
 
-/// The maximum number of idle connections to one engine.
-const MAX_IDLE_PER_HOST: usize = 16;
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
 const MAX_STREAM_BYTES: u64 = 256 * 1024 * 1024;
 
@@ -19,13 +17,13 @@
 ///
 /// Events are forwarded as they arrive. When the event handler stops a stream, the connection is
 /// closed immediately, which cancels the request in the engine.
+///
+/// Each call has a connection of its own. Refusals and the responses to orders name no request, and
+/// on a connection that was used before they could be late copies. See
+/// docs/design/response-correlation.md.
 #[derive(Debug)]
 pub struct EngineClient {
-    /// Used for completions.
-    pooled: Client,
-    /// Used for calls other than completions. The connection pool of `ureq` scans all idle
-    /// connections on each call, which with 280 replicas costs more than a new connection.
-    unpooled: Client,
+    client: Client,
 }
 
 #[derive(Deserialize)]
@@ -54,8 +52,7 @@
     /// Creates a client of model engines.
     pub fn new() -> Self {
         Self {
-            pooled: Client::new(MAX_IDLE_PER_HOST),
-            unpooled: Client::new(0),
+            client: Client::new(0),
         }
     }
 }
@@ -112,7 +109,7 @@
                 request.timeout,
             )
         };
-        let response = self.pooled.send(&exchange)?;
+        let response = self.client.send(&exchange)?;
         match response.status().as_u16() {
             200 => {}
             status => return Err(exchange.status_error(status)),
@@ -130,7 +127,7 @@
     fn cancel(&self, address: SocketAddr, request_id: &str, timeout: Duration) -> Result<()> {
         let body = to_json("engine", &json!({ "request_id": request_id }))?;
         let exchange = build_post(address, "/v1/cancel", &body, timeout);
-        match self.unpooled.call(&exchange)? {
+        match self.client.call(&exchange)? {
             (200, ..) => Ok(()),
             (status, ..) => Err(exchange.status_error(status)),
         }
@@ -138,14 +135,13 @@
 
     fn read_load(&self, address: SocketAddr, timeout: Duration) -> Result<Load> {
         let exchange = build_get(address, "/v1/load", timeout);
-        self.unpooled
-            .call_json(&exchange, Category::InvalidResponse)
+        self.client.call_json(&exchange, Category::InvalidResponse)
     }
 
     fn read_weights(&self, address: SocketAddr, timeout: Duration) -> Result<Vec<Weights>> {
         let exchange = build_get(address, "/v1/weights", timeout);
         let response: WeightsResponse = self
-            .unpooled
+            .client
             .call_json(&exchange, Category::InvalidResponse)?;
         Ok(response.weights)
     }
@@ -153,7 +149,7 @@
     fn send_order(&self, address: SocketAddr, order: &Order, timeout: Duration) -> Result<()> {
         let body = to_json("engine", order)?;
         let exchange = build_post(address, "/v1/orders", &body, timeout);
-        match self.unpooled.call(&exchange)? {
+        match self.client.call(&exchange)? {
             (200, ..) => Ok(()),
             (409, body, _) => Err(exchange.error(Category::Refused, order_refusal_cause(&body))),
             (status, ..) => Err(exchange.status_error(status)),
@@ -216,7 +212,7 @@
     }
 }
 
-/// Reads up to the end of the body, so that the connection can be reused.
+/// Checks that no event follows the last one.
 fn read_to_end<R: Read>(exchange: &Exchange<'_>, events: &mut EventReader<R>) -> Result<()> {
     match events.next_event() {
         Ok(Some(_)) => {
--- a/crates/adapter/tests/engine_streams.rs
+++ b/crates/adapter/tests/engine_streams.rs
@@ -11,12 +11,22 @@
 use dogwoodlb_types::{check_spans, id};
 use raw_server::{start_raw_server, unused_address, TEST_TIMEOUT};
 use rstest::rstest;
-use std::net::SocketAddr;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
 use std::ops::ControlFlow;
+use std::thread;
 
 fn generate(
     address: SocketAddr,
     on_event: &mut dyn FnMut(&str) -> ControlFlow<()>,
+) -> Result<Report> {
+    generate_with(&EngineClient::new(), address, on_event)
+}
+
+fn generate_with(
+    client: &EngineClient,
+    address: SocketAddr,
+    on_event: &mut dyn FnMut(&str) -> ControlFlow<()>,
 ) -> Result<Report> {
     let request = CompletionRequest {
         address,
@@ -26,7 +36,7 @@
         idle_timeout: TEST_TIMEOUT,
         timeout: TEST_TIMEOUT,
     };
-    EngineClient::new().generate(&request, on_event)
+    client.generate(&request, on_event)
 }
 
 fn start_engine() -> engine::Engine {
@@ -144,6 +154,49 @@
     assert_eq!(report.unwrap().request_id, "r-1");
 }
 
+/// Serves completions on kept connections. Before it runs a request that is not the first one on its
+/// connection, it sends a refusal that is not the response to it.
+fn start_late_engine() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            thread::spawn(move || {
+                let mut stream = stream.unwrap();
+                let mut buffer = [0; 4_096];
+                for position in 0.. {
+                    if stream.read(&mut buffer).unwrap_or(0) == 0 {
+                        return;
+                    }
+                    // The client may have closed the connection.
+                    if position > 0 {
+                        let refusal = "HTTP/1.1 503 Full\r\ncontent-length: 0\r\n\r\n";
+                        let _ = stream.write_all(refusal.as_bytes());
+                    }
+                    let _ = stream.write_all(KEPT_RESPONSE.as_bytes());
+                }
+            });
+        }
+    });
+    address
+}
+
+const KEPT_RESPONSE: &str = "HTTP/1.1 200 OK\r\ncontent-length: 86\r\n\r\n\
+    data: {\"dogwood\":{\"request_id\":\"r-1\",\"spans\":[],\"tokens\":0,\"queue\":0}}\n\n\
+    data: [DONE]\n\n";
+
+/// A late refusal was taken for the response to the next completion on its connection, so that this
+/// one counted as not run while the engine ran it. See docs/incidents/late-refusals.md.
+#[test]
+fn late_refusal() {
+    let address = start_late_engine();
+    let client = EngineClient::new();
+    for _ in 0..3 {
+        let report = generate_with(&client, address, &mut |_| ControlFlow::Continue(()));
+        assert_eq!(report.unwrap().request_id, "r-1");
+    }
+}
+
 /// Guards against unbounded memory use for one event.
 #[test]
 fn oversized_event() {
