Read the latency of a replica from its own response only

An extra response arrives sooner than a response to the request can, so that its time must not count as the latency of the replica, from which the begin of a counted request is estimated. Found by reading; not shown by a test.

--- a/crates/client/src/client.rs
+++ b/crates/client/src/client.rs
@@ -74,7 +74,7 @@
         let Some(lifetime) = idle_timeout.checked_sub(IDLE_MARGIN) else {
             return;
         };
-        if connection.is_worn() {
+        if connection.is_exhausted() {
             return;
         }
         let expires = Instant::now() + lifetime;
--- a/crates/client/src/connection.rs
+++ b/crates/client/src/connection.rs
@@ -21,7 +21,7 @@
 
 /// How long a connection may take after a response until it is ready for the next request.
 const READY_TIMEOUT: Duration = Duration::from_millis(5);
-/// The maximum number of requests that a connection carries. It remembers their ids.
+/// The maximum number of requests with an id that a connection carries, since it remembers the ids.
 const MAX_REQUESTS: usize = 256;
 
 /// An open connection.
@@ -105,7 +105,7 @@
     }
 
     /// Returns whether the connection has carried as many requests as it may.
-    pub(crate) fn is_worn(&self) -> bool {
+    pub(crate) fn is_exhausted(&self) -> bool {
         self.history.request_ids.len() >= MAX_REQUESTS
     }
 
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -1,10 +1,11 @@
 //! An HTTP/1.1 client with a connection pool, for single-threaded programs.
 //!
 //! A connection carries one request at a time. It is reused only if its last response was read to
-//! the end, the server's keep-alive time-out has not passed, and it has carried no request of the same
-//! id. The [`Origin`] of a response says how it relates to the request. A request that was certainly not
-//! sent is retried on another connection if the failed one was reused; any other failure is
-//! returned, because the server may have seen the request.
+//! the end, the server's keep-alive time-out has not passed, and it has carried no request of the
+//! same id. The [`Origin`] of a response says how it relates to the request.
+//!
+//! A request that was certainly not sent is retried on another connection if the failed one was
+//! reused; any other failure is returned, because the server may have seen the request.
 
 mod checked;
 mod client;
--- a/crates/client/tests/response_origin.rs
+++ b/crates/client/tests/response_origin.rs
@@ -124,7 +124,7 @@
 
 /// A connection remembers the ids that it has carried, so that it must not be used without end.
 #[test]
-fn worn_connection() {
+fn exhausted_connection() {
     let address = server(&[NAMED; 400]);
     block_on(async {
         let client = client();
--- a/crates/edge/src/correlation.rs
+++ b/crates/edge/src/correlation.rs
@@ -9,9 +9,8 @@
 use hyper::http::response::Parts;
 use hyper::Request;
 
-/// An id that no replica has. A replica declines a request for it at once, also while it is full.
+/// The id of a replica that does not exist, and the host of requests to it.
 const NO_REPLICA: HeaderValue = HeaderValue::from_static("none");
-const NO_HOST: HeaderValue = HeaderValue::from_static("none");
 
 /// Why no response to a request is passed on.
 pub(crate) enum Unanswered {
@@ -88,7 +87,7 @@
             false => Ok(next),
         };
     }
-    if !confirms_refusal(names, (&head, origin), &next) {
+    if !confirms_refusal(names, &head, origin, &next) {
         return Err(Unanswered::Unknown {
             reason: "no response to the request was found",
         });
@@ -100,11 +99,10 @@
     Err(Unanswered::NotRun(head))
 }
 
-/// Returns whether the response to the second request proves that the one before it, which came
-/// first, was a refusal of the first request. A copy of an earlier response could look like it,
+/// Returns whether the response `next` to the second request proves that the one before it, with
+/// `head`, was a refusal of the first request. A copy of an earlier response could look like `next`,
 /// unless the connection had no response without an id before.
-fn confirms_refusal(names: &HeaderNames, first: (&Parts, Origin), next: &Response) -> bool {
-    let (head, origin) = first;
+fn confirms_refusal(names: &HeaderNames, head: &Parts, origin: Origin, next: &Response) -> bool {
     let Origin::Unnamed { is_first_unnamed } = origin else {
         return false;
     };
@@ -113,11 +111,12 @@
     is_not_run(names, head) && is_not_run(names, &next.head) && is_unnamed && is_distinct
 }
 
-/// Returns a request that every replica declines: it has no id and names another replica.
+/// Returns a request that every replica declines at once, also while it is full: it has no id and names
+/// another replica.
 fn probe(names: &HeaderNames) -> Request<Bytes> {
     let mut request = Request::new(Bytes::new());
     let headers = request.headers_mut();
-    headers.insert(HOST, NO_HOST);
+    headers.insert(HOST, NO_REPLICA);
     headers.insert(names.instance.clone(), NO_REPLICA);
     request
 }
--- a/crates/edge/src/forward/exchange.rs
+++ b/crates/edge/src/forward/exchange.rs
@@ -66,8 +66,11 @@
         selection: &Selection,
     ) -> Attempt {
         let headers = self.protocol.headers();
-        proxied.usage.on_head(selection);
-        let response = match correlate(headers, &proxied.request_id, response).await {
+        let correlated = correlate(headers, &proxied.request_id, response).await;
+        if !matches!(correlated, Err(Unanswered::Unknown { .. })) {
+            proxied.usage.on_head(selection);
+        }
+        let response = match correlated {
             Ok(response) => response,
             Err(Unanswered::NotRun(head)) => {
                 selection.observe(headers, &head);
--- a/crates/edge/src/leader.rs
+++ b/crates/edge/src/leader.rs
@@ -13,7 +13,7 @@
 use crate::retention;
 use crate::storage::{self, SHARED};
 use dogwoodlb_batch::ItemText;
-use dogwoodlb_external::store::{Outcome, Txn};
+use dogwoodlb_external::store::{Outcome, Row, Txn};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -228,7 +228,8 @@
                     outcome = "lost",
                     "leader_claimed"
                 );
-                for row in rows.iter().filter(|row| !row.removed) {
+                let is_present = |row: &&Row| row.version > 0 && !row.removed;
+                for row in rows.iter().filter(is_present) {
                     let name = String::from_utf8_lossy(&row.value);
                     let cluster = &self.context.cluster;
                     cluster.put_leader(service, row.version, &name, version);
