--- a/crates/mirror/tests/report_order.rs
+++ b/crates/mirror/tests/report_order.rs
@@ -90,12 +90,12 @@
 
 /// A copy of a table and what is derived from its changes.
 #[derive(Clone, Debug, Default)]
-struct Copy {
+struct CopiedTable {
     mirror: Mirror,
     derived: BTreeMap<String, u64>,
 }
 
-impl Copy {
+impl CopiedTable {
     fn follow(mut self, changed: Vec<Row>) -> Self {
         for row in changed {
             if row.removed {
@@ -149,7 +149,7 @@
 fn mirror_in_all_orders() {
     for history in History::all() {
         let mut seen = BTreeSet::new();
-        let mut open = vec![Copy::default()];
+        let mut open = vec![CopiedTable::default()];
         while let Some(copy) = open.pop() {
             if !seen.insert(format!("{copy:?}")) {
                 continue;
@@ -171,7 +171,7 @@
 fn mirror_catches_up() {
     for history in History::all() {
         let newest = history.newest();
-        for copy in Copy::default().successors(&history) {
+        for copy in CopiedTable::default().successors(&history) {
             for mut next in copy.successors(&history) {
                 while next.mirror.version() < newest
                     || next.mirror.next_request() == NextRequest::Read
