--- a/crates/client/src/connection.rs
+++ b/crates/client/src/connection.rs
@@ -155,6 +155,7 @@
         let origin = self
             .history
             .on_response(id_header, request_id.as_ref(), headers);
-        Response::new(response, origin, self, address, client.clone()).map_err(Failure::Sent)
+        let client = client.clone();
+        Response::new(response, origin, request_id, self, address, client).map_err(Failure::Sent)
     }
 }
--- a/crates/client/src/response.rs
+++ b/crates/client/src/response.rs
@@ -24,6 +24,7 @@
     pub body: Body,
     /// How the response relates to the request.
     pub origin: Origin,
+    request_id: Option<HeaderValue>,
 }
 
 /// The body of a response. Dropping it before its end closes the connection.
@@ -43,6 +44,7 @@
     pub(crate) fn new(
         response: hyper::Response<Incoming>,
         origin: Origin,
+        request_id: Option<HeaderValue>,
         connection: Connection,
         address: SocketAddr,
         client: Client,
@@ -59,21 +61,36 @@
             reusable: Some((connection, idle_timeout)),
             client,
         };
-        Ok(Self { head, body, origin })
+        Ok(Self {
+            head,
+            body,
+            origin,
+            request_id,
+        })
     }
 
-    /// Sends another request on the connection of this response, whose rest is discarded. The server
-    /// responds in order, so that the next response tells whether this one was an extra response.
+    /// Sends a second request, without an id, on the connection of this response, whose rest is
+    /// discarded. The server responds in order, so that the next response tells whether this one was
+    /// an extra response.
     ///
-    /// Returns the next response, or `None` if the connection can't be used or fails.
+    /// Returns the next response, or `None` if the connection can't be used or fails. Its origin is
+    /// [`Origin::Named`] if it names the request before, in which case the response to the second
+    /// request is still to come and the connection is not reused.
     pub async fn send_next(self, request: Request<Bytes>) -> Option<Self> {
         let (address, client) = (self.body.address, self.body.client.clone());
+        let request_id = self.request_id;
         let mut connection = self.body.into_connection().await?;
         if !connection.ready().await {
             return None;
         }
         let request = request.map(|body| Either::Left(Full::new(body)));
-        connection.exchange(&client, address, request).await.ok()
+        let mut next = connection.exchange(&client, address, request).await.ok()?;
+        let id_header = client.id_header.as_ref()?;
+        if request_id.is_some() && next.head.headers.get(id_header) == request_id.as_ref() {
+            next.origin = Origin::Named;
+            next.body.prevent_reuse();
+        }
+        Some(next)
     }
 }
 
--- a/crates/client/tests/response_origin.rs
+++ b/crates/client/tests/response_origin.rs
@@ -157,8 +157,11 @@
         let client = client();
         let extra = send(&client, address, "a").await;
         let next = extra.send_next(request("")).await.unwrap();
-        assert_eq!(next.head.headers["request-id"], "a");
-        assert_eq!(client.connections_opened(), 1);
+        assert_eq!(next.origin, Origin::Named);
+        next.body.discard().await;
+        // The response to the second request is still to come on the first connection.
+        send(&client, address, "b").await;
+        assert_eq!(client.connections_opened(), 2);
     });
 }
 
--- a/crates/edge/src/forward/exchange.rs
+++ b/crates/edge/src/forward/exchange.rs
@@ -2,7 +2,7 @@
 
 use super::{Attempt, Forwarder, ProxiedRequest, MAX_BUFFERED_BYTES};
 use crate::clock;
-use crate::correlation::{correlate, Unanswered};
+use crate::correlation::{correlate, SentRequest, Unanswered};
 use crate::relay;
 use crate::reply;
 use crate::routing::Selection;
@@ -66,13 +66,14 @@
         selection: &Selection,
     ) -> Attempt {
         let headers = self.protocol.headers();
-        let correlated = correlate(headers, &proxied.request_id, response).await;
-        if !matches!(correlated, Err(Unanswered::Unknown { .. })) {
-            proxied.usage.on_head(selection);
-        }
-        let response = match correlated {
+        let request = SentRequest {
+            id: &proxied.request_id,
+            replica: selection.replica.as_str(),
+        };
+        let response = match correlate(headers, request, response).await {
             Ok(response) => response,
             Err(Unanswered::NotRun(head)) => {
+                proxied.usage.on_head(selection);
                 selection.observe(headers, &head);
                 proxied.usage.on_not_run(selection);
                 let status = head.status.as_u16();
@@ -80,12 +81,12 @@
                 selection.refuse();
                 return Attempt::NotRun;
             }
-            Err(Unanswered::Unknown { reason }) => {
-                tracing::warn!(request = proxied.request_id, replica = %selection.replica, reason, "response_not_correlated");
+            Err(Unanswered::Unknown) => {
                 selection.finish(Outcome::Failure);
                 return Attempt::Failed(None);
             }
         };
+        proxied.usage.on_head(selection);
         selection.observe(headers, &response.head);
         let is_failure = response.head.status.is_server_error();
         // A replica can fail requests while its health check succeeds.
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -2,7 +2,7 @@
 
 use crate::clock;
 use crate::context::NodeContext;
-use crate::correlation::{correlate, Unanswered};
+use crate::correlation::{correlate, SentRequest, Unanswered};
 use crate::departure;
 use crate::event;
 use crate::headers::header_str;
@@ -139,7 +139,11 @@
         let cluster = &context.cluster;
         departure::observe(cluster, headers, &target.replica, target.born_ms, head);
     };
-    let mut response = match correlate(headers, &item.id, response).await {
+    let request = SentRequest {
+        id: &item.id,
+        replica: &target.replica,
+    };
+    let mut response = match correlate(headers, request, response).await {
         Ok(response) => response,
         Err(Unanswered::NotRun(head)) => {
             observe(&head);
@@ -147,15 +151,7 @@
             tracing::debug!(item = item.id, replica = target.replica, %status, "run_refused");
             return RunResult::Ended(RunEnd::Refused);
         }
-        Err(Unanswered::Unknown { reason }) => {
-            tracing::warn!(
-                item = item.id,
-                replica = target.replica,
-                reason,
-                "response_not_correlated"
-            );
-            return RunResult::Ended(RunEnd::Interrupted);
-        }
+        Err(Unanswered::Unknown) => return RunResult::Ended(RunEnd::Interrupted),
     };
     observe(&response.head);
     let status = response.head.status;
--- a/crates/edge/src/score.rs
+++ b/crates/edge/src/score.rs
@@ -2,7 +2,7 @@
 
 use crate::clock;
 use crate::cluster::ClusterState;
-use crate::correlation::{correlate, Unanswered};
+use crate::correlation::{correlate, SentRequest, Unanswered};
 use crate::headers::{header_number, header_str};
 use crate::hedge::{Copies, Step};
 use crate::permit::{Permit, RequestKind};
@@ -279,16 +279,18 @@
         let failed = |error| on_error(error, scorer, selection);
         let response = client.send(selection.address, request).await;
         let response = response.map_err(failed)?;
-        let response = match correlate(headers, &scorer.id, response).await {
+        let request = SentRequest {
+            id: &scorer.id,
+            replica: selection.replica.as_str(),
+        };
+        let response = match correlate(headers, request, response).await {
             Ok(response) => response,
             Err(Unanswered::NotRun(head)) => {
                 selection.observe(headers, &head);
                 selection.finish(Outcome::Cancelled);
                 return Err(Attempt::Retry);
             }
-            Err(Unanswered::Unknown { reason }) => {
-                let replica = &selection.replica;
-                tracing::warn!(request = scorer.id, %replica, reason, "response_not_correlated");
+            Err(Unanswered::Unknown) => {
                 selection.finish(Outcome::Failure);
                 return Err(Attempt::Retry);
             }
